Lay the workspace, core types and authenticated streams

Cause: every later part needs ids, entities, result codes, log events and a stream between processes to build on. Streams prove a shared key both ways before a message is believed; frames and write buffers are bounded. TLS is left for later.

--- /dev/null
+++ b/packages/consensus/src/lagoonwing_consensus/__init__.py
@@ -0,0 +1,3 @@
+"""Replicated log without I/O."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/core/src/lagoonwing_core/events.py
@@ -0,0 +1,85 @@
+"""Numbered log events; `docs/EVENTS.md` is their catalogue."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+from absl import logging
+
+
+class EventCode(IntEnum):
+    """Number of a log event.
+
+    100s: process; 200s: requests; 300s: routing and placement; 400s: limits; 500s: endpoints
+    and membership; 600s: durable state; 700s: peers; 800s: orders and planned stops.
+    """
+
+    PROCESS_STARTED = 100
+    PROCESS_STOPPING = 101
+    PROCESS_STOPPED = 102
+    SETTINGS_REFUSED = 103
+    COMPONENT_FAILED = 104
+
+    REQUEST_RECEIVED = 200
+    REQUEST_FINISHED = 201
+    REQUEST_REFUSED = 202
+
+    ROUTE_CHOSEN = 300
+    ROUTE_REFUSED = 301
+    ATTEMPT_FAILED = 302
+    STAGE_REPLACED = 303
+    ANSWER_DISCARDED = 304
+
+    ADMISSION_DECIDED = 400
+    ALLOTMENT_CHANGED = 401
+
+    ENDPOINT_JOINED = 500
+    ENDPOINT_LEAVING = 501
+    ENDPOINT_EXPIRED = 502
+    ENDPOINT_REFUSED = 503
+    HOST_SUSPECTED = 510
+    HOST_LOST = 511
+    HOST_JOINED = 512
+
+    LEADER_ELECTED = 600
+    LEADER_LOST = 601
+    CHANGE_ACCEPTED = 602
+    CHANGE_REFUSED = 603
+    REVISION_APPLIED = 604
+    CONFIGURATION_LEASE_LAPSED = 605
+    CONFIGURATION_LEASE_REGAINED = 606
+    VOTER_CHANGED = 607
+    LOG_RECOVERED = 608
+    SNAPSHOT_TAKEN = 609
+    CLAIM_DECIDED = 610
+
+    PEER_CONNECTED = 700
+    PEER_LOST = 701
+    PEER_REFUSED = 702
+
+    STOP_ORDERED = 800
+    STOP_SAFE = 801
+    STOP_CANCELLED = 802
+    ORDER_DECIDED = 803
+
+
+def log_event(code: EventCode, /, **fields: object) -> None:
+    """Write one structured log line.
+
+    Args:
+        code: Number of the event.
+        **fields: Values of the event, written as `key=value` in the order given.
+    """
+    if logging.get_verbosity() < logging.INFO:
+        return
+    pairs = " ".join(f"{key}={_quote(value)}" for key, value in fields.items())
+    logging.info("event=%d name=%s %s", code.value, code.name.lower(), pairs)
+
+
+def _quote(value: object) -> str:
+    """Return a value's text, quoted where it holds white space or quotes."""
+    text = str(value)
+    if text and not any(mark in text for mark in ' "=\n'):
+        return text
+    escaped = text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
+    return f'"{escaped}"'
--- /dev/null
+++ b/packages/entry/src/lagoonwing_entry/__init__.py
@@ -0,0 +1,3 @@
+"""Entry host between callers and endpoints."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/fakes/src/lagoonwing_fakes/__init__.py
@@ -0,0 +1,3 @@
+"""Stand-ins for endpoints, for tests and benchmarks."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/lagoonctl/src/lagoonctl/__init__.py
@@ -0,0 +1,3 @@
+"""Command line for operators."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/lagoonwing/src/lagoonwing/__init__.py
@@ -0,0 +1,3 @@
+"""Process of a host."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/policy/src/lagoonwing_policy/__init__.py
@@ -0,0 +1,3 @@
+"""Routing, limits, fairness and retries without I/O."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/replication/src/lagoonwing_replication/__init__.py
@@ -0,0 +1,3 @@
+"""Disk and network around the replicated log."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/rpc/src/lagoonwing_rpc/__init__.py
@@ -0,0 +1,3 @@
+"""Operator schema and its generated code."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/wire/src/lagoonwing_wire/_channel.py
@@ -0,0 +1,166 @@
+"""Typed messages in both directions over one authenticated stream."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any, Generic, TypeVar
+
+import msgspec
+from expression import Error, Ok, Result
+from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
+
+from lagoonwing_core.callback import callback
+from lagoonwing_core.errors import Refusal
+from lagoonwing_core.events import EventCode, log_event
+from lagoonwing_core.ids import HostId
+from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_wire._framing import FrameTooLargeError, async_read_frame, write_frame
+from lagoonwing_wire._handshake import Session
+from lagoonwing_wire.models import Envelope, EnvelopeKind
+
+MessageT = TypeVar("MessageT")
+
+_ENCODER = msgspec.msgpack.Encoder()
+_ENVELOPE_DECODER = msgspec.msgpack.Decoder(Envelope)
+
+
+@dataclass(frozen=True, slots=True)
+class Handlers(Generic[MessageT]):
+    """What one side does with the messages of a protocol.
+
+    Attributes:
+        decoder: Decoder of the union of all messages of the protocol.
+        on_push: Called for each push, in order; never blocks.
+        async_on_call: Called in a task of its own for each call; returns the reply.
+        on_closed: Called once when the channel has ended.
+    """
+
+    decoder: msgspec.msgpack.Decoder[MessageT]
+    on_push: Callable[[Channel[MessageT], MessageT], None]
+    async_on_call: Callable[[Channel[MessageT], MessageT], Awaitable[msgspec.Struct]]
+    on_closed: Callable[[Channel[MessageT]], None]
+
+
+class Channel(Generic[MessageT]):
+    """Sends and receives the messages of one protocol with one peer."""
+
+    def __init__(self, stream: IOStream, session: Session, handlers: Handlers[MessageT]) -> None:
+        self.peer_id: HostId = session.peer_id
+        self.protocol: str = session.protocol
+        self._stream = stream
+        self._handlers = handlers
+        self._next_correlation = 1
+        self._reply_by_correlation: dict[int, asyncio.Future[MessageT]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._closed = False
+
+    @property
+    def closed(self) -> bool:
+        """Whether the channel has ended."""
+        return self._closed
+
+    @callback
+    def push(self, message: msgspec.Struct) -> bool:
+        """Queue a message that has no reply.
+
+        Returns:
+            Whether the message was queued; it may still be lost with the stream.
+        """
+        return self._write(EnvelopeKind.PUSH, 0, message)
+
+    async def async_call(
+        self, message: msgspec.Struct, timeout: float
+    ) -> Result[MessageT, Refusal]:
+        """Send a call and wait for its reply.
+
+        Args:
+            message: Message of the protocol.
+            timeout: Seconds to wait for the reply.
+
+        Returns:
+            The reply, or a refusal `STREAM_CLOSED` or `PEER_TIMEOUT`. A refusal says nothing
+            of whether the peer acted.
+        """
+        correlation = self._next_correlation
+        self._next_correlation += 1
+        reply: asyncio.Future[MessageT] = asyncio.get_running_loop().create_future()
+        self._reply_by_correlation[correlation] = reply
+        try:
+            if not self._write(EnvelopeKind.CALL, correlation, message):
+                return Error(Refusal(ResultCode.STREAM_CLOSED, "the stream is closed"))
+            return Ok(await asyncio.wait_for(reply, timeout))
+        except TimeoutError:
+            return Error(Refusal(ResultCode.PEER_TIMEOUT, f"no reply within {timeout} s"))
+        except StreamClosedError:
+            return Error(Refusal(ResultCode.STREAM_CLOSED, "the stream closed before the reply"))
+        finally:
+            self._reply_by_correlation.pop(correlation, None)
+
+    async def async_run(self) -> None:
+        """Read messages until the stream ends, then tell the handlers."""
+        try:
+            while True:
+                frame = await async_read_frame(self._stream)
+                self._dispatch(frame)
+        except StreamClosedError:
+            pass
+        except (FrameTooLargeError, msgspec.MsgspecError) as error:
+            log_event(EventCode.PEER_REFUSED, peer=self.peer_id, reason=error)
+        finally:
+            self.close()
+
+    @callback
+    def close(self) -> None:
+        """End the channel; every waiting call is refused."""
+        if self._closed:
+            return
+        self._closed = True
+        self._stream.close()
+        for reply in self._reply_by_correlation.values():
+            if not reply.done():
+                reply.set_exception(StreamClosedError())
+        for task in self._tasks:
+            task.cancel()
+        self._handlers.on_closed(self)
+
+    @callback
+    def _write(self, kind: EnvelopeKind, correlation: int, message: msgspec.Struct) -> bool:
+        """Queue one envelope; close the channel if the peer reads too slowly."""
+        if self._closed:
+            return False
+        envelope = Envelope(kind, correlation, msgspec.Raw(_ENCODER.encode(message)))
+        try:
+            write_frame(self._stream, _ENCODER.encode(envelope))
+        except StreamClosedError:
+            return False
+        except (FrameTooLargeError, StreamBufferFullError) as error:
+            log_event(EventCode.PEER_LOST, peer=self.peer_id, reason=error)
+            self.close()
+            return False
+        return True
+
+    @callback
+    def _dispatch(self, frame: bytes) -> None:
+        """Hand one frame to whoever waits for it."""
+        envelope = _ENVELOPE_DECODER.decode(frame)
+        message = self._handlers.decoder.decode(envelope.body)
+        match envelope.kind:
+            case EnvelopeKind.PUSH:
+                self._handlers.on_push(self, message)
+            case EnvelopeKind.REPLY:
+                reply = self._reply_by_correlation.get(envelope.correlation)
+                if reply is not None and not reply.done():
+                    reply.set_result(message)
+            case EnvelopeKind.CALL:
+                task = asyncio.get_running_loop().create_task(
+                    self._async_answer(envelope.correlation, message)
+                )
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+
+    async def _async_answer(self, correlation: int, message: Any) -> None:
+        """Run the handler of one call and send its reply."""
+        reply = await self._handlers.async_on_call(self, message)
+        self._write(EnvelopeKind.REPLY, correlation, reply)
--- /dev/null
+++ b/tests/wire/test_channel.py
@@ -0,0 +1,127 @@
+"""Channels: calls, pushes, refusals of strangers and of malformed input."""
+
+from __future__ import annotations
+
+import asyncio
+import struct
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+import pytest
+from tornado.tcpclient import TCPClient
+from tornado.testing import bind_unused_port
+
+from lagoonwing_core.ids import HostId
+from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_wire import Channel, ChannelServer, Handlers, Identity, async_connect
+
+
+class Ping(msgspec.Struct, frozen=True, tag="ping"):
+    """Test message."""
+
+    number: int
+
+
+class Pong(msgspec.Struct, frozen=True, tag="pong"):
+    """Test reply."""
+
+    number: int
+
+
+@dataclass
+class Recorder:
+    """Records what arrives."""
+
+    pushed: list[Any] = field(default_factory=list)
+    closed: int = 0
+
+    def handlers(self) -> Handlers[Ping | Pong]:
+        """Return handlers that record and answer."""
+        return Handlers(
+            decoder=msgspec.msgpack.Decoder(Ping | Pong),
+            on_push=lambda channel, message: self.pushed.append(message),
+            async_on_call=self._async_on_call,
+            on_closed=self._on_closed,
+        )
+
+    async def _async_on_call(self, channel: Channel[Any], message: Any) -> Pong:
+        return Pong(message.number)
+
+    def _on_closed(self, channel: Channel[Any]) -> None:
+        self.closed += 1
+
+
+@pytest.fixture
+async def served():
+    """A server on a free loopback port."""
+    recorder = Recorder()
+    sock, port = bind_unused_port()
+    sock.close()
+    server = ChannelServer(Identity(HostId("server"), b"key"), "127.0.0.1", port)
+    server.register("test", recorder.handlers())
+    await server.async_setup()
+    yield recorder, port
+    await server.async_unload()
+
+
+async def _async_open(port: int, key: bytes = b"key", protocol: str = "test"):
+    identity = Identity(HostId("client"), key)
+    return await async_connect(identity, "127.0.0.1", port, protocol, Recorder().handlers())
+
+
+async def test_call_and_push_reach_the_peer(served) -> None:
+    """A call gets its own reply and pushes keep their order."""
+    recorder, port = served
+    channel = (await _async_open(port)).ok
+    run = asyncio.create_task(channel.async_run())
+    channel.push(Ping(1))
+    channel.push(Ping(2))
+    replies = await asyncio.gather(*(channel.async_call(Ping(n), 5.0) for n in range(20)))
+    assert [reply.ok for reply in replies] == [Pong(n) for n in range(20)]
+    assert recorder.pushed == [Ping(1), Ping(2)]
+    channel.close()
+    await run
+
+
+@pytest.mark.parametrize(("key", "protocol"), [(b"wrong", "test"), (b"key", "other")])
+async def test_stranger_is_refused(served, key: bytes, protocol: str) -> None:
+    """A peer without the key, or with another protocol, gets no channel."""
+    _, port = served
+    result = await _async_open(port, key, protocol)
+    assert result.error.code is ResultCode.NOT_AUTHENTIC
+
+
+async def test_garbage_leaves_the_server_serving(served) -> None:
+    """Random bytes and oversize frames are refused and others are still served."""
+    _, port = served
+    for garbage in (b"GET / HTTP/1.1\r\n\r\n", struct.pack(">I", 2**31) + b"x", b"\0\0\0\1\xc1"):
+        stream = await TCPClient().connect("127.0.0.1", port)
+        await stream.write(garbage)
+        await stream.read_until_close()
+    channel = (await _async_open(port)).ok
+    run = asyncio.create_task(channel.async_run())
+    assert (await channel.async_call(Ping(3), 5.0)).ok == Pong(3)
+    channel.close()
+    await run
+
+
+async def test_unreachable_peer_is_a_refusal() -> None:
+    """Nothing listening gives a refusal, not an exception."""
+    sock, port = bind_unused_port()
+    sock.close()
+    assert (await _async_open(port)).error.code is ResultCode.PEER_UNREACHABLE
+
+
+async def test_malformed_message_closes_the_channel(served) -> None:
+    """A message outside the protocol ends the channel of its sender."""
+    recorder, port = served
+
+    class Other(msgspec.Struct, tag="other"):
+        """Message that the protocol doesn't have."""
+
+    channel = (await _async_open(port)).ok
+    run = asyncio.create_task(channel.async_run())
+    assert (await channel.async_call(Other(), 5.0)).error.code is ResultCode.STREAM_CLOSED
+    await run
+    assert recorder.closed == 1
