--- /dev/null
+++ b/packages/core/src/lagoonwing_core/settings/_parser.py
@@ -0,0 +1,154 @@
+"""JSON with comments, with the line of each key."""
+
+from __future__ import annotations
+
+import ast
+from dataclasses import dataclass, field
+from typing import Any
+
+from expression import Error, Ok, Result
+from lark import Lark, Token, Tree, UnexpectedInput
+from lark.exceptions import UnexpectedCharacters, UnexpectedToken
+
+from lagoonwing_core.settings.errors import SettingsFault
+
+KeyPath = tuple[str | int, ...]
+
+_GRAMMAR = r"""
+    start: _value
+    _value: object | array | string | number | true | false | null
+    object: "{" [pair ("," pair)* ","?] "}"
+    pair: ESCAPED_STRING ":" _value
+    array: "[" [_value ("," _value)* ","?] "]"
+    string: ESCAPED_STRING
+    number: SIGNED_NUMBER
+    true: "true"
+    false: "false"
+    null: "null"
+    COMMENT: /\/\/[^\n]*/ | /\/\*(.|\n)*?\*\//
+    %import common.ESCAPED_STRING
+    %import common.SIGNED_NUMBER
+    %import common.WS
+    %ignore WS
+    %ignore COMMENT
+"""
+
+_PARSER = Lark(_GRAMMAR, parser="lalr", propagate_positions=True, maybe_placeholders=False)
+
+
+@dataclass(slots=True)
+class ParsedSettings:
+    """Values of a settings file with the line of each.
+
+    Attributes:
+        value: Plain value of the whole file.
+        line_by_path: Line, from 1, of each key path.
+        faults: Keys that stand twice in one object.
+    """
+
+    file: str
+    value: Any = None
+    line_by_path: dict[KeyPath, int] = field(default_factory=dict)
+    faults: list[SettingsFault] = field(default_factory=list)
+
+
+def parse_settings(file: str, text: str) -> Result[ParsedSettings, SettingsFault]:
+    """Parse JSON with comments; a comma may follow the last entry.
+
+    Args:
+        file: Path used in faults.
+        text: Contents of the file.
+    """
+    try:
+        tree = _PARSER.parse(text)
+    except UnexpectedInput as error:
+        return Error(_syntax_fault(file, text, error))
+    parsed = ParsedSettings(file)
+    parsed.value = _convert(_tree(tree.children[0]), (), parsed)
+    return Ok(parsed)
+
+
+def _syntax_fault(file: str, text: str, error: UnexpectedInput) -> SettingsFault:
+    """Turn the parser's error into a fault."""
+    match error:
+        case UnexpectedToken():
+            found = repr(str(error.token)) if str(error.token) else "the end of the file"
+            allowed = ", ".join(sorted(error.accepts or error.expected))
+        case UnexpectedCharacters():
+            found = repr(error.char)
+            allowed = ", ".join(sorted(error.allowed))
+        case _:
+            found = "the end of the file"
+            allowed = "JSON with comments"
+    line = error.line if error.line > 0 else text.count("\n") + 1
+    return SettingsFault(file, line, "", found, allowed.lower() or "JSON with comments")
+
+
+def _convert(node: Tree[Token], path: KeyPath, parsed: ParsedSettings) -> Any:
+    """Return the plain value of a node and note its line."""
+    parsed.line_by_path.setdefault(path, node.meta.line if not node.meta.empty else 1)
+    match node.data:
+        case "object":
+            return _convert_object(node, path, parsed)
+        case "array":
+            return [
+                _convert(_tree(child), (*path, index), parsed)
+                for index, child in enumerate(node.children)
+            ]
+        case "string":
+            return _unquote(str(node.children[0]))
+        case "number":
+            return _number(str(node.children[0]))
+        case "true":
+            return True
+        case "false":
+            return False
+        case _:
+            return None
+
+
+def _convert_object(node: Tree[Token], path: KeyPath, parsed: ParsedSettings) -> dict[str, Any]:
+    """Return the pairs of an object; a key that stands twice is a fault."""
+    pairs: dict[str, Any] = {}
+    for child in node.children:
+        pair = _tree(child)
+        key = _unquote(str(pair.children[0]))
+        line = pair.meta.line
+        if key in pairs:
+            dotted = dotted_path((*path, key))
+            parsed.faults.append(
+                SettingsFault(parsed.file, line, dotted, "the key twice", "each key once")
+            )
+        parsed.line_by_path[(*path, key)] = line
+        pairs[key] = _convert(_tree(pair.children[1]), (*path, key), parsed)
+    return pairs
+
+
+def _tree(node: Tree[Token] | Token) -> Tree[Token]:
+    """Narrow a node to a tree; the grammar gives nothing else here."""
+    assert isinstance(node, Tree)
+    return node
+
+
+def _unquote(text: str) -> str:
+    """Return the value of a JSON string."""
+    return str(ast.literal_eval(text.replace("\\/", "/")))
+
+
+def _number(text: str) -> int | float:
+    """Return the value of a JSON number."""
+    try:
+        return int(text)
+    except ValueError:
+        return float(text)
+
+
+def dotted_path(path: KeyPath) -> str:
+    """Return a key path as text, such as `replicas[0].port`."""
+    text = ""
+    for part in path:
+        if isinstance(part, int):
+            text += f"[{part}]"
+        else:
+            text += f".{part}" if text else part
+    return text
