--- /dev/null
+++ b/packages/replication/src/lagoonwing_replication/_local_log.py
@@ -0,0 +1,91 @@
+"""A replicated log of one replica in memory."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from expression import Error, Ok, Result
+
+from lagoonwing_consensus.models import Replica, ReplicaRole
+from lagoonwing_core.callback import callback
+from lagoonwing_core.errors import Refusal
+from lagoonwing_core.ids import HostId, LogIndex, ReplicaId, Term
+from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_replication.models import LogStatus, StateMachine
+
+_LOCAL_HOST = HostId("local")
+
+
+class LocalLog:
+    """Single replica in memory, for tests; it leads from setup on."""
+
+    name = "local_log"
+
+    def __init__(
+        self,
+        state_machine: StateMachine,
+        host_id: HostId = _LOCAL_HOST,
+        on_leadership: Callable[[Term | None], None] = lambda term: None,
+    ) -> None:
+        self.on_leadership = on_leadership
+        self._state_machine = state_machine
+        self._replica = Replica(ReplicaId(f"{host_id}-1"), host_id, "127.0.0.1", 0)
+        self._term = Term(0)
+        self._applied = LogIndex(0)
+        self._leading = False
+
+    async def async_setup(self) -> None:
+        """Start to lead."""
+        self.start_term()
+
+    async def async_unload(self) -> None:
+        """Cease to lead."""
+        self.end_term()
+
+    async def async_propose(self, command: bytes, timeout: float) -> Result[bytes, Refusal]:
+        """Apply a command at once, or refuse with `NOT_LEADER`."""
+        if not self._leading:
+            return Error(Refusal(ResultCode.NOT_LEADER, ""))
+        self._applied = LogIndex(self._applied + 1)
+        return Ok(self._state_machine.apply(self._applied, command))
+
+    async def async_read_barrier(self, timeout: float) -> Result[None, Refusal]:
+        """Return at once, or refuse with `NOT_LEADER`."""
+        if not self._leading:
+            return Error(Refusal(ResultCode.NOT_LEADER, ""))
+        return Ok(None)
+
+    def lease_term(self) -> Term | None:
+        """Return the term while leading."""
+        return self._term if self._leading else None
+
+    def status(self) -> LogStatus:
+        """Return the status of the only replica."""
+        return LogStatus(
+            role=ReplicaRole.LEADER if self._leading else ReplicaRole.FOLLOWER,
+            term=self._term,
+            leader=self._replica.host_id if self._leading else None,
+            lease_valid=self._leading,
+            voters=(self._replica,),
+            learners=(),
+            commit=self._applied,
+            applied=self._applied,
+            contact_age_by_host={},
+        )
+
+    @callback
+    def start_term(self) -> None:
+        """Lead in the next term."""
+        self._term = Term(self._term + 1)
+        # A new term begins with an entry of its own, as in the replicated log.
+        self._applied = LogIndex(self._applied + 1)
+        self._leading = True
+        self.on_leadership(self._term)
+
+    @callback
+    def end_term(self) -> None:
+        """Cease to lead; proposals are refused until the next term."""
+        if not self._leading:
+            return
+        self._leading = False
+        self.on_leadership(None)
