--- /dev/null
+++ b/packages/fakes/src/lagoonwing_fakes/_truth_log.py
@@ -0,0 +1,28 @@
+"""Log of what was really run, written before the answer leaves."""
+
+from __future__ import annotations
+
+from typing import Any, TextIO
+
+import msgspec
+
+
+class TruthLog:
+    """Appends JSON lines to a file and keeps nothing in memory."""
+
+    def __init__(self, path: str, endpoint_id: str, incarnation: int) -> None:
+        self._file: TextIO | None = open(path, "a", buffering=1) if path else None  # noqa: SIM115
+        self._common = {"endpoint": endpoint_id, "incarnation": incarnation}
+
+    def write(self, event: str, **fields: Any) -> None:
+        """Write one line and hand it to the operating system."""
+        if self._file is None:
+            return
+        line = {"event": event, **self._common, **fields}
+        self._file.write(msgspec.json.encode(line).decode() + "\n")
+
+    def close(self) -> None:
+        """Close the file."""
+        if self._file is not None:
+            self._file.close()
+            self._file = None
