--- /dev/null
+++ b/packages/entry/src/lagoonwing_entry/_announce_server.py
@@ -0,0 +1,175 @@
+"""HTTP server to which endpoints announce themselves."""
+
+from __future__ import annotations
+
+import hashlib
+import ipaddress
+import itertools
+from typing import Any
+
+import msgspec
+from expression import Error, Ok, Result
+from tornado.netutil import bind_sockets
+from tornado.web import Application
+
+from lagoonwing_core.clock import Clock
+from lagoonwing_core.errors import Refusal
+from lagoonwing_core.events import EventCode, log_event
+from lagoonwing_core.ids import RequestId
+from lagoonwing_core.models import EndpointKind, EndpointRecord
+from lagoonwing_core.result_codes import Outcome, ResultCode
+from lagoonwing_entry._bounded_handler import BodyLimits, BoundedHandler
+from lagoonwing_entry._bounded_server import BoundedHTTPServer, bounded_server
+from lagoonwing_entry.const import MAX_KEY_BYTES
+from lagoonwing_entry.models import AnnounceServerSettings
+from lagoonwing_entry.ports import MembershipPort
+
+_BEARER = "Bearer "
+_MAX_ID_CHARACTERS = 128
+_MAX_MODELS = 64
+_MAX_CALLS = 256
+_MAX_PORT = 65535
+_DECODER = msgspec.json.Decoder(EndpointRecord)
+
+
+class AnnounceAnswer(msgspec.Struct):
+    """When to renew, and where else."""
+
+    renew_after_s: float
+    entries: tuple[str, ...]
+
+
+class AnnounceHandler(BoundedHandler):
+    """`POST /announce`."""
+
+    _numbers = itertools.count(1)
+
+    def initialize(
+        self, settings: AnnounceServerSettings, membership: MembershipPort, clock: Clock
+    ) -> None:
+        """Take what the handler needs."""
+        self.announce_settings = settings
+        self.membership = membership
+        self.clock = clock
+        self.limits = BodyLimits(settings.max_body_bytes, settings.body_timeout_s)
+        self.request_id = RequestId(f"announce-{next(self._numbers)}")
+
+    def begin(self) -> Refusal | None:
+        """Check the endpoint's key."""
+        authorization = self.request.headers.get("Authorization", "")
+        if not authorization.startswith(_BEARER) or len(authorization) > MAX_KEY_BYTES:
+            return Refusal(ResultCode.BAD_KEY, "an endpoint key is needed")
+        key_hash = hashlib.sha256(authorization[len(_BEARER) :].encode()).hexdigest()
+        if key_hash not in self.announce_settings.key_hashes:
+            return Refusal(ResultCode.BAD_KEY, "the endpoint key is not known")
+        return None
+
+    async def post(self) -> None:
+        """Take an announcement, a renewal or a leave."""
+        body = self.take_body()
+        if body is None:
+            return
+        accepted = parse_announcement(body).bind(
+            lambda record: self.membership.announce(record, self.clock.now())
+        )
+        if accepted.is_error():
+            self.refuse(accepted.error)
+            return
+        self.set_outcome(Outcome.DONE, ResultCode.OK)
+        self.set_header("Content-Type", "application/json")
+        answer = AnnounceAnswer(
+            self.announce_settings.renew_after_s, self.announce_settings.entries
+        )
+        self.finish(msgspec.json.encode(answer))
+
+    def refuse(self, refusal: Refusal, outcome: Outcome = Outcome.NOT_RUN) -> None:
+        """Refuse, and log it."""
+        log_event(
+            EventCode.ENDPOINT_REFUSED,
+            peer=self.request.remote_ip,
+            code=refusal.code.value,
+            reason=refusal.detail,
+        )
+        super().refuse(refusal, outcome)
+
+
+class AnnounceServer:
+    """Listens for endpoints."""
+
+    name = "announce_server"
+
+    def __init__(
+        self, settings: AnnounceServerSettings, membership: MembershipPort, clock: Clock
+    ) -> None:
+        self._settings = settings
+        self._membership = membership
+        self._clock = clock
+        self._server: BoundedHTTPServer | None = None
+        self.port = settings.port
+
+    async def async_setup(self) -> None:
+        """Start to listen."""
+        sockets = bind_sockets(self._settings.port, self._settings.address)
+        self.port = sockets[0].getsockname()[1]
+        arguments: dict[str, Any] = {
+            "settings": self._settings,
+            "membership": self._membership,
+            "clock": self._clock,
+        }
+        application = Application(
+            [("/announce", AnnounceHandler, arguments)], log_function=lambda handler: None
+        )
+        self._server = bounded_server(application, self._settings.max_connections)
+        self._server.add_sockets(sockets)
+
+    async def async_unload(self) -> None:
+        """Stop to listen and close what is open."""
+        if self._server is not None:
+            self._server.stop()
+            await self._server.close_all_connections()
+
+
+def parse_announcement(body: bytes) -> Result[EndpointRecord, Refusal]:
+    """Return a sound record, or why the announcement is refused."""
+    try:
+        record = _DECODER.decode(body)
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as error:
+        return Error(Refusal(ResultCode.MALFORMED_REQUEST, str(error)))
+    fault = _fault_of(record)
+    if fault is not None:
+        return Error(Refusal(ResultCode.MALFORMED_REQUEST, fault))
+    return Ok(record)
+
+
+def _fault_of(record: EndpointRecord) -> str | None:
+    """Return what is wrong with a record, if anything."""
+    names = (record.endpoint_id, record.failure_domain, *record.models, record.service or "x")
+    if any(not name or len(name) > _MAX_ID_CHARACTERS for name in names):
+        return f"ids must have 1 to {_MAX_ID_CHARACTERS} characters"
+    if len(record.models) > _MAX_MODELS or len(record.calls) > _MAX_CALLS:
+        return f"at most {_MAX_MODELS} models and {_MAX_CALLS} calls"
+    if not 0 < record.port <= _MAX_PORT:
+        return f"port must be 1 to {_MAX_PORT}"
+    try:
+        ipaddress.ip_address(record.address)
+    except ValueError:
+        return "address must be an IP number"
+    if record.slots < 1 or record.incarnation < 1 or record.sequence < 0:
+        return "slots and incarnation must be at least 1"
+    return _kind_fault_of(record)
+
+
+def _kind_fault_of(record: EndpointRecord) -> str | None:
+    """Return what does not fit the endpoint's kind, if anything."""
+    match record.kind:
+        case EndpointKind.SERVICE:
+            return None if record.service else "a service must name itself"
+        case EndpointKind.WHOLE_MODEL:
+            return None if record.models else "a model server must name its models"
+        case EndpointKind.STAGE:
+            layers = record.layers
+            if len(record.models) != 1 or layers is None:
+                return "a stage must name its model and layers"
+            if not 0 <= layers.first < layers.end <= record.layer_count:
+                return "layers must lie within layer_count"
+            return None
--- /dev/null
+++ b/packages/entry/src/lagoonwing_entry/_caller_handlers.py
@@ -0,0 +1,450 @@
+"""Handlers of the callers' calls."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import itertools
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import unquote
+
+import msgspec
+from expression import Error, Ok, Result
+from tornado.iostream import StreamClosedError
+
+from lagoonwing_core.clock import Clock
+from lagoonwing_core.errors import Refusal
+from lagoonwing_core.events import EventCode, log_event
+from lagoonwing_core.ids import IdempotencyKey, RequestId, ServiceId
+from lagoonwing_core.models import EntityState, Member
+from lagoonwing_core.result_codes import Outcome, ResultCode
+from lagoonwing_entry._answers import StreamSink, WholeSink
+from lagoonwing_entry._bounded_handler import BodyLimits, BoundedHandler
+from lagoonwing_entry._claimed_calls import ServiceCaller
+from lagoonwing_entry._directory import EndpointDirectory
+from lagoonwing_entry._host_state import HostStateTable
+from lagoonwing_entry._parsing import (
+    model_fingerprint,
+    model_work,
+    parse_completion,
+    service_fingerprint,
+)
+from lagoonwing_entry._request_runner import RequestRunner
+from lagoonwing_entry.const import (
+    HEADER_DEADLINE_MS,
+    HEADER_IDEMPOTENCY_KEY,
+    HEADER_REQUEST_ID,
+    MAX_IDEMPOTENCY_KEY_BYTES,
+    MAX_KEY_BYTES,
+)
+from lagoonwing_entry.diagnostics import EntryMetrics
+from lagoonwing_entry.models import (
+    CompletionKind,
+    EntrySettings,
+    Finished,
+    ModelCall,
+    ServiceCallBody,
+)
+from lagoonwing_entry.ports import ControlPort
+from lagoonwing_policy.models import ModelWork, RequestProfile, ServiceWork
+
+_BEARER = "Bearer "
+_SERVICES_PREFIX = "/services/"
+# Headers that belong to one connection, or that this host sets itself.
+_DROPPED_REQUEST_HEADERS = frozenset(
+    {
+        "authorization",
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "idempotency-key",
+        "keep-alive",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "x-attempt",
+        "x-deadline-ms",
+        "x-outcome",
+        "x-priority",
+        "x-request-id",
+    }
+)
+
+
+@dataclass(slots=True)
+class CallerContext:
+    """What the handlers need."""
+
+    settings: EntrySettings
+    runner: RequestRunner
+    services: ServiceCaller
+    control: ControlPort
+    directory: EndpointDirectory
+    state: HostStateTable
+    metrics: EntryMetrics
+    clock: Clock
+    _numbers: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
+
+    def next_request_id(self) -> RequestId:
+        """Return an id that no host gives twice, not even after a restart."""
+        settings = self.settings
+        return RequestId(f"{settings.host_id}-{settings.incarnation:x}-{next(self._numbers)}")
+
+
+class CallerHandler(BoundedHandler):
+    """Base of the callers' handlers."""
+
+    def initialize(self, context: CallerContext, **kwargs: Any) -> None:
+        """Take what the handlers need."""
+        self.context = context
+        caller = context.settings.caller
+        self.limits = BodyLimits(caller.max_body_bytes, caller.body_timeout_s)
+        self.request_id = context.next_request_id()
+        self.arrived = context.clock.now()
+        self.member: Member | None = None
+        self.running: asyncio.Future[Finished] | None = None
+
+    def begin(self) -> Refusal | None:
+        """Check the bearer key."""
+        match self._find_member():
+            case Result(tag="ok", ok=member):
+                self.member = member
+                return None
+            case Result(error=refusal):
+                return refusal
+
+    def on_connection_close(self) -> None:
+        """End the request of a caller who is gone."""
+        super().on_connection_close()
+        if self.running is not None:
+            self.running.cancel()
+
+    def refuse(self, refusal: Refusal, outcome: Outcome = Outcome.NOT_RUN) -> None:
+        """Answer that a request was not done, and log it."""
+        log_event(
+            EventCode.REQUEST_REFUSED,
+            request=self.request_id,
+            outcome=outcome.value,
+            code=refusal.code.value,
+            reason=refusal.detail,
+        )
+        self.count(outcome, refusal.code)
+        super().refuse(refusal, outcome)
+
+    def count(self, outcome: Outcome, code: ResultCode) -> None:
+        """Count the end of the request."""
+        member_id = self.member.member_id if self.member is not None else ""
+        self.context.metrics.request_finished(member_id, outcome, code)
+
+    def host_refusal(self) -> Refusal | None:
+        """Return why this host takes no work now, if so."""
+        limit = self.context.settings.caller.max_open_requests
+        if self.context.runner.active_count >= limit:
+            return Refusal(ResultCode.QUEUE_FULL, "too many open requests", 1.0)
+        return self.context.state.refusal()
+
+    def deadline(self) -> Result[float, Refusal]:
+        """Return the time by which the answer must be whole."""
+        caller = self.context.settings.caller
+        text = self.request.headers.get(HEADER_DEADLINE_MS)
+        if text is None:
+            return Ok(self.arrived + caller.default_deadline_s)
+        if not (text.isascii() and text.isdigit()) or len(text) > 12 or int(text) == 0:
+            detail = f"{HEADER_DEADLINE_MS} must be a number of milliseconds"
+            return Error(Refusal(ResultCode.DEADLINE_INVALID, detail))
+        seconds = int(text) / 1000
+        if seconds > caller.max_deadline_s:
+            detail = f"{HEADER_DEADLINE_MS} passes {caller.max_deadline_s * 1000:.0f}"
+            return Error(Refusal(ResultCode.DEADLINE_INVALID, detail))
+        return Ok(self.arrived + seconds)
+
+    def profile(
+        self, call: ModelCall | ServiceCallBody, deadline: float, idempotent: bool
+    ) -> RequestProfile:
+        """Return what the scheduler needs to know."""
+        assert self.member is not None
+        work: ModelWork | ServiceWork
+        match call:
+            case ModelCall():
+                work = model_work(call)
+                fingerprint = model_fingerprint(call)
+            case ServiceCallBody():
+                work = ServiceWork(call.service_id, call.method, call.path)
+                fingerprint = service_fingerprint(call)
+        log_event(
+            EventCode.REQUEST_RECEIVED,
+            request=self.request_id,
+            member=self.member.member_id,
+            work=type(work).__name__,
+            fingerprint=fingerprint,
+        )
+        return RequestProfile(
+            request_id=self.request_id,
+            member_id=self.member.member_id,
+            fingerprint=fingerprint,
+            work=work,
+            arrived=self.arrived,
+            deadline=deadline,
+            idempotent=idempotent,
+        )
+
+    def log_finished(self, finished: Finished) -> None:
+        """Log and count the end of a request."""
+        self.count(finished.outcome, finished.code)
+        log_event(
+            EventCode.REQUEST_FINISHED,
+            request=self.request_id,
+            outcome=finished.outcome.value,
+            code=finished.code.value,
+            ms=round((self.context.clock.now() - self.arrived) * 1000, 1),
+        )
+
+    def _find_member(self) -> Result[Member, Refusal]:
+        """Return the member whose key the request bears."""
+        authorization = self.request.headers.get("Authorization", "")
+        if not authorization.startswith(_BEARER) or len(authorization) > MAX_KEY_BYTES:
+            return Error(Refusal(ResultCode.BAD_KEY, "a bearer key is needed"))
+        key = authorization[len(_BEARER) :]
+        key_hash = hashlib.sha256(key.encode()).hexdigest()
+        member = self.context.control.view.member_by_key_hash.get(key_hash)
+        if member is None:
+            return Error(Refusal(ResultCode.BAD_KEY, "the key is not known"))
+        if member.state is not EntityState.ACTIVE:
+            return Error(Refusal(ResultCode.MEMBER_RETIRED, "the member is retired"))
+        return Ok(member)
+
+
+class CompletionHandler(CallerHandler):
+    """`POST /v1/completions` and `POST /v1/chat/completions`."""
+
+    def initialize(self, context: CallerContext, **kwargs: Any) -> None:
+        """Take which of the two calls this is."""
+        super().initialize(context)
+        self.kind: CompletionKind = kwargs["kind"]
+
+    async def post(self) -> None:
+        """Run a completion."""
+        body = self.take_body()
+        if body is None:
+            return
+        match self._checked(body):
+            case Result(tag="ok", ok=checked):
+                await self._async_run(*checked)
+            case Result(error=refusal):
+                self.refuse(refusal)
+
+    def start_stream(self) -> None:
+        """Write the headers of a streamed answer; the outcome follows as its last event."""
+        self.context.metrics.first_token(self.context.clock.now() - self.arrived)
+        self.set_header(HEADER_REQUEST_ID, self.request_id)
+        self.set_header("Content-Type", "text/event-stream")
+        self.set_header("Cache-Control", "no-store")
+
+    def _checked(self, body: bytes) -> Result[tuple[ModelCall, float], Refusal]:
+        """Return the call and its deadline, or why it is refused."""
+        parsed = parse_completion(self.kind, body)
+        if parsed.is_error():
+            return Error(parsed.error)
+        if not self.context.directory.knows_model(parsed.ok.model_id):
+            return Error(Refusal(ResultCode.UNKNOWN_MODEL, "no endpoint holds this model"))
+        deadline = self.deadline()
+        if deadline.is_error():
+            return Error(deadline.error)
+        refusal = self.host_refusal()
+        if refusal is not None:
+            return Error(refusal)
+        return Ok((parsed.ok, deadline.ok))
+
+    async def _async_run(self, call: ModelCall, deadline: float) -> None:
+        """Run a checked completion and answer it."""
+        profile = self.profile(call, deadline, idempotent=True)
+        sink: StreamSink | WholeSink
+        if call.stream:
+            timeout_s = self.context.settings.caller.write_timeout_s
+            sink = StreamSink(self, self.request_id, call, timeout_s)
+        else:
+            sink = WholeSink(self.request_id, call)
+        self.running = asyncio.ensure_future(self.context.runner.async_run(profile, call, sink))
+        try:
+            finished = await self.running
+        except asyncio.CancelledError:
+            finished = Finished(Outcome.UNKNOWN, ResultCode.CALLER_GONE)
+        self.log_finished(finished)
+        try:
+            await self._async_answer(finished, sink)
+        except StreamClosedError:
+            return
+
+    async def _async_answer(self, finished: Finished, sink: StreamSink | WholeSink) -> None:
+        """Tell the caller how the request ended."""
+        if finished.outcome is not Outcome.DONE and not sink.started:
+            self.answer_failure(finished)
+            return
+        match sink:
+            case StreamSink():
+                if not sink.started:
+                    self.start_stream()
+                await sink.async_end(finished)
+            case WholeSink():
+                self.set_outcome(finished.outcome, finished.code)
+                self.set_header("Content-Type", "application/json")
+                self.finish(sink.body(finished.finish_reason))
+
+
+class ServiceHandler(CallerHandler):
+    """`/services/{service}/...` with any method."""
+
+    async def get(self) -> None:
+        """Run a plain call."""
+        await self._async_handle()
+
+    async def post(self) -> None:
+        """Run a plain call."""
+        await self._async_handle()
+
+    async def put(self) -> None:
+        """Run a plain call."""
+        await self._async_handle()
+
+    async def patch(self) -> None:
+        """Run a plain call."""
+        await self._async_handle()
+
+    async def delete(self) -> None:
+        """Run a plain call."""
+        await self._async_handle()
+
+    async def _async_handle(self) -> None:
+        """Check and run a plain call."""
+        body = self.take_body()
+        if body is None:
+            return
+        match self._checked(body):
+            case Result(tag="ok", ok=(call, deadline, idempotent)):
+                await self._async_run(call, deadline, idempotent)
+            case Result(error=refusal):
+                self.refuse(refusal)
+
+    def _checked(self, body: bytes) -> Result[tuple[ServiceCallBody, float, bool], Refusal]:
+        """Return the call, its deadline and whether it may be repeated, or a refusal."""
+        service, _, path = self.request.path[len(_SERVICES_PREFIX) :].partition("/")
+        service_id = ServiceId(unquote(service))
+        if not self.context.directory.knows_service(service_id):
+            return Error(Refusal(ResultCode.UNKNOWN_SERVICE, "no endpoint offers this service"))
+        deadline = self.deadline()
+        if deadline.is_error():
+            return Error(deadline.error)
+        key = self._idempotency_key()
+        if key.is_error():
+            return Error(key.error)
+        method = self.request.method or "GET"
+        path = f"/{path}"
+        idempotent = self.context.directory.is_idempotent(service_id, method, path)
+        query = f"?{self.request.query}" if self.request.query else ""
+        call = ServiceCallBody(
+            service_id=service_id,
+            method=method,
+            path=path + query,
+            headers=self._passed_headers(),
+            body=body,
+            key=None if idempotent else key.ok,
+        )
+        return Ok((call, deadline.ok, idempotent))
+
+    async def _async_run(self, call: ServiceCallBody, deadline: float, idempotent: bool) -> None:
+        """Run a checked call and answer it."""
+        refusal = self.host_refusal()
+        if refusal is not None:
+            # An earlier call with this key may have run; only its claim could tell.
+            self.refuse(refusal, Outcome.NOT_RUN if call.key is None else Outcome.UNKNOWN)
+            return
+        profile = self.profile(call, deadline, idempotent)
+        self.running = asyncio.ensure_future(self.context.services.async_call(profile, call))
+        try:
+            finished = await self.running
+        except asyncio.CancelledError:
+            finished = Finished(Outcome.UNKNOWN, ResultCode.CALLER_GONE)
+        self.log_finished(finished)
+        try:
+            self._answer(finished)
+        except StreamClosedError:
+            return
+
+    def _answer(self, finished: Finished) -> None:
+        """Pass the service's answer on."""
+        answer = finished.answer
+        if answer is None:
+            self.answer_failure(finished)
+            return
+        self.set_status(answer.status)
+        self.clear_header("Content-Type")
+        for name, value in answer.headers:
+            self.add_header(name, value)
+        self.set_outcome(finished.outcome, finished.code)
+        if answer.status in (204, 304):
+            self.finish()
+            return
+        self.finish(answer.body)
+
+    def _idempotency_key(self) -> Result[IdempotencyKey | None, Refusal]:
+        """Return the idempotency key, if there is one."""
+        text = self.request.headers.get(HEADER_IDEMPOTENCY_KEY)
+        if text is None:
+            return Ok(None)
+        if not text or len(text) > MAX_IDEMPOTENCY_KEY_BYTES or not text.isprintable():
+            detail = f"{HEADER_IDEMPOTENCY_KEY} must be 1 to {MAX_IDEMPOTENCY_KEY_BYTES} characters"
+            return Error(Refusal(ResultCode.HEADER_INVALID, detail))
+        return Ok(IdempotencyKey(text))
+
+    def _passed_headers(self) -> tuple[tuple[str, str], ...]:
+        """Return the headers that the service gets."""
+        return tuple(
+            (name, value)
+            for name, value in self.request.headers.get_all()
+            if name.lower() not in _DROPPED_REQUEST_HEADERS
+        )
+
+
+class ModelCard(msgspec.Struct):
+    """One model in the list."""
+
+    id: str
+    object: str = "model"
+    owned_by: str = "lagoonwing"
+
+
+class ModelList(msgspec.Struct):
+    """Models that endpoints hold now."""
+
+    data: list[ModelCard]
+    object: str = "list"
+
+
+class ModelsHandler(CallerHandler):
+    """`GET /v1/models`."""
+
+    async def get(self) -> None:
+        """List the models."""
+        if self.take_body() is None:
+            return
+        cards = [ModelCard(model) for model in self.context.directory.models()]
+        self.set_outcome(Outcome.DONE, ResultCode.OK)
+        self.set_header("Content-Type", "application/json")
+        self.finish(msgspec.json.encode(ModelList(cards)))
+
+
+class NotFoundHandler(CallerHandler):
+    """Every path that is not served."""
+
+    def begin(self) -> Refusal | None:
+        """Refuse."""
+        return Refusal(ResultCode.NOT_FOUND, "no such path")
+
+    async def _async_refuse(self) -> None:
+        """Answer once the body has arrived."""
+        self.take_body()
+
+    get = post = put = patch = delete = head = options = _async_refuse
--- /dev/null
+++ b/packages/entry/src/lagoonwing_entry/_control_shell.py
@@ -0,0 +1,135 @@
+"""Hands the durable state to the scheduler, asks for allotments, reports planned stops."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from expression import Result
+
+from lagoonwing_core.callback import callback
+from lagoonwing_core.clock import Clock
+from lagoonwing_core.events import EventCode, log_event
+from lagoonwing_core.models import PlannedStop, StopState, StopTarget
+from lagoonwing_entry._host_state import HostStateTable
+from lagoonwing_entry._request_runner import RequestRunner
+from lagoonwing_entry.models import EntrySettings
+from lagoonwing_entry.ports import ControlPort, SchedulerPort
+
+
+class ControlShell:
+    """Joins the follower and the scheduler."""
+
+    name = "control_shell"
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        control: ControlPort,
+        scheduler: SchedulerPort,
+        runner: RequestRunner,
+        state: HostStateTable,
+        clock: Clock,
+    ) -> None:
+        self._settings = settings
+        self._control = control
+        self._scheduler = scheduler
+        self._runner = runner
+        self._state = state
+        self._clock = clock
+        self._remove_listener: Callable[[], None] = lambda: None
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def async_setup(self) -> None:
+        """Start to follow."""
+        self._remove_listener = self._control.add_listener(self._on_revision)
+        self._on_revision()
+        loop = asyncio.get_running_loop()
+        self._tasks = [
+            loop.create_task(self._async_request_allotments()),
+            loop.create_task(self._async_report_stops()),
+        ]
+
+    async def async_unload(self) -> None:
+        """Stop to follow."""
+        self._remove_listener()
+        for task in self._tasks:
+            task.cancel()
+
+    @callback
+    def _on_revision(self) -> None:
+        """Hand the current copy to the scheduler."""
+        view = self._control.view
+        self._scheduler.set_agreements(
+            view.agreement_by_member.values(),
+            view.member_by_id.values(),
+            view.quarantine_by_fingerprint.values(),
+            view.stop_by_id.values(),
+            view.configuration_by_key.values(),
+            self._clock.now(),
+        )
+        self._state.stop_ordered = any(
+            self._covers_this_host(stop) for stop in view.stop_by_id.values()
+        )
+        self._runner.pump()
+
+    def _covers_this_host(self, stop: PlannedStop) -> bool:
+        """Return whether a stop in force takes this host out of service."""
+        if stop.state is StopState.CANCELLED:
+            return False
+        match stop.target:
+            case StopTarget.HOST:
+                return stop.target_id == self._settings.host_id
+            case StopTarget.FAILURE_DOMAIN:
+                return stop.target_id == self._settings.failure_domain
+            case StopTarget.ENDPOINT:
+                return False
+
+    async def _async_request_allotments(self) -> None:
+        """Ask for shares of caps for ever."""
+        while True:
+            await asyncio.sleep(self._settings.allotment_period_s)
+            demands = self._scheduler.demand(self._clock.now())
+            if not demands:
+                continue
+            granted = await self._control.async_request_allotments(
+                demands, self._settings.control_timeout_s
+            )
+            match granted:
+                case Result(tag="ok", ok=grants):
+                    self._scheduler.set_allotments(grants, self._clock.now())
+                    self._runner.pump()
+                case Result(error=refusal):
+                    log_event(
+                        EventCode.ALLOTMENT_CHANGED,
+                        code=refusal.code.value,
+                        reason=refusal.detail,
+                    )
+
+    async def _async_report_stops(self) -> None:
+        """Report what runs on the targets of planned stops for ever."""
+        while True:
+            await asyncio.sleep(self._settings.stop_report_period_s)
+            for stop in list(self._control.view.stop_by_id.values()):
+                if stop.state is StopState.DRAINING:
+                    in_flight = self.in_flight_of(stop)
+                    await self._control.async_report_stop(stop.stop_id, in_flight)
+
+    def in_flight_of(self, stop: PlannedStop) -> int:
+        """Return the requests of this host that run on a stop's target."""
+        active = self._runner.active
+        if self._covers_this_host(stop):
+            return len(active)
+        match stop.target:
+            case StopTarget.ENDPOINT:
+                return sum(
+                    any(record.endpoint_id == stop.target_id for record in request.records)
+                    for request in active
+                )
+            case StopTarget.FAILURE_DOMAIN:
+                return sum(
+                    any(record.failure_domain == stop.target_id for record in request.records)
+                    for request in active
+                )
+            case StopTarget.HOST:
+                return 0
--- /dev/null
+++ b/packages/entry/src/lagoonwing_entry/_dispatch.py
@@ -0,0 +1,192 @@
+"""One dispatch over HTTP: request, head, body, and how far it came if it failed."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from types import TracebackType
+
+from tornado.httputil import HTTPHeaders, RequestStartLine
+
+from lagoonwing_core.errors import Refusal
+from lagoonwing_core.models import EndpointRecord
+from lagoonwing_core.result_codes import Outcome, ResultCode
+from lagoonwing_entry._connection_pool import ConnectionPool
+from lagoonwing_entry._http_client import AnswerHead, ClientConnection, Exchange
+from lagoonwing_entry.const import (
+    HEADER_ATTEMPT,
+    HEADER_OUTCOME,
+    HEADER_REQUEST_ID,
+    HEADER_RETRY_AFTER,
+)
+from lagoonwing_entry.errors import AnswerBrokenError, ConnectError, DispatchError
+from lagoonwing_entry.models import DispatchFailure, DispatchId
+from lagoonwing_policy.models import Dispatch
+
+_BUSY_STATUSES = frozenset({409, 429, 503})
+
+
+@dataclass(frozen=True, slots=True)
+class OutgoingRequest:
+    """What is dispatched.
+
+    Attributes:
+        fresh: Whether the connection must have carried nothing before.
+        strict: Whether an answer without the echoed ids is discarded.
+    """
+
+    method: str
+    path: str
+    headers: HTTPHeaders
+    body: bytes
+    dispatch_id: DispatchId
+    fresh: bool = False
+    strict: bool = True
+
+
+class OpenDispatch:
+    """Context of one dispatch; leaving it closes the connection unless all was read."""
+
+    def __init__(
+        self, pool: ConnectionPool, record: EndpointRecord, request: OutgoingRequest
+    ) -> None:
+        self._pool = pool
+        self._record = record
+        self._request = request
+        self._connection: ClientConnection | None = None
+        self._exchange: Exchange | None = None
+
+    async def __aenter__(self) -> OpenDispatch:
+        """Connect and send.
+
+        Raises:
+            DispatchError: No byte was sent.
+        """
+        try:
+            connection = await self._pool.async_take(self._record, self._request.fresh)
+            self._connection = connection
+            self._exchange = connection.send(
+                RequestStartLine(self._request.method, self._request.path, "HTTP/1.1"),
+                self._headers(),
+                self._request.body,
+                self._accepts,
+            )
+        except ConnectError as error:
+            refusal = Refusal(ResultCode.ENDPOINT_LOST, str(error))
+            failure = DispatchFailure(Dispatch.NO_BYTE_SENT, refusal, endpoint_died=True)
+            raise DispatchError(failure) from error
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Cancel what is not finished."""
+        if self._exchange is not None and not self._exchange.finished:
+            self.cut()
+
+    def cut(self) -> None:
+        """Close the connection."""
+        if self._connection is not None:
+            self._connection.close()
+
+    async def async_head(self, timeout: float) -> AnswerHead:
+        """Wait for the answer's head.
+
+        Raises:
+            DispatchError: None came, or the endpoint refused.
+        """
+        assert self._exchange is not None
+        try:
+            async with asyncio.timeout(timeout):
+                head = await self._exchange.async_head()
+        except AnswerBrokenError as error:
+            raise self._lost(ResultCode.ENDPOINT_LOST, str(error), died=True) from error
+        except TimeoutError as error:
+            detail = f"no answer within {timeout} s"
+            raise self._lost(ResultCode.ENDPOINT_LOST, detail, died=False) from error
+        self._check_refused(head)
+        return head
+
+    async def async_chunk(self, timeout: float) -> bytes | None:
+        """Wait for the next part of the body; nothing at its proper end.
+
+        Raises:
+            DispatchError: The answer broke off or fell silent.
+        """
+        assert self._exchange is not None
+        try:
+            async with asyncio.timeout(timeout):
+                return await self._exchange.async_chunk()
+        except AnswerBrokenError as error:
+            raise self._lost(ResultCode.ANSWER_INCOMPLETE, str(error), died=True) from error
+        except TimeoutError as error:
+            detail = f"silent for {timeout} s"
+            raise self._lost(ResultCode.ANSWER_INCOMPLETE, detail, died=False) from error
+
+    async def async_body(self, timeout: float, limit: int) -> bytes:
+        """Read the whole body.
+
+        Raises:
+            DispatchError: The body is not whole or passes `limit` bytes.
+        """
+        parts: list[bytes] = []
+        size = 0
+        while (chunk := await self.async_chunk(timeout)) is not None:
+            size += len(chunk)
+            if size > limit:
+                detail = f"the answer passes {limit} bytes"
+                raise self._lost(ResultCode.ANSWER_INCOMPLETE, detail, died=False)
+            parts.append(chunk)
+        return b"".join(parts)
+
+    def discarded(self, detail: str) -> DispatchError:
+        """Return the error of an answer that is not this dispatch's own."""
+        return self._lost(ResultCode.ANSWER_INCOMPLETE, detail, died=False)
+
+    def _check_refused(self, head: AnswerHead) -> None:
+        """Raise if the endpoint says that it started nothing."""
+        if head.status not in _BUSY_STATUSES:
+            return
+        if head.headers.get(HEADER_OUTCOME) != Outcome.NOT_RUN.value:
+            return
+        refusal = Refusal(ResultCode.ENDPOINT_REFUSED, f"status {head.status}")
+        raise DispatchError(
+            DispatchFailure(
+                Dispatch.REFUSED_BEFORE_START,
+                refusal,
+                retry_after=_seconds(head.headers.get(HEADER_RETRY_AFTER)),
+            )
+        )
+
+    def _lost(self, code: ResultCode, detail: str, died: bool) -> DispatchError:
+        """Return the error of a dispatch of which bytes may have left."""
+        refusal = Refusal(code, f"{self._record.endpoint_id}: {detail}")
+        return DispatchError(DispatchFailure(Dispatch.MAY_HAVE_RUN, refusal, endpoint_died=died))
+
+    def _accepts(self, headers: HTTPHeaders) -> bool:
+        """Return whether an answer echoes this dispatch."""
+        request_id = headers.get(HEADER_REQUEST_ID)
+        attempt = headers.get(HEADER_ATTEMPT)
+        if not self._request.strict and request_id is None and attempt is None:
+            return True
+        dispatch_id = self._request.dispatch_id
+        return request_id == dispatch_id.request_id and attempt == str(dispatch_id.attempt)
+
+    def _headers(self) -> HTTPHeaders:
+        """Return the headers with the ids that the answer must echo."""
+        headers = self._request.headers
+        headers["Host"] = f"{self._record.address}:{self._record.port}"
+        headers[HEADER_REQUEST_ID] = self._request.dispatch_id.request_id
+        headers[HEADER_ATTEMPT] = str(self._request.dispatch_id.attempt)
+        return headers
+
+
+def _seconds(text: str | None) -> float | None:
+    """Return a Retry-After in seconds, if it is a number."""
+    try:
+        return float(text) if text else None
+    except ValueError:
+        return None
--- /dev/null
+++ b/packages/entry/src/lagoonwing_entry/_http_adapter.py
@@ -0,0 +1,280 @@
+"""Endpoint adapter for the HTTP that the stand-ins speak."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncGenerator
+from typing import Any, TypeVar
+
+import msgspec
+from tornado.httputil import HTTPHeaders
+
+from lagoonwing_core.clock import Clock
+from lagoonwing_core.errors import Refusal
+from lagoonwing_core.events import EventCode, log_event
+from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_entry._connection_pool import ConnectionPool
+from lagoonwing_entry._dispatch import OpenDispatch, OutgoingRequest
+from lagoonwing_entry._endpoint_messages import (
+    ExportAnswer,
+    ExportRequest,
+    ImportRequest,
+    ReplayRequest,
+    ResumeFrom,
+    StepAnswer,
+    StepRequest,
+)
+from lagoonwing_entry._token_stream import TokenStreamReader
+from lagoonwing_entry.const import (
+    HEADER_IDEMPOTENCY_KEY,
+    HEADER_PRIORITY,
+    HEADER_RESUMED_FROM,
+    IDLE_CONNECTION_LIFE_S,
+    STAGE_EXPORT_TIMEOUT_S,
+)
+from lagoonwing_entry.errors import DispatchError
+from lagoonwing_entry.models import (
+    AdapterSettings,
+    CompletionCall,
+    CompletionKind,
+    DispatchFailure,
+    DispatchId,
+    ServiceAnswer,
+    ServiceCallBody,
+    StageReplay,
+    StageStep,
+    Target,
+    TokenBatch,
+)
+from lagoonwing_policy.models import Dispatch
+
+AnswerT = TypeVar("AnswerT")
+
+_FRAMING_END_TIMEOUT_S = 1.0
+
+_ENCODER = msgspec.json.Encoder()
+_TRUE = msgspec.Raw(b"true")
+_NO_STATE = msgspec.Raw(b"{}")
+_PATH_BY_KIND = {
+    CompletionKind.CHAT: "/v1/chat/completions",
+    CompletionKind.TEXT: "/v1/completions",
+}
+# Headers that belong to one connection, or that this host sets itself.
+_DROPPED_ANSWER_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "date",
+        "keep-alive",
+        "server",
+        "transfer-encoding",
+        "x-attempt",
+        "x-incarnation",
+        "x-outcome",
+        "x-request-id",
+        "x-result-code",
+    }
+)
+
+
+class HttpEndpointAdapter:
+    """Speaks HTTP/1.1 with endpoints; always streams completions."""
+
+    name = "endpoint_adapter"
+
+    def __init__(self, settings: AdapterSettings, clock: Clock) -> None:
+        self._settings = settings
+        self._pool = ConnectionPool(settings, clock)
+        self._pruner: asyncio.Task[None] | None = None
+
+    async def async_setup(self) -> None:
+        """Start to close connections that are idle for long."""
+        self._pruner = asyncio.get_running_loop().create_task(self._async_prune())
+
+    async def async_unload(self) -> None:
+        """Close every connection."""
+        if self._pruner is not None:
+            self._pruner.cancel()
+        self._pool.close()
+
+    async def tokens(
+        self, target: Target, completion: CompletionCall
+    ) -> AsyncGenerator[TokenBatch, None]:
+        """Run a completion on a whole-model endpoint; the last batch has a finish reason."""
+        fields = dict(completion.call.fields)
+        fields["stream"] = _TRUE
+        if completion.first_token:
+            resume = ResumeFrom(completion.first_token, completion.text)
+            fields["resume_from"] = msgspec.Raw(_ENCODER.encode(resume))
+        headers = HTTPHeaders({HEADER_PRIORITY: completion.priority.value})
+        path = _PATH_BY_KIND[completion.call.kind]
+        request = self._json_request(path, fields, completion.dispatch_id, headers)
+        async with OpenDispatch(self._pool, target.record, request) as dispatch:
+            head = await dispatch.async_head(self._settings.first_byte_timeout_s)
+            self._check_status(target, head.status)
+            if completion.first_token:
+                _check_resumed(dispatch, head.headers, completion.first_token)
+            reader = TokenStreamReader(completion.dispatch_id, completion.first_token)
+            while not reader.complete:
+                chunk = await dispatch.async_chunk(self._settings.idle_timeout_s)
+                if chunk is None:
+                    raise dispatch.discarded("the stream ended without its last event")
+                try:
+                    batch = reader.feed(chunk)
+                except ValueError as error:
+                    log_event(
+                        EventCode.ANSWER_DISCARDED,
+                        request=completion.dispatch_id.request_id,
+                        attempt=completion.dispatch_id.attempt,
+                        endpoint=target.endpoint_id,
+                        reason=error,
+                    )
+                    raise dispatch.discarded(str(error)) from error
+                if batch is not None:
+                    yield batch
+            # Reads the framing's end, so that the connection can be used again.
+            with contextlib.suppress(DispatchError):
+                await dispatch.async_chunk(_FRAMING_END_TIMEOUT_S)
+
+    async def async_step(self, target: Target, step: StageStep) -> msgspec.Raw:
+        """Run a stage's layers for one token and return its state."""
+        wanted = (step.dispatch_id.request_id, step.dispatch_id.attempt, step.token)
+        layers = (step.layers.first, step.layers.end)
+        body = StepRequest(*wanted, *layers, step.state)
+        answer, dispatch = await self._async_exchange(
+            target, "/stage/step", body, step.dispatch_id, StepAnswer, self._settings.step_timeout_s
+        )
+        got = (answer.request_id, answer.attempt, answer.token, answer.first, answer.end)
+        if got != (*wanted, *layers):
+            log_event(
+                EventCode.ANSWER_DISCARDED,
+                request=step.dispatch_id.request_id,
+                attempt=step.dispatch_id.attempt,
+                endpoint=target.endpoint_id,
+                reason="not of this step",
+            )
+            raise dispatch.discarded("the answer is not of this step")
+        return answer.state
+
+    async def async_replay(self, target: Target, replay: StageReplay) -> None:
+        """Rebuild a stage's KV cache."""
+        body = ReplayRequest(
+            replay.dispatch_id.request_id,
+            replay.dispatch_id.attempt,
+            replay.prompt,
+            replay.max_tokens,
+            replay.tokens,
+            replay.layers.first,
+            replay.layers.end,
+        )
+        timeout = self._settings.step_timeout_s
+        await self._async_exchange(
+            target, "/stage/replay", body, replay.dispatch_id, msgspec.Raw, timeout
+        )
+
+    async def async_export(
+        self, target: Target, dispatch_id: DispatchId, token: int
+    ) -> msgspec.Raw:
+        """Take a stage's KV cache up to a token and fence lower attempts there."""
+        body = ExportRequest(dispatch_id.request_id, dispatch_id.attempt, token)
+        answer, _ = await self._async_exchange(
+            target, "/stage/export", body, dispatch_id, ExportAnswer, STAGE_EXPORT_TIMEOUT_S
+        )
+        return answer.kv
+
+    async def async_import(self, target: Target, replay: StageReplay, cache: msgspec.Raw) -> None:
+        """Give a stage a KV cache taken from another."""
+        dispatch_id = replay.dispatch_id
+        body = ImportRequest(
+            dispatch_id.request_id,
+            dispatch_id.attempt,
+            cache,
+            replay.layers.first,
+            replay.layers.end,
+        )
+        timeout = self._settings.step_timeout_s
+        await self._async_exchange(target, "/stage/import", body, dispatch_id, msgspec.Raw, timeout)
+
+    async def async_close_stage(self, target: Target, dispatch_id: DispatchId, token: int) -> None:
+        """Let a stage drop the KV cache of a request that has ended."""
+        layers = target.record.layers
+        assert layers is not None
+        ids = (dispatch_id.request_id, dispatch_id.attempt, token, layers.first, layers.end)
+        body = StepRequest(*ids, _NO_STATE, close=True)
+        timeout = self._settings.step_timeout_s
+        await self._async_exchange(target, "/stage/step", body, dispatch_id, msgspec.Raw, timeout)
+
+    async def async_call_service(
+        self, target: Target, dispatch_id: DispatchId, call: ServiceCallBody, fresh: bool
+    ) -> ServiceAnswer:
+        """Run one plain call; `fresh` asks for a connection that carried nothing before."""
+        headers = HTTPHeaders()
+        for name, value in call.headers:
+            headers.add(name, value)
+        if call.key is not None:
+            headers[HEADER_IDEMPOTENCY_KEY] = call.key
+        if fresh:
+            headers["Connection"] = "close"
+        request = OutgoingRequest(
+            call.method, call.path, headers, call.body, dispatch_id, fresh=fresh
+        )
+        async with OpenDispatch(self._pool, target.record, request) as dispatch:
+            head = await dispatch.async_head(self._settings.first_byte_timeout_s)
+            if not head.framed:
+                raise dispatch.discarded("the end of the answer can't be told")
+            body = await dispatch.async_body(
+                self._settings.idle_timeout_s, self._settings.max_answer_bytes
+            )
+        kept = tuple(
+            (name, value)
+            for name, value in head.headers.get_all()
+            if name.lower() not in _DROPPED_ANSWER_HEADERS
+        )
+        return ServiceAnswer(head.status, kept, body)
+
+    async def _async_exchange(
+        self,
+        target: Target,
+        path: str,
+        body: msgspec.Struct,
+        dispatch_id: DispatchId,
+        kind: type[AnswerT],
+        timeout: float,
+    ) -> tuple[AnswerT, OpenDispatch]:
+        """Send a JSON body and decode the whole answer."""
+        request = self._json_request(path, body, dispatch_id, HTTPHeaders())
+        async with OpenDispatch(self._pool, target.record, request) as dispatch:
+            head = await dispatch.async_head(timeout)
+            self._check_status(target, head.status)
+            data = await dispatch.async_body(timeout, self._settings.max_answer_bytes)
+        try:
+            return msgspec.json.decode(data, type=kind), dispatch
+        except (msgspec.MsgspecError, RecursionError) as error:
+            raise dispatch.discarded(f"malformed answer: {error}") from error
+
+    def _json_request(
+        self, path: str, body: Any, dispatch_id: DispatchId, headers: HTTPHeaders
+    ) -> OutgoingRequest:
+        """Return a POST with a JSON body."""
+        headers["Content-Type"] = "application/json"
+        return OutgoingRequest("POST", path, headers, _ENCODER.encode(body), dispatch_id)
+
+    def _check_status(self, target: Target, status: int) -> None:
+        """Raise unless the status is 200."""
+        if status == 200:
+            return
+        refusal = Refusal(ResultCode.ENDPOINT_REFUSED, f"{target.endpoint_id}: status {status}")
+        raise DispatchError(DispatchFailure(Dispatch.MAY_HAVE_RUN, refusal))
+
+    async def _async_prune(self) -> None:
+        """Close connections that are idle for long."""
+        while True:
+            await asyncio.sleep(IDLE_CONNECTION_LIFE_S / 2)
+            self._pool.prune()
+
+
+def _check_resumed(dispatch: OpenDispatch, headers: HTTPHeaders, first_token: int) -> None:
+    """Raise unless the endpoint goes on from the token asked for."""
+    if headers.get(HEADER_RESUMED_FROM) != str(first_token):
+        raise dispatch.discarded("the endpoint did not resume the answer")
--- /dev/null
+++ b/packages/entry/src/lagoonwing_entry/_membership_shell.py
@@ -0,0 +1,151 @@
+"""Carries membership's messages and hands its records to the scheduler."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from typing import Any
+
+import msgspec
+
+from lagoonwing_core.callback import callback
+from lagoonwing_core.clock import Clock
+from lagoonwing_core.events import EventCode, log_event
+from lagoonwing_core.ids import EndpointId
+from lagoonwing_core.models import EndpointRecord
+from lagoonwing_entry._directory import EndpointDirectory
+from lagoonwing_entry.ports import MembershipPort, SchedulerPort, SendPort
+from lagoonwing_wire import Channel, ChannelServer, Handlers, Identity, Link
+
+PROTOCOL = "membership"
+
+
+class MembershipShell:
+    """Ticks membership, sends what it commands, receives what peers push."""
+
+    name = "membership"
+
+    def __init__(
+        self,
+        membership: MembershipPort,
+        decoder: msgspec.msgpack.Decoder[Any],
+        scheduler: SchedulerPort,
+        directory: EndpointDirectory,
+        identity: Identity,
+        channels: ChannelServer | None,
+        clock: Clock,
+        tick_s: float,
+    ) -> None:
+        self._membership = membership
+        self._scheduler = scheduler
+        self._directory = directory
+        self._identity = identity
+        self._clock = clock
+        self._tick_s = tick_s
+        self._handlers: Handlers[Any] = Handlers(
+            decoder=decoder,
+            on_push=self._on_push,
+            async_on_call=_async_refuse_call,
+            on_closed=lambda channel: None,
+        )
+        self._link_by_address: dict[tuple[str, int], Link] = {}
+        self._record_by_id: dict[EndpointId, EndpointRecord] = {}
+        self._task: asyncio.Task[None] | None = None
+        if channels is not None:
+            channels.register(PROTOCOL, self._handlers)
+
+    async def async_setup(self) -> None:
+        """Start to tick."""
+        self.refresh()
+        self._task = asyncio.get_running_loop().create_task(self._async_tick())
+
+    async def async_unload(self) -> None:
+        """Stop to tick and close the links."""
+        if self._task is not None:
+            self._task.cancel()
+        for link in self._link_by_address.values():
+            await link.async_unload()
+
+    @callback
+    def refresh(self) -> None:
+        """Hand changed records to the scheduler and the directory."""
+        now = self._clock.now()
+        records = {record.endpoint_id: record for record in self._membership.endpoints(now)}
+        if _same(records, self._record_by_id):
+            return
+        self._record_by_id = records
+        self._directory.replace(records.values())
+        self._scheduler.set_endpoints(records.values(), now)
+
+    async def _async_tick(self) -> None:
+        """Tick for ever."""
+        while True:
+            await asyncio.sleep(self._tick_s)
+            await self._async_send(self._membership.tick(self._clock.now()))
+            self.refresh()
+            for event in self._membership.events():
+                _log(event)
+
+    async def _async_send(self, sends: Sequence[SendPort]) -> None:
+        """Push messages, opening links as they are needed."""
+        for send in sends:
+            key = (send.to.address, send.to.port)
+            link = self._link_by_address.get(key)
+            if link is None:
+                link = Link(self._identity, *key, PROTOCOL, self._handlers)
+                self._link_by_address[key] = link
+                await link.async_setup()
+            link.push(send.message)
+
+    @callback
+    def _on_push(self, channel: Channel[Any], message: Any) -> None:
+        """Take a peer's message."""
+        sends = self._membership.receive(channel.peer_id, message, self._clock.now())
+        for send in sends:
+            link = self._link_by_address.get((send.to.address, send.to.port))
+            if link is not None:
+                link.push(send.message)
+
+
+async def _async_refuse_call(channel: Channel[Any], message: Any) -> msgspec.Struct:
+    """End a channel whose peer calls: membership has only pushes."""
+    channel.close()
+    raise ConnectionError("membership has no calls")
+
+
+def _same(new: dict[EndpointId, EndpointRecord], old: dict[EndpointId, EndpointRecord]) -> bool:
+    """Return whether two tables differ in nothing but the number of renewals."""
+    if new.keys() != old.keys():
+        return False
+    return all(_same_record(record, old[endpoint_id]) for endpoint_id, record in new.items())
+
+
+def _same_record(new: EndpointRecord, old: EndpointRecord) -> bool:
+    """Return whether two records differ in nothing but the number of renewals."""
+    if new is old:
+        return True
+    return msgspec.structs.replace(new, sequence=old.sequence) == old
+
+
+_CODE_BY_EVENT = {
+    "EndpointJoined": EventCode.ENDPOINT_JOINED,
+    "EndpointLeft": EventCode.ENDPOINT_LEAVING,
+    "EndpointExpired": EventCode.ENDPOINT_EXPIRED,
+    "EndpointConflict": EventCode.ENDPOINT_REFUSED,
+}
+_HOST_CODE_BY_STATE = {
+    "alive": EventCode.HOST_JOINED,
+    "suspect": EventCode.HOST_SUSPECTED,
+    "lost": EventCode.HOST_LOST,
+}
+
+
+def _log(event: Any) -> None:
+    """Log an event of membership."""
+    fields = {name: getattr(event, name) for name in event.__dataclass_fields__}
+    name = type(event).__name__
+    code = _CODE_BY_EVENT.get(name)
+    if code is None:
+        state = fields.pop("state")
+        code = _HOST_CODE_BY_STATE[state.value]
+    log_event(code, **fields)
--- /dev/null
+++ b/packages/entry/src/lagoonwing_entry/_token_stream.py
@@ -0,0 +1,92 @@
+"""Server-sent events of a completion, checked token by token."""
+
+from __future__ import annotations
+
+import msgspec
+
+from lagoonwing_entry._endpoint_messages import Choice, Chunk
+from lagoonwing_entry.models import DispatchId, Token, TokenBatch
+
+_DECODER = msgspec.json.Decoder(Chunk)
+_EVENT_END = b"\n\n"
+_DATA = b"data: "
+_DONE = b"[DONE]"
+MAX_EVENT_BYTES = 256 * 1024
+
+
+class TokenStreamReader:
+    """Takes bytes, gives tokens in order, and raises `ValueError` on what is not its own."""
+
+    def __init__(self, dispatch_id: DispatchId, first_token: int) -> None:
+        self._dispatch_id = dispatch_id
+        self._next = first_token
+        self._rest = b""
+        self._finish_reason: str | None = None
+        self.complete = False
+        self.discarded = 0
+
+    def feed(self, data: bytes) -> TokenBatch | None:
+        """Take bytes of the stream.
+
+        Returns:
+            The tokens that became whole, if any; the last batch has a finish reason.
+
+        Raises:
+            ValueError: An event is malformed, of another request or attempt, or out of order.
+        """
+        events = (self._rest + data if self._rest else data).split(_EVENT_END)
+        self._rest = events.pop()
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise ValueError("an event is too large")
+        tokens: list[Token] = []
+        for event in events:
+            self._take_event(event.strip(), tokens)
+        reason = self._finish_reason if self.complete else None
+        if not tokens and reason is None:
+            return None
+        return TokenBatch(tuple(tokens), reason)
+
+    def _take_event(self, event: bytes, tokens: list[Token]) -> None:
+        """Take one event."""
+        if not event.startswith(_DATA) or self.complete:
+            return
+        payload = event[len(_DATA) :]
+        if payload == _DONE:
+            if self._finish_reason is None:
+                raise ValueError("the stream ended without a finish reason")
+            self.complete = True
+            return
+        try:
+            chunk = _DECODER.decode(payload)
+        except (msgspec.MsgspecError, RecursionError) as error:
+            raise ValueError(f"malformed event: {error}") from error
+        self._take_chunk(chunk, tokens)
+
+    def _take_chunk(self, chunk: Chunk, tokens: list[Token]) -> None:
+        """Take one decoded event."""
+        if (chunk.id, chunk.attempt) != (
+            self._dispatch_id.request_id,
+            self._dispatch_id.attempt,
+        ):
+            raise ValueError("an event of another request or attempt")
+        if not chunk.choices:
+            return
+        choice = chunk.choices[0]
+        if choice.finish_reason is not None:
+            self._finish_reason = choice.finish_reason
+        if chunk.token is None:
+            return
+        if chunk.token < self._next:
+            self.discarded += 1
+            return
+        if chunk.token > self._next:
+            raise ValueError(f"token {chunk.token} came where {self._next} was due")
+        tokens.append(Token(chunk.token, _text_of(choice)))
+        self._next += 1
+
+
+def _text_of(choice: Choice) -> str:
+    """Return the text of a choice."""
+    if choice.delta is not None:
+        return choice.delta.content or ""
+    return choice.text or ""
--- a/packages/fakes/src/lagoonwing_fakes/_stage_handlers.py
+++ b/packages/fakes/src/lagoonwing_fakes/_stage_handlers.py
@@ -183,7 +183,11 @@
             return
         if self.fenced(body.request_id, body.attempt):
             return
+        if cache.next_token < body.token:
+            self.refuse(409, "fewer tokens cached than wanted")
+            return
         cache.attempt = body.attempt
+        cache.next_token = body.token
         self.engine.log.write("export", request_id=body.request_id, attempt=body.attempt)
         self.echo(body.request_id, body.attempt)
         self.finish_json({"request_id": body.request_id, "attempt": body.attempt, "kv": cache})
--- a/packages/fakes/src/lagoonwing_fakes/models.py
+++ b/packages/fakes/src/lagoonwing_fakes/models.py
@@ -135,10 +135,15 @@
 
 
 class ExportBody(msgspec.Struct):
-    """Body of `/stage/export`."""
+    """Body of `/stage/export`.
+
+    Attributes:
+        token: Tokens whose cache is wanted; later ones are cut off.
+    """
 
     request_id: str
     attempt: int
+    token: int
 
 
 class StageCache(msgspec.Struct):
