--- /dev/null
+++ b/packages/policy/src/lagoonwing_policy/_router_protocol.py
@@ -0,0 +1,145 @@
+"""Seam between the scheduler and the systems for routes, retries and quarantine."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from expression import Result
+
+from lagoonwing_core.errors import Refusal
+from lagoonwing_core.ids import Attempt, EndpointId, Fingerprint
+from lagoonwing_core.models import EndpointRecord, PlannedStop, Quarantine
+from lagoonwing_policy.models import (
+    AttemptFailed,
+    ClearSuspect,
+    EndpointLoad,
+    ReportSuspects,
+    RequestProfile,
+    Route,
+    RouteStage,
+)
+
+
+@dataclass(slots=True)
+class EndpointUse:
+    """What this entry host runs on one endpoint now.
+
+    Attributes:
+        running: Attempts in flight.
+        long_running: Those of them that are long work.
+        exclusive: Whether an attempt runs here that must stay alone.
+    """
+
+    running: int = 0
+    long_running: int = 0
+    exclusive: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class NoFreeSlot:
+    """Every route is in use now; one may come free."""
+
+
+RouteFailure = NoFreeSlot | Refusal
+
+
+class Router(Protocol):
+    """Chooses routes; keeps the endpoint table, stops, load reports and prefix hints."""
+
+    def set_endpoints(self, records: Iterable[EndpointRecord], now: float) -> None:
+        """Replace the endpoint table."""
+
+    def set_stops(self, stops: Iterable[PlannedStop]) -> None:
+        """Replace the planned stops."""
+
+    def choose(
+        self,
+        profile: RequestProfile,
+        loads_by_endpoint: Mapping[EndpointId, EndpointUse],
+        excluded: frozenset[EndpointId],
+        exclusive: bool,
+        now: float,
+    ) -> Result[Route, RouteFailure]:
+        """Return a route whose every endpoint has a free slot.
+
+        Args:
+            profile: What is known of the request.
+            loads_by_endpoint: Own attempts in flight; an endpoint that is missing is idle.
+            excluded: Endpoints that must not be used.
+            exclusive: Whether every endpoint of the route must be idle.
+            now: Time in seconds.
+
+        Returns:
+            The route, `NoFreeSlot`, or a refusal with `NO_ENDPOINT` or `INCOMPLETE_PIPELINE`.
+        """
+
+    def replace_stage(
+        self,
+        profile: RequestProfile,
+        route: Route,
+        failed: RouteStage,
+        loads_by_endpoint: Mapping[EndpointId, EndpointUse],
+        now: float,
+    ) -> Result[RouteStage, Refusal]:
+        """Return another stage that holds the layers of `failed`."""
+
+    def report_load(self, load: EndpointLoad) -> None:
+        """Take note of a load report."""
+
+    def report_prefix(self, endpoint_id: EndpointId, prefix_hash: str, held: bool) -> None:
+        """Take note of a cache event."""
+
+
+@dataclass(frozen=True, slots=True)
+class RetryAt:
+    """Try again at `time`, in seconds on the runtime's clock."""
+
+    time: float
+
+
+@dataclass(frozen=True, slots=True)
+class GiveUp:
+    """Answer with `refusal`."""
+
+    refusal: Refusal
+
+
+class Retries(Protocol):
+    """Decides whether a failed attempt is followed by another."""
+
+    def on_first_try(self, now: float) -> None:
+        """Count a first try towards the retry budget."""
+
+    def decide(
+        self, profile: RequestProfile, attempt: Attempt, failed: AttemptFailed, now: float
+    ) -> RetryAt | GiveUp:
+        """Return when to try again, or why not to."""
+
+
+class Standing(Enum):
+    """How a request may run."""
+
+    ALLOWED = "allowed"
+    EXCLUSIVE = "exclusive"
+    REFUSED = "refused"
+
+
+class Quarantines(Protocol):
+    """Keeps the requests that ran on endpoints as they died."""
+
+    def set_quarantines(self, quarantines: Iterable[Quarantine]) -> None:
+        """Replace the durable quarantines."""
+
+    def standing(self, fingerprint: Fingerprint) -> Standing:
+        """Return how a request with this fingerprint may run."""
+
+    def on_endpoint_died(
+        self, stage: RouteStage, running: tuple[Fingerprint, ...]
+    ) -> ReportSuspects | None:
+        """Note a death; return what has to be recorded before any of `running` is retried."""
+
+    def on_succeeded(self, fingerprint: Fingerprint, exclusive: bool) -> ClearSuspect | None:
+        """Note that a request ran to its end."""
--- /dev/null
+++ b/packages/policy/src/lagoonwing_policy/_slots.py
@@ -0,0 +1,60 @@
+"""Table of the slots that this entry host uses on each endpoint."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from lagoonwing_core.ids import EndpointId, RequestId
+from lagoonwing_policy._router_protocol import EndpointUse
+from lagoonwing_policy.models import Priority, Route, RouteStage
+
+
+class SlotTable:
+    """Counts attempts in flight by endpoint; these are facts, unlike load reports."""
+
+    def __init__(self) -> None:
+        self._use_by_id: dict[EndpointId, EndpointUse] = {}
+        self._requests_by_id: dict[EndpointId, set[RequestId]] = {}
+
+    @property
+    def use_by_id(self) -> Mapping[EndpointId, EndpointUse]:
+        """Return the use of every endpoint that runs something."""
+        return self._use_by_id
+
+    def running_on(self, endpoint_id: EndpointId) -> Iterable[RequestId]:
+        """Return the requests in flight on an endpoint, in a stable order."""
+        return sorted(self._requests_by_id.get(endpoint_id, ()))
+
+    def in_flight(self, endpoint_id: EndpointId) -> int:
+        """Return the number of attempts in flight on an endpoint."""
+        use = self._use_by_id.get(endpoint_id)
+        return use.running if use else 0
+
+    def acquire(self, request_id: RequestId, route: Route) -> None:
+        """Count an attempt on every endpoint of its route."""
+        for stage in route.stages:
+            self.acquire_stage(request_id, route, stage)
+
+    def release(self, request_id: RequestId, route: Route) -> None:
+        """Stop counting an attempt."""
+        for stage in route.stages:
+            self.release_stage(request_id, route, stage)
+
+    def acquire_stage(self, request_id: RequestId, route: Route, stage: RouteStage) -> None:
+        """Count an attempt on one endpoint."""
+        use = self._use_by_id.setdefault(stage.endpoint_id, EndpointUse())
+        use.running += 1
+        use.long_running += route.priority is Priority.LONG
+        use.exclusive = use.exclusive or route.exclusive
+        self._requests_by_id.setdefault(stage.endpoint_id, set()).add(request_id)
+
+    def release_stage(self, request_id: RequestId, route: Route, stage: RouteStage) -> None:
+        """Stop counting an attempt on one endpoint."""
+        use = self._use_by_id[stage.endpoint_id]
+        use.running -= 1
+        use.long_running -= route.priority is Priority.LONG
+        use.exclusive = use.exclusive and not route.exclusive
+        self._requests_by_id[stage.endpoint_id].discard(request_id)
+        if not use.running:
+            del self._use_by_id[stage.endpoint_id]
+            del self._requests_by_id[stage.endpoint_id]
