Spread endpoint records over a mesh of entry hosts

Cause: entry hosts need to know which endpoints may get work without a list of them. A Membership object free of I/O takes announcements in, pushes them to the cell, mends losses by digests and pulls, and lets each record expire on its own. Ages are bounded by an echo of the receiver's own clock, so that a message that waited in a socket is never taken for new.

--- a/packages/membership/src/lagoonwing_membership/__init__.py
+++ b/packages/membership/src/lagoonwing_membership/__init__.py
@@ -1,3 +1,38 @@
 """Membership of entry hosts and endpoint records without I/O."""
 
 from __future__ import annotations
+
+from lagoonwing_membership._coordinator import Membership
+from lagoonwing_membership.const import RENEW_AFTER_S, TICK_S
+from lagoonwing_membership.diagnostics import get_diagnostics
+from lagoonwing_membership.models import (
+    EndpointConflict,
+    EndpointExpired,
+    EndpointJoined,
+    EndpointLeft,
+    HostChanged,
+    HostState,
+    HostView,
+    MembershipEvent,
+    MembershipMessage,
+    MembershipSettings,
+    Send,
+)
+
+__all__ = [
+    "RENEW_AFTER_S",
+    "TICK_S",
+    "EndpointConflict",
+    "EndpointExpired",
+    "EndpointJoined",
+    "EndpointLeft",
+    "HostChanged",
+    "HostState",
+    "HostView",
+    "Membership",
+    "MembershipEvent",
+    "MembershipMessage",
+    "MembershipSettings",
+    "Send",
+    "get_diagnostics",
+]
--- /dev/null
+++ b/packages/membership/src/lagoonwing_membership/_endpoints.py
@@ -0,0 +1,298 @@
+"""Table of endpoint records and the rules by which news replaces them."""
+
+from __future__ import annotations
+
+import zlib
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import Enum
+
+import msgspec
+from expression import Error, Ok, Result
+
+from lagoonwing_core.errors import Refusal
+from lagoonwing_core.ids import EndpointId, Incarnation
+from lagoonwing_core.models import EndpointRecord, EndpointState
+from lagoonwing_membership import const, errors
+from lagoonwing_membership.models import (
+    EndpointConflict,
+    EndpointExpired,
+    EndpointJoined,
+    EndpointLeft,
+    MembershipEvent,
+    Renewal,
+)
+
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+class News(Enum):
+    """What a piece of news turned out to be."""
+
+    OLD = "old"
+    FRESHER = "fresher"
+    CHANGED = "changed"
+    WANTED = "wanted"
+    CONFLICT = "conflict"
+
+
+@dataclass(slots=True)
+class EndpointEntry:
+    """What is known of one endpoint; it outlives the endpoint as a floor for old news.
+
+    Attributes:
+        record: Latest record; `None` if only the end of the incarnation is known.
+        heard: Time on this host's clock at which, at the latest, the endpoint announced it.
+        joined: Whether the table has told that the endpoint may get work.
+    """
+
+    endpoint_id: EndpointId
+    incarnation: Incarnation
+    sequence: int
+    record: EndpointRecord | None
+    content: int
+    heard: float
+    left: bool = False
+    joined: bool = False
+
+    def renewal(self, now: float) -> Renewal:
+        """Return the short form that is told to other hosts."""
+        age_ms = max(0, int((now - self.heard) * 1000) + 1)
+        return Renewal(
+            self.endpoint_id, self.incarnation, self.sequence, self.content, age_ms, self.left
+        )
+
+
+def content_checksum(record: EndpointRecord) -> int:
+    """Return a checksum of what a record says besides its sequence."""
+    return zlib.crc32(_ENCODER.encode(msgspec.structs.replace(record, sequence=0)))
+
+
+def encoded_size(record: EndpointRecord) -> int:
+    """Return the bytes that a record takes in a message."""
+    return len(_ENCODER.encode(record))
+
+
+class EndpointTable:
+    """Endpoint records by id, each of which expires on its own."""
+
+    def __init__(self, record_life_s: float) -> None:
+        self._life_s = record_life_s
+        self.endpoint_by_id: dict[EndpointId, EndpointEntry] = {}
+        self.events: deque[MembershipEvent] = deque(maxlen=const.MAX_EVENTS)
+
+    def is_live(self, entry: EndpointEntry, now: float) -> bool:
+        """Return whether an endpoint may get new work."""
+        return not entry.left and entry.record is not None and now - entry.heard < self._life_s
+
+    def live(self, now: float) -> Iterator[EndpointEntry]:
+        """Yield the endpoints that may get new work."""
+        return (entry for entry in self.endpoint_by_id.values() if self.is_live(entry, now))
+
+    def announce(self, record: EndpointRecord, age: float, now: float) -> Result[News, Refusal]:
+        """Take in what an endpoint says itself.
+
+        Args:
+            record: The announcement.
+            now: Time on this host's clock.
+            age: Seconds that the announcement may have waited before it was read.
+        """
+        size = encoded_size(record)
+        if size > const.MAX_RECORD_BYTES:
+            return Error(errors.record_too_large(size, const.MAX_RECORD_BYTES))
+        known = self.endpoint_by_id.get(record.endpoint_id)
+        if known is None:
+            return self._announce_new(record, age, now)
+        order = (record.incarnation, record.sequence)
+        if record.incarnation < known.incarnation:
+            return Error(errors.stale_announcement(record))
+        if record.incarnation == known.incarnation:
+            if known.left and record.state is not EndpointState.LEAVING:
+                return Error(errors.already_left(record))
+            if self._conflicts(known, record, now):
+                self._note_conflict(known, record)
+                return Error(errors.address_conflict(record))
+        if order < (known.incarnation, known.sequence):
+            return Error(errors.stale_announcement(record))
+        if order == (known.incarnation, known.sequence) and known.record is not None:
+            return Ok(News.OLD)
+        return Ok(self._replace(record, now - age, now))
+
+    def _announce_new(
+        self, record: EndpointRecord, age: float, now: float
+    ) -> Result[News, Refusal]:
+        """Take in an endpoint that was not known, within the bound of the table."""
+        if len(self.endpoint_by_id) >= const.MAX_ENDPOINTS:
+            return Error(errors.too_many_endpoints(const.MAX_ENDPOINTS))
+        return Ok(self._replace(record, now - age, now))
+
+    def merge_record(self, record: EndpointRecord, heard: float, now: float) -> News:
+        """Take in a record that another host has sent."""
+        known = self.endpoint_by_id.get(record.endpoint_id)
+        if known is None:
+            if len(self.endpoint_by_id) >= const.MAX_ENDPOINTS:
+                return News.OLD
+            return self._replace(record, heard, now)
+        if record.incarnation < known.incarnation:
+            return News.OLD
+        if record.incarnation == known.incarnation:
+            if known.left:
+                return News.OLD
+            if self._conflicts(known, record, now) and now - heard < self._life_s:
+                return self._settle_conflict(known, record, heard, now)
+            if record.sequence < known.sequence:
+                return News.OLD
+        return self._replace(record, heard, now)
+
+    def merge_renewal(self, renewal: Renewal, heard: float, now: float) -> News:
+        """Take in the short form of an announcement."""
+        known = self.endpoint_by_id.get(renewal.endpoint_id)
+        if renewal.left:
+            return self._merge_left(known, renewal, now)
+        if known is None or renewal.incarnation > known.incarnation:
+            return News.WANTED if now - heard < self._life_s else News.OLD
+        if renewal.incarnation < known.incarnation or known.left:
+            return News.OLD
+        if renewal.content != known.content or known.record is None:
+            return self._judge_other_content(known, renewal, heard, now)
+        return self._renew(known, renewal, heard, now)
+
+    def _judge_other_content(
+        self, known: EndpointEntry, renewal: Renewal, heard: float, now: float
+    ) -> News:
+        """Decide whether the record behind a renewal of other content is needed."""
+        if now - heard >= self._life_s:
+            return News.OLD
+        is_later = renewal.sequence > known.sequence
+        return News.WANTED if is_later or not self.is_live(known, now) else News.OLD
+
+    def _renew(self, known: EndpointEntry, renewal: Renewal, heard: float, now: float) -> News:
+        """Move the time at which an unchanged endpoint was heard."""
+        if renewal.sequence < known.sequence:
+            return News.OLD
+        was_heard = known.heard
+        known.sequence = renewal.sequence
+        known.heard = max(known.heard, heard)
+        self._note_joined(known, now)
+        return News.FRESHER if known.heard > was_heard else News.OLD
+
+    def _merge_left(self, known: EndpointEntry | None, renewal: Renewal, now: float) -> News:
+        """Take in that an endpoint has left; final for its incarnation."""
+        if known is None:
+            if len(self.endpoint_by_id) >= const.MAX_ENDPOINTS:
+                return News.OLD
+            known = EndpointEntry(
+                renewal.endpoint_id, renewal.incarnation, renewal.sequence, None, 0, now
+            )
+            self.endpoint_by_id[renewal.endpoint_id] = known
+        elif (renewal.incarnation, True) <= (known.incarnation, known.left):
+            return News.OLD
+        known.incarnation = renewal.incarnation
+        known.sequence = max(renewal.sequence, known.sequence)
+        self._mark_left(known, now - renewal.age_ms / 1000)
+        return News.CHANGED
+
+    def _replace(self, record: EndpointRecord, heard: float, now: float) -> News:
+        """Put a record in the place of what was known."""
+        known = self.endpoint_by_id.get(record.endpoint_id)
+        content = content_checksum(record)
+        if known is None:
+            known = EndpointEntry(
+                record.endpoint_id, record.incarnation, record.sequence, record, content, heard
+            )
+            self.endpoint_by_id[record.endpoint_id] = known
+            changed = True
+        else:
+            same_run = record.incarnation == known.incarnation
+            changed = not same_run or content != known.content
+            known.heard = max(known.heard, heard) if same_run and not changed else heard
+            known.joined = known.joined and same_run
+            known.left = known.left and same_run
+            known.incarnation = record.incarnation
+            known.sequence = record.sequence
+            known.record = record
+            known.content = content
+        if record.state is EndpointState.LEAVING:
+            if known.left:
+                return News.OLD
+            self._mark_left(known, heard)
+            return News.CHANGED
+        self._note_joined(known, now)
+        return News.CHANGED if changed else News.FRESHER
+
+    def _mark_left(self, entry: EndpointEntry, heard: float) -> None:
+        """Turn an entry into the floor that keeps its incarnation from returning."""
+        entry.left = True
+        entry.joined = False
+        entry.record = None
+        entry.content = 0
+        entry.heard = heard
+        self.events.append(EndpointLeft(entry.endpoint_id, entry.incarnation))
+
+    def _note_joined(self, entry: EndpointEntry, now: float) -> None:
+        """Tell once that an endpoint may get work."""
+        if entry.joined or not self.is_live(entry, now):
+            return
+        entry.joined = True
+        self.events.append(EndpointJoined(entry.endpoint_id, entry.incarnation))
+
+    def _conflicts(self, known: EndpointEntry, record: EndpointRecord, now: float) -> bool:
+        """Return whether a live record of this incarnation has another address."""
+        if known.record is None or not self.is_live(known, now):
+            return False
+        return _location(known.record) != _location(record)
+
+    def _settle_conflict(
+        self, known: EndpointEntry, record: EndpointRecord, heard: float, now: float
+    ) -> News:
+        """Keep the lower address, so that every host settles on the same one."""
+        assert known.record is not None
+        if _location(known.record) < _location(record):
+            self._note_conflict(known, record)
+            return News.CONFLICT
+        self.events.append(
+            EndpointConflict(
+                known.endpoint_id,
+                known.incarnation,
+                kept=_location_text(record),
+                refused=_location_text(known.record),
+            )
+        )
+        known.sequence = record.sequence
+        known.heard = heard
+        return self._replace(record, heard, now)
+
+    def _note_conflict(self, known: EndpointEntry, record: EndpointRecord) -> None:
+        """Tell that a second address was refused."""
+        assert known.record is not None
+        self.events.append(
+            EndpointConflict(
+                known.endpoint_id,
+                known.incarnation,
+                kept=_location_text(known.record),
+                refused=_location_text(record),
+            )
+        )
+
+    def tick(self, now: float) -> None:
+        """Tell which endpoints have fallen silent and drop floors that are no longer needed."""
+        dropped: list[EndpointId] = []
+        for endpoint_id, entry in self.endpoint_by_id.items():
+            if entry.joined and not self.is_live(entry, now):
+                entry.joined = False
+                self.events.append(EndpointExpired(endpoint_id, entry.incarnation))
+            if now - entry.heard >= const.TOMBSTONE_LIFE_S:
+                dropped.append(endpoint_id)
+        for endpoint_id in dropped:
+            del self.endpoint_by_id[endpoint_id]
+
+
+def _location(record: EndpointRecord) -> tuple[str, int]:
+    """Return where an endpoint listens, in a form that can be ordered."""
+    return record.address, record.port
+
+
+def _location_text(record: EndpointRecord) -> str:
+    """Return where an endpoint listens, for people."""
+    return f"{record.address}:{record.port}"
--- /dev/null
+++ b/packages/membership/src/lagoonwing_membership/_spread.py
@@ -0,0 +1,215 @@
+"""Spread of endpoint records: pushes of what is new, and digests that mend what was lost."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable, Iterator, Sequence
+from typing import TypeVar
+
+from lagoonwing_core.ids import EndpointId, HostId
+from lagoonwing_membership import const
+from lagoonwing_membership._endpoints import EndpointEntry, EndpointTable, News
+from lagoonwing_membership._hosts import HostTable
+from lagoonwing_membership.models import (
+    AgedRecord,
+    Digest,
+    Header,
+    MembershipMessage,
+    MembershipSettings,
+    Pull,
+    Push,
+    Renewal,
+)
+
+ItemT = TypeVar("ItemT")
+HeaderFor = Callable[[HostId, float], Header]
+Outgoing = tuple[HostId, MembershipMessage]
+
+
+class SpreadSystem:
+    """Tells the hosts of the cell what endpoints announce."""
+
+    def __init__(
+        self,
+        endpoints: EndpointTable,
+        hosts: HostTable,
+        settings: MembershipSettings,
+        rng: random.Random,
+        header_for: HeaderFor,
+    ) -> None:
+        self._endpoints = endpoints
+        self._hosts = hosts
+        self._settings = settings
+        self._rng = rng
+        self._header_for = header_for
+        self._changed: set[EndpointId] = set()
+        self._renewed: set[EndpointId] = set()
+        self._digest_due: set[HostId] = set()
+        self._next_digest = 0.0
+        self._digest_order: list[HostId] = []
+        self._pulled_at_by_id: dict[EndpointId, float] = {}
+
+    def note(self, endpoint_id: EndpointId, news: News, own: bool) -> None:
+        """Remember what is to be told.
+
+        Args:
+            endpoint_id: Endpoint that the news is of.
+            news: What the news turned out to be.
+            own: Whether the endpoint announced to this host. Renewals that came from another
+                host are not passed on, for that host has told everyone itself.
+        """
+        if news in (News.CHANGED, News.CONFLICT):
+            self._changed.add(endpoint_id)
+        elif news is News.FRESHER and own:
+            self._renewed.add(endpoint_id)
+
+    def request_digest(self, host_id: HostId) -> None:
+        """Have a host that has just joined told everything."""
+        self._digest_due.add(host_id)
+
+    def tick(self, now: float) -> list[Outgoing]:
+        """Return the messages that are due."""
+        peers = [entry.address.host_id for entry in self._hosts.reachable()]
+        sends = self._push_news(peers, now)
+        sends.extend(self._pull_ageing(peers, now))
+        if now >= self._next_digest:
+            self._next_digest = now + self._settings.digest_period_s
+            peer = self._next_peer()
+            if peer is not None:
+                self._digest_due.add(peer)
+        for host_id in sorted(self._digest_due):
+            sends.extend(self._digest(host_id, now))
+        self._digest_due.clear()
+        return sends
+
+    def _next_peer(self) -> HostId | None:
+        """Return the next host in a shuffled round."""
+        reachable = {entry.address.host_id for entry in self._hosts.reachable()}
+        while reachable:
+            if not self._digest_order:
+                self._digest_order = sorted(reachable)
+                self._rng.shuffle(self._digest_order)
+            host_id = self._digest_order.pop()
+            if host_id in reachable:
+                return host_id
+        return None
+
+    def _push_news(self, peers: Sequence[HostId], now: float) -> list[Outgoing]:
+        """Tell every peer what has changed since the last tick."""
+        entry_by_id = self._endpoints.endpoint_by_id
+        changed = [entry_by_id[item] for item in sorted(self._changed) if item in entry_by_id]
+        renewed = [
+            entry_by_id[item]
+            for item in sorted(self._renewed - self._changed)
+            if item in entry_by_id
+        ]
+        self._changed.clear()
+        self._renewed.clear()
+        left = [entry for entry in changed if entry.record is None]
+        records = [entry for entry in changed if entry.record is not None]
+        sends: list[Outgoing] = []
+        for host_id in peers:
+            sends.extend(self._record_pushes(host_id, records, now))
+            for part in _parts([*left, *renewed], const.MAX_RENEWALS_PER_MESSAGE):
+                renewals = tuple(entry.renewal(now) for entry in part)
+                sends.append((host_id, Push(self._header_for(host_id, now), renewals)))
+        return sends
+
+    def _record_pushes(
+        self, host_id: HostId, entries: Sequence[EndpointEntry], now: float
+    ) -> Iterator[Outgoing]:
+        """Yield whole records in messages of bounded size."""
+        for part in _parts(entries, const.MAX_RECORDS_PER_MESSAGE):
+            records = tuple(
+                AgedRecord(entry.record, entry.renewal(now).age_ms)
+                for entry in part
+                if entry.record is not None
+            )
+            yield host_id, Push(self._header_for(host_id, now), (), records)
+
+    def _digest(self, host_id: HostId, now: float) -> Iterator[Outgoing]:
+        """Yield everything that a host should know, in parts."""
+        renewals = [
+            entry.renewal(now)
+            for entry in self._endpoints.endpoint_by_id.values()
+            if self._endpoints.is_live(entry, now)
+            or (entry.left and now - entry.heard < const.TOMBSTONE_SPREAD_S)
+        ]
+        parts = list(_parts(renewals, const.MAX_RENEWALS_PER_MESSAGE)) or [[]]
+        for number, part in enumerate(parts, start=1):
+            header = self._header_for(host_id, now)
+            yield host_id, Digest(header, tuple(part), last=number == len(parts))
+
+    def _pull_ageing(self, peers: Sequence[HostId], now: float) -> Iterator[Outgoing]:
+        """Ask a peer about endpoints whose renewals have not come.
+
+        The host that hears them may be cut off from this one alone.
+        """
+        if not peers:
+            return
+        overdue = [
+            entry.endpoint_id
+            for entry in self._endpoints.live(now)
+            if now - entry.heard >= const.PULL_AFTER_S and self._may_pull(entry.endpoint_id, now)
+        ]
+        if not overdue:
+            return
+        yield from self.pull(self._rng.choice(peers), overdue, now)
+
+    def _may_pull(self, endpoint_id: EndpointId, now: float) -> bool:
+        """Return whether the last pull of an endpoint is long enough ago."""
+        pulled_at = self._pulled_at_by_id.get(endpoint_id)
+        return pulled_at is None or now - pulled_at >= const.PULL_INTERVAL_S
+
+    def pull(
+        self, host_id: HostId, endpoint_ids: Sequence[EndpointId], now: float
+    ) -> Iterator[Outgoing]:
+        """Yield requests for records."""
+        for endpoint_id in endpoint_ids:
+            self._pulled_at_by_id[endpoint_id] = now
+        for part in _parts(endpoint_ids, const.MAX_PULLS_PER_MESSAGE):
+            yield host_id, Pull(self._header_for(host_id, now), tuple(part))
+
+    def answer_pull(self, host_id: HostId, pull: Pull, now: float) -> list[Outgoing]:
+        """Answer with records of live endpoints and the ends of those that left."""
+        entry_by_id = self._endpoints.endpoint_by_id
+        known = [entry_by_id[item] for item in pull.endpoint_ids if item in entry_by_id]
+        live = [entry for entry in known if self._endpoints.is_live(entry, now)]
+        left = [entry for entry in known if entry.left]
+        sends = list(self._record_pushes(host_id, live, now))
+        for part in _parts(left, const.MAX_RENEWALS_PER_MESSAGE):
+            renewals = tuple(entry.renewal(now) for entry in part)
+            sends.append((host_id, Push(self._header_for(host_id, now), renewals)))
+        return sends
+
+    def receive_renewals(
+        self, host_id: HostId, renewals: Iterable[Renewal], transit: float, now: float
+    ) -> list[Outgoing]:
+        """Take renewals in and pull the records that are lacking."""
+        wanted: list[EndpointId] = []
+        for renewal in renewals:
+            heard = now - transit - renewal.age_ms / 1000
+            news = self._endpoints.merge_renewal(renewal, heard, now)
+            if news is News.WANTED:
+                wanted.append(renewal.endpoint_id)
+            self.note(renewal.endpoint_id, news, own=False)
+        return list(self.pull(host_id, wanted, now))
+
+    def receive_records(self, records: Iterable[AgedRecord], transit: float, now: float) -> None:
+        """Take whole records in."""
+        for aged in records:
+            heard = now - transit - aged.age_ms / 1000
+            news = self._endpoints.merge_record(aged.record, heard, now)
+            self.note(aged.record.endpoint_id, news, own=False)
+
+    def forget_pulls(self) -> None:
+        """Drop pull times of endpoints that are no longer known."""
+        for endpoint_id in list(self._pulled_at_by_id):
+            if endpoint_id not in self._endpoints.endpoint_by_id:
+                del self._pulled_at_by_id[endpoint_id]
+
+
+def _parts(items: Sequence[ItemT], size: int) -> Iterator[Sequence[ItemT]]:
+    """Yield the items in parts of bounded size."""
+    for start in range(0, len(items), size):
+        yield items[start : start + size]
--- /dev/null
+++ b/tests/membership/membership_network.py
@@ -0,0 +1,165 @@
+"""Paused-clock network that loses, doubles, delays and cuts messages between memberships."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from dataclasses import dataclass, field
+
+import msgspec
+
+from lagoonwing_core.ids import EndpointId, FailureDomainId, HostId, Incarnation, ModelId
+from lagoonwing_core.models import EndpointKind, EndpointRecord, EndpointState, HostAddress
+from lagoonwing_membership import Membership, MembershipMessage, Send
+
+STEP_S = 0.05
+DECODER = msgspec.msgpack.Decoder(MembershipMessage)
+
+
+def address_of(number: int) -> HostAddress:
+    """Return the address of an entry host."""
+    return HostAddress(
+        host_id=HostId(f"e{number}"),
+        address=f"127.0.0.{number + 1}",
+        port=7000,
+        failure_domain=FailureDomainId(f"d{number % 3}"),
+    )
+
+
+def record_of(
+    name: str,
+    incarnation: int = 1,
+    sequence: int = 1,
+    state: EndpointState = EndpointState.SERVING,
+    port: int = 9000,
+) -> EndpointRecord:
+    """Return an announcement."""
+    return EndpointRecord(
+        endpoint_id=EndpointId(name),
+        incarnation=Incarnation(incarnation),
+        sequence=sequence,
+        state=state,
+        kind=EndpointKind.WHOLE_MODEL,
+        address="127.0.1.1",
+        port=port,
+        failure_domain=FailureDomainId("d0"),
+        models=(ModelId("m"),),
+        slots=4,
+        tokens_per_s=100.0,
+    )
+
+
+@dataclass
+class Network:
+    """Memberships that exchange encoded messages.
+
+    Attributes:
+        loss: Share of messages that vanish.
+        double: Share of messages that arrive twice.
+        max_delay: Longest way of a message, in seconds.
+        cut: Ordered pairs of hosts between which nothing passes.
+        paused: Hosts that stand still; what arrives for them waits in their socket.
+    """
+
+    size: int
+    seed: int = 0
+    loss: float = 0.0
+    double: float = 0.0
+    max_delay: float = 0.01
+    now: float = 100.0
+    cut: set[tuple[HostId, HostId]] = field(default_factory=set)
+    paused: set[HostId] = field(default_factory=set)
+    largest: int = 0
+
+    def __post_init__(self) -> None:
+        """Start every host."""
+        self.rng = random.Random(self.seed)
+        self.addresses = [address_of(number) for number in range(self.size)]
+        self.member_by_id: dict[HostId, Membership] = {}
+        self._queue: list[tuple[float, int, HostId, HostId, bytes]] = []
+        self._waiting: dict[HostId, list[tuple[HostId, bytes]]] = {}
+        self._order = 0
+        self.sent_bytes: dict[HostId, int] = {}
+        for number in range(self.size):
+            self.start(number, incarnation=1000)
+
+    def start(self, number: int, incarnation: int) -> Membership:
+        """Start a host, or start it anew."""
+        address = self.addresses[number]
+        member = Membership(
+            address,
+            Incarnation(incarnation),
+            self.addresses,
+            seed=self.seed * 100 + number + incarnation,
+        )
+        self.member_by_id[address.host_id] = member
+        return member
+
+    def host(self, number: int) -> Membership:
+        """Return a host by number."""
+        return self.member_by_id[self.addresses[number].host_id]
+
+    def cut_off(self, *numbers: int) -> None:
+        """Cut hosts off from all others, both ways."""
+        inside = {self.addresses[number].host_id for number in numbers}
+        for one in self.member_by_id:
+            for other in self.member_by_id:
+                if (one in inside) != (other in inside):
+                    self.cut.add((one, other))
+
+    def heal(self) -> None:
+        """Let messages pass again."""
+        self.cut.clear()
+
+    def pause(self, number: int) -> None:
+        """Stop a host's process; its sockets go on receiving."""
+        self.paused.add(self.addresses[number].host_id)
+
+    def resume(self, number: int) -> None:
+        """Let a host's process go on; it reads first what has waited."""
+        host_id = self.addresses[number].host_id
+        self.paused.discard(host_id)
+        for sender, body in self._waiting.pop(host_id, []):
+            self._deliver(sender, host_id, body)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.now + seconds
+        while self.now < end - 1e-9:
+            self.step()
+
+    def step(self) -> None:
+        """Let one step pass: deliveries, then ticks."""
+        self.now += STEP_S
+        while self._queue and self._queue[0][0] <= self.now:
+            _, _, sender, receiver, body = heapq.heappop(self._queue)
+            if receiver in self.paused:
+                self._waiting.setdefault(receiver, []).append((sender, body))
+            else:
+                self._deliver(sender, receiver, body)
+        for host_id, member in list(self.member_by_id.items()):
+            if host_id not in self.paused:
+                self.send(host_id, member.tick(self.now))
+
+    def _deliver(self, sender: HostId, receiver: HostId, body: bytes) -> None:
+        member = self.member_by_id.get(receiver)
+        if member is not None:
+            self.send(receiver, member.receive(sender, DECODER.decode(body), self.now))
+
+    def send(self, sender: HostId, sends: list[Send]) -> None:
+        """Put messages on their way."""
+        for send in sends:
+            body = msgspec.msgpack.encode(send.message)
+            self.largest = max(self.largest, len(body))
+            self.sent_bytes[sender] = self.sent_bytes.get(sender, 0) + len(body)
+            if (sender, send.to.host_id) in self.cut or self.rng.random() < self.loss:
+                continue
+            copies = 2 if self.rng.random() < self.double else 1
+            for _ in range(copies):
+                self._order += 1
+                arrival = self.now + self.rng.uniform(0.0, self.max_delay)
+                heapq.heappush(self._queue, (arrival, self._order, sender, send.to.host_id, body))
+
+    def names(self, number: int) -> set[str]:
+        """Return the endpoints that a host would give new work."""
+        return {str(record.endpoint_id) for record in self.host(number).endpoints(self.now)}
