--- a/packages/entry/src/lagoonwing_entry/_membership_shell.py
+++ b/packages/entry/src/lagoonwing_entry/_membership_shell.py
@@ -55,7 +55,8 @@
             channels.register(PROTOCOL, self._handlers)
 
     async def async_setup(self) -> None:
-        """Start to tick."""
+        """Tick once, then go on."""
+        await self._async_send(self._membership.tick(self._clock.now()))
         self.refresh()
         self._task = asyncio.get_running_loop().create_task(self._async_tick())
 
