--- /dev/null
+++ b/packages/policy/src/lagoonwing_policy/_admission.py
@@ -0,0 +1,157 @@
+"""Admits requests to the queues, or refuses them at once and truthfully."""
+
+from __future__ import annotations
+
+from typing import assert_never
+
+from expression import Error, Ok, Result
+
+from lagoonwing_core.errors import Refusal
+from lagoonwing_core.events import EventCode, log_event
+from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_policy._pools import Pool
+from lagoonwing_policy._requests import RequestEntity, pool_key
+from lagoonwing_policy._router_protocol import Quarantines, Standing
+from lagoonwing_policy._tables import SchedulerTables
+from lagoonwing_policy.admission import jittered_retry_after
+from lagoonwing_policy.admission.models import BoundedQueue, EarlyRefusal
+from lagoonwing_policy.const import NO_ROUTE_WAIT_S
+from lagoonwing_policy.cost import CostEstimate
+from lagoonwing_policy.models import RequestProfile
+
+
+class AdmissionSystem:
+    """Judges each request by its member, the queue's bounds, its cap and its deadline."""
+
+    def __init__(self, tables: SchedulerTables, quarantines: Quarantines) -> None:
+        self._tables = tables
+        self._quarantines = quarantines
+
+    def submit(self, profile: RequestProfile, now: float) -> Result[None, Refusal]:
+        """Queue a request or refuse it."""
+        pool = self._tables.pools.known(pool_key(profile))
+        refusal = self._judge_standing(profile, pool, now)
+        if refusal is not None or pool is None:
+            return Error(self._log(profile, refusal or _no_endpoint()))
+        estimate = self._tables.costs.estimate(profile)
+        entity = _make_entity(profile, pool, estimate, now)
+        member_id = profile.member_id
+        self._tables.demand.arrived(member_id, estimate.tokens, now)
+        pool.queue.set_weight(member_id, self._tables.weights.weight(member_id, now))
+        refusal = self._judge_load(entity, pool, now)
+        if refusal is not None:
+            return Error(self._log(profile, refusal))
+        self._queue(entity, pool)
+        log_event(
+            EventCode.ADMISSION_DECIDED,
+            request=profile.request_id,
+            member=member_id,
+            decision="queued",
+            priority=entity.priority.value,
+            cost=round(entity.cost),
+            queued=self._tables.bounds.requests,
+        )
+        return Ok(None)
+
+    def _judge_standing(
+        self, profile: RequestProfile, pool: Pool | None, now: float
+    ) -> Refusal | None:
+        """Return why the request can't run whatever the load, if it can't."""
+        if self._tables.requests.get(profile.request_id) is not None:
+            return Refusal(ResultCode.MALFORMED_REQUEST, "the request id is in use")
+        if self._tables.limits.get(profile.member_id) is None:
+            return Refusal(ResultCode.NO_AGREEMENT, "the member has no agreement in force")
+        if self._quarantines.standing(profile.fingerprint) is Standing.REFUSED:
+            return Refusal(ResultCode.QUARANTINED, "this request crashed endpoints")
+        if pool is None:
+            return _no_endpoint()
+        if pool.no_route is not None and now > pool.no_route_since + NO_ROUTE_WAIT_S:
+            return pool.no_route
+        return None
+
+    def _judge_load(self, entity: RequestEntity, pool: Pool, now: float) -> Refusal | None:
+        """Return why the request can't be queued under the present load, if it can't."""
+        member_id = entity.profile.member_id
+        requests, tokens = self._tables.demand.queued_of(member_id)
+        wait = self._expected_wait(entity, pool)
+        if not self._tables.bounds.has_room(requests, tokens, entity.tokens_reserved):
+            return self._refusal(ResultCode.QUEUE_FULL, "the queue is full", wait)
+        match self._tables.settings.admission:
+            case BoundedQueue():
+                return None
+            case EarlyRefusal(max_wait_s=max_wait_s):
+                pass
+            case _:
+                assert_never(self._tables.settings.admission)
+        cap_wait = self._tables.limits.overload(
+            member_id, requests + 1, tokens + entity.tokens_reserved, now
+        )
+        if cap_wait is not None:
+            return self._refusal(ResultCode.CAP_REACHED, "the member's cap is reached", cap_wait)
+        entity.latest_start = entity.profile.deadline - self._service_time(entity, pool)
+        if now + wait > entity.latest_start:
+            excess = now + wait - entity.latest_start
+            detail = "the expected wait passes the deadline"
+            return self._refusal(ResultCode.DEADLINE_UNREACHABLE, detail, excess)
+        if wait > max_wait_s:
+            return self._refusal(ResultCode.QUEUE_FULL, "the expected wait is too long", wait)
+        return None
+
+    def _expected_wait(self, entity: RequestEntity, pool: Pool) -> float:
+        """Return the seconds until the request would start, 0 while nothing is known."""
+        if not len(pool.queue):
+            return 0.0
+        rate = pool.meter.rate(pool.slots)
+        return pool.queue.work_ahead(entity) / rate if rate else 0.0
+
+    def _service_time(self, entity: RequestEntity, pool: Pool) -> float:
+        """Return the seconds that the request would run, 0 while nothing is known."""
+        rate = pool.meter.slot_rate()
+        return entity.cost / rate if rate else 0.0
+
+    def _queue(self, entity: RequestEntity, pool: Pool) -> None:
+        """Add a request to its queue and to the counts."""
+        tokens = entity.tokens_reserved
+        pool.queue.push(entity)
+        self._tables.requests.add(entity)
+        self._tables.bounds.queued(tokens)
+        self._tables.demand.queued(entity.profile.member_id, tokens)
+        self._tables.pools.mark_ready(pool)
+
+    def _refusal(self, code: ResultCode, detail: str, expected_s: float) -> Refusal:
+        """Return a refusal with a time to come again."""
+        return Refusal(code, detail, jittered_retry_after(self._tables.rng, expected_s))
+
+    def _log(self, profile: RequestProfile, refusal: Refusal) -> Refusal:
+        """Write the decision to refuse a request."""
+        log_event(
+            EventCode.ADMISSION_DECIDED,
+            request=profile.request_id,
+            member=profile.member_id,
+            decision="refused",
+            code=int(refusal.code),
+            reason=refusal.detail,
+            queued=self._tables.bounds.requests,
+        )
+        return refusal
+
+
+def _no_endpoint() -> Refusal:
+    """Return the refusal of work that no endpoint has ever served here."""
+    return Refusal(ResultCode.NO_ENDPOINT, "no endpoint serves this")
+
+
+def _make_entity(
+    profile: RequestProfile, pool: Pool, estimate: CostEstimate, now: float
+) -> RequestEntity:
+    """Return the entity of a new request."""
+    return RequestEntity(
+        profile,
+        pool=pool.key,
+        priority=pool.classifier.classify(estimate.cost),
+        cost=estimate.cost,
+        tokens_reserved=estimate.tokens,
+        output_expected=estimate.output_tokens,
+        enqueued=now,
+        latest_start=profile.deadline,
+    )
--- /dev/null
+++ b/packages/policy/src/lagoonwing_policy/_attempts.py
@@ -0,0 +1,192 @@
+"""What follows the end of an attempt: an answer, a retry, or a suspicion."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Sequence
+from dataclasses import replace
+
+from expression import Error, Result
+
+from lagoonwing_core.errors import Refusal
+from lagoonwing_core.events import EventCode, log_event
+from lagoonwing_core.ids import Attempt, Fingerprint, RequestId
+from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_policy._accounts import AccountSystem
+from lagoonwing_policy._dispatch import DispatchSystem
+from lagoonwing_policy._requests import RequestEntity, RequestState
+from lagoonwing_policy._router_protocol import GiveUp, Quarantines, Retries, RetryAt, Router
+from lagoonwing_policy._tables import SchedulerTables
+from lagoonwing_policy.models import (
+    AttemptCancelled,
+    AttemptFailed,
+    AttemptResult,
+    AttemptSucceeded,
+    Dispatch,
+    Priority,
+    Route,
+    RouteStage,
+    SchedulerCommand,
+)
+
+
+class AttemptSystem:
+    """Releases slots, settles accounts and decides on retries."""
+
+    def __init__(
+        self,
+        tables: SchedulerTables,
+        router: Router,
+        retries: Retries,
+        quarantines: Quarantines,
+        accounts: AccountSystem,
+        dispatch: DispatchSystem,
+    ) -> None:
+        self._tables = tables
+        self._router = router
+        self._retries = retries
+        self._quarantines = quarantines
+        self._accounts = accounts
+        self._dispatch = dispatch
+        self._due_retries: list[tuple[float, RequestId]] = []
+        self._unrecorded: set[Fingerprint] = set()
+        self._awaiting_record: dict[RequestId, RequestEntity] = {}
+
+    def run(self, now: float) -> None:
+        """Let retries start whose time has come."""
+        while self._due_retries and self._due_retries[0][0] <= now:
+            _, request_id = heapq.heappop(self._due_retries)
+            entity = self._tables.requests.get(request_id)
+            if entity is not None and entity.state is RequestState.RETRY_DUE_LATER:
+                self._dispatch.set_aside(entity)
+
+    def end(
+        self, request_id: RequestId, attempt: Attempt, result: AttemptResult, now: float
+    ) -> list[SchedulerCommand]:
+        """Take the end of an attempt; ends of attempts that were replaced are ignored."""
+        entity = self._tables.requests.get(request_id)
+        if entity is None or entity.attempt != attempt or entity.route is None:
+            return []
+        route = entity.route
+        commands: list[SchedulerCommand] = []
+        if isinstance(result, AttemptFailed) and result.endpoint_died:
+            commands.extend(self._report_death(result.stage))
+        self._release(entity, route)
+        match result:
+            case AttemptSucceeded(tokens):
+                commands.extend(self._succeed(entity, route, max(tokens, entity.tokens), now))
+            case AttemptCancelled(tokens):
+                self._tables.requests.remove(entity)
+                self._accounts.finish(entity, max(tokens, entity.tokens))
+            case AttemptFailed():
+                commands.extend(self._fail(entity, result, now))
+        return commands
+
+    def suspects_recorded(self, fingerprints: Sequence[Fingerprint]) -> None:
+        """Let suspects run again, now that every entry host knows of them."""
+        self._unrecorded.difference_update(fingerprints)
+        for request_id, entity in list(self._awaiting_record.items()):
+            if entity.profile.fingerprint in self._unrecorded:
+                continue
+            del self._awaiting_record[request_id]
+            # Its deadline may have ended it meanwhile.
+            if self._tables.requests.get(request_id) is entity:
+                self._dispatch.set_aside(entity)
+
+    def replace_stage(
+        self, request_id: RequestId, failed: RouteStage, now: float
+    ) -> Result[RouteStage, Refusal]:
+        """Replace one stage of a running attempt, and the slot that it held."""
+        entity = self._tables.requests.get(request_id)
+        if entity is None or entity.route is None or failed not in entity.route.stages:
+            return Error(Refusal(ResultCode.NOT_FOUND, "the request runs no such stage"))
+        route = entity.route
+        slots = self._tables.slots
+        chosen = self._router.replace_stage(entity.profile, route, failed, slots.use_by_id, now)
+        if chosen.is_error():
+            return chosen
+        slots.release_stage(request_id, route, failed)
+        slots.acquire_stage(request_id, route, chosen.ok)
+        stages = tuple(chosen.ok if stage == failed else stage for stage in route.stages)
+        entity.route = replace(route, stages=stages)
+        return chosen
+
+    def cancel(self, request_id: RequestId) -> None:
+        """Forget a request that does not run; a running one ends by its attempt's end."""
+        entity = self._tables.requests.get(request_id)
+        if entity is None or entity.state is RequestState.RUNNING:
+            return
+        self._dispatch.leave_queue(entity)
+        self._awaiting_record.pop(request_id, None)
+        self._tables.requests.remove(entity)
+        self._accounts.finish(entity, entity.tokens)
+
+    def _release(self, entity: RequestEntity, route: Route) -> None:
+        """Give the slots of an attempt back."""
+        entity.route = None
+        self._tables.slots.release(entity.profile.request_id, route)
+        pool = self._tables.pools.get(entity.pool)
+        pool.long_running -= route.priority is Priority.LONG
+        self._tables.pools.reopen(pool)
+        for stage in route.stages:
+            self._tables.pools.reopen_endpoint(stage.endpoint_id)
+
+    def _succeed(
+        self, entity: RequestEntity, route: Route, tokens: int, now: float
+    ) -> list[SchedulerCommand]:
+        """Settle a request that was answered whole."""
+        self._tables.requests.remove(entity)
+        self._accounts.finish(entity, tokens)
+        self._accounts.learn(entity, tokens, now)
+        clear = self._quarantines.on_succeeded(entity.profile.fingerprint, route.exclusive)
+        return [clear] if clear else []
+
+    def _fail(
+        self, entity: RequestEntity, failed: AttemptFailed, now: float
+    ) -> list[SchedulerCommand]:
+        """Decide what follows a failed attempt."""
+        # The request waits from here on, unless it is given up.
+        entity.state = RequestState.RETRY_DUE_LATER
+        entity.excluded = entity.excluded | {failed.stage.endpoint_id}
+        log_event(
+            EventCode.ATTEMPT_FAILED,
+            request=entity.profile.request_id,
+            attempt=entity.attempt,
+            endpoint=failed.stage.endpoint_id,
+            dispatch=failed.dispatch.value,
+            code=int(failed.refusal.code),
+        )
+        may_have_run = failed.dispatch is Dispatch.MAY_HAVE_RUN
+        if may_have_run and not entity.profile.idempotent:
+            return [self._dispatch.refuse(entity, failed.refusal)]
+        match self._retries.decide(entity.profile, entity.attempt, failed, now):
+            case GiveUp(refusal):
+                return [self._dispatch.refuse(entity, refusal)]
+            case RetryAt(time):
+                self._schedule_retry(entity, time)
+        return []
+
+    def _schedule_retry(self, entity: RequestEntity, time: float) -> None:
+        """Queue the next attempt at `time`, or once its suspicion is recorded."""
+        request_id = entity.profile.request_id
+        # From now on only the deadline itself ends the wait: the work may be half done.
+        entity.latest_start = entity.profile.deadline
+        if entity.profile.fingerprint in self._unrecorded:
+            entity.state = RequestState.AWAITING_SUSPECT_RECORD
+            self._awaiting_record[request_id] = entity
+            self._tables.requests.watch(entity)
+            return
+        heapq.heappush(self._due_retries, (time, request_id))
+
+    def _report_death(self, stage: RouteStage) -> list[SchedulerCommand]:
+        """Hold what ran on a dead endpoint until it is recorded as suspect."""
+        running = tuple(
+            entity.profile.fingerprint
+            for request_id in self._tables.slots.running_on(stage.endpoint_id)
+            if (entity := self._tables.requests.get(request_id)) is not None
+        )
+        report = self._quarantines.on_endpoint_died(stage, running)
+        if report is None:
+            return []
+        self._unrecorded.update(report.fingerprints)
+        return [report]
--- /dev/null
+++ b/packages/policy/src/lagoonwing_policy/_dispatch.py
@@ -0,0 +1,284 @@
+"""Starts queued requests while slots are free and caps allow it."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from lagoonwing_core.errors import Refusal
+from lagoonwing_core.events import EventCode, log_event
+from lagoonwing_core.ids import Attempt, EndpointId, RequestId
+from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_policy._accounts import AccountSystem
+from lagoonwing_policy._exclusive import ExclusiveHold
+from lagoonwing_policy._pools import Pool
+from lagoonwing_policy._requests import RequestEntity, RequestState
+from lagoonwing_policy._router_protocol import (
+    NoFreeSlot,
+    Quarantines,
+    Retries,
+    Router,
+    Standing,
+)
+from lagoonwing_policy._tables import SchedulerTables
+from lagoonwing_policy.allotments import StartAllowed, StartBlocked
+from lagoonwing_policy.const import MAX_ASIDE_EXCLUSIVE, MAX_ASIDE_TRIES
+from lagoonwing_policy.models import (
+    Priority,
+    RefuseRequest,
+    Route,
+    SchedulerCommand,
+    StartAttempt,
+)
+
+
+class DispatchSystem:
+    """Takes requests from the queues, at a cost per start that the queues' length leaves alone.
+
+    A pool is passed over once nothing in it can start, until a slot, a cap or a route changes.
+    """
+
+    def __init__(
+        self,
+        tables: SchedulerTables,
+        router: Router,
+        retries: Retries,
+        quarantines: Quarantines,
+        accounts: AccountSystem,
+    ) -> None:
+        self._tables = tables
+        self._router = router
+        self._retries = retries
+        self._quarantines = quarantines
+        self._accounts = accounts
+        self._hold = ExclusiveHold()
+
+    def run(self, now: float) -> list[SchedulerCommand]:
+        """Start what can start in every pool that changed."""
+        commands: list[SchedulerCommand] = []
+        for pool in self._tables.pools.drain_ready():
+            commands.extend(self._run_aside(pool, now))
+            commands.extend(self._run_queue(pool, now))
+        return commands
+
+    def set_aside(self, entity: RequestEntity) -> None:
+        """Let a request start before the queue: a retry, or one that must run alone."""
+        pool = self._tables.pools.get(entity.pool)
+        entity.state = RequestState.ASIDE
+        pool.aside[entity.profile.request_id] = entity
+        self._tables.requests.watch(entity)
+        self._tables.pools.mark_ready(pool)
+
+    def leave_queue(self, entity: RequestEntity) -> None:
+        """Remove a request that does not start from where it waits."""
+        pool = self._tables.pools.get(entity.pool)
+        match entity.state:
+            case RequestState.QUEUED:
+                pool.queue.discard(entity)
+                self._uncount_queued(entity)
+            case RequestState.ASIDE:
+                del pool.aside[entity.profile.request_id]
+            case _:
+                pass
+        if self._hold.release(entity.profile.request_id):
+            self._tables.pools.reopen(pool)
+
+    def refuse(self, entity: RequestEntity, refusal: Refusal) -> RefuseRequest:
+        """Forget a request that does not run and return the command that answers it."""
+        self.leave_queue(entity)
+        self._tables.requests.remove(entity)
+        self._accounts.finish(entity, entity.tokens)
+        profile = entity.profile
+        log_event(
+            EventCode.ROUTE_REFUSED,
+            request=profile.request_id,
+            member=profile.member_id,
+            attempt=entity.attempt,
+            code=int(refusal.code),
+            reason=refusal.detail,
+        )
+        return RefuseRequest(profile.request_id, refusal)
+
+    def _uncount_queued(self, entity: RequestEntity) -> None:
+        """Stop counting a request that waited."""
+        self._tables.bounds.dequeued(entity.tokens_reserved)
+        self._tables.demand.dequeued(entity.profile.member_id, entity.tokens_reserved)
+
+    def _run_queue(self, pool: Pool, now: float) -> list[SchedulerCommand]:
+        """Start from the queue until something is missing."""
+        commands: list[SchedulerCommand] = []
+        while not pool.blocked:
+            entity = pool.queue.head(self._allows_long(pool), now)
+            if entity is None:
+                break
+            command = self._try_head(pool, entity, now)
+            if command is not None:
+                commands.append(command)
+        return commands
+
+    def _allows_long(self, pool: Pool) -> bool:
+        """Return whether one more long request may start in a pool."""
+        if pool.long_blocked:
+            return False
+        return pool.long_running < self._tables.slots.long_work.limit(pool.slots)
+
+    def _try_head(self, pool: Pool, entity: RequestEntity, now: float) -> SchedulerCommand | None:
+        """Start the head of a queue, refuse it, or note what it waits for."""
+        profile = entity.profile
+        if self._tables.limits.get(profile.member_id) is None:
+            return self.refuse(entity, _no_agreement())
+        if now > entity.latest_start:
+            return self.refuse(entity, _too_late())
+        verdict = self._tables.limits.check_start(profile.member_id, entity.tokens_reserved, now)
+        match verdict:
+            case StartBlocked(until):
+                self._tables.cap_blocks.block(profile.member_id, pool, until)
+                return None
+            case StartAllowed():
+                return self._try_route(pool, entity, now)
+
+    def _try_route(self, pool: Pool, entity: RequestEntity, now: float) -> SchedulerCommand | None:
+        """Start the head of a queue if a route is free."""
+        match self._quarantines.standing(entity.profile.fingerprint):
+            case Standing.REFUSED:
+                return self.refuse(entity, _quarantined())
+            case Standing.EXCLUSIVE:
+                return self._move_aside(pool, entity, now)
+            case Standing.ALLOWED:
+                pass
+        excluded = self._excluded(entity)
+        chosen = self._router.choose(
+            entity.profile, self._tables.slots.use_by_id, excluded, False, now
+        )
+        if chosen.is_ok():
+            self._take(pool, entity, now)
+            return self._start(pool, entity, chosen.ok, now)
+        match chosen.error:
+            case NoFreeSlot():
+                pool.long_blocked = True
+                pool.blocked = entity.priority is not Priority.LONG
+            case Refusal() as refusal:
+                self._note_no_route(pool, refusal, now)
+        return None
+
+    def _move_aside(self, pool: Pool, entity: RequestEntity, now: float) -> SchedulerCommand | None:
+        """Let a request that must run alone wait apart from the queue."""
+        if len(pool.aside) >= MAX_ASIDE_EXCLUSIVE:
+            return self.refuse(entity, _quarantined())
+        self._take(pool, entity, now)
+        self._accounts.first_start(entity)
+        pool.aside[entity.profile.request_id] = entity
+        entity.state = RequestState.ASIDE
+        return None
+
+    def _take(self, pool: Pool, entity: RequestEntity, now: float) -> None:
+        """Take a request from the queue to start it, and charge its member."""
+        pool.queue.take(entity)
+        self._uncount_queued(entity)
+        pool.meter.started(entity.cost, bool(len(pool.queue)), now)
+
+    def _run_aside(self, pool: Pool, now: float) -> list[SchedulerCommand]:
+        """Try a bounded number of the requests set aside, the others next time."""
+        commands: list[SchedulerCommand] = []
+        for request_id in list(pool.aside)[:MAX_ASIDE_TRIES]:
+            if pool.blocked:
+                break
+            command = self._try_aside(pool, pool.aside[request_id], now)
+            if command is None:
+                pool.aside.move_to_end(request_id)
+            else:
+                commands.append(command)
+        return commands
+
+    def _try_aside(self, pool: Pool, entity: RequestEntity, now: float) -> SchedulerCommand | None:
+        """Start a request that was set aside, or refuse it, or let it go on waiting."""
+        profile = entity.profile
+        standing = self._quarantines.standing(profile.fingerprint)
+        if standing is Standing.REFUSED:
+            return self.refuse(entity, _quarantined())
+        if now > profile.deadline:
+            return self.refuse(entity, _too_late())
+        if not self._tables.limits.may_run_on(profile.member_id, now):
+            return None
+        exclusive = standing is Standing.EXCLUSIVE
+        route = self._choose_aside(pool, entity, exclusive, now)
+        if route is None:
+            return None
+        del pool.aside[profile.request_id]
+        self._hold.release(profile.request_id)
+        return self._start(pool, entity, route, now)
+
+    def _choose_aside(
+        self, pool: Pool, entity: RequestEntity, exclusive: bool, now: float
+    ) -> Route | None:
+        """Return a route for a request that was set aside."""
+        use = self._tables.slots.use_by_id
+        excluded = self._excluded(entity)
+        chosen = self._router.choose(entity.profile, use, excluded, exclusive, now)
+        if chosen.is_ok():
+            return chosen.ok
+        if isinstance(chosen.error, Refusal):
+            if not entity.excluded:
+                self._note_no_route(pool, chosen.error, now)
+            # Endpoints that failed this request are better than none.
+            entity.excluded = frozenset()
+        elif exclusive and self._hold.is_free():
+            found = self._router.choose(entity.profile, use, excluded, False, now)
+            if found.is_ok():
+                self._hold.acquire(entity.profile.request_id, found.ok)
+        return None
+
+    def _excluded(self, entity: RequestEntity) -> frozenset[EndpointId]:
+        """Return the endpoints that a request must not use now."""
+        excluded = entity.excluded
+        if entity.priority is Priority.LONG:
+            excluded |= self._tables.slots.long_work.full
+        return excluded | self._hold.endpoints_for_others(entity.profile.request_id)
+
+    def _note_no_route(self, pool: Pool, refusal: Refusal, now: float) -> None:
+        """Pass a pool over until its endpoints change."""
+        pool.blocked = True
+        if pool.no_route is None:
+            pool.no_route = refusal
+            pool.no_route_since = now
+
+    def _start(self, pool: Pool, entity: RequestEntity, route: Route, now: float) -> StartAttempt:
+        """Count the attempt and return its command."""
+        if not entity.counted:
+            self._accounts.first_start(entity)
+        if entity.attempt == 0:
+            self._retries.on_first_try(now)
+        request_id: RequestId = entity.profile.request_id
+        entity.attempt = Attempt(entity.attempt + 1)
+        entity.state = RequestState.RUNNING
+        entity.started = now
+        entity.route = replace(route, priority=entity.priority)
+        self._tables.requests.unwatch(entity)
+        self._tables.slots.acquire(request_id, entity.route)
+        pool.long_running += entity.priority is Priority.LONG
+        pool.no_route = None
+        log_event(
+            EventCode.ROUTE_CHOSEN,
+            request=request_id,
+            member=entity.profile.member_id,
+            attempt=entity.attempt,
+            priority=entity.priority.value,
+            cost=round(entity.cost),
+            waited_ms=round((now - entity.enqueued) * 1000),
+            endpoints=",".join(stage.endpoint_id for stage in route.stages),
+        )
+        return StartAttempt(request_id, entity.attempt, entity.route)
+
+
+def _no_agreement() -> Refusal:
+    """Return the refusal of a member whose agreement ended while its request waited."""
+    return Refusal(ResultCode.NO_AGREEMENT, "the member has no agreement in force")
+
+
+def _too_late() -> Refusal:
+    """Return the refusal of a request that can't end by its deadline any more."""
+    return Refusal(ResultCode.DEADLINE_UNREACHABLE, "no slot came free early enough")
+
+
+def _quarantined() -> Refusal:
+    """Return the refusal of a request that crashed endpoints."""
+    return Refusal(ResultCode.QUARANTINED, "this request crashed endpoints")
--- /dev/null
+++ b/packages/policy/src/lagoonwing_policy/_exclusive.py
@@ -0,0 +1,37 @@
+"""Keeps endpoints free for one request that must run alone."""
+
+from __future__ import annotations
+
+from lagoonwing_core.ids import EndpointId, RequestId
+from lagoonwing_policy.models import Route
+
+NONE: frozenset[EndpointId] = frozenset()
+
+
+class ExclusiveHold:
+    """Lets a route run empty for one request at a time; a busy site never empties by itself."""
+
+    def __init__(self) -> None:
+        self._request_id: RequestId | None = None
+        self._endpoints = NONE
+
+    def is_free(self) -> bool:
+        """Return whether no request holds endpoints."""
+        return self._request_id is None
+
+    def acquire(self, request_id: RequestId, route: Route) -> None:
+        """Hold the endpoints of a route."""
+        self._request_id = request_id
+        self._endpoints = frozenset(stage.endpoint_id for stage in route.stages)
+
+    def release(self, request_id: RequestId) -> bool:
+        """Give the endpoints back; return whether this request held any."""
+        if self._request_id != request_id:
+            return False
+        self._request_id = None
+        self._endpoints = NONE
+        return True
+
+    def endpoints_for_others(self, request_id: RequestId) -> frozenset[EndpointId]:
+        """Return the endpoints that a request must not use because another holds them."""
+        return NONE if request_id == self._request_id else self._endpoints
--- /dev/null
+++ b/packages/policy/src/lagoonwing_policy/_ordered_set.py
@@ -0,0 +1,39 @@
+"""Typed view of the sorted list of `sortedcontainers`, which ships no types."""
+
+from __future__ import annotations
+
+from typing import Generic, TypeVar
+
+from sortedcontainers import SortedList  # type: ignore[import-untyped]
+
+ItemT = TypeVar("ItemT")
+
+
+class OrderedSet(Generic[ItemT]):
+    """Items in ascending order, each once."""
+
+    def __init__(self) -> None:
+        self._items = SortedList()
+
+    def __len__(self) -> int:
+        """Return the number of items."""
+        return len(self._items)
+
+    def first(self) -> ItemT | None:
+        """Return the lowest item."""
+        if not self._items:
+            return None
+        lowest: ItemT = self._items[0]
+        return lowest
+
+    def add(self, item: ItemT) -> None:
+        """Add an item."""
+        self._items.add(item)
+
+    def remove(self, item: ItemT) -> None:
+        """Remove an item that is present."""
+        self._items.remove(item)
+
+    def discard(self, item: ItemT) -> None:
+        """Remove an item if it is present."""
+        self._items.discard(item)
--- /dev/null
+++ b/packages/policy/src/lagoonwing_policy/_pools.py
@@ -0,0 +1,130 @@
+"""Table of pools: the endpoints of one model or service, and what waits for them."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+from lagoonwing_core.errors import Refusal
+from lagoonwing_core.ids import EndpointId, RequestId
+from lagoonwing_core.models import EndpointKind, EndpointRecord
+from lagoonwing_policy._requests import RequestEntity
+from lagoonwing_policy._settings import SchedulerSettings
+from lagoonwing_policy.admission import DrainMeter
+from lagoonwing_policy.cost import CostClassifier
+from lagoonwing_policy.fairness import WorkQueue, make_queue
+
+
+@dataclass(slots=True)
+class Pool:
+    """Endpoints that serve the same work, and the requests for them.
+
+    Attributes:
+        aside: Retries and requests that must run alone; they start before the queue.
+        slots: Requests that the pool runs at once.
+        long_running: Long requests that run.
+        blocked: Whether nothing can start until a slot comes free.
+        long_blocked: Whether no long work can start until then.
+        no_route: Why no route exists, whatever is free.
+        no_route_since: Time since when.
+    """
+
+    key: str
+    queue: WorkQueue
+    classifier: CostClassifier
+    meter: DrainMeter = field(default_factory=DrainMeter)
+    aside: OrderedDict[RequestId, RequestEntity] = field(default_factory=OrderedDict)
+    slots: float = 0.0
+    long_running: int = 0
+    blocked: bool = False
+    long_blocked: bool = False
+    no_route: Refusal | None = None
+    no_route_since: float = 0.0
+
+    def open(self) -> None:
+        """Consider the pool's requests again."""
+        self.blocked = False
+        self.long_blocked = False
+
+    def waits(self) -> bool:
+        """Return whether any request waits."""
+        return bool(len(self.queue) or self.aside)
+
+
+class PoolTable:
+    """Pools by key, and those of them in which something may start."""
+
+    def __init__(self, settings: SchedulerSettings) -> None:
+        self._settings = settings
+        self._pool_by_key: dict[str, Pool] = {}
+        self._pools_by_endpoint: dict[EndpointId, tuple[Pool, ...]] = {}
+        # A dict keeps the order, so that runs with one seed are alike.
+        self._ready: dict[str, Pool] = {}
+
+    def __iter__(self) -> Iterator[Pool]:
+        """Iterate over all pools."""
+        return iter(self._pool_by_key.values())
+
+    def get(self, key: str) -> Pool:
+        """Return a pool, made if it is new."""
+        pool = self._pool_by_key.get(key)
+        if pool is None:
+            queue = make_queue(self._settings.queue)
+            pool = Pool(key, queue, CostClassifier(self._settings.cost))
+            self._pool_by_key[key] = pool
+        return pool
+
+    def known(self, key: str) -> Pool | None:
+        """Return a pool that exists."""
+        return self._pool_by_key.get(key)
+
+    def set_endpoints(self, records: Iterable[EndpointRecord]) -> None:
+        """Replace the endpoints of every pool."""
+        for pool in self:
+            pool.slots = 0.0
+            pool.no_route = None
+        self._pools_by_endpoint = {}
+        for record in records:
+            pools = tuple(self.get(key) for key in _served_keys(record))
+            self._pools_by_endpoint[record.endpoint_id] = pools
+            for pool in pools:
+                pool.slots += _slots_of(record)
+        for pool in self:
+            self.reopen(pool)
+
+    def reopen(self, pool: Pool) -> None:
+        """Let a pool's requests be considered again."""
+        pool.open()
+        self.mark_ready(pool)
+
+    def reopen_endpoint(self, endpoint_id: EndpointId) -> None:
+        """Let the requests for an endpoint be considered again: a slot came free."""
+        for pool in self._pools_by_endpoint.get(endpoint_id, ()):
+            self.reopen(pool)
+
+    def mark_ready(self, pool: Pool) -> None:
+        """Have the dispatcher look at a pool."""
+        if pool.waits():
+            self._ready[pool.key] = pool
+
+    def drain_ready(self) -> list[Pool]:
+        """Return the pools to look at and forget them."""
+        ready = list(self._ready.values())
+        self._ready.clear()
+        return ready
+
+
+def _served_keys(record: EndpointRecord) -> list[str]:
+    """Return the keys of the pools that an endpoint belongs to."""
+    if record.kind is EndpointKind.SERVICE:
+        return [f"service/{record.service}"]
+    return [f"model/{model_id}" for model_id in record.models]
+
+
+def _slots_of(record: EndpointRecord) -> float:
+    """Return the endpoint's slots; those of a stage count by its part of the layers."""
+    if record.layers is None or not record.layer_count:
+        return float(record.slots)
+    held = record.layers.end - record.layers.first
+    return record.slots * held / record.layer_count
--- a/packages/policy/src/lagoonwing_policy/_requests.py
+++ b/packages/policy/src/lagoonwing_policy/_requests.py
@@ -2,17 +2,20 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import Enum
 
-from lagoonwing_core.ids import Attempt, EndpointId
-from lagoonwing_policy.models import Priority, RequestProfile, Route
+from lagoonwing_core.ids import Attempt, EndpointId, RequestId
+from lagoonwing_policy._ordered_set import OrderedSet
+from lagoonwing_policy.models import ModelWork, Priority, RequestProfile, Route, ServiceWork
 
 
 class RequestState(Enum):
     """Where a request stands."""
 
     QUEUED = "queued"
+    ASIDE = "aside"
     RUNNING = "running"
     RETRY_DUE_LATER = "retry_due_later"
     AWAITING_SUSPECT_RECORD = "awaiting_suspect_record"
@@ -23,17 +26,91 @@
     """One request from its submission to its last command.
 
     Attributes:
-        priority: Class of the request, by its estimated cost.
+        pool: Key of the endpoints that can run the request.
+        priority: Class of the request, by its cost.
+        cost: Work that its member has been or will be charged for at the start.
+        tokens_reserved: Tokens that count towards its member's cap from the start.
+        output_expected: Tokens expected to be generated.
+        enqueued: Time of submission.
+        latest_start: Time after which it can't end by its deadline.
+        counted: Whether it counts towards its member's caps: from the first start to the end.
+        started: Time at which the current attempt started.
         attempt: Number of the current or last attempt; 0 before the first.
         route: Route of the running attempt.
         excluded: Endpoints that failed this request.
         tokens: Tokens relayed to the caller so far.
+        output_charged: Generated tokens that its member has been charged for.
     """
 
     profile: RequestProfile
+    pool: str = ""
     priority: Priority = Priority.NORMAL
+    cost: float = 0.0
+    tokens_reserved: float = 0.0
+    output_expected: float = 0.0
+    enqueued: float = 0.0
+    latest_start: float = float("inf")
+    counted: bool = False
+    started: float = 0.0
     state: RequestState = RequestState.QUEUED
     attempt: Attempt = Attempt(0)
     route: Route | None = None
     excluded: frozenset[EndpointId] = field(default_factory=frozenset)
     tokens: int = 0
+    output_charged: float = 0.0
+
+
+class RequestTable:
+    """Requests by id, and those that don't run in the order of their latest start."""
+
+    def __init__(self) -> None:
+        self._entity_by_id: dict[RequestId, RequestEntity] = {}
+        # Latest start and id of each request that waits.
+        self._waiting: OrderedSet[tuple[float, RequestId]] = OrderedSet()
+
+    def __len__(self) -> int:
+        """Return the number of requests held."""
+        return len(self._entity_by_id)
+
+    def __iter__(self) -> Iterator[RequestEntity]:
+        """Iterate over all requests."""
+        return iter(self._entity_by_id.values())
+
+    def get(self, request_id: RequestId) -> RequestEntity | None:
+        """Return a request that is held."""
+        return self._entity_by_id.get(request_id)
+
+    def add(self, entity: RequestEntity) -> None:
+        """Add a request that waits."""
+        self._entity_by_id[entity.profile.request_id] = entity
+        self.watch(entity)
+
+    def remove(self, entity: RequestEntity) -> None:
+        """Remove a request."""
+        self.unwatch(entity)
+        del self._entity_by_id[entity.profile.request_id]
+
+    def watch(self, entity: RequestEntity) -> None:
+        """Watch the latest start of a request that waits."""
+        self.unwatch(entity)
+        self._waiting.add((entity.latest_start, entity.profile.request_id))
+
+    def unwatch(self, entity: RequestEntity) -> None:
+        """Stop watching the latest start of a request."""
+        self._waiting.discard((entity.latest_start, entity.profile.request_id))
+
+    def first_overdue(self, now: float) -> RequestEntity | None:
+        """Return the waiting request whose latest start passed first, if any has."""
+        first = self._waiting.first()
+        if first is None or first[0] > now:
+            return None
+        return self._entity_by_id[first[1]]
+
+
+def pool_key(profile: RequestProfile) -> str:
+    """Return the key of the pool of endpoints that can run a request."""
+    match profile.work:
+        case ModelWork(model_id=model_id):
+            return f"model/{model_id}"
+        case ServiceWork(service_id=service_id):
+            return f"service/{service_id}"
--- a/packages/policy/src/lagoonwing_policy/_settings.py
+++ b/packages/policy/src/lagoonwing_policy/_settings.py
@@ -1,10 +1,18 @@
-"""Settings of the scheduler."""
+"""Settings of the scheduler; a policy that varies is one data class of several."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
-DEFAULT_MAX_QUEUED_REQUESTS = 4096
+from lagoonwing_policy.admission.models import AdmissionPolicy, EarlyRefusal
+from lagoonwing_policy.allotments.models import Allotments, LimitPolicy
+from lagoonwing_policy.cost.models import CostSettings
+from lagoonwing_policy.fairness.models import (
+    BoundedLongWork,
+    LongWorkPolicy,
+    QueuePolicy,
+    WeightedFair,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -12,7 +20,15 @@
     """Settings of one entry host's scheduler.
 
     Attributes:
-        max_queued_requests: Requests of all members together that may wait.
+        queue: Order in which queued requests start.
+        limits: Whether agreements' caps are enforced.
+        admission: Which requests are refused before they are queued.
+        long_work: How much of the slots long work may take.
+        cost: How the cost of a request is estimated.
     """
 
-    max_queued_requests: int = DEFAULT_MAX_QUEUED_REQUESTS
+    queue: QueuePolicy = field(default_factory=WeightedFair)
+    limits: LimitPolicy = field(default_factory=Allotments)
+    admission: AdmissionPolicy = field(default_factory=EarlyRefusal)
+    long_work: LongWorkPolicy = field(default_factory=BoundedLongWork)
+    cost: CostSettings = field(default_factory=CostSettings)
--- a/packages/policy/src/lagoonwing_policy/_slots.py
+++ b/packages/policy/src/lagoonwing_policy/_slots.py
@@ -2,17 +2,19 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 from lagoonwing_core.ids import EndpointId, RequestId
 from lagoonwing_policy._router_protocol import EndpointUse
+from lagoonwing_policy.fairness import LongWorkBounds
 from lagoonwing_policy.models import Priority, Route, RouteStage
 
 
 class SlotTable:
     """Counts attempts in flight by endpoint; these are facts, unlike load reports."""
 
-    def __init__(self) -> None:
+    def __init__(self, long_work: LongWorkBounds) -> None:
+        self.long_work = long_work
         self._use_by_id: dict[EndpointId, EndpointUse] = {}
         self._requests_by_id: dict[EndpointId, set[RequestId]] = {}
 
@@ -21,7 +23,7 @@
         """Return the use of every endpoint that runs something."""
         return self._use_by_id
 
-    def running_on(self, endpoint_id: EndpointId) -> Iterable[RequestId]:
+    def running_on(self, endpoint_id: EndpointId) -> list[RequestId]:
         """Return the requests in flight on an endpoint, in a stable order."""
         return sorted(self._requests_by_id.get(endpoint_id, ()))
 
@@ -44,17 +46,21 @@
         """Count an attempt on one endpoint."""
         use = self._use_by_id.setdefault(stage.endpoint_id, EndpointUse())
         use.running += 1
-        use.long_running += route.priority is Priority.LONG
         use.exclusive = use.exclusive or route.exclusive
         self._requests_by_id.setdefault(stage.endpoint_id, set()).add(request_id)
+        if route.priority is Priority.LONG:
+            use.long_running += 1
+            self.long_work.started(stage.endpoint_id)
 
     def release_stage(self, request_id: RequestId, route: Route, stage: RouteStage) -> None:
         """Stop counting an attempt on one endpoint."""
         use = self._use_by_id[stage.endpoint_id]
         use.running -= 1
-        use.long_running -= route.priority is Priority.LONG
         use.exclusive = use.exclusive and not route.exclusive
         self._requests_by_id[stage.endpoint_id].discard(request_id)
+        if route.priority is Priority.LONG:
+            use.long_running -= 1
+            self.long_work.ended(stage.endpoint_id)
         if not use.running:
             del self._use_by_id[stage.endpoint_id]
             del self._requests_by_id[stage.endpoint_id]
--- /dev/null
+++ b/packages/policy/src/lagoonwing_policy/_tables.py
@@ -0,0 +1,38 @@
+"""Tables that the scheduler's systems share."""
+
+from __future__ import annotations
+
+import random
+
+from lagoonwing_policy._cap_blocks import CapBlocks
+from lagoonwing_policy._pools import PoolTable
+from lagoonwing_policy._requests import RequestTable
+from lagoonwing_policy._settings import SchedulerSettings
+from lagoonwing_policy._slots import SlotTable
+from lagoonwing_policy.admission import QueueBounds
+from lagoonwing_policy.allotments import Allotments, AllotmentTable, DemandTracker
+from lagoonwing_policy.cost import CostEstimator
+from lagoonwing_policy.fairness import LongWorkBounds, MemberWeights
+
+
+class SchedulerTables:
+    """State of one entry host's scheduler."""
+
+    def __init__(self, settings: SchedulerSettings, seed: int) -> None:
+        self.settings = settings
+        self.rng = random.Random(seed)
+        self.requests = RequestTable()
+        self.pools = PoolTable(settings)
+        self.slots = SlotTable(LongWorkBounds(settings.long_work))
+        self.limits = AllotmentTable(settings.limits)
+        self.cap_blocks = CapBlocks(self.pools)
+        self.demand = DemandTracker(_demand_policy(settings), self.limits)
+        self.bounds = QueueBounds(settings.admission)
+        self.weights = MemberWeights()
+        self.costs = CostEstimator(settings.cost)
+
+
+def _demand_policy(settings: SchedulerSettings) -> Allotments:
+    """Return how demand is followed; without limits nobody asks for it."""
+    limits = settings.limits
+    return limits if isinstance(limits, Allotments) else Allotments()
--- /dev/null
+++ b/packages/policy/src/lagoonwing_policy/_waits.py
@@ -0,0 +1,89 @@
+"""Ends waits that have become pointless: deadlines, caps and routes."""
+
+from __future__ import annotations
+
+from lagoonwing_core.errors import Refusal
+from lagoonwing_core.ids import MemberId
+from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_policy._dispatch import DispatchSystem
+from lagoonwing_policy._pools import Pool
+from lagoonwing_policy._tables import SchedulerTables
+from lagoonwing_policy.admission import jittered_retry_after
+from lagoonwing_policy.allotments import Allotments
+from lagoonwing_policy.const import MAX_REFUSALS_PER_TICK, NO_ROUTE_WAIT_S, SWEEP_S
+from lagoonwing_policy.models import SchedulerCommand
+
+
+class WaitSystem:
+    """Refuses what waited in vain, a bounded number per tick."""
+
+    def __init__(self, tables: SchedulerTables, dispatch: DispatchSystem) -> None:
+        self._tables = tables
+        self._dispatch = dispatch
+        self._next_sweep = 0.0
+
+    def run(self, now: float) -> list[SchedulerCommand]:
+        """Refuse what is overdue; sweep the members and pools that wait now and then."""
+        self._tables.cap_blocks.unblock_due(now)
+        commands = self._refuse_overdue(now)
+        if now >= self._next_sweep:
+            self._next_sweep = now + SWEEP_S
+            commands.extend(self._sweep(now, MAX_REFUSALS_PER_TICK - len(commands)))
+        return commands
+
+    def _refuse_overdue(self, now: float) -> list[SchedulerCommand]:
+        """Refuse requests that can't end by their deadline any more."""
+        commands: list[SchedulerCommand] = []
+        while len(commands) < MAX_REFUSALS_PER_TICK:
+            entity = self._tables.requests.first_overdue(now)
+            if entity is None:
+                break
+            refusal = Refusal(
+                ResultCode.DEADLINE_UNREACHABLE,
+                "no slot came free early enough",
+                jittered_retry_after(self._tables.rng, now - entity.enqueued),
+            )
+            commands.append(self._dispatch.refuse(entity, refusal))
+        return commands
+
+    def _sweep(self, now: float, budget: int) -> list[SchedulerCommand]:
+        """Visit every member that waits for its cap and every pool."""
+        commands: list[SchedulerCommand] = []
+        for member_id in self._tables.cap_blocks.members():
+            commands.extend(self._refuse_capped(member_id, now, budget - len(commands)))
+        for pool in self._tables.pools:
+            commands.extend(self._refuse_without_route(pool, now, budget - len(commands)))
+            # A late load report may have freed a slot that no event tells of.
+            self._tables.pools.reopen(pool)
+        return commands
+
+    def _refuse_capped(
+        self, member_id: MemberId, now: float, budget: int
+    ) -> list[SchedulerCommand]:
+        """Refuse the requests of a member that waited too long for its cap."""
+        limits = self._tables.settings.limits
+        if not isinstance(limits, Allotments):
+            return []
+        commands: list[SchedulerCommand] = []
+        for pool in self._tables.cap_blocks.pools_of(member_id):
+            while len(commands) < budget:
+                oldest = pool.queue.oldest_of(member_id)
+                if oldest is None or oldest.enqueued + limits.max_wait_s > now:
+                    break
+                refusal = Refusal(
+                    ResultCode.CAP_REACHED,
+                    "the member's cap is reached",
+                    jittered_retry_after(self._tables.rng, limits.max_wait_s),
+                )
+                commands.append(self._dispatch.refuse(oldest, refusal))
+        return commands
+
+    def _refuse_without_route(self, pool: Pool, now: float, budget: int) -> list[SchedulerCommand]:
+        """Refuse the requests of a pool that had no route for too long."""
+        commands: list[SchedulerCommand] = []
+        while pool.no_route is not None and now > pool.no_route_since + NO_ROUTE_WAIT_S:
+            entity = pool.queue.head(True, now) or next(iter(pool.aside.values()), None)
+            if entity is None or len(commands) >= budget:
+                break
+            commands.append(self._dispatch.refuse(entity, pool.no_route))
+        return commands
--- /dev/null
+++ b/packages/policy/src/lagoonwing_policy/allotments/_demand.py
@@ -0,0 +1,132 @@
+"""Demand of each member at this entry host, for the requests for allotments."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from lagoonwing_core.ids import MemberId
+from lagoonwing_policy.allotments._member import MemberLimits
+from lagoonwing_policy.allotments._table import AllotmentTable
+from lagoonwing_policy.allotments.models import Allotments
+from lagoonwing_policy.models import CapDimension, MemberDemand
+
+# Rates asked for above the rate that arrives, so that chance clusters don't queue.
+RATE_HEADROOM = 1.25
+# Demand below this is none.
+MIN_CONCURRENCY = 0.5
+MIN_REQUESTS_PER_S = 0.05
+MIN_TOKENS_PER_S = 0.5
+
+
+@dataclass(slots=True)
+class MemberActivity:
+    """What one member asked for lately.
+
+    Attributes:
+        queued: Requests that wait.
+        queued_tokens: Tokens of these.
+        concurrency: Highest number of requests running and queued, decaying.
+        request_rate: Requests per second that arrive, decaying.
+        token_rate: Tokens per second that arrive, decaying.
+        updated: Time of the last decay.
+    """
+
+    queued: int = 0
+    queued_tokens: float = 0.0
+    concurrency: float = 0.0
+    request_rate: float = 0.0
+    token_rate: float = 0.0
+    updated: float = 0.0
+
+    def decay(self, now: float, time_constant_s: float) -> None:
+        """Forget what has ended."""
+        factor = math.exp(-max(0.0, now - self.updated) / time_constant_s)
+        self.concurrency *= factor
+        self.request_rate *= factor
+        self.token_rate *= factor
+        self.updated = max(self.updated, now)
+
+
+class DemandTracker:
+    """Follows what every active member would use if its caps allowed it."""
+
+    def __init__(self, policy: Allotments, table: AllotmentTable) -> None:
+        self._policy = policy
+        self._table = table
+        self._activity_by_member: dict[MemberId, MemberActivity] = {}
+
+    def arrived(self, member_id: MemberId, tokens: float, now: float) -> None:
+        """Count an arrival, also one that is refused."""
+        activity = self._activity_by_member.setdefault(member_id, MemberActivity(updated=now))
+        activity.decay(now, self._policy.demand_decay_s)
+        activity.request_rate += 1.0 / self._policy.demand_decay_s
+        activity.token_rate += tokens / self._policy.demand_decay_s
+        self._raise_concurrency(activity, member_id, 1)
+
+    def queued(self, member_id: MemberId, tokens: float) -> None:
+        """Count a request that waits."""
+        activity = self._activity_by_member.setdefault(member_id, MemberActivity())
+        activity.queued += 1
+        activity.queued_tokens += tokens
+
+    def dequeued(self, member_id: MemberId, tokens: float) -> None:
+        """Stop counting a request that waited."""
+        activity = self._activity_by_member[member_id]
+        activity.queued -= 1
+        activity.queued_tokens = activity.queued_tokens - tokens if activity.queued else 0.0
+
+    def queued_of(self, member_id: MemberId) -> tuple[int, float]:
+        """Return how many requests of a member wait, and their tokens."""
+        activity = self._activity_by_member.get(member_id)
+        return (activity.queued, activity.queued_tokens) if activity else (0, 0.0)
+
+    def demand(self, now: float) -> list[MemberDemand]:
+        """Return the demand of every member that uses, wants or still holds something."""
+        demands: list[MemberDemand] = []
+        for member_id, activity in list(self._activity_by_member.items()):
+            limits = self._table.get(member_id)
+            activity.decay(now, self._policy.demand_decay_s)
+            self._raise_concurrency(activity, member_id, 0)
+            found = self._of_member(member_id, activity, limits, now) if limits else []
+            demands.extend(found)
+            if not found and not activity.queued:
+                del self._activity_by_member[member_id]
+        return demands
+
+    def _raise_concurrency(
+        self, activity: MemberActivity, member_id: MemberId, arriving: int
+    ) -> None:
+        """Raise the concurrency wanted to what runs and waits."""
+        limits = self._table.get(member_id)
+        running = limits.running if limits else 0
+        activity.concurrency = max(activity.concurrency, running + activity.queued + arriving)
+
+    def _of_member(
+        self, member_id: MemberId, activity: MemberActivity, limits: MemberLimits, now: float
+    ) -> list[MemberDemand]:
+        """Return one member's demand in each capped dimension."""
+        demands: list[MemberDemand] = []
+        for dimension in CapDimension:
+            cap = limits.cap(dimension)
+            if cap is None:
+                continue
+            used = limits.used(dimension, now)
+            wanted = max(used, min(cap, self._wanted(dimension, activity)))
+            if wanted > 0.0 or limits.held(dimension, now) > 0.0:
+                demands.append(MemberDemand(member_id, dimension, used, wanted))
+        return demands
+
+    def _wanted(self, dimension: CapDimension, activity: MemberActivity) -> float:
+        """Return the amount that would serve what runs, waits and arrives."""
+        drain = self._policy.backlog_drain_s
+        match dimension:
+            case CapDimension.CONCURRENCY:
+                wanted = activity.concurrency
+                return math.ceil(wanted) if wanted >= MIN_CONCURRENCY else 0.0
+            case CapDimension.REQUESTS_PER_S:
+                wanted = activity.request_rate * RATE_HEADROOM + activity.queued / drain
+                return wanted if wanted >= MIN_REQUESTS_PER_S else 0.0
+            case CapDimension.TOKENS_PER_S:
+                wanted = activity.token_rate * RATE_HEADROOM + activity.queued_tokens / drain
+                return wanted if wanted >= MIN_TOKENS_PER_S else 0.0
--- /dev/null
+++ b/packages/policy/src/lagoonwing_policy/allotments/_member.py
@@ -0,0 +1,172 @@
+"""What one member holds of its caps at this entry host."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from lagoonwing_core.models import Agreement
+from lagoonwing_policy.allotments._bucket import TokenBucket
+from lagoonwing_policy.allotments.models import (
+    Allotments,
+    StartAllowed,
+    StartBlocked,
+    StartVerdict,
+)
+from lagoonwing_policy.models import AllotmentGrant, CapDimension
+
+# Tolerance for amounts that were divided and summed as floats.
+AMOUNT_TOLERANCE = 1e-9
+# Time in which a rate's debt is to be paid back.
+DEBT_REPAY_S = 1.0
+
+
+@dataclass(slots=True)
+class Holding:
+    """Grant of one dimension.
+
+    Attributes:
+        amount: Amount granted.
+        expires: Time after which nothing new starts under it.
+    """
+
+    amount: float = 0.0
+    expires: float = 0.0
+
+
+@dataclass(slots=True)
+class MemberLimits:
+    """Agreement, grants and use of one member.
+
+    Attributes:
+        running: Requests that count towards the concurrency cap.
+        active: Whether the agreement is in force.
+    """
+
+    agreement: Agreement
+    requests: TokenBucket
+    tokens: TokenBucket
+    running: int = 0
+    active: bool = True
+    holding: dict[CapDimension, Holding] = field(default_factory=dict)
+
+    @classmethod
+    def create(cls, agreement: Agreement, policy: Allotments) -> MemberLimits:
+        """Return the limits of a member that holds no grant."""
+        return cls(
+            agreement,
+            requests=TokenBucket(policy.burst_s, min_capacity=1.0),
+            tokens=TokenBucket(policy.burst_s, min_capacity=1.0),
+        )
+
+    def cap(self, dimension: CapDimension) -> float | None:
+        """Return the agreement's cap, `None` if there is none."""
+        match dimension:
+            case CapDimension.CONCURRENCY:
+                return self.agreement.max_concurrency
+            case CapDimension.REQUESTS_PER_S:
+                return self.agreement.max_requests_per_s
+            case CapDimension.TOKENS_PER_S:
+                return self.agreement.max_tokens_per_s
+
+    def bucket(self, dimension: CapDimension) -> TokenBucket | None:
+        """Return the bucket of a rate, `None` for the concurrency."""
+        match dimension:
+            case CapDimension.CONCURRENCY:
+                return None
+            case CapDimension.REQUESTS_PER_S:
+                return self.requests
+            case CapDimension.TOKENS_PER_S:
+                return self.tokens
+
+    def held(self, dimension: CapDimension, now: float) -> float:
+        """Return the amount granted and in force, limited to the cap."""
+        holding = self.holding.get(dimension)
+        if holding is None or now >= holding.expires:
+            return 0.0
+        cap = self.cap(dimension)
+        return holding.amount if cap is None else min(cap, holding.amount)
+
+    def take_grant(self, grant: AllotmentGrant, now: float) -> None:
+        """Replace the grant of its dimension."""
+        self._settle_bucket(grant.dimension, now)
+        self.holding[grant.dimension] = Holding(grant.amount, grant.expires)
+        bucket = self.bucket(grant.dimension)
+        if bucket is not None:
+            bucket.set_rate(self.held(grant.dimension, now), now)
+
+    def take_agreement(self, agreement: Agreement, now: float) -> None:
+        """Replace the agreement; a lowered cap lowers the rates at once."""
+        for dimension in CapDimension:
+            self._settle_bucket(dimension, now)
+        self.agreement = agreement
+        for dimension in CapDimension:
+            bucket = self.bucket(dimension)
+            if bucket is not None:
+                bucket.set_rate(self.held(dimension, now), now)
+
+    def check_start(self, tokens: float, now: float) -> StartVerdict:
+        """Return whether every cap lets a request start, and if not, when to ask again."""
+        until = now
+        for dimension in CapDimension:
+            if self.cap(dimension) is None:
+                continue
+            ready = self._ready_at(dimension, tokens, now)
+            if ready is None:
+                return StartBlocked(None)
+            until = max(until, ready)
+        return StartBlocked(until) if until > now else StartAllowed()
+
+    def count_start(self, tokens: float) -> None:
+        """Count a request that starts towards every cap."""
+        self.running += 1
+        self.spend(CapDimension.REQUESTS_PER_S, 1.0)
+        self.spend(CapDimension.TOKENS_PER_S, tokens)
+
+    def spend(self, dimension: CapDimension, amount: float) -> None:
+        """Charge a rate that is capped; without a cap no debt is kept."""
+        bucket = self.bucket(dimension)
+        if bucket is not None and self.cap(dimension) is not None:
+            bucket.spend(amount)
+
+    def used(self, dimension: CapDimension, now: float) -> float:
+        """Return the amount that can't be given back yet: what runs, or a rate's debt."""
+        bucket = self.bucket(dimension)
+        if bucket is None:
+            return float(self.running)
+        self._settle_bucket(dimension, now)
+        debt = max(0.0, -bucket.level)
+        return min(self.held(dimension, now), debt / DEBT_REPAY_S)
+
+    def wait_for_rates(self, requests: float, tokens: float, now: float) -> float:
+        """Return the seconds until the rates cover that many queued requests and tokens."""
+        wait = 0.0
+        for dimension, need in (
+            (CapDimension.REQUESTS_PER_S, requests),
+            (CapDimension.TOKENS_PER_S, tokens),
+        ):
+            held = self.held(dimension, now)
+            bucket = self.bucket(dimension)
+            if self.cap(dimension) is None or bucket is None or held <= 0.0:
+                continue
+            self._settle_bucket(dimension, now)
+            wait = max(wait, (need - bucket.level) / held)
+        return wait
+
+    def _ready_at(self, dimension: CapDimension, tokens: float, now: float) -> float | None:
+        """Return when a dimension allows a start, `None` if only an event can tell."""
+        amount = self.held(dimension, now)
+        if amount <= 0.0:
+            return None
+        bucket = self.bucket(dimension)
+        if bucket is None:
+            return now if self.running + 1 <= amount + AMOUNT_TOLERANCE else None
+        self._settle_bucket(dimension, now)
+        need = 1.0 if dimension is CapDimension.REQUESTS_PER_S else tokens
+        return now if bucket.covers(need) else bucket.covered_at(need)
+
+    def _settle_bucket(self, dimension: CapDimension, now: float) -> None:
+        """Earn up to now, but nothing after the grant lapsed."""
+        bucket = self.bucket(dimension)
+        holding = self.holding.get(dimension)
+        if bucket is not None and holding is not None:
+            bucket.advance(min(now, holding.expires))
--- /dev/null
+++ b/packages/policy/src/lagoonwing_policy/cost/__init__.py
@@ -0,0 +1,9 @@
+"""Cost of requests: estimates, history and classes."""
+
+from __future__ import annotations
+
+from lagoonwing_policy.cost._classes import CostClassifier
+from lagoonwing_policy.cost._estimator import CostEstimator
+from lagoonwing_policy.cost.models import CostEstimate, CostSettings
+
+__all__ = ["CostClassifier", "CostEstimate", "CostEstimator", "CostSettings"]
--- /dev/null
+++ b/packages/policy/src/lagoonwing_policy/cost/_classes.py
@@ -0,0 +1,37 @@
+"""Classes of work, relative to the median cost of recent requests."""
+
+from __future__ import annotations
+
+from lagoonwing_policy.cost.models import CostSettings
+from lagoonwing_policy.models import Priority
+
+# Relative step of the running median per request.
+MEDIAN_STEP = 0.02
+
+
+class CostClassifier:
+    """Calls work short, normal or long against a running median of the costs seen."""
+
+    def __init__(self, settings: CostSettings) -> None:
+        self._settings = settings
+        self._median = settings.initial_median_cost
+
+    @property
+    def median(self) -> float:
+        """Return the running median of the costs seen."""
+        return self._median
+
+    def observe(self, cost: float) -> None:
+        """Move the median one step towards a cost; one outlier moves it no more than that."""
+        if cost > self._median:
+            self._median *= 1.0 + MEDIAN_STEP
+        elif cost < self._median:
+            self._median /= 1.0 + MEDIAN_STEP
+
+    def classify(self, cost: float) -> Priority:
+        """Return the class of work of this cost."""
+        if cost <= self._settings.short_factor * self._median:
+            return Priority.SHORT
+        if cost <= self._settings.long_factor * self._median:
+            return Priority.NORMAL
+        return Priority.LONG
--- /dev/null
+++ b/packages/policy/src/lagoonwing_policy/fairness/__init__.py
@@ -0,0 +1,32 @@
+"""Order in which queued requests start."""
+
+from __future__ import annotations
+
+from typing import assert_never
+
+from lagoonwing_policy.fairness._first_come import FirstComeQueue
+from lagoonwing_policy.fairness._long_work import LongWorkBounds
+from lagoonwing_policy.fairness._queue import WorkQueue
+from lagoonwing_policy.fairness._weighted_fair import WeightedFairQueue
+from lagoonwing_policy.fairness._weights import MemberWeights
+from lagoonwing_policy.fairness.models import FirstComeFirstServed, QueuePolicy, WeightedFair
+
+__all__ = [
+    "FirstComeQueue",
+    "LongWorkBounds",
+    "MemberWeights",
+    "WeightedFairQueue",
+    "WorkQueue",
+    "make_queue",
+]
+
+
+def make_queue(policy: QueuePolicy) -> WorkQueue:
+    """Return an empty queue with the order of a policy."""
+    match policy:
+        case FirstComeFirstServed():
+            return FirstComeQueue()
+        case WeightedFair():
+            return WeightedFairQueue(policy)
+        case _:
+            assert_never(policy)
--- /dev/null
+++ b/packages/policy/src/lagoonwing_policy/fairness/_first_come.py
@@ -0,0 +1,101 @@
+"""Queue in the order of arrival."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+from lagoonwing_core.ids import MemberId, RequestId
+from lagoonwing_policy._ordered_set import OrderedSet
+from lagoonwing_policy._requests import RequestEntity
+
+MemberEntries = OrderedDict[RequestId, tuple[int, RequestEntity]]
+
+
+class FirstComeQueue:
+    """Starts the request that arrived first among the members that are not blocked."""
+
+    def __init__(self) -> None:
+        self._entries_by_member: dict[MemberId, MemberEntries] = {}
+        self._blocked: set[MemberId] = set()
+        # Number of arrival of each member's first request, and the member.
+        self._ready: OrderedSet[tuple[int, MemberId]] = OrderedSet()
+        self._arrivals = 0
+        self._length = 0
+        self._cost = 0.0
+
+    def __len__(self) -> int:
+        """Return the number of requests that wait."""
+        return self._length
+
+    def push(self, entity: RequestEntity) -> None:
+        """Add a request behind all others."""
+        self._arrivals += 1
+        self._length += 1
+        self._cost += entity.cost
+        member_id = entity.profile.member_id
+        entries = self._entries_by_member.setdefault(member_id, OrderedDict())
+        entries[entity.profile.request_id] = (self._arrivals, entity)
+        if len(entries) == 1 and member_id not in self._blocked:
+            self._ready.add((self._arrivals, member_id))
+
+    def head(self, allow_long: bool, now: float) -> RequestEntity | None:
+        """Return the request that arrived first, whatever its class."""
+        first = self._ready.first()
+        if first is None:
+            return None
+        return next(iter(self._entries_by_member[first[1]].values()))[1]
+
+    def take(self, entity: RequestEntity) -> None:
+        """Remove a request that starts."""
+        self.discard(entity)
+
+    def discard(self, entity: RequestEntity) -> None:
+        """Remove a request."""
+        member_id = entity.profile.member_id
+        entries = self._entries_by_member[member_id]
+        first = next(iter(entries.values()))[0]
+        number, _ = entries.pop(entity.profile.request_id)
+        self._length -= 1
+        self._cost = self._cost - entity.cost if self._length else 0.0
+        if number == first and member_id not in self._blocked:
+            self._ready.remove((number, member_id))
+            self._list_head(member_id)
+        if not entries:
+            del self._entries_by_member[member_id]
+
+    def charge(self, member_id: MemberId, cost: float) -> None:
+        """Do nothing: the order does not depend on the cost."""
+
+    def block(self, member_id: MemberId) -> None:
+        """Pass a member over until it is unblocked."""
+        if member_id in self._blocked:
+            return
+        self._blocked.add(member_id)
+        entries = self._entries_by_member.get(member_id)
+        if entries:
+            self._ready.remove((next(iter(entries.values()))[0], member_id))
+
+    def unblock(self, member_id: MemberId) -> None:
+        """Consider a member again."""
+        if member_id not in self._blocked:
+            return
+        self._blocked.remove(member_id)
+        self._list_head(member_id)
+
+    def oldest_of(self, member_id: MemberId) -> RequestEntity | None:
+        """Return the request of a member that has waited longest."""
+        entries = self._entries_by_member.get(member_id)
+        return next(iter(entries.values()))[1] if entries else None
+
+    def set_weight(self, member_id: MemberId, weight: float) -> None:
+        """Do nothing: the order does not depend on weights."""
+
+    def work_ahead(self, entity: RequestEntity) -> float:
+        """Return the cost of everything queued."""
+        return self._cost
+
+    def _list_head(self, member_id: MemberId) -> None:
+        """Put the member's first request into the ready list."""
+        entries = self._entries_by_member.get(member_id)
+        if entries:
+            self._ready.add((next(iter(entries.values()))[0], member_id))
--- /dev/null
+++ b/packages/policy/src/lagoonwing_policy/fairness/_members.py
@@ -0,0 +1,77 @@
+"""Queued requests of one member in one pool."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from lagoonwing_core.ids import MemberId, RequestId
+from lagoonwing_policy._requests import RequestEntity
+from lagoonwing_policy.models import Priority
+
+ClassQueue = OrderedDict[RequestId, RequestEntity]
+
+
+def _class_queues() -> dict[Priority, ClassQueue]:
+    """Return an empty queue for each class."""
+    return {priority: OrderedDict() for priority in Priority}
+
+
+def _zero_by_class() -> dict[Priority, float]:
+    """Return zero for each class."""
+    return dict.fromkeys(Priority, 0.0)
+
+
+@dataclass(slots=True)
+class MemberQueue:
+    """Queues of one member, and the virtual times of the member and of its classes.
+
+    Attributes:
+        start: Virtual time at which the member's next request starts.
+        class_start: The same within the member, by class.
+        class_virtual: Virtual time within the member.
+        blocked: Whether the member is passed over.
+        listed: Virtual time under which the member stands in the ready lists, by list.
+    """
+
+    member_id: MemberId
+    weight: float = 1.0
+    start: float = 0.0
+    class_virtual: float = 0.0
+    class_start: dict[Priority, float] = field(default_factory=_zero_by_class)
+    waiting: dict[Priority, ClassQueue] = field(default_factory=_class_queues)
+    cost: dict[Priority, float] = field(default_factory=_zero_by_class)
+    blocked: bool = False
+    listed_quick: float | None = None
+    listed_long: float | None = None
+
+    def __len__(self) -> int:
+        """Return the number of requests that wait."""
+        return sum(len(queue) for queue in self.waiting.values())
+
+    def has_quick(self) -> bool:
+        """Return whether work that is not long waits."""
+        return bool(self.waiting[Priority.SHORT] or self.waiting[Priority.NORMAL])
+
+    def has_long(self) -> bool:
+        """Return whether long work waits."""
+        return bool(self.waiting[Priority.LONG])
+
+    def head_of(self, priority: Priority) -> RequestEntity | None:
+        """Return the first request of a class."""
+        queue = self.waiting[priority]
+        return next(iter(queue.values())) if queue else None
+
+    def add(self, entity: RequestEntity) -> None:
+        """Add a request behind the others of its class."""
+        self.waiting[entity.priority][entity.profile.request_id] = entity
+        self.cost[entity.priority] += entity.cost
+
+    def remove(self, entity: RequestEntity) -> None:
+        """Remove a request."""
+        queue = self.waiting[entity.priority]
+        del queue[entity.profile.request_id]
+        self.cost[entity.priority] -= entity.cost
+        if not queue:
+            # Sums of floats drift; an empty class costs nothing.
+            self.cost[entity.priority] = 0.0
--- /dev/null
+++ b/packages/policy/src/lagoonwing_policy/fairness/_weighted_fair.py
@@ -0,0 +1,177 @@
+"""Weighted fair queue: start-time fair queueing over members, then over classes."""
+
+from __future__ import annotations
+
+from lagoonwing_core.ids import MemberId
+from lagoonwing_policy._ordered_set import OrderedSet
+from lagoonwing_policy._requests import RequestEntity
+from lagoonwing_policy.fairness._members import MemberQueue
+from lagoonwing_policy.fairness.models import WeightedFair
+from lagoonwing_policy.models import Priority
+
+MIN_WEIGHT = 1e-6
+
+# Virtual start time and id of each member that waits.
+ReadyList = OrderedSet[tuple[float, MemberId]]
+
+
+class WeightedFairQueue:
+    """Starts the member that is furthest behind its share, in O(log members)."""
+
+    def __init__(self, policy: WeightedFair) -> None:
+        self._ageing_s = policy.ageing_s
+        self._weight_by_class = {
+            Priority.SHORT: policy.short_weight,
+            Priority.NORMAL: policy.normal_weight,
+            Priority.LONG: policy.long_weight,
+        }
+        self._member_by_id: dict[MemberId, MemberQueue] = {}
+        self._quick: ReadyList = OrderedSet()
+        self._long: ReadyList = OrderedSet()
+        self._virtual = 0.0
+        self._length = 0
+        self._cost = 0.0
+        self._active_weight = 0.0
+
+    def __len__(self) -> int:
+        """Return the number of requests that wait."""
+        return self._length
+
+    def push(self, entity: RequestEntity) -> None:
+        """Add a request behind the others of its member and class."""
+        member = self._member(entity.profile.member_id)
+        if not len(member):
+            # A member that was idle has no claim on the time that passed.
+            member.start = max(member.start, self._virtual)
+            self._active_weight += member.weight
+        if not member.waiting[entity.priority]:
+            start = member.class_start[entity.priority]
+            member.class_start[entity.priority] = max(start, member.class_virtual)
+        member.add(entity)
+        self._length += 1
+        self._cost += entity.cost
+        self._relist(member)
+
+    def head(self, allow_long: bool, now: float) -> RequestEntity | None:
+        """Return the next request to start, without removing it."""
+        best = self._quick.first()
+        if allow_long:
+            best_long = self._long.first()
+            best = min((place for place in (best, best_long) if place is not None), default=None)
+        if best is None:
+            return None
+        return self._pick_class(self._member_by_id[best[1]], allow_long, now)
+
+    def take(self, entity: RequestEntity) -> None:
+        """Remove a request that starts and charge its member its cost."""
+        member = self._member_by_id[entity.profile.member_id]
+        self._virtual = max(self._virtual, member.start)
+        priority = entity.priority
+        member.class_virtual = max(member.class_virtual, member.class_start[priority])
+        member.class_start[priority] += entity.cost / self._weight_by_class[priority]
+        member.start += entity.cost / member.weight
+        self._remove(member, entity)
+
+    def discard(self, entity: RequestEntity) -> None:
+        """Remove a request that does not start."""
+        self._remove(self._member_by_id[entity.profile.member_id], entity)
+
+    def charge(self, member_id: MemberId, cost: float) -> None:
+        """Correct what a member was charged; negative gives back."""
+        member = self._member(member_id)
+        member.start = max(0.0, member.start + cost / member.weight)
+        self._relist(member)
+
+    def block(self, member_id: MemberId) -> None:
+        """Pass a member over until it is unblocked."""
+        member = self._member(member_id)
+        member.blocked = True
+        self._relist(member)
+
+    def unblock(self, member_id: MemberId) -> None:
+        """Consider a member again; it gets no credit for the time it was blocked."""
+        member = self._member_by_id.get(member_id)
+        if member is None or not member.blocked:
+            return
+        member.blocked = False
+        member.start = max(member.start, self._virtual)
+        self._relist(member)
+
+    def oldest_of(self, member_id: MemberId) -> RequestEntity | None:
+        """Return the request of a member that has waited longest."""
+        member = self._member(member_id)
+        heads = [head for priority in Priority if (head := member.head_of(priority))]
+        return min(heads, key=lambda head: head.enqueued, default=None)
+
+    def set_weight(self, member_id: MemberId, weight: float) -> None:
+        """Set a member's weight."""
+        member = self._member(member_id)
+        weight = max(MIN_WEIGHT, weight)
+        if len(member):
+            self._active_weight += weight - member.weight
+        member.weight = weight
+
+    def work_ahead(self, entity: RequestEntity) -> float:
+        """Return the cost that starts before a request that is about to be pushed."""
+        member = self._member(entity.profile.member_id)
+        own = member.cost[Priority.SHORT] + member.cost[Priority.NORMAL]
+        if entity.priority is Priority.LONG:
+            own += member.cost[Priority.LONG]
+        others = self._active_weight - (member.weight if len(member) else 0.0)
+        lag = max(0.0, member.start - self._virtual)
+        # While the member's own work drains, each other member gets its share beside it, but
+        # no more than all of them have queued.
+        return min(own + (own / member.weight + lag) * others, self._cost)
+
+    def _member(self, member_id: MemberId) -> MemberQueue:
+        """Return the queue of a member."""
+        member = self._member_by_id.get(member_id)
+        if member is None:
+            member = MemberQueue(member_id)
+            self._member_by_id[member_id] = member
+        return member
+
+    def _pick_class(
+        self, member: MemberQueue, allow_long: bool, now: float
+    ) -> RequestEntity | None:
+        """Return the member's next request: an aged one, else of the class furthest behind."""
+        heads = [
+            head
+            for priority in Priority
+            if (allow_long or priority is not Priority.LONG)
+            and (head := member.head_of(priority)) is not None
+        ]
+        aged = [head for head in heads if head.enqueued + self._ageing_s <= now]
+        if aged:
+            return min(aged, key=lambda head: head.enqueued)
+        return min(heads, key=lambda head: member.class_start[head.priority], default=None)
+
+    def _remove(self, member: MemberQueue, entity: RequestEntity) -> None:
+        """Remove a request and keep the sums."""
+        member.remove(entity)
+        self._length -= 1
+        self._cost = self._cost - entity.cost if self._length else 0.0
+        if not len(member):
+            self._active_weight -= member.weight
+        if not self._length:
+            self._active_weight = 0.0
+        self._relist(member)
+
+    def _relist(self, member: MemberQueue) -> None:
+        """Bring the member's places in the ready lists up to date."""
+        quick = member.start if member.has_quick() and not member.blocked else None
+        if quick != member.listed_quick:
+            _move(self._quick, member.member_id, member.listed_quick, quick)
+            member.listed_quick = quick
+        long = member.start if member.has_long() and not member.blocked else None
+        if long != member.listed_long:
+            _move(self._long, member.member_id, member.listed_long, long)
+            member.listed_long = long
+
+
+def _move(ready: ReadyList, member_id: MemberId, old: float | None, new: float | None) -> None:
+    """Move a member from its old place in a ready list to its new one."""
+    if old is not None:
+        ready.remove((old, member_id))
+    if new is not None:
+        ready.add((new, member_id))
