--- a/packages/policy/src/lagoonwing_policy/_dispatch.py
+++ b/packages/policy/src/lagoonwing_policy/_dispatch.py
@@ -84,6 +84,7 @@
 
     def refuse(self, entity: RequestEntity, refusal: Refusal) -> RefuseRequest:
         """Forget a request that does not run and return the command that answers it."""
+        self._tables.refusals_left -= 1
         self.leave_queue(entity)
         self._tables.requests.remove(entity)
         self._accounts.finish(entity, entity.tokens)
@@ -107,6 +108,10 @@
         """Start from the queue until something is missing."""
         commands: list[SchedulerCommand] = []
         while not pool.blocked:
+            if self._tables.refusals_left <= 0:
+                # A surge of refusals goes on in the next tick.
+                self._tables.pools.mark_ready(pool)
+                break
             entity = pool.queue.head(self._allows_long(pool), now)
             if entity is None:
                 break
--- a/packages/policy/src/lagoonwing_policy/_tables.py
+++ b/packages/policy/src/lagoonwing_policy/_tables.py
@@ -11,6 +11,7 @@
 from lagoonwing_policy._slots import SlotTable
 from lagoonwing_policy.admission import QueueBounds
 from lagoonwing_policy.allotments import Allotments, AllotmentTable, DemandTracker
+from lagoonwing_policy.const import MAX_REFUSALS_PER_TICK
 from lagoonwing_policy.cost import CostEstimator
 from lagoonwing_policy.fairness import LongWorkBounds, MemberWeights
 
@@ -30,6 +31,7 @@
         self.bounds = QueueBounds(settings.admission)
         self.weights = MemberWeights()
         self.costs = CostEstimator(settings.cost)
+        self.refusals_left = MAX_REFUSALS_PER_TICK
 
 
 def _demand_policy(settings: SchedulerSettings) -> Allotments:
--- a/packages/policy/src/lagoonwing_policy/_waits.py
+++ b/packages/policy/src/lagoonwing_policy/_waits.py
@@ -24,17 +24,18 @@
 
     def run(self, now: float) -> list[SchedulerCommand]:
         """Refuse what is overdue; sweep the members and pools that wait now and then."""
+        self._tables.refusals_left = MAX_REFUSALS_PER_TICK
         self._tables.cap_blocks.unblock_due(now)
         commands = self._refuse_overdue(now)
         if now >= self._next_sweep:
             self._next_sweep = now + SWEEP_S
-            commands.extend(self._sweep(now, MAX_REFUSALS_PER_TICK - len(commands)))
+            commands.extend(self._sweep(now))
         return commands
 
     def _refuse_overdue(self, now: float) -> list[SchedulerCommand]:
         """Refuse requests that can't end by their deadline any more."""
         commands: list[SchedulerCommand] = []
-        while len(commands) < MAX_REFUSALS_PER_TICK:
+        while self._tables.refusals_left > 0:
             entity = self._tables.requests.first_overdue(now)
             if entity is None:
                 break
@@ -46,27 +47,25 @@
             commands.append(self._dispatch.refuse(entity, refusal))
         return commands
 
-    def _sweep(self, now: float, budget: int) -> list[SchedulerCommand]:
+    def _sweep(self, now: float) -> list[SchedulerCommand]:
         """Visit every member that waits for its cap and every pool."""
         commands: list[SchedulerCommand] = []
         for member_id in self._tables.cap_blocks.members():
-            commands.extend(self._refuse_capped(member_id, now, budget - len(commands)))
+            commands.extend(self._refuse_capped(member_id, now))
         for pool in self._tables.pools:
-            commands.extend(self._refuse_without_route(pool, now, budget - len(commands)))
+            commands.extend(self._refuse_without_route(pool, now))
             # A late load report may have freed a slot that no event tells of.
             self._tables.pools.reopen(pool)
         return commands
 
-    def _refuse_capped(
-        self, member_id: MemberId, now: float, budget: int
-    ) -> list[SchedulerCommand]:
+    def _refuse_capped(self, member_id: MemberId, now: float) -> list[SchedulerCommand]:
         """Refuse the requests of a member that waited too long for its cap."""
         limits = self._tables.settings.limits
         if not isinstance(limits, Allotments):
             return []
         commands: list[SchedulerCommand] = []
         for pool in self._tables.cap_blocks.pools_of(member_id):
-            while len(commands) < budget:
+            while self._tables.refusals_left > 0:
                 oldest = pool.queue.oldest_of(member_id)
                 if oldest is None or oldest.enqueued + limits.max_wait_s > now:
                     break
@@ -78,12 +77,12 @@
                 commands.append(self._dispatch.refuse(oldest, refusal))
         return commands
 
-    def _refuse_without_route(self, pool: Pool, now: float, budget: int) -> list[SchedulerCommand]:
+    def _refuse_without_route(self, pool: Pool, now: float) -> list[SchedulerCommand]:
         """Refuse the requests of a pool that had no route for too long."""
         commands: list[SchedulerCommand] = []
         while pool.no_route is not None and now > pool.no_route_since + NO_ROUTE_WAIT_S:
             entity = pool.queue.head(True, now) or next(iter(pool.aside.values()), None)
-            if entity is None or len(commands) >= budget:
+            if entity is None or self._tables.refusals_left <= 0:
                 break
             commands.append(self._dispatch.refuse(entity, pool.no_route))
         return commands
