--- /dev/null
+++ b/packages/fakes/src/lagoonwing_fakes/deployment/_settings_files.py
@@ -0,0 +1,118 @@
+"""Writes the settings files of a deployment."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from pathlib import Path
+from typing import Any
+
+from lagoonwing_fakes.deployment.const import (
+    ANNOUNCE_PORT,
+    CALLER_PORT,
+    ENDPOINT_KEY,
+    FAILURE_DOMAINS,
+    FIRST_HOST_NUMBER,
+    METRICS_PORT,
+    OPERATOR_KEY,
+    OPERATOR_PORT,
+    PEER_PORT,
+    REPLICA_METRICS_PORT,
+    REPLICA_PORT,
+    SYSTEM_KEY,
+)
+from lagoonwing_fakes.deployment.models import DeploymentPlan, HostProcess
+
+
+def host_id(number: int) -> str:
+    """Return the id of a host, numbered from 1."""
+    return f"host-{number}"
+
+
+def host_address(plan: DeploymentPlan, number: int) -> str:
+    """Return the loopback address of a host, numbered from 1."""
+    return f"127.{plan.network}.{FIRST_HOST_NUMBER + number - 1}"
+
+
+def failure_domain(number: int) -> str:
+    """Return the failure domain of a host, numbered from 1."""
+    return FAILURE_DOMAINS[(number - 1) % len(FAILURE_DOMAINS)]
+
+
+def write_settings(plan: DeploymentPlan, process: HostProcess, number: int) -> Path:
+    """Write the settings file of one process.
+
+    Returns:
+        Path of the file.
+    """
+    key_file = plan.folder / "system.key"
+    key_file.write_text(SYSTEM_KEY, encoding="utf-8")
+    document = _common(plan, process, number, key_file)
+    match process:
+        case HostProcess.ENTRY:
+            document["entry"] = _entry(plan, number)
+        case HostProcess.CONTROL:
+            document["control"] = {
+                "operator_key_hashes": [_digest(OPERATOR_KEY)],
+                "operator_port": OPERATOR_PORT,
+            }
+    path = plan.folder / f"{process.value}-{number}.json"
+    path.write_text(json.dumps(document, indent=4), encoding="utf-8")
+    return path
+
+
+def _common(
+    plan: DeploymentPlan, process: HostProcess, number: int, key_file: Path
+) -> dict[str, Any]:
+    """Return the settings that every role has."""
+    is_entry = process is HostProcess.ENTRY
+    return {
+        "role": process.value,
+        "host_id": host_id(number),
+        "failure_domain": failure_domain(number),
+        "address": host_address(plan, number),
+        "peer_port": PEER_PORT if is_entry else REPLICA_PORT,
+        "metrics_port": METRICS_PORT if is_entry else REPLICA_METRICS_PORT,
+        "system_key_file": str(key_file),
+        "data_folder": str(plan.folder / f"{process.value}-{number}"),
+        "replicas": [_replica(plan, other) for other in range(1, plan.replicas + 1)],
+    }
+
+
+def _replica(plan: DeploymentPlan, number: int) -> dict[str, Any]:
+    """Return the entry of one replica."""
+    return {
+        "host_id": host_id(number),
+        "failure_domain": failure_domain(number),
+        "address": host_address(plan, number),
+        "port": REPLICA_PORT,
+        "starts_as": "voter" if number <= plan.voters else "learner",
+    }
+
+
+def _entry(plan: DeploymentPlan, number: int) -> dict[str, Any]:
+    """Return the section of an entry host."""
+    return {
+        "endpoint_key_hashes": [_digest(ENDPOINT_KEY)],
+        "caller_port": CALLER_PORT,
+        "announce_port": ANNOUNCE_PORT,
+        "peers": [
+            {
+                "host_id": host_id(other),
+                "failure_domain": failure_domain(other),
+                "address": host_address(plan, other),
+                "port": PEER_PORT,
+            }
+            for other in range(1, plan.entries + 1)
+            if other != number
+        ],
+        "drain_grace_s": plan.drain_grace_s,
+        "limit_policy": plan.policies.limit_policy,
+        "queue_policy": plan.policies.queue_policy,
+        "route_policy": plan.policies.route_policy,
+    }
+
+
+def _digest(key: str) -> str:
+    """Return the digest of a key as settings hold it."""
+    return hashlib.sha256(key.encode()).hexdigest()
