--- /dev/null
+++ b/proof/decisions/__init__.py
@@ -0,0 +1,3 @@
+"""Proofs of routing, limits, retries and recovery."""
+
+from __future__ import annotations
