--- /dev/null
+++ b/bench/measures/_site.py
@@ -0,0 +1,221 @@
+"""A site of the size of today's users: hosts, endpoints, members."""
+
+from __future__ import annotations
+
+import shutil
+import tempfile
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from pathlib import Path
+
+from bench.measures.const import (
+    ENDPOINT_COUNT,
+    FIRST_TOKEN_S,
+    JITTER,
+    LARGE_MEMBER_SHARE,
+    LARGE_MEMBERS,
+    LAYERS,
+    MEMBER_COUNT,
+    MODEL,
+    PIPELINE_STAGES,
+    SHORT_TOKENS,
+    SLOTS,
+    SPEEDS_TOKENS_PER_S,
+    UNCAPPED_CONCURRENCY,
+)
+from lagoonctl.load import LoadPlan, MemberLoad, RequestResult, Target
+from lagoonwing_core.ids import MemberId
+from lagoonwing_core.result_codes import Outcome
+from lagoonwing_fakes.deployment import (
+    CALLER_PORT,
+    Deployment,
+    DeploymentPlan,
+    HostPolicies,
+    host_address,
+)
+from lagoonwing_fakes.models import FakeKind, FakeSettings
+from lagoonwing_fakes.tokens import expected_text
+
+PRODUCT = HostPolicies()
+BASELINE = HostPolicies("none", "first_come", "round_robin")
+
+_DOMAINS = ("domain-a", "domain-b", "domain-c")
+
+
+@dataclass(frozen=True, slots=True)
+class SitePlan:
+    """What a measure needs.
+
+    Attributes:
+        staged: Whether endpoints hold layer ranges instead of whole models.
+    """
+
+    policies: HostPolicies
+    seed: int
+    network: str
+    staged: bool = False
+    entries: int = 4
+    endpoints: int = ENDPOINT_COUNT
+
+
+@dataclass(slots=True)
+class Site:
+    """A running site.
+
+    Attributes:
+        bound_tokens_per_s: What the hardware allows.
+    """
+
+    plan: SitePlan
+    deployment: Deployment
+    bound_tokens_per_s: float
+
+    def targets(self) -> tuple[Target, ...]:
+        """Return the caller port of each entry host."""
+        numbers = range(1, self.plan.entries + 1)
+        return tuple(
+            Target(host_address(self.deployment.plan, number), CALLER_PORT) for number in numbers
+        )
+
+    def members(self, share_of_bound: float, tokens_per_request: float) -> list[MemberLoad]:
+        """Return loads that together ask for a share of the bound; a few members are large."""
+        total = self.bound_tokens_per_s * share_of_bound / tokens_per_request
+        weights = [
+            LARGE_MEMBER_SHARE if number < LARGE_MEMBERS else 1.0 for number in range(MEMBER_COUNT)
+        ]
+        return [
+            MemberLoad(member_id(number), member_key(number), total * weight / sum(weights))
+            for number, weight in enumerate(weights)
+        ]
+
+    def load(self, members: list[MemberLoad], duration_s: float, long_share: float) -> LoadPlan:
+        """Return a load plan with this site's targets and seed."""
+        return LoadPlan(
+            targets=self.targets(),
+            members=tuple(members),
+            model=MODEL,
+            duration_s=duration_s,
+            timeout_s=60.0,
+            long_share=long_share,
+            short_tokens=SHORT_TOKENS,
+            long_tokens=SHORT_TOKENS * 20,
+            prompt_suffix=" [tokens={max_tokens}]",
+            seed=self.plan.seed,
+        )
+
+
+def member_id(number: int) -> MemberId:
+    """Return the id of a member, numbered from 0."""
+    return MemberId(f"member-{number}")
+
+
+def member_key(number: int) -> str:
+    """Return the bearer key of a member, numbered from 0."""
+    return f"member-{number}-key"
+
+
+def wrong_answers(results: list[RequestResult]) -> int:
+    """Return how many whole answers don't belong to their prompt."""
+    wrong = 0
+    for result in results:
+        if result.outcome is not Outcome.DONE or result.broken:
+            continue
+        prompt = f"user: {result.planned.prompt}"
+        wrong += result.text != expected_text(prompt, result.planned.max_tokens)
+    return wrong
+
+
+@asynccontextmanager
+async def async_site(plan: SitePlan) -> AsyncIterator[Site]:
+    """Start a site, wait until it serves, and end it."""
+    folder = Path(tempfile.mkdtemp(prefix="lagoonwing-bench-"))
+    deployment = Deployment(
+        DeploymentPlan(folder, plan.network, entries=plan.entries, policies=plan.policies)
+    )
+    try:
+        deployment.start_hosts()
+        await deployment.async_wait_ready()
+        _create_members(deployment)
+        bound = _start_endpoints(deployment, plan)
+        site = Site(plan, deployment, bound)
+        await _async_wait_serving(site)
+        yield site
+    finally:
+        deployment.close()
+        shutil.rmtree(folder, ignore_errors=True)
+
+
+def _create_members(deployment: Deployment) -> None:
+    """Create the members with agreements whose weights follow their usual load."""
+    for number in range(MEMBER_COUNT):
+        weight = LARGE_MEMBER_SHARE if number < LARGE_MEMBERS else 1.0
+        name = str(member_id(number))
+        deployment.operate("member", "create", name, "--bearer-key", member_key(number))
+        deployment.operate(
+            *("agreement", "create", f"agreement-{number}", "--member", name),
+            *("--weight", str(weight), "--max-concurrency", str(UNCAPPED_CONCURRENCY)),
+        )
+
+
+def _start_endpoints(deployment: Deployment, plan: SitePlan) -> float:
+    """Start the endpoints.
+
+    Returns:
+        Tokens a second that they can generate together.
+    """
+    bound = 0.0
+    for number in range(plan.endpoints):
+        speed = SPEEDS_TOKENS_PER_S[number % len(SPEEDS_TOKENS_PER_S)]
+        if plan.staged:
+            group = number // len(SPEEDS_TOKENS_PER_S)
+            speed = SPEEDS_TOKENS_PER_S[(number + group) % len(SPEEDS_TOKENS_PER_S)]
+        deployment.start_endpoint(_endpoint(number, speed, plan))
+        bound += 0.0 if plan.staged else speed
+    return _staged_bound(plan) if plan.staged else bound
+
+
+def _staged_bound(plan: SitePlan) -> float:
+    """Return the rate of the slowest stage over all endpoints that hold it."""
+    rate_by_stage = dict.fromkeys(range(PIPELINE_STAGES), 0.0)
+    for number in range(plan.endpoints):
+        group = number // len(SPEEDS_TOKENS_PER_S)
+        speed = SPEEDS_TOKENS_PER_S[(number + group) % len(SPEEDS_TOKENS_PER_S)]
+        rate_by_stage[number % PIPELINE_STAGES] += speed
+    return min(rate_by_stage.values())
+
+
+def _endpoint(number: int, speed: float, plan: SitePlan) -> FakeSettings:
+    """Return the settings of one stand-in."""
+    stage = number % PIPELINE_STAGES
+    width = LAYERS // PIPELINE_STAGES
+    return FakeSettings(
+        kind=FakeKind.STAGE if plan.staged else FakeKind.WHOLE_MODEL,
+        endpoint_id=f"endpoint-{number}",
+        failure_domain=_DOMAINS[(number // PIPELINE_STAGES) % len(_DOMAINS)],
+        accelerator=f"speed-{speed:.0f}",
+        model=MODEL,
+        first=stage * width if plan.staged else 0,
+        end=(stage + 1) * width if plan.staged else 0,
+        layer_count=LAYERS if plan.staged else 0,
+        slots=SLOTS,
+        tokens_per_s=speed,
+        first_token_s=FIRST_TOKEN_S,
+        jitter=JITTER,
+        exports_kv=True,
+        honours_priority=True,
+        max_queue=4 * SLOTS,
+        seed=plan.seed * 1000 + number,
+        log_tokens=plan.staged,
+    )
+
+
+async def _async_wait_serving(site: Site) -> None:
+    """Wait until every endpoint is known to every entry host."""
+    deployment = site.deployment
+
+    def known_everywhere() -> bool:
+        status = deployment.endpoint_counts()
+        return all(count >= site.plan.endpoints for count in status)
+
+    await deployment.async_wait(known_everywhere, "all endpoints at all entry hosts")
--- /dev/null
+++ b/bench/measures/recovery.py
@@ -0,0 +1,85 @@
+"""Time until the former rate is back after a loss."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+
+from bench.measures._site import Site, SitePlan, async_site, wrong_answers
+from bench.measures._windows import recovery_time_s
+from bench.measures.const import RECOVERED_SHARE, SHORT_TOKENS, TARGET_RECOVERY_S
+from bench.measures.models import Better, FigureKey
+from lagoonctl.load import LoadReport, async_run_load
+from lagoonwing_fakes.deployment import HostPolicies
+
+USUAL_SHARE = 0.45
+WINDOW_S = 1.0
+AFTER_LOSS_S = 8.0
+BEFORE_LOSS_S = 5.0
+SECOND_LOSS_AFTER_S = 2.0
+
+Loss = Callable[[Site], Awaitable[None]]
+
+
+async def async_measure(
+    policies: HostPolicies, seed: int, duration_s: float, network: str
+) -> dict[FigureKey, float]:
+    """Return the recovery time after each kind of loss."""
+    figures: dict[FigureKey, float] = {}
+    for name, loss in _LOSSES.items():
+        report = await _async_run(policies, seed, network, loss)
+        key = FigureKey("recovery", f"after {name}", "s", Better.LOWER, TARGET_RECOVERY_S)
+        figures[key] = recovery_time_s(report, BEFORE_LOSS_S, RECOVERED_SHARE, WINDOW_S)
+        wrong = FigureKey("recovery", "answers not their own", "answers", Better.LOWER, 0.0)
+        figures[wrong] = figures.get(wrong, 0.0) + wrong_answers(report.results)
+    return figures
+
+
+async def _async_run(policies: HostPolicies, seed: int, network: str, loss: Loss) -> LoadReport:
+    """Run the load on a fresh site and make the loss in the middle of it."""
+    async with async_site(SitePlan(policies, seed, network)) as site:
+        members = site.members(USUAL_SHARE, SHORT_TOKENS)
+        plan = site.load(members, BEFORE_LOSS_S + AFTER_LOSS_S, long_share=0.0)
+        # The platform's balancer takes callers from a lost host; the load tool keeps to others.
+        plan = replace(plan, targets=plan.targets[2:])
+        run = asyncio.create_task(async_run_load(plan))
+        await asyncio.sleep(BEFORE_LOSS_S)
+        await loss(site)
+        return await run
+
+
+async def _async_lose_endpoint(site: Site) -> None:
+    """Kill one endpoint of the fastest kind."""
+    site.deployment.kill("endpoint-2")
+
+
+async def _async_lose_domain(site: Site) -> None:
+    """Kill every endpoint of one failure domain and its host."""
+    for number in range(site.plan.endpoints):
+        if number // 3 % 3 == 0:
+            site.deployment.kill(f"endpoint-{number}")
+    site.deployment.kill("entry-1")
+    site.deployment.kill("control-1")
+
+
+async def _async_lose_host(site: Site) -> None:
+    """Kill both processes of one host."""
+    site.deployment.kill("entry-1")
+    site.deployment.kill("control-1")
+
+
+async def _async_lose_two_hosts(site: Site) -> None:
+    """Kill a host, then a second one shortly after."""
+    await _async_lose_host(site)
+    await asyncio.sleep(SECOND_LOSS_AFTER_S)
+    site.deployment.kill("entry-2")
+    site.deployment.kill("control-2")
+
+
+_LOSSES: dict[str, Loss] = {
+    "an endpoint": _async_lose_endpoint,
+    "a failure domain": _async_lose_domain,
+    "an entry host": _async_lose_host,
+    "an entry host and a second one": _async_lose_two_hosts,
+}
--- a/packages/lagoonctl/src/lagoonctl/load/_workload.py
+++ b/packages/lagoonctl/src/lagoonctl/load/_workload.py
@@ -52,12 +52,14 @@
 ) -> PlannedRequest:
     """Return one request."""
     long = generator.random() < plan.long_share
+    max_tokens = plan.long_tokens if long else plan.short_tokens
     words = generator.choices(_VOCABULARY, k=plan.prompt_words)
+    suffix = plan.prompt_suffix.replace("{max_tokens}", str(max_tokens))
     return PlannedRequest(
         at_s=at_s,
         member=member,
         target=generator.choice(plan.targets),
-        prompt=" ".join(words),
-        max_tokens=plan.long_tokens if long else plan.short_tokens,
+        prompt=" ".join(words) + suffix,
+        max_tokens=max_tokens,
         long=long,
     )
--- a/packages/lagoonctl/src/lagoonctl/load/models.py
+++ b/packages/lagoonctl/src/lagoonctl/load/models.py
@@ -61,6 +61,7 @@
     Attributes:
         long_share: Share of requests that ask for `long_tokens` instead of `short_tokens`.
         timeout_s: Deadline given with each request.
+        prompt_suffix: Text after each prompt, in which `{max_tokens}` is replaced.
         streamed: Whether answers are asked for as a stream.
     """
 
@@ -73,6 +74,7 @@
     short_tokens: int = DEFAULT_SHORT_TOKENS
     long_tokens: int = DEFAULT_LONG_TOKENS
     prompt_words: int = DEFAULT_PROMPT_WORDS
+    prompt_suffix: str = ""
     streamed: bool = True
     seed: int = DEFAULT_SEED
 
