--- /dev/null
+++ b/script/catalogue.py
@@ -0,0 +1,71 @@
+"""Writes the pages that are made from code again; meanings already on a page are kept."""
+
+from __future__ import annotations
+
+import ast
+import re
+from collections import defaultdict
+from collections.abc import Iterable
+from pathlib import Path
+
+from lagoonwing_core.events import EventCode
+from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_core.settings import render_settings
+
+ROOT = Path(__file__).parents[1]
+DOCS = ROOT / "docs"
+ROW = re.compile(r"^\| \d+ \| `(\w+)` \|(.*)\|$")
+TABLE_LINE = re.compile(r"^\|.*\n", re.MULTILINE)
+
+
+def fields_by_event() -> dict[str, list[str]]:
+    """Return the fields that the code logs with each event."""
+    fields: dict[str, set[str]] = defaultdict(set)
+    for path in sorted((ROOT / "packages").glob("*/src/**/*.py")):
+        for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+            if not isinstance(node, ast.Call) or not node.args:
+                continue
+            if getattr(node.func, "id", getattr(node.func, "attr", "")) != "log_event":
+                continue
+            event = node.args[0]
+            if isinstance(event, ast.Attribute):
+                fields[event.attr] |= {word.arg for word in node.keywords if word.arg}
+    return {name: sorted(names) for name, names in fields.items()}
+
+
+def meanings(page: str) -> dict[str, str]:
+    """Return the last cell of each row by name."""
+    rows = (ROW.match(line) for line in (DOCS / page).read_text(encoding="utf-8").splitlines())
+    return {row.group(1): row.group(2).split("|")[-1].strip() for row in rows if row}
+
+
+def replace_table(page: str, lines: Iterable[str]) -> None:
+    """Replace the only table of a page."""
+    path = DOCS / page
+    head = TABLE_LINE.sub("", path.read_text(encoding="utf-8")).rstrip("\n")
+    path.write_text(f"{head}\n\n" + "\n".join(lines) + "\n", encoding="utf-8")
+
+
+def main() -> None:
+    """Write every page."""
+    codes = meanings("RESULT_CODES.md")
+    lines = ["| code | name | meaning |", "|---|---|---|"]
+    lines += [
+        f"| {code.value} | `{code.name}` | {codes.get(code.name, '')} |"
+        for code in sorted(ResultCode)
+    ]
+    replace_table("RESULT_CODES.md", lines)
+
+    events = meanings("EVENTS.md")
+    fields = fields_by_event()
+    lines = ["| event | name | fields | meaning |", "|---|---|---|---|"]
+    for event in sorted(EventCode):
+        listed = ", ".join(f"`{name}`" for name in fields.get(event.name, []))
+        name = event.name.lower()
+        lines.append(f"| {event.value} | `{name}` | {listed} | {events.get(name, '')} |")
+    replace_table("EVENTS.md", lines)
+    replace_table("SETTINGS.md", render_settings().splitlines())
+
+
+if __name__ == "__main__":
+    main()
