--- /dev/null
+++ b/packages/control/src/lagoonwing_control/_change_ids.py
@@ -0,0 +1,100 @@
+"""Change ids: first answers, their retention, and refusal past it.
+
+A change id begins with the time at which it was made. A kept id gets its first answer. An id
+whose time lies before the retention bound and is not kept can't be told from a forgotten one, so
+it is refused as expired and never taken for new.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import re
+
+import msgspec
+
+from lagoonwing_control._state import State
+from lagoonwing_control.const import (
+    CHANGE_ID_AHEAD_MS,
+    CHANGE_ID_RETENTION_MS,
+    MAX_CHANGE_IDS,
+    MAX_ID_LENGTH,
+)
+from lagoonwing_control.models import ChangeAccepted, ChangeRecord, OperatorChange
+from lagoonwing_core.ids import ChangeId
+from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_wire.control_messages import Refused
+
+_CHANGE_ID = re.compile(r"(\d{1,15})-[A-Za-z0-9._-]+")
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+def change_id_stamp_ms(change_id: ChangeId) -> int | None:
+    """Return the time in a change id, or `None` if the id is malformed."""
+    if len(change_id) > MAX_ID_LENGTH:
+        return None
+    match = _CHANGE_ID.fullmatch(change_id)
+    return int(match.group(1)) if match else None
+
+
+def kept_answer(state: State, command: OperatorChange) -> ChangeAccepted | Refused | None:
+    """Return the answer that a change id already has or can't get; `None` if it is new."""
+    stamp_ms = change_id_stamp_ms(command.change_id)
+    if stamp_ms is None:
+        detail = "a change id is MILLISECONDS-SUFFIX with letters, digits, '.', '_' and '-'"
+        return Refused(ResultCode.INVALID_CHANGE, detail)
+    record: ChangeRecord | None = state.change_by_key.get(
+        (stamp_ms, command.operator, command.change_id)
+    )
+    if record is not None:
+        return _answer_again(record, command)
+    if stamp_ms < state.expired_before_ms:
+        detail = "the change id is past its retention; whether it was accepted is not kept"
+        return Refused(ResultCode.CHANGE_ID_EXPIRED, detail)
+    if stamp_ms > state.clock_ms + CHANGE_ID_AHEAD_MS:
+        return Refused(ResultCode.INVALID_CHANGE, "the change id's time lies in the future")
+    return None
+
+
+def keep_answer(state: State, command: OperatorChange, result: ChangeAccepted | Refused) -> None:
+    """Keep the first answer of a change id that `kept_answer` found new."""
+    stamp_ms = change_id_stamp_ms(command.change_id)
+    assert stamp_ms is not None
+    record = ChangeRecord(
+        operator=command.operator,
+        change_id=command.change_id,
+        stamp_ms=stamp_ms,
+        digest=_digest(command),
+        result=result,
+    )
+    state.change_by_key[(stamp_ms, command.operator, command.change_id)] = record
+
+
+def expire_change_ids(state: State) -> None:
+    """Forget answers past the retention, by time and by count."""
+    bound = state.clock_ms - CHANGE_ID_RETENTION_MS
+    surplus = len(state.change_by_key) - MAX_CHANGE_IDS
+    if surplus > 0:
+        oldest_stamp_ms = state.change_by_key.peekitem(surplus - 1)[0][0]
+        bound = max(bound, oldest_stamp_ms + 1)
+    state.expired_before_ms = max(state.expired_before_ms, bound)
+    while state.change_by_key:
+        stamp_ms = state.change_by_key.peekitem(0)[0][0]
+        if stamp_ms >= state.expired_before_ms:
+            return
+        state.change_by_key.popitem(0)
+
+
+def _answer_again(record: ChangeRecord, command: OperatorChange) -> ChangeAccepted | Refused:
+    """Return the first answer if the body is the same."""
+    if record.digest != _digest(command):
+        return Refused(ResultCode.CHANGE_ID_REUSED, "the change id was used for another change")
+    match record.result:
+        case ChangeAccepted() as accepted:
+            return msgspec.structs.replace(accepted, replayed=True)
+        case refused:
+            return refused
+
+
+def _digest(command: OperatorChange) -> bytes:
+    """Return the digest of what a change asks for."""
+    return hashlib.sha256(_ENCODER.encode((command.expected, command.change))).digest()
--- /dev/null
+++ b/packages/control/src/lagoonwing_control/_changes.py
@@ -0,0 +1,237 @@
+"""Operators' changes: checks against the tables and the entity that results."""
+
+from __future__ import annotations
+
+import math
+import re
+
+import msgspec
+from expression import Error, Ok, Result
+
+from lagoonwing_control._state import State
+from lagoonwing_control.const import (
+    MAX_ENTITIES_PER_KIND,
+    MAX_ID_LENGTH,
+    MAX_KEYS_PER_MEMBER,
+    MAX_NAME_LENGTH,
+    MAX_VALUE_LENGTH,
+)
+from lagoonwing_control.models import (
+    Change,
+    EntityKind,
+    OperatorChange,
+    OrderStop,
+    PutAgreement,
+    PutMember,
+    Retire,
+    SetConfiguration,
+)
+from lagoonwing_core.ids import Fingerprint, Revision
+from lagoonwing_core.models import (
+    Agreement,
+    ConfigurationEntry,
+    Entity,
+    EntityState,
+    Member,
+    PlannedStop,
+    Quarantine,
+    QuarantineState,
+    StopState,
+)
+from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_wire.control_messages import Refused
+
+_ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:/-]*")
+_KEY_HASH = re.compile(r"[0-9a-f]{64}")
+
+
+def decide_change(state: State, command: OperatorChange) -> Result[Entity, Refused]:
+    """Return the entity as it is after a change, at the next revision."""
+    kind, entity_id = target_of(command.change)
+    current = state.entity(kind, entity_id)
+    refused = _check_expected(current, command)
+    if refused is None:
+        refused = _check_body(state, command.change, current)
+    if refused is not None:
+        return Error(refused)
+    revision = Revision(state.revision + 1)
+    match command.change:
+        case PutMember() as change:
+            return Ok(
+                Member(
+                    member_id=change.member_id,
+                    name=change.name,
+                    key_hashes=change.key_hashes,
+                    state=EntityState.ACTIVE,
+                    revision=revision,
+                )
+            )
+        case PutAgreement() as change:
+            return Ok(
+                Agreement(
+                    agreement_id=change.agreement_id,
+                    member_id=change.member_id,
+                    weight=change.weight,
+                    max_concurrency=change.max_concurrency,
+                    max_requests_per_s=change.max_requests_per_s,
+                    max_tokens_per_s=change.max_tokens_per_s,
+                    state=EntityState.ACTIVE,
+                    revision=revision,
+                )
+            )
+        case SetConfiguration() as change:
+            return Ok(ConfigurationEntry(key=change.key, value=change.value, revision=revision))
+        case OrderStop() as change:
+            return Ok(
+                PlannedStop(
+                    stop_id=change.stop_id,
+                    target=change.target,
+                    target_id=change.target_id,
+                    state=StopState.DRAINING,
+                    revision=revision,
+                )
+            )
+        case Retire():
+            return _retired(current, revision)
+
+
+def target_of(change: Change) -> tuple[EntityKind, str]:
+    """Return the entity that a change is about."""
+    match change:
+        case PutMember():
+            return EntityKind.MEMBER, change.member_id
+        case PutAgreement():
+            return EntityKind.AGREEMENT, change.agreement_id
+        case SetConfiguration():
+            return EntityKind.CONFIGURATION, change.key
+        case OrderStop():
+            return EntityKind.STOP, change.stop_id
+        case Retire():
+            return change.kind, change.entity_id
+
+
+def _check_expected(current: Entity | None, command: OperatorChange) -> Refused | None:
+    """Refuse a change that expects another revision of the entity."""
+    found = Revision(0) if current is None else current.revision
+    if found == command.expected:
+        return None
+    if current is None:
+        return Refused(ResultCode.UNKNOWN_ENTITY, "the entity does not exist")
+    if command.expected == 0:
+        return Refused(ResultCode.ALREADY_EXISTS, f"the entity exists at revision {found}")
+    detail = f"the entity is at revision {found}, not {command.expected}"
+    return Refused(ResultCode.REVISION_CONFLICT, detail)
+
+
+def _check_body(state: State, change: Change, current: Entity | None) -> Refused | None:
+    """Refuse a change that is malformed or doesn't fit the other entities."""
+    kind, entity_id = target_of(change)
+    fault = _id_fault(entity_id)
+    if current is None and len(state.entity_by_id_by_kind[kind]) >= MAX_ENTITIES_PER_KIND:
+        fault = "too many entities of this kind"
+    if _is_final(current):
+        fault = "the entity is retired, and an id is never used again"
+    if fault is None:
+        fault = _fault(state, change, current)
+    return None if fault is None else Refused(ResultCode.INVALID_CHANGE, fault)
+
+
+def _fault(state: State, change: Change, current: Entity | None) -> str | None:
+    """Return what is wrong with the body of a change."""
+    match change:
+        case PutMember():
+            return _member_fault(state, change)
+        case PutAgreement():
+            return _agreement_fault(state, change, current)
+        case SetConfiguration() if len(change.value) > MAX_VALUE_LENGTH:
+            return f"a value has at most {MAX_VALUE_LENGTH} characters"
+        case OrderStop() if current is not None:
+            return "a stop can be ordered once and then cancelled"
+        case OrderStop():
+            return _id_fault(change.target_id)
+        case Retire() if current is None:
+            return "the entity does not exist"
+        case Retire() if change.kind is EntityKind.CONFIGURATION:
+            return "a configuration key is changed, not retired"
+        case _:
+            return None
+
+
+def _is_final(current: Entity | None) -> bool:
+    """Return whether an entity can't be changed any more."""
+    match current:
+        case Member(state=EntityState.RETIRED) | Agreement(state=EntityState.RETIRED):
+            return True
+        case PlannedStop(state=StopState.CANCELLED):
+            return True
+        case _:
+            return False
+
+
+def _id_fault(entity_id: str) -> str | None:
+    """Return what is wrong with an id."""
+    if len(entity_id) > MAX_ID_LENGTH or not _ID.fullmatch(entity_id):
+        return f"an id has 1 to {MAX_ID_LENGTH} letters, digits and '._:/-'"
+    return None
+
+
+def _member_fault(state: State, change: PutMember) -> str | None:
+    """Return what is wrong with a member."""
+    if len(change.name) > MAX_NAME_LENGTH:
+        return f"a name has at most {MAX_NAME_LENGTH} characters"
+    if len(change.key_hashes) > MAX_KEYS_PER_MEMBER:
+        return f"a member has at most {MAX_KEYS_PER_MEMBER} keys"
+    if not all(_KEY_HASH.fullmatch(key_hash) for key_hash in change.key_hashes):
+        return "a key hash is a SHA-256 digest of 64 lower-case hexadecimal digits"
+    taken = {
+        key_hash
+        for member in state.members()
+        if member.member_id != change.member_id and member.state is EntityState.ACTIVE
+        for key_hash in member.key_hashes
+    }
+    if taken.intersection(change.key_hashes):
+        return "another member has this key"
+    return None
+
+
+def _agreement_fault(state: State, change: PutAgreement, current: Entity | None) -> str | None:
+    """Return what is wrong with an agreement."""
+    caps = (change.max_concurrency, change.max_requests_per_s, change.max_tokens_per_s)
+    if not math.isfinite(change.weight) or change.weight <= 0:
+        return "a weight is above 0"
+    if any(cap is not None and not (math.isfinite(cap) and cap >= 0) for cap in caps):
+        return "a cap is at least 0"
+    member = state.entity(EntityKind.MEMBER, change.member_id)
+    if not isinstance(member, Member) or member.state is EntityState.RETIRED:
+        return "the member does not exist or is retired"
+    if isinstance(current, Agreement) and current.member_id != change.member_id:
+        return "an agreement stays with its member"
+    for other in state.agreements():
+        same_member = other.member_id == change.member_id
+        is_other = other.agreement_id != change.agreement_id
+        if same_member and is_other and other.state is EntityState.ACTIVE:
+            return f"the member has the agreement {other.agreement_id} already"
+    return None
+
+
+def _retired(current: Entity | None, revision: Revision) -> Result[Entity, Refused]:
+    """Return an entity in its final state."""
+    match current:
+        case Member() | Agreement():
+            retired = msgspec.structs.replace(current, state=EntityState.RETIRED, revision=revision)
+            return Ok(retired)
+        case PlannedStop():
+            return Ok(
+                msgspec.structs.replace(current, state=StopState.CANCELLED, revision=revision)
+            )
+        case Quarantine():
+            return Ok(cleared(current.fingerprint, revision))
+        case _:
+            return Error(Refused(ResultCode.INVALID_CHANGE, "the entity can't be retired"))
+
+
+def cleared(fingerprint: Fingerprint, revision: Revision) -> Quarantine:
+    """Return a quarantine that is lifted."""
+    return Quarantine(
+        fingerprint=fingerprint, state=QuarantineState.CLEARED, deaths=(), revision=revision
+    )
--- /dev/null
+++ b/packages/control/src/lagoonwing_control/_coordinator.py
@@ -0,0 +1,118 @@
+"""Component that serves the durable state to operators, entry hosts and other replicas."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from lagoonwing_control._leader import Leader
+from lagoonwing_control._operator_server import OperatorServer
+from lagoonwing_control._peers import PeerProtocol
+from lagoonwing_control._proposer import Proposer
+from lagoonwing_control._reads import Reads
+from lagoonwing_control._state_machine import ControlStateMachine
+from lagoonwing_control._watchers import Watchers
+from lagoonwing_control.const import TICK_S
+from lagoonwing_control.settings import ControlSettings
+from lagoonwing_core.callback import callback
+from lagoonwing_core.clock import Clock, LoopClock
+from lagoonwing_core.ids import HostId, Term
+from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_replication import ReplicatedLog
+from lagoonwing_wire import ChannelServer, Handlers, Identity, Link
+from lagoonwing_wire.control_messages import CONTROL_DECODER, PROTOCOL, ControlMessage, Refused
+
+
+class ControlService:
+    """One control replica; the log and the channel server are components of their own.
+
+    Register it after the channel server and before the log, so that it hears of the first term.
+    """
+
+    name = "control"
+
+    def __init__(
+        self,
+        settings: ControlSettings,
+        identity: Identity,
+        state_machine: ControlStateMachine,
+        log: ReplicatedLog,
+        server: ChannelServer,
+        clock: Clock | None = None,
+    ) -> None:
+        self.lost_hosts: set[HostId] = set()
+        self.state_machine = state_machine
+        self.log = log
+        self._clock = clock or LoopClock()
+        self._link_by_host = {
+            replica.host_id: Link(
+                identity, replica.address, replica.port, PROTOCOL, _caller_handlers()
+            )
+            for replica in settings.replicas
+            if replica.host_id != settings.host_id
+        }
+        self.watchers = Watchers(state_machine)
+        self.leader = Leader(settings, state_machine, log, self._clock, self.lost_hosts)
+        self.proposer = Proposer(log, self._link_by_host, wall_clock_ms, self.leader.check_stop)
+        self.reads = Reads(log, state_machine, self.watchers, self._link_by_host)
+        peers = PeerProtocol(
+            settings.host_id,
+            state_machine,
+            log,
+            self.leader,
+            self.proposer,
+            self.watchers,
+            self.lost_hosts,
+        )
+        server.register(PROTOCOL, peers.handlers())
+        self._operators = OperatorServer(settings, self, self._clock)
+        self._ticker: asyncio.Task[None] | None = None
+        state_machine.on_applied = self.watchers.schedule
+        log.on_leadership = self._on_leadership
+
+    async def async_setup(self) -> None:
+        """Start to serve."""
+        for link in self._link_by_host.values():
+            await link.async_setup()
+        self._ticker = asyncio.get_running_loop().create_task(self._async_tick())
+        await self._operators.async_setup()
+
+    async def async_unload(self) -> None:
+        """Stop to serve."""
+        await self._operators.async_unload()
+        if self._ticker is not None:
+            self._ticker.cancel()
+        await self.leader.async_unload()
+        await self.proposer.async_unload()
+        for link in self._link_by_host.values():
+            await link.async_unload()
+
+    @callback
+    def _on_leadership(self, term: Term | None) -> None:
+        """Start or end a term as leader."""
+        self.leader.leadership_changed(term)
+
+    async def _async_tick(self) -> None:
+        """Run the leader's systems at a steady pace."""
+        while True:
+            self.leader.tick(self.proposer)
+            await asyncio.sleep(TICK_S)
+
+
+def wall_clock_ms() -> int:
+    """Return the time since the epoch in milliseconds."""
+    return time.time_ns() // 1_000_000
+
+
+def _caller_handlers() -> Handlers[ControlMessage]:
+    """Return handlers for a link on which only this replica calls."""
+
+    async def async_refuse(channel: object, message: object) -> Refused:
+        return Refused(ResultCode.MESSAGE_INVALID, "calls are not served on this channel")
+
+    return Handlers(
+        decoder=CONTROL_DECODER,
+        on_push=lambda channel, message: None,
+        async_on_call=async_refuse,
+        on_closed=lambda channel: None,
+    )
--- /dev/null
+++ b/packages/control/src/lagoonwing_control/_status.py
@@ -0,0 +1,77 @@
+"""Status of a replica as operators see it."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from lagoonwing_control.const import LEADER_SILENCE_S
+from lagoonwing_control.settings import ControlSettings
+from lagoonwing_core.ids import HostId
+from lagoonwing_replication import LogStatus
+from lagoonwing_rpc import operator_pb2 as pb
+
+if TYPE_CHECKING:
+    from lagoonwing_control._coordinator import ControlService
+
+
+def replica_status(
+    settings: ControlSettings, service: ControlService, now: float
+) -> pb.StatusReply:
+    """Return roles, lag, quorum and margin as this replica knows them."""
+    status = service.log.status()
+    margin = voter_margin(status, settings.host_id, service.lost_hosts)
+    return pb.StatusReply(
+        replica_id=settings.host_id,
+        role=status.role.value,
+        term=status.term,
+        leader_id=status.leader or "",
+        revision=service.state_machine.state.revision,
+        commit_index=status.commit,
+        applied_index=status.applied,
+        quorum=status.lease_valid or margin >= 0,
+        margin=margin,
+        replicas=_replicas(status, service.lost_hosts),
+        entries=_entries(service, now) if service.leader.term() is not None else [],
+    )
+
+
+def voter_margin(status: LogStatus, self_id: HostId, lost_hosts: set[HostId]) -> int:
+    """Return how many more voters may be lost with a majority left; below 0 there is none."""
+    ages = status.contact_age_by_host
+    healthy = [
+        replica
+        for replica in status.voters
+        if replica.host_id not in lost_hosts
+        and (replica.host_id == self_id or ages.get(replica.host_id, math.inf) < LEADER_SILENCE_S)
+    ]
+    return len(healthy) - (len(status.voters) // 2 + 1)
+
+
+def _replicas(status: LogStatus, lost_hosts: set[HostId]) -> list[pb.ReplicaStatus]:
+    """Return the replicas with the age of their last contact."""
+    rows = []
+    voter_hosts = {replica.host_id for replica in status.voters}
+    for replica in (*status.voters, *status.learners):
+        age = status.contact_age_by_host.get(replica.host_id)
+        rows.append(
+            pb.ReplicaStatus(
+                host_id=replica.host_id,
+                voter=replica.host_id in voter_hosts,
+                contact_age_s=age if age is not None and math.isfinite(age) else None,
+                declared_lost=replica.host_id in lost_hosts,
+            )
+        )
+    return rows
+
+
+def _entries(service: ControlService, now: float) -> list[pb.EntryStatus]:
+    """Return the entry hosts that follow this leader."""
+    return [
+        pb.EntryStatus(
+            host_id=host_id,
+            contact_age_s=now - record.heard,
+            applied_revision=record.applied,
+        )
+        for host_id, record in sorted(service.leader.entries.record_by_host.items())
+    ]
--- a/packages/core/src/lagoonwing_core/models.py
+++ b/packages/core/src/lagoonwing_core/models.py
@@ -68,7 +68,15 @@
     CLEARED = "cleared"
 
 
-class Member(msgspec.Struct, frozen=True, kw_only=True):
+class CapDimension(Enum):
+    """What an agreement caps."""
+
+    CONCURRENCY = "concurrency"
+    REQUESTS_PER_S = "requests_per_s"
+    TOKENS_PER_S = "tokens_per_s"
+
+
+class Member(msgspec.Struct, frozen=True, kw_only=True, tag="member"):
     """A member organisation.
 
     Attributes:
@@ -83,7 +91,7 @@
     revision: Revision
 
 
-class Agreement(msgspec.Struct, frozen=True, kw_only=True):
+class Agreement(msgspec.Struct, frozen=True, kw_only=True, tag="agreement"):
     """Caps on what one member may take; `None` is no cap.
 
     Attributes:
@@ -103,7 +111,7 @@
     revision: Revision
 
 
-class ConfigurationEntry(msgspec.Struct, frozen=True, kw_only=True):
+class ConfigurationEntry(msgspec.Struct, frozen=True, kw_only=True, tag="configuration"):
     """One key of the configuration that operators change at run time."""
 
     key: str
@@ -111,7 +119,7 @@
     revision: Revision
 
 
-class PlannedStop(msgspec.Struct, frozen=True, kw_only=True):
+class PlannedStop(msgspec.Struct, frozen=True, kw_only=True, tag="stop"):
     """An ordered stop of a host, endpoint or failure domain."""
 
     stop_id: StopId
@@ -121,7 +129,7 @@
     revision: Revision
 
 
-class Quarantine(msgspec.Struct, frozen=True, kw_only=True):
+class Quarantine(msgspec.Struct, frozen=True, kw_only=True, tag="quarantine"):
     """Standing of one request fingerprint.
 
     Attributes:
@@ -134,6 +142,10 @@
     revision: Revision
 
 
+# What operators change and every entry host follows.
+Entity = Member | Agreement | ConfigurationEntry | PlannedStop | Quarantine
+
+
 class LayerRange(msgspec.Struct, frozen=True):
     """Layers held by a stage, from `first` up to but without `end`."""
 
--- /dev/null
+++ b/packages/follower/src/lagoonwing_follower/_coordinator.py
@@ -0,0 +1,393 @@
+"""Component by which an entry host follows the durable state and asks for claims and shares."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from lagoonwing_core.callback import callback
+from lagoonwing_core.clock import Clock
+from lagoonwing_core.errors import Refusal
+from lagoonwing_core.events import EventCode, log_event
+from lagoonwing_core.ids import (
+    EndpointId,
+    Fingerprint,
+    HostId,
+    IdempotencyKey,
+    Incarnation,
+    MemberId,
+    RequestId,
+    Revision,
+    StopId,
+    Term,
+)
+from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_follower._holder import AllotmentHolder
+from lagoonwing_follower._leader_link import LeaderLink
+from lagoonwing_follower._lease import ConfigurationLease, proof_time
+from lagoonwing_follower._probes import Prober
+from lagoonwing_follower._revision_store import RevisionStore
+from lagoonwing_follower._watch import Watcher
+from lagoonwing_follower.const import (
+    CONTACT_INTERVAL_S,
+    CONTACT_TIMEOUT_S,
+    MAX_WAITING_RELEASES,
+    PROBE_AFTER_S,
+    PROBE_INTERVAL_S,
+    RETRY_INTERVAL_S,
+)
+from lagoonwing_follower.models import ControlView, FollowerSettings
+from lagoonwing_policy.models import AllotmentGrant, MemberDemand
+from lagoonwing_wire import Channel, Identity
+from lagoonwing_wire.control_messages import (
+    Allotments,
+    ClaimDecision,
+    ClearSuspect,
+    Contact,
+    ContactReply,
+    EndpointSummary,
+    ReleaseClaim,
+    ReportSuspects,
+    StoredAnswer,
+    StoreOutcome,
+    TakeClaim,
+)
+
+ViewListener = Callable[[], None]
+
+
+class ControlCoordinator:
+    """An entry host's side of the durable state.
+
+    Attributes:
+        view: Last view in force; it never goes back to a lower revision.
+    """
+
+    name = "control_coordinator"
+
+    def __init__(self, settings: FollowerSettings, identity: Identity, clock: Clock) -> None:
+        self.view = ControlView()
+        self._settings = settings
+        self._clock = clock
+        self._store = RevisionStore(settings.data_folder)
+        self._floor = Revision(0)
+        self._lease = ConfigurationLease(settings.configuration_lease_s)
+        self._was_in_force = False
+        self._holder = AllotmentHolder(settings.incarnation)
+        self._links = LeaderLink(settings.replicas, identity, clock, self._on_push, self._on_closed)
+        self._watcher = Watcher(self._source, self._tables_changed, settings.seed)
+        self._prober = Prober(self._links, clock)
+        self._voters: tuple[HostId, ...] = ()
+        self._term = Term(0)
+        self._heard: float | None = None
+        self._answered = False
+        self._leader_host: HostId | None = None
+        self._in_flight_by_stop: dict[StopId, int] = {}
+        self._endpoints: tuple[EndpointSummary, ...] = ()
+        self._endpoints_told: tuple[Term, tuple[EndpointSummary, ...]] | None = None
+        self._releases: deque[ReleaseClaim] = deque(maxlen=MAX_WAITING_RELEASES)
+        self._listeners: list[ViewListener] = []
+        self._contact_now = asyncio.Event()
+        self._publish_now = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def async_setup(self) -> None:
+        """Start to follow."""
+        self._floor = self._store.load()
+        await self._links.async_setup()
+        loop = asyncio.get_running_loop()
+        self._tasks = [
+            loop.create_task(self._async_keep_contact()),
+            loop.create_task(self._watcher.async_run()),
+            loop.create_task(self._async_publish()),
+            loop.create_task(self._async_keep_proof()),
+        ]
+
+    async def async_unload(self) -> None:
+        """Stop to follow."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._links.async_unload()
+
+    @callback
+    def may_take_work(self) -> bool:
+        """Return whether the configuration lease is in force."""
+        in_force = self.view.revision >= self._floor and self._lease.in_force(self._clock.now())
+        if in_force != self._was_in_force:
+            self._was_in_force = in_force
+            code = (
+                EventCode.CONFIGURATION_LEASE_REGAINED
+                if in_force
+                else EventCode.CONFIGURATION_LEASE_LAPSED
+            )
+            log_event(code, revision=self.view.revision, leader=self._leader_host or "")
+        return in_force
+
+    @callback
+    def has_leader(self) -> bool:
+        """Return whether a leader answered the last contact, so that claims can be taken."""
+        if self._heard is None or not self._answered:
+            return False
+        return self._clock.now() - self._heard < PROBE_AFTER_S
+
+    @callback
+    def add_listener(self, listener: ViewListener) -> Callable[[], None]:
+        """Call a function after each view that comes in force; return what removes it."""
+        self._listeners.append(listener)
+        return lambda: self._listeners.remove(listener)
+
+    @callback
+    def set_endpoints(self, endpoints: Iterable[EndpointSummary]) -> None:
+        """Tell which endpoints this entry host knows, for the check of planned stops."""
+        self._endpoints = tuple(sorted(endpoints, key=lambda item: item.endpoint_id))
+
+    @callback
+    def async_report_stop(self, stop_id: StopId, in_flight: int) -> None:
+        """Tell how many requests are in flight on a stop's target."""
+        changed = self._in_flight_by_stop.get(stop_id) != in_flight
+        self._in_flight_by_stop[stop_id] = in_flight
+        if changed and in_flight == 0:
+            self._contact_now.set()
+
+    async def async_claim(self, claim: TakeClaim, timeout: float) -> Result[ClaimDecision, Refusal]:
+        """Claim the right to dispatch a request at most once.
+
+        Returns:
+            The decision, or a refusal `CLAIM_UNAVAILABLE`: the request must not be dispatched,
+            and the claim, should it yet be accepted, is released.
+        """
+        result = await self._links.async_call(claim, timeout)
+        match result:
+            case Result(tag="ok", ok=decision):
+                return Ok(decision)
+            case Result(error=refusal):
+                self._releases.append(ReleaseClaim(claim.member_id, claim.key, claim.request_id))
+                detail = f"no claim could be recorded: {refusal.detail}"
+                return Error(Refusal(ResultCode.CLAIM_UNAVAILABLE, detail))
+
+    async def async_store_outcome(
+        self,
+        member_id: MemberId,
+        key: IdempotencyKey,
+        request_id: RequestId,
+        answer: StoredAnswer,
+        timeout: float,
+    ) -> Result[None, Refusal]:
+        """Keep the answer of a claimed request for replay."""
+        message = StoreOutcome(member_id, key, request_id, answer)
+        return (await self._links.async_call(message, timeout)).map(lambda done: None)
+
+    async def async_release_claim(
+        self, member_id: MemberId, key: IdempotencyKey, request_id: RequestId, timeout: float
+    ) -> Result[None, Refusal]:
+        """Give up the claim of a request that provably did not run.
+
+        A release that fails is tried again at later contacts.
+        """
+        message = ReleaseClaim(member_id, key, request_id)
+        result = await self._links.async_call(message, timeout)
+        if result.is_error():
+            self._releases.append(message)
+        return result.map(lambda done: None)
+
+    async def async_request_allotments(
+        self, demands: Iterable[MemberDemand], timeout: float
+    ) -> Result[tuple[AllotmentGrant, ...], Refusal]:
+        """State demands and return every grant that holds.
+
+        Returns:
+            All grants in force; those that the answer does not renew lapse at their time. A
+            refusal if no leader answered and nothing proves that none acts out of sight.
+        """
+        statement = self._holder.statement(demands, self._clock.now())
+        result = await self._links.async_call_once(statement.message, timeout)
+        match result:
+            case Result(tag="ok", ok=Allotments() as reply):
+                self._holder.accept(statement, reply, self._clock.now())
+                return Ok(self._holder.grants(self._clock.now()))
+            case Result(tag="ok", ok=other):
+                detail = f"{type(other).__name__} answers no request for allotments"
+                return Error(Refusal(ResultCode.MESSAGE_INVALID, detail))
+            case Result(error=refusal):
+                if self._proof() is not None:
+                    return Ok(self._holder.grants(self._clock.now()))
+                return Error(refusal)
+
+    async def async_report_suspects(
+        self,
+        fingerprints: tuple[Fingerprint, ...],
+        endpoint_id: EndpointId,
+        incarnation: Incarnation,
+        timeout: float,
+    ) -> Result[None, Refusal]:
+        """Record that an endpoint died while it ran these requests."""
+        message = ReportSuspects(fingerprints, endpoint_id, incarnation)
+        return (await self._links.async_call(message, timeout)).map(lambda done: None)
+
+    async def async_clear_suspect(
+        self, fingerprint: Fingerprint, timeout: float
+    ) -> Result[None, Refusal]:
+        """Record that a suspect ran alone to its end."""
+        message = ClearSuspect(fingerprint)
+        return (await self._links.async_call(message, timeout)).map(lambda done: None)
+
+    @callback
+    def _on_push(self, channel: Channel[Any], message: Any) -> None:
+        """Hand pushes to the watcher."""
+        self._watcher.on_push(channel, message)
+
+    @callback
+    def _on_closed(self, channel: Channel[Any]) -> None:
+        """Tell the watcher, and ask at once who leads now."""
+        self._watcher.on_closed(channel)
+        self._contact_now.set()
+
+    @callback
+    def _source(self) -> Channel[Any] | None:
+        """Return the channel to watch: the leader's, or the furthest voter's without one."""
+        host_id = self._leader_host or self._prober.newest_voter()
+        return None if host_id is None else self._links.channel(host_id)
+
+    @callback
+    def _tables_changed(self) -> None:
+        """Bring a view in force soon."""
+        self._publish_now.set()
+
+    async def _async_publish(self) -> None:
+        """Bring each complete view in force once its revision is kept."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await self._publish_now.wait()
+            self._publish_now.clear()
+            if not self._watcher.complete:
+                continue
+            view = self._watcher.tables.view()
+            first_empty = view.revision == 0 and self._floor == 0
+            if view.revision < self._floor or view.revision < self.view.revision:
+                continue
+            if view.revision > self._floor:
+                await loop.run_in_executor(None, self._store.store, view.revision)
+                self._floor = view.revision
+            if view.revision > self.view.revision or first_empty:
+                self.view = view
+                self._lease.applied(view.revision)
+                log_event(EventCode.REVISION_APPLIED, revision=view.revision)
+                for listener in list(self._listeners):
+                    listener()
+
+    async def _async_keep_contact(self) -> None:
+        """Renew the lease at a steady pace, and at once when something calls for it."""
+        while True:
+            self._contact_now.clear()
+            answered = await self._async_contact()
+            self._answered = answered
+            if answered:
+                await self._async_send_releases()
+            delay = CONTACT_INTERVAL_S if answered else RETRY_INTERVAL_S
+            try:
+                await asyncio.wait_for(self._contact_now.wait(), delay)
+            except TimeoutError:
+                continue
+            if not answered:
+                await asyncio.sleep(RETRY_INTERVAL_S)
+
+    async def _async_contact(self) -> bool:
+        """Contact the leader once; return whether it answered."""
+        sent = self._clock.now()
+        endpoints = self._endpoints
+        target = self._links.target
+        told = (self._term, endpoints) == self._endpoints_told
+        message = Contact(
+            incarnation=self._settings.incarnation,
+            term=self._term,
+            applied=self.view.revision,
+            in_flight_by_stop=self._live_stop_reports(),
+            endpoints=None if told else endpoints,
+        )
+        result = await self._links.async_call_once(message, CONTACT_TIMEOUT_S)
+        match result:
+            case Result(tag="ok", ok=ContactReply() as reply):
+                self._contacted(target, sent, reply)
+                # A new leader has to be told again which endpoints there are.
+                self._endpoints_told = (message.term, endpoints)
+                return True
+            case _:
+                if self._heard is None or sent - self._heard > PROBE_AFTER_S:
+                    self._leader_host = None
+                return False
+
+    def _contacted(self, host_id: HostId, sent: float, reply: ContactReply) -> None:
+        """Take a leader's answer."""
+        if reply.term < self._term:
+            return
+        if reply.revision < max(self.view.revision, self._floor):
+            # Durable state that went back must not come in force.
+            log_event(
+                EventCode.CONFIGURATION_LEASE_LAPSED,
+                revision=self.view.revision,
+                leader=host_id,
+                reason=f"the leader is at the lower revision {reply.revision}",
+            )
+            return
+        self._term = reply.term
+        self._voters = reply.voters
+        self._heard = sent
+        self._holder.term_seen(reply.term)
+        self._lease.contact(sent, reply.revision)
+        self._prober.clear()
+        if self._leader_host != host_id:
+            self._leader_host = host_id
+            self._watcher.wake()
+
+    def _live_stop_reports(self) -> dict[StopId, int]:
+        """Return the reports of the stops that the view holds."""
+        stop_by_id = self.view.stop_by_id
+        self._in_flight_by_stop = {
+            stop_id: count
+            for stop_id, count in self._in_flight_by_stop.items()
+            if stop_id in stop_by_id
+        }
+        return dict(self._in_flight_by_stop)
+
+    async def _async_send_releases(self) -> None:
+        """Send the releases that could not be sent before."""
+        while self._releases:
+            release = self._releases[0]
+            result = await self._links.async_call_once(release, CONTACT_TIMEOUT_S)
+            match result:
+                case Result(tag="error", error=Refusal(code=code)) if (
+                    code
+                    in (
+                        ResultCode.NOT_LEADER,
+                        ResultCode.NO_QUORUM,
+                        ResultCode.CLAIM_UNAVAILABLE,
+                    )
+                    or code >= ResultCode.NOT_AUTHENTIC
+                ):
+                    return
+                case _:
+                    self._releases.popleft()
+
+    async def _async_keep_proof(self) -> None:
+        """Without a leader, go on as long as it is proved that none acts out of sight."""
+        while True:
+            await asyncio.sleep(PROBE_INTERVAL_S)
+            if self._heard is None or self.has_leader():
+                continue
+            await self._prober.async_probe(self._voters)
+            proved = self._proof()
+            if proved is not None and not self.has_leader():
+                now = self._clock.now()
+                self._lease.extend(proved, now)
+                self._holder.extend(proved, now)
+
+    def _proof(self) -> float | None:
+        """Return until when it is proved that no leader acts out of sight."""
+        return proof_time(
+            self._voters, self._prober.evidence_by_voter, self.view.revision, self._clock.now()
+        )
--- /dev/null
+++ b/packages/follower/src/lagoonwing_follower/_holder.py
@@ -0,0 +1,97 @@
+"""An entry host's side of allotments: what it may believe it holds. Free of I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+from lagoonwing_core.ids import Incarnation, MemberId, Term
+from lagoonwing_core.models import CapDimension
+from lagoonwing_policy.models import AllotmentGrant, MemberDemand
+from lagoonwing_wire.control_messages import Allotments, Holding, RequestAllotments
+
+CapKey = tuple[MemberId, CapDimension]
+
+
+@dataclass(frozen=True, slots=True)
+class Statement:
+    """A request for allotments and the time at which it is sent."""
+
+    message: RequestAllotments
+    sent: float
+
+
+class AllotmentHolder:
+    """Keeps the grants of this entry host and counts their leases conservatively."""
+
+    def __init__(self, incarnation: Incarnation) -> None:
+        self._incarnation = incarnation
+        self._term = Term(0)
+        self._sequence = 0
+        self._lease_s = 0.0
+        self._grant_by_cap: dict[CapKey, AllotmentGrant] = {}
+
+    def term_seen(self, term: Term) -> None:
+        """Note a leader's term; replies of lower terms are ignored from now on."""
+        self._term = max(self._term, term)
+
+    def statement(self, demands: Iterable[MemberDemand], now: float) -> Statement:
+        """State all that may be in use; replies to former statements are ignored from now on."""
+        self._sequence += 1
+        wanted_by_cap = {(item.member_id, item.dimension): item for item in demands}
+        self._drop_lapsed(now)
+        holdings = [
+            self._holding(cap_key, wanted_by_cap.get(cap_key))
+            for cap_key in dict.fromkeys([*wanted_by_cap, *self._grant_by_cap])
+        ]
+        message = RequestAllotments(self._incarnation, self._term, self._sequence, tuple(holdings))
+        return Statement(message, now)
+
+    def accept(self, statement: Statement, reply: Allotments, now: float) -> bool:
+        """Take the grants of a reply.
+
+        Returns:
+            Whether the reply answers the last statement and holds grants.
+        """
+        self.term_seen(reply.term)
+        if reply.term < self._term or statement.message.sequence != self._sequence:
+            return False
+        if statement.message.term != reply.term:
+            return False
+        self._lease_s = reply.lease_s
+        expires = statement.sent + reply.lease_s
+        for grant in reply.grants:
+            self._grant_by_cap[(grant.member_id, grant.dimension)] = AllotmentGrant(
+                grant.member_id, grant.dimension, grant.amount, expires
+            )
+        return True
+
+    def extend(self, proved: float, now: float) -> None:
+        """Keep what is held up to a proof that no leader acts out of sight."""
+        self._drop_lapsed(now)
+        for cap_key, grant in self._grant_by_cap.items():
+            expires = max(grant.expires, proved + self._lease_s)
+            self._grant_by_cap[cap_key] = replace(grant, expires=expires)
+
+    def grants(self, now: float) -> tuple[AllotmentGrant, ...]:
+        """Return the grants that have not lapsed."""
+        self._drop_lapsed(now)
+        return tuple(self._grant_by_cap.values())
+
+    def _holding(self, cap_key: CapKey, demand: MemberDemand | None) -> Holding:
+        """Return what may be in use of one cap, and what is wanted."""
+        grant = self._grant_by_cap.get(cap_key)
+        held = 0.0 if grant is None else grant.amount
+        member_id, dimension = cap_key
+        if demand is None:
+            return Holding(member_id, dimension, held, 0.0)
+        if dimension is CapDimension.CONCURRENCY:
+            # Running requests can't be given back before they end.
+            held = max(held, demand.used)
+        return Holding(member_id, dimension, held, demand.wanted)
+
+    def _drop_lapsed(self, now: float) -> None:
+        """Forget the grants whose lease has ended."""
+        lapsed = [key for key, grant in self._grant_by_cap.items() if grant.expires <= now]
+        for cap_key in lapsed:
+            del self._grant_by_cap[cap_key]
--- /dev/null
+++ b/packages/follower/src/lagoonwing_follower/_leader_link.py
@@ -0,0 +1,132 @@
+"""Links to every control replica, and which of them leads as far as is known."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from lagoonwing_core.callback import callback
+from lagoonwing_core.clock import Clock
+from lagoonwing_core.errors import Refusal
+from lagoonwing_core.ids import HostId
+from lagoonwing_core.models import HostAddress
+from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_follower.const import RETRY_INTERVAL_S
+from lagoonwing_wire import Channel, Handlers, Identity, Link
+from lagoonwing_wire.control_messages import (
+    CONTROL_DECODER,
+    PROTOCOL,
+    ControlMessage,
+    Refused,
+)
+
+_RETRIED = (ResultCode.NOT_LEADER, ResultCode.NO_QUORUM)
+
+
+class LeaderLink:
+    """Sends calls to the leader and follows it when it changes."""
+
+    def __init__(
+        self,
+        replicas: tuple[HostAddress, ...],
+        identity: Identity,
+        clock: Clock,
+        on_push: Callable[[Channel[Any], ControlMessage], None],
+        on_closed: Callable[[Channel[Any]], None],
+    ) -> None:
+        self._clock = clock
+        self.address_by_host = {replica.host_id: replica for replica in replicas}
+        handlers = Handlers(
+            decoder=CONTROL_DECODER,
+            on_push=on_push,
+            async_on_call=_async_refuse,
+            on_closed=on_closed,
+        )
+        self._link_by_host = {
+            replica.host_id: Link(identity, replica.address, replica.port, PROTOCOL, handlers)
+            for replica in replicas
+        }
+        self._order = [replica.host_id for replica in replicas]
+        self._position = 0
+
+    @property
+    def target(self) -> HostId:
+        """Replica that is asked next, the leader if it is known."""
+        return self._order[self._position % len(self._order)]
+
+    async def async_setup(self) -> None:
+        """Open the links."""
+        for link in self._link_by_host.values():
+            await link.async_setup()
+
+    async def async_unload(self) -> None:
+        """Close the links."""
+        for link in self._link_by_host.values():
+            await link.async_unload()
+
+    @callback
+    def channel(self, host_id: HostId) -> Channel[Any] | None:
+        """Return the open channel to a replica, if there is one."""
+        link = self._link_by_host.get(host_id)
+        return None if link is None else link.channel
+
+    @callback
+    def follow(self, refused: Refused) -> None:
+        """Turn to the leader that a replica names, or else to the next replica."""
+        if refused.leader in self._link_by_host and refused.leader != self.target:
+            self._position = self._order.index(refused.leader)
+            return
+        self.turn()
+
+    @callback
+    def turn(self) -> None:
+        """Turn to the next replica."""
+        self._position = (self._position + 1) % len(self._order)
+
+    async def async_call_once(
+        self, message: ControlMessage, timeout: float
+    ) -> Result[Any, Refusal]:
+        """Ask the replica that is thought to lead, and turn to another if it does not."""
+        target = self.target
+        channel = self.channel(target)
+        if channel is None:
+            self.turn()
+            return Error(Refusal(ResultCode.PEER_UNREACHABLE, f"no channel to {target}"))
+        reply = await channel.async_call(message, timeout)
+        match reply:
+            case Result(tag="ok", ok=Refused(code=ResultCode.NOT_LEADER) as refused):
+                if self.target == target:
+                    self.follow(refused)
+                return Error(Refusal(refused.code, refused.detail))
+            case Result(tag="ok", ok=Refused(code=code, detail=detail)):
+                return Error(Refusal(code, detail))
+            case Result(tag="ok", ok=answer):
+                return Ok(answer)
+            case _:
+                if self.target == target:
+                    self.turn()
+                return reply
+
+    async def async_call(self, message: ControlMessage, timeout: float) -> Result[Any, Refusal]:
+        """Ask the leader, again and again until the timeout; the message must be idempotent."""
+        deadline = self._clock.now() + timeout
+        while True:
+            left = deadline - self._clock.now()
+            result = await self.async_call_once(message, max(0.01, left))
+            match result:
+                case Result(tag="error", error=Refusal(code=code)) if (
+                    code in _RETRIED or code >= ResultCode.NOT_AUTHENTIC
+                ):
+                    if self._clock.now() + RETRY_INTERVAL_S >= deadline:
+                        return result
+                    await asyncio.sleep(RETRY_INTERVAL_S)
+                case _:
+                    return result
+
+
+async def _async_refuse(channel: object, message: object) -> Refused:
+    """Refuse calls of a replica."""
+    return Refused(ResultCode.MESSAGE_INVALID, "a follower serves no calls")
--- /dev/null
+++ b/packages/follower/src/lagoonwing_follower/_watch.py
@@ -0,0 +1,146 @@
+"""Copies the durable state by list and watch."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any
+
+from expression import Result
+
+from lagoonwing_core.callback import callback
+from lagoonwing_core.events import EventCode, log_event
+from lagoonwing_core.ids import Revision
+from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_follower._tables import Tables
+from lagoonwing_follower.const import (
+    LIST_TIMEOUT_S,
+    RELIST_JITTER_S,
+    RETRY_INTERVAL_S,
+    WATCH_TIMEOUT_S,
+)
+from lagoonwing_wire import Channel
+from lagoonwing_wire.control_messages import (
+    Changes,
+    ControlMessage,
+    ListPage,
+    ListPageReply,
+    Refused,
+    Watch,
+    WatchStarted,
+)
+
+
+class Watcher:
+    """Keeps tables current from whichever replica `source` names.
+
+    Attributes:
+        tables: Tables as far as they are copied.
+        complete: Whether the tables hold everything up to their revision.
+    """
+
+    def __init__(
+        self,
+        source: Callable[[], Channel[Any] | None],
+        on_applied: Callable[[], None],
+        seed: int,
+    ) -> None:
+        self.tables = Tables()
+        self._complete_from: Revision | None = None
+        self._source = source
+        self._on_applied = on_applied
+        self._channel: Channel[Any] | None = None
+        self._wake = asyncio.Event()
+        self._random = random.Random(seed)
+
+    @property
+    def complete(self) -> bool:
+        """Whether the tables are as they were at one revision."""
+        return self._complete_from is not None and self.tables.revision >= self._complete_from
+
+    async def async_run(self) -> None:
+        """List and watch for ever."""
+        while True:
+            channel = self._source()
+            if channel is None or channel is self._channel:
+                await self._async_pause()
+                continue
+            await self._async_start(channel)
+
+    @callback
+    def on_push(self, channel: Channel[Any], message: ControlMessage) -> None:
+        """Apply the changes that the watched channel pushes."""
+        match message:
+            case Changes() if channel is self._channel:
+                self.tables.apply(message.entities, message.revision)
+                self._on_applied()
+            case _:
+                pass
+
+    @callback
+    def on_closed(self, channel: Channel[Any]) -> None:
+        """Look for another source if the watched channel has ended."""
+        if channel is self._channel:
+            self._channel = None
+        self._wake.set()
+
+    @callback
+    def wake(self) -> None:
+        """Look again whether the source has changed."""
+        self._wake.set()
+
+    async def _async_pause(self) -> None:
+        """Wait until something may have changed."""
+        try:
+            await asyncio.wait_for(self._wake.wait(), RETRY_INTERVAL_S)
+        except TimeoutError:
+            return
+        self._wake.clear()
+
+    async def _async_start(self, channel: Channel[Any]) -> None:
+        """Watch on a channel, after listing if need be."""
+        former = self._channel
+        self._channel = None
+        if former is not None and not former.closed:
+            # Ends the former watch; the link opens the channel again.
+            former.close()
+        if self._complete_from is None and not await self._async_list(channel):
+            await asyncio.sleep(RETRY_INTERVAL_S)
+            return
+        self._channel = channel
+        reply = await channel.async_call(Watch(self.tables.revision), WATCH_TIMEOUT_S)
+        match reply:
+            case Result(tag="ok", ok=WatchStarted()):
+                self._on_applied()
+            case Result(tag="ok", ok=Refused(code=ResultCode.COMPACTED)):
+                self._channel = None
+                await self._async_forget()
+            case _:
+                self._channel = None
+                channel.close()
+
+    async def _async_forget(self) -> None:
+        """Start over, at a random time so that many followers don't list at once."""
+        log_event(EventCode.REVISION_APPLIED, revision=self.tables.revision, reason="compacted")
+        await asyncio.sleep(self._random.uniform(0.0, RELIST_JITTER_S))
+        self._complete_from = None
+
+    async def _async_list(self, channel: Channel[Any]) -> bool:
+        """Copy all pages into new tables; return whether that came to its end."""
+        tables = Tables()
+        token = ""
+        first: Revision | None = None
+        while True:
+            reply = await channel.async_call(ListPage(token), LIST_TIMEOUT_S)
+            match reply:
+                case Result(tag="ok", ok=ListPageReply() as page):
+                    first = page.revision if first is None else first
+                    tables.apply(page.entities, first)
+                    token = page.next_token
+                    if not token:
+                        self.tables = tables
+                        self._complete_from = page.revision
+                        return True
+                case _:
+                    return False
--- /dev/null
+++ b/packages/follower/src/lagoonwing_follower/models.py
@@ -0,0 +1,58 @@
+"""Settings of a follower and its copy of the durable state."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from lagoonwing_core.ids import Fingerprint, Incarnation, MemberId, Revision, StopId
+from lagoonwing_core.models import (
+    Agreement,
+    ConfigurationEntry,
+    HostAddress,
+    Member,
+    PlannedStop,
+    Quarantine,
+)
+from lagoonwing_follower.const import CONFIGURATION_LEASE_S
+
+
+@dataclass(frozen=True, slots=True)
+class FollowerSettings:
+    """What a follower is told at its start.
+
+    Attributes:
+        replicas: Control replicas, with their port for peers.
+        incarnation: Start time of this process in milliseconds.
+        data_folder: Folder for the last revision served from; `None` without a disk.
+        configuration_lease_s: How long new work is taken after a contact with the leader.
+        seed: Seed of the jitter.
+    """
+
+    replicas: tuple[HostAddress, ...]
+    incarnation: Incarnation
+    data_folder: Path | None = None
+    configuration_lease_s: float = CONFIGURATION_LEASE_S
+    seed: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ControlView:
+    """Copy of the durable state at one revision.
+
+    Attributes:
+        member_by_id: Members, retired ones included.
+        member_by_key_hash: Member that holds a bearer key, an active one first.
+        agreement_by_member: Agreement in force of each member.
+        stop_by_id: Planned stops that are not cancelled.
+        quarantine_by_fingerprint: Suspects and quarantined requests.
+    """
+
+    revision: Revision = Revision(0)
+    member_by_id: Mapping[MemberId, Member] = field(default_factory=dict)
+    member_by_key_hash: Mapping[str, Member] = field(default_factory=dict)
+    agreement_by_member: Mapping[MemberId, Agreement] = field(default_factory=dict)
+    configuration_by_key: Mapping[str, ConfigurationEntry] = field(default_factory=dict)
+    stop_by_id: Mapping[StopId, PlannedStop] = field(default_factory=dict)
+    quarantine_by_fingerprint: Mapping[Fingerprint, Quarantine] = field(default_factory=dict)
--- /dev/null
+++ b/packages/lagoonctl/src/lagoonctl/_commands/_stop.py
@@ -0,0 +1,97 @@
+"""Commands about planned stops and quarantines."""
+
+from __future__ import annotations
+
+from cleo.helpers import argument, option
+
+from lagoonctl._commands._base import (
+    CHANGE_OPTIONS,
+    ChangeCommand,
+    GetCommand,
+    ListCommand,
+)
+from lagoonctl.client import OperatorClient
+from lagoonctl.const import ExitCode
+from lagoonctl.errors import UsageError
+from lagoonwing_rpc import operator_pb2 as pb
+
+_TARGETS = ("host", "endpoint", "failure-domain")
+_ID = argument("id", "Id of the stop")
+
+
+class StopOrder(ChangeCommand):
+    """Orders a planned stop."""
+
+    name = "stop order"
+    description = "Order a planned stop; its state becomes safe once nothing runs on the target."
+    arguments = [_ID]
+    options = [
+        *CHANGE_OPTIONS,
+        option("host", None, "Id of the host to stop", flag=False),
+        option("endpoint", None, "Id of the endpoint to stop", flag=False),
+        option("failure-domain", None, "Id of the failure domain to stop", flag=False),
+    ]
+
+    def run_with(self, client: OperatorClient) -> ExitCode:
+        """Order the stop of the one target given."""
+        given = [(name, self.text(name)) for name in _TARGETS if self.text(name) is not None]
+        if len(given) != 1:
+            raise UsageError("one of --host, --endpoint and --failure-domain is needed")
+        name, target_id = given[0]
+        stop = pb.PlannedStop(
+            stop_id=self.argument("id"), target=name.replace("-", "_"), target_id=target_id
+        )
+        expected = self.whole("expect-revision") or 0
+        return self.submit(client, "OrderStop", expected, stop=stop)
+
+
+class StopCancel(ChangeCommand):
+    """Cancels a planned stop."""
+
+    name = "stop cancel"
+    description = "Cancel a planned stop; the target gets work again."
+    arguments = [_ID]
+
+    def run_with(self, client: OperatorClient) -> ExitCode:
+        """Cancel the stop at the expected revision."""
+        stop_id = self.argument("id")
+        return self.submit(client, "CancelStop", self.expected(client, "stop", stop_id), id=stop_id)
+
+
+class StopGet(GetCommand):
+    """Shows one planned stop."""
+
+    name = "stop get"
+    description = "Show one planned stop."
+    arguments = [_ID]
+    kind = "stop"
+
+
+class StopList(ListCommand):
+    """Lists planned stops."""
+
+    name = "stop list"
+    description = "List every planned stop."
+    kind = "stop"
+
+
+class QuarantineList(ListCommand):
+    """Lists suspects and quarantined requests."""
+
+    name = "quarantine list"
+    description = "List requests that are suspected of crashing endpoints."
+    kind = "quarantine"
+
+
+class QuarantineClear(ChangeCommand):
+    """Lifts a quarantine."""
+
+    name = "quarantine clear"
+    description = "Lift the quarantine of a request."
+    arguments = [argument("id", "Fingerprint of the request")]
+
+    def run_with(self, client: OperatorClient) -> ExitCode:
+        """Lift the quarantine at the expected revision."""
+        fingerprint = self.argument("id")
+        expected = self.expected(client, "quarantine", fingerprint)
+        return self.submit(client, "ClearQuarantine", expected, id=fingerprint)
--- /dev/null
+++ b/packages/lagoonctl/src/lagoonctl/errors.py
@@ -0,0 +1,26 @@
+"""Errors of the command line."""
+
+from __future__ import annotations
+
+from lagoonctl.const import ExitCode
+
+
+class CommandError(Exception):
+    """A command ended without doing what was asked.
+
+    Attributes:
+        exit_code: Exit code of the process.
+        result_code: Numbered result code that the replica gave, if any.
+    """
+
+    def __init__(self, exit_code: ExitCode, detail: str, result_code: int | None = None) -> None:
+        super().__init__(detail)
+        self.exit_code = exit_code
+        self.result_code = result_code
+
+
+class UsageError(CommandError):
+    """An option or argument is wrong or missing."""
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(ExitCode.USAGE, detail)
--- a/packages/policy/src/lagoonwing_policy/models.py
+++ b/packages/policy/src/lagoonwing_policy/models.py
@@ -16,6 +16,7 @@
     RequestId,
     ServiceId,
 )
+from lagoonwing_core.models import CapDimension as CapDimension
 
 
 class Priority(Enum):
@@ -186,14 +187,6 @@
 AttemptResult = AttemptSucceeded | AttemptFailed | AttemptCancelled
 
 
-class CapDimension(Enum):
-    """What an agreement caps."""
-
-    CONCURRENCY = "concurrency"
-    REQUESTS_PER_S = "requests_per_s"
-    TOKENS_PER_S = "tokens_per_s"
-
-
 @dataclass(frozen=True, slots=True)
 class AllotmentGrant:
     """Part of a member's cap that this entry host may use until `expires`.
