Keep old announcements from winning, through pauses, cuts and restarts

Now outdated suspicion is answered with the latest news, digests carry what expired or left, equal sequences never refresh, and input of unknown age counts as expired. Limit, in the schedule's comment: hosts that restart while cut off from all who know can't tell an old announcement from a new one.

--- a/packages/membership/src/lagoonwing_membership/_coordinator.py
+++ b/packages/membership/src/lagoonwing_membership/_coordinator.py
@@ -81,6 +81,7 @@
             self._endpoints, self._hosts, self._settings, rng, self._ages.header_for
         )
         self._relay_by_number: dict[int, _Relay] = {}
+        self._host_news_due: set[HostId] = set()
         self._started: float | None = None
         self._synced = False
         self._seed_ids = self._add_seeds(seeds)
@@ -103,9 +104,9 @@
         Returns:
             A refusal if a later announcement, the end of the incarnation or another address
             of the same incarnation is known, or if the record or the table is too large.
+            What is announced before the first tick counts only with the next renewal.
         """
-        self._observe(now)
-        result = self._endpoints.announce(record, self._pauses.input_age(now), now)
+        result = self._endpoints.announce(record, self._input_age(now), now)
         if result.is_error():
             return Error(result.error)
         self._spread.note(record.endpoint_id, result.ok, own=True)
@@ -130,6 +131,7 @@
         if self._ages.is_outdated(from_host, header):
             return self._address([self._tell_outdated(from_host, now)])
         transit = self._ages.observe(from_host, header, now)
+        self._note_restart(from_host, header.incarnation, now)
         return self._address(self._dispatch(from_host, message, transit, now))
 
     def _dispatch(
@@ -180,6 +182,7 @@
                     header = self._ages.header_for(helper, now)
                     rumours = self._rumours(helper)
                     sends.append((helper, PingRequest(header, number, target, rumours)))
+        sends.extend(self._push_host_news(now))
         sends.extend(self._spread.tick(now))
         return self._address(sends)
 
@@ -213,6 +216,14 @@
         self._endpoints.events.clear()
         return drained
 
+    def _input_age(self, now: float) -> float:
+        """Return how long, at most, an announcement may have waited before it was read."""
+        if self._started is None:
+            # Nothing tells how long this process stood still before its first tick.
+            return math.inf
+        self._observe(now)
+        return self._pauses.input_age(now)
+
     def _observe(self, now: float) -> None:
         """Notice a pause of this process before anything is read."""
         if self._pauses.observe(now):
@@ -222,8 +233,7 @@
         """Take news of hosts in and refute what is wrong of this one."""
         for news in hosts:
             if news.address.host_id == self._hosts.own.address.host_id:
-                self._hosts.refute(news)
-                self._ages.incarnation = self._hosts.own.incarnation
+                self._refute(news)
                 continue
             known = self._hosts.host_by_id.get(news.address.host_id)
             was_alive = known is not None and known.state is HostState.ALIVE
@@ -236,8 +246,35 @@
                 self._spread.request_digest(news.address.host_id)
             self._host_changed(entry)
 
+    def _note_restart(self, host_id: HostId, incarnation: Incarnation, now: float) -> None:
+        """Hold a known host for alive that is heard with a new incarnation."""
+        known = self._hosts.host_by_id.get(host_id)
+        if known is not None and incarnation > known.incarnation:
+            self._merge_hosts([HostNews(known.address, incarnation, 0, HostState.ALIVE)], now)
+
+    def _refute(self, news: HostNews) -> None:
+        """Tell everyone at once where this host is wrongly held for suspect or lost."""
+        if self._hosts.refute(news):
+            self._ages.incarnation = self._hosts.own.incarnation
+            self._host_news_due.add(self._hosts.own.address.host_id)
+
+    def _push_host_news(self, now: float) -> list[Outgoing]:
+        """Tell every host of changed beliefs, the host concerned included, which may refute."""
+        known = [self._hosts.own, *self._hosts.host_by_id.values()]
+        news = tuple(
+            entry.news() for entry in known if entry.address.host_id in self._host_news_due
+        )[: const.MAX_HOST_NEWS_PER_MESSAGE]
+        self._host_news_due.clear()
+        if not news:
+            return []
+        return [
+            (host_id, Push(self._ages.header_for(host_id, now), hosts=news))
+            for host_id in self._hosts.host_by_id
+        ]
+
     def _host_changed(self, entry: HostEntry) -> None:
-        """Note a change of belief for the log."""
+        """Note a change of belief for the log and for the other hosts."""
+        self._host_news_due.add(entry.address.host_id)
         self._endpoints.events.append(
             HostChanged(entry.address.host_id, entry.incarnation, entry.state)
         )
@@ -265,7 +302,7 @@
         if target not in self._hosts.host_by_id or len(self._relay_by_number) >= const.MAX_RELAYS:
             return []
         number = self._prober.next_number()
-        expires = now + self._settings.probe_period_s
+        expires = now + self._settings.probe_end_s
         self._relay_by_number[number] = _Relay(origin, origin_number, expires)
         return [(target, self._ping(target, number, now))]
 
--- a/packages/membership/src/lagoonwing_membership/_endpoints.py
+++ b/packages/membership/src/lagoonwing_membership/_endpoints.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import zlib
 from collections import deque
 from collections.abc import Iterator
@@ -113,25 +114,32 @@
             if self._conflicts(known, record, now):
                 self._note_conflict(known, record)
                 return Error(errors.address_conflict(record))
+        if record.state is EndpointState.LEAVING:
+            return Ok(self._replace(record, self._heard(age, now), now))
         if order < (known.incarnation, known.sequence):
             return Error(errors.stale_announcement(record))
-        if order == (known.incarnation, known.sequence) and known.record is not None:
+        if order == (known.incarnation, known.sequence):
             return Ok(News.OLD)
-        return Ok(self._replace(record, now - age, now))
+        return Ok(self._replace(record, self._heard(age, now), now))
+
+    def _heard(self, age: float, now: float) -> float:
+        """Return the time of an announcement; one of unknown age is held for expired."""
+        return now - age if math.isfinite(age) else now - 2 * self._life_s
 
     def _announce_new(
         self, record: EndpointRecord, age: float, now: float
     ) -> Result[News, Refusal]:
         """Take in an endpoint that was not known, within the bound of the table."""
-        if len(self.endpoint_by_id) >= const.MAX_ENDPOINTS:
+        if not self._has_room(now):
             return Error(errors.too_many_endpoints(const.MAX_ENDPOINTS))
-        return Ok(self._replace(record, now - age, now))
+        return Ok(self._replace(record, self._heard(age, now), now))
 
     def merge_record(self, record: EndpointRecord, heard: float, now: float) -> News:
         """Take in a record that another host has sent."""
+        heard = self._heard(now - heard, now)
         known = self.endpoint_by_id.get(record.endpoint_id)
         if known is None:
-            if len(self.endpoint_by_id) >= const.MAX_ENDPOINTS:
+            if not self._has_room(now):
                 return News.OLD
             return self._replace(record, heard, now)
         if record.incarnation < known.incarnation:
@@ -141,7 +149,8 @@
                 return News.OLD
             if self._conflicts(known, record, now) and now - heard < self._life_s:
                 return self._settle_conflict(known, record, heard, now)
-            if record.sequence < known.sequence:
+            is_leave = record.state is EndpointState.LEAVING
+            if record.sequence < known.sequence and not is_leave:
                 return News.OLD
         return self._replace(record, heard, now)
 
@@ -150,20 +159,58 @@
         known = self.endpoint_by_id.get(renewal.endpoint_id)
         if renewal.left:
             return self._merge_left(known, renewal, now)
+        if now - heard >= self._life_s:
+            return self._raise_floor(known, renewal, heard, now)
         if known is None or renewal.incarnation > known.incarnation:
-            return News.WANTED if now - heard < self._life_s else News.OLD
+            return News.WANTED
         if renewal.incarnation < known.incarnation or known.left:
             return News.OLD
         if renewal.content != known.content or known.record is None:
-            return self._judge_other_content(known, renewal, heard, now)
+            return self._judge_other_content(known, renewal, now)
         return self._renew(known, renewal, heard, now)
 
-    def _judge_other_content(
-        self, known: EndpointEntry, renewal: Renewal, heard: float, now: float
+    def _raise_floor(
+        self, known: EndpointEntry | None, renewal: Renewal, heard: float, now: float
     ) -> News:
-        """Decide whether the record behind a renewal of other content is needed."""
-        if now - heard >= self._life_s:
+        """Take in that an announcement has expired, so that older ones can't win here."""
+        if known is None:
+            self._add_floor(renewal, heard, now)
             return News.OLD
+        order = (renewal.incarnation, renewal.sequence)
+        if order <= (known.incarnation, known.sequence) or self.is_live(known, now):
+            return News.OLD
+        if renewal.incarnation > known.incarnation:
+            known.left = False
+        known.incarnation = renewal.incarnation
+        known.sequence = renewal.sequence
+        known.record = None
+        known.content = 0
+        return News.OLD
+
+    def _add_floor(self, renewal: Renewal, heard: float, now: float) -> EndpointEntry | None:
+        """Add an entry that only keeps older news from winning, if there is room."""
+        if not self._has_room(now):
+            return None
+        bounded = self._heard(now - heard, now)
+        entry = EndpointEntry(
+            renewal.endpoint_id, renewal.incarnation, renewal.sequence, None, 0, bounded
+        )
+        self.endpoint_by_id[renewal.endpoint_id] = entry
+        return entry
+
+    def _has_room(self, now: float) -> bool:
+        """Return whether an endpoint can be added; the oldest floor gives way."""
+        if len(self.endpoint_by_id) < const.MAX_ENDPOINTS:
+            return True
+        floors = [entry for entry in self.endpoint_by_id.values() if not self.is_live(entry, now)]
+        if not floors:
+            return False
+        oldest = min(floors, key=lambda entry: entry.heard)
+        del self.endpoint_by_id[oldest.endpoint_id]
+        return True
+
+    def _judge_other_content(self, known: EndpointEntry, renewal: Renewal, now: float) -> News:
+        """Decide whether the record behind a renewal of other content is needed."""
         is_later = renewal.sequence > known.sequence
         return News.WANTED if is_later or not self.is_live(known, now) else News.OLD
 
@@ -180,12 +227,9 @@
     def _merge_left(self, known: EndpointEntry | None, renewal: Renewal, now: float) -> News:
         """Take in that an endpoint has left; final for its incarnation."""
         if known is None:
-            if len(self.endpoint_by_id) >= const.MAX_ENDPOINTS:
+            known = self._add_floor(renewal, now, now)
+            if known is None:
                 return News.OLD
-            known = EndpointEntry(
-                renewal.endpoint_id, renewal.incarnation, renewal.sequence, None, 0, now
-            )
-            self.endpoint_by_id[renewal.endpoint_id] = known
         elif (renewal.incarnation, True) <= (known.incarnation, known.left):
             return News.OLD
         known.incarnation = renewal.incarnation
@@ -210,7 +254,7 @@
             known.joined = known.joined and same_run
             known.left = known.left and same_run
             known.incarnation = record.incarnation
-            known.sequence = record.sequence
+            known.sequence = max(record.sequence, known.sequence) if same_run else record.sequence
             known.record = record
             known.content = content
         if record.state is EndpointState.LEAVING:
@@ -282,7 +326,7 @@
             if entry.joined and not self.is_live(entry, now):
                 entry.joined = False
                 self.events.append(EndpointExpired(endpoint_id, entry.incarnation))
-            if now - entry.heard >= const.TOMBSTONE_LIFE_S:
+            if now - entry.heard >= const.FLOOR_LIFE_S:
                 dropped.append(endpoint_id)
         for endpoint_id in dropped:
             del self.endpoint_by_id[endpoint_id]
--- a/packages/membership/src/lagoonwing_membership/_freshness.py
+++ b/packages/membership/src/lagoonwing_membership/_freshness.py
@@ -85,25 +85,25 @@
 
     def __init__(self) -> None:
         self._last: float | None = None
-        self._paused_from: float | None = None
+        self._gap_from: float | None = None
         self._resumed = 0.0
 
     def observe(self, now: float) -> bool:
         """Note a call; return whether a pause has just ended."""
         last = self._last
         self._last = now
-        if last is None or now - last <= const.PAUSE_GAP_S:
+        if last is None or now - last <= const.INPUT_GAP_S:
             return False
-        if self._paused_from is None or last - self._resumed > const.PAUSE_SETTLE_S:
-            self._paused_from = last
+        if self._gap_from is None or last - self._resumed > const.PAUSE_SETTLE_S:
+            self._gap_from = last
         self._resumed = now
-        return True
+        return now - last > const.PAUSE_GAP_S
 
     def input_age(self, now: float) -> float:
         """Return how long, at most, input that is read now may have waited."""
-        if self._paused_from is None:
+        if self._gap_from is None:
             return 0.0
         if now - self._resumed > const.PAUSE_SETTLE_S:
-            self._paused_from = None
+            self._gap_from = None
             return 0.0
-        return now - self._paused_from
+        return now - self._gap_from
--- a/packages/membership/src/lagoonwing_membership/_hosts.py
+++ b/packages/membership/src/lagoonwing_membership/_hosts.py
@@ -73,7 +73,7 @@
         """Outbid news that holds this host for suspect, lost or replaced.
 
         Returns:
-            Whether there was something to refute.
+            Whether the sender lacks this host's latest news, which may have been lost.
         """
         own = self.own
         if news.incarnation > own.incarnation:
@@ -82,10 +82,10 @@
             own.refutation = 0
             own.rumours_left = const.RUMOUR_TRANSMISSIONS
             return True
-        is_outdated = (news.incarnation, news.refutation) < (own.incarnation, own.refutation)
-        if news.state is HostState.ALIVE or is_outdated:
+        if news.state is HostState.ALIVE:
             return False
-        own.refutation = news.refutation + 1
+        if (news.incarnation, news.refutation) >= (own.incarnation, own.refutation):
+            own.refutation = news.refutation + 1
         own.rumours_left = const.RUMOUR_TRANSMISSIONS
         return True
 
--- a/packages/membership/src/lagoonwing_membership/_prober.py
+++ b/packages/membership/src/lagoonwing_membership/_prober.py
@@ -113,7 +113,7 @@
     def _end_period(self, now: float) -> list[ProbeCommand]:
         """Suspect the host that didn't answer and start the next probe."""
         probe = self._probe
-        if probe is not None and not probe.indirect:
+        if probe is not None and now - probe.started < self._settings.probe_end_s:
             return []
         if probe is not None:
             self._suspect(probe.target, now)
--- a/packages/membership/src/lagoonwing_membership/_spread.py
+++ b/packages/membership/src/lagoonwing_membership/_spread.py
@@ -44,7 +44,7 @@
         self._header_for = header_for
         self._changed: set[EndpointId] = set()
         self._renewed: set[EndpointId] = set()
-        self._digest_due: set[HostId] = set()
+        self._joined: set[HostId] = set()
         self._next_digest = 0.0
         self._digest_order: list[HostId] = []
         self._pulled_at_by_id: dict[EndpointId, float] = {}
@@ -64,8 +64,8 @@
             self._renewed.add(endpoint_id)
 
     def request_digest(self, host_id: HostId) -> None:
-        """Have a host that has just joined told everything."""
-        self._digest_due.add(host_id)
+        """Have a host that has just joined told everything, ends of long ago included."""
+        self._joined.add(host_id)
 
     def tick(self, now: float) -> list[Outgoing]:
         """Return the messages that are due."""
@@ -76,10 +76,10 @@
             self._next_digest = now + self._settings.digest_period_s
             peer = self._next_peer()
             if peer is not None:
-                self._digest_due.add(peer)
-        for host_id in sorted(self._digest_due):
-            sends.extend(self._digest(host_id, now))
-        self._digest_due.clear()
+                sends.extend(self._digest(peer, const.FLOOR_SPREAD_S, now))
+        for host_id in sorted(self._joined):
+            sends.extend(self._digest(host_id, const.FLOOR_LIFE_S, now))
+        self._joined.clear()
         return sends
 
     def _next_peer(self) -> HostId | None:
@@ -127,13 +127,12 @@
             )
             yield host_id, Push(self._header_for(host_id, now), (), records)
 
-    def _digest(self, host_id: HostId, now: float) -> Iterator[Outgoing]:
-        """Yield everything that a host should know, in parts."""
+    def _digest(self, host_id: HostId, longest_age_s: float, now: float) -> Iterator[Outgoing]:
+        """Yield what was heard of endpoints within a time, expired and left ones too."""
         renewals = [
             entry.renewal(now)
             for entry in self._endpoints.endpoint_by_id.values()
-            if self._endpoints.is_live(entry, now)
-            or (entry.left and now - entry.heard < const.TOMBSTONE_SPREAD_S)
+            if now - entry.heard < longest_age_s
         ]
         parts = list(_parts(renewals, const.MAX_RENEWALS_PER_MESSAGE)) or [[]]
         for number, part in enumerate(parts, start=1):
--- a/packages/membership/src/lagoonwing_membership/const.py
+++ b/packages/membership/src/lagoonwing_membership/const.py
@@ -10,20 +10,24 @@
 PULL_AFTER_S = 1.2
 PULL_INTERVAL_S = 0.3
 DIGEST_PERIOD_S = 1.0
-TOMBSTONE_SPREAD_S = 30.0
-TOMBSTONE_LIFE_S = 3600.0
+FLOOR_SPREAD_S = 30.0
+FLOOR_LIFE_S = 3600.0
 
 PROBE_PERIOD_S = 0.3
 PROBE_TIMEOUT_S = 0.15
+# An indirect probe takes four ways in place of two.
+PROBE_END_S = 0.55
 SUSPICION_TIMEOUT_S = 1.0
 LOST_PROBE_PERIOD_S = 1.0
 INDIRECT_PROBES = 2
 HOST_FORGET_S = 600.0
 RUMOUR_TRANSMISSIONS = 6
 
-# A longer gap between two calls means that the process stood still.
+# Input read after a longer gap between two calls may have waited in the socket.
+INPUT_GAP_S = 0.15
+# After a longer gap, answers to this host's probes could not be heard in time.
 PAUSE_GAP_S = 0.5
-# Input read within this time after a pause may have waited in the socket meanwhile.
+# Time after a gap within which what waited is read.
 PAUSE_SETTLE_S = 0.3
 JOIN_GRACE_S = 1.0
 
--- a/packages/membership/src/lagoonwing_membership/models.py
+++ b/packages/membership/src/lagoonwing_membership/models.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import Annotated
 
 import msgspec
 
@@ -11,6 +12,9 @@
 from lagoonwing_core.models import EndpointRecord, HostAddress
 from lagoonwing_membership import const
 
+# Times and ages; a negative age would keep a record beyond its life.
+Milliseconds = Annotated[int, msgspec.Meta(ge=0)]
+
 
 class HostState(Enum):
     """What is believed of an entry host."""
@@ -28,6 +32,7 @@
     digest_period_s: float = const.DIGEST_PERIOD_S
     probe_period_s: float = const.PROBE_PERIOD_S
     probe_timeout_s: float = const.PROBE_TIMEOUT_S
+    probe_end_s: float = const.PROBE_END_S
     suspicion_timeout_s: float = const.SUSPICION_TIMEOUT_S
     join_grace_s: float = const.JOIN_GRACE_S
 
@@ -45,9 +50,9 @@
 
     incarnation: Incarnation
     to_incarnation: Incarnation
-    sent_ms: int
-    echo_ms: int
-    held_ms: int
+    sent_ms: Milliseconds
+    echo_ms: Milliseconds
+    held_ms: Milliseconds
 
 
 class HostNews(msgspec.Struct, frozen=True, array_like=True):
@@ -76,7 +81,7 @@
     incarnation: Incarnation
     sequence: int
     content: int
-    age_ms: int
+    age_ms: Milliseconds
     left: bool
 
 
@@ -84,7 +89,7 @@
     """Endpoint record with an upper bound of its age in milliseconds."""
 
     record: EndpointRecord
-    age_ms: int
+    age_ms: Milliseconds
 
 
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag="ping"):
--- a/tests/membership/membership_network.py
+++ b/tests/membership/membership_network.py
@@ -78,6 +78,7 @@
         self.member_by_id: dict[HostId, Membership] = {}
         self._queue: list[tuple[float, int, HostId, HostId, bytes]] = []
         self._waiting: dict[HostId, list[tuple[HostId, bytes]]] = {}
+        self._announced: dict[HostId, list[EndpointRecord]] = {}
         self._order = 0
         self.sent_bytes: dict[HostId, int] = {}
         for number in range(self.size):
@@ -121,6 +122,16 @@
         self.paused.discard(host_id)
         for sender, body in self._waiting.pop(host_id, []):
             self._deliver(sender, host_id, body)
+        for record in self._announced.pop(host_id, []):
+            self.member_by_id[host_id].announce(record, self.now)
+
+    def announce(self, number: int, record: EndpointRecord) -> None:
+        """Send an announcement to a host; it waits in the socket of one that stands still."""
+        host_id = self.addresses[number].host_id
+        if host_id in self.paused:
+            self._announced.setdefault(host_id, []).append(record)
+        else:
+            self.member_by_id[host_id].announce(record, self.now)
 
     def run(self, seconds: float) -> None:
         """Let time pass."""
--- /dev/null
+++ b/tests/membership/test_membership_schedules.py
@@ -0,0 +1,236 @@
+"""Seeded schedules of losses, doubles, reorders, pauses, partitions and restarts."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from membership_network import Network, record_of
+
+from lagoonwing_core.ids import EndpointId, HostId, Incarnation
+from lagoonwing_core.models import EndpointRecord, EndpointState
+from lagoonwing_membership import HostState
+from lagoonwing_membership._endpoints import EndpointTable
+
+HOSTS = 4
+ENDPOINTS = 5
+BOUND_S = 3.0
+SEEDS = range(300)
+
+
+@dataclass
+class FakeEndpoint:
+    """An endpoint and what it did."""
+
+    name: str
+    incarnation: int = 1
+    sequence: int = 0
+    serving: bool = True
+    next_at: float = 0.0
+    sent_at: float = -100.0
+    history: list[tuple[float, EndpointRecord]] = field(default_factory=list)
+
+    def announce(self, network: Network, number: int, state: EndpointState) -> None:
+        """Announce to a host."""
+        self.sequence += 1
+        record = record_of(self.name, self.incarnation, self.sequence, state)
+        network.announce(number, record)
+        if state is EndpointState.SERVING:
+            self.sent_at = network.now
+            self.history.append((network.now, record))
+
+
+class Schedule:
+    """Runs one schedule and checks the promises after each step."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        rng = self.rng
+        self.network = Network(
+            HOSTS,
+            seed=seed,
+            loss=rng.choice([0.0, 0.1, 0.3]),
+            double=0.2,
+            max_delay=rng.choice([0.01, 0.1, 0.4]),
+        )
+        self.endpoints = [FakeEndpoint(f"a{number}") for number in range(ENDPOINTS)]
+        self.connected_since = [self.network.now] * HOSTS
+        self.listed: dict[tuple[HostId, EndpointId], Incarnation] = {}
+        self.isolated: set[int] = set()
+        self.incarnation = 1000
+
+    def run(self, seconds: float) -> None:
+        """Run with faults."""
+        end = self.network.now + seconds
+        while self.network.now < end:
+            self._fault()
+            self._endpoint_turn()
+            self._note_connected()
+            self._replay()
+            self.network.step()
+            self.check()
+
+    def settle(self, seconds: float) -> None:
+        """Run without faults."""
+        network = self.network
+        network.heal()
+        network.loss = 0.0
+        network.max_delay = 0.01
+        for number in range(HOSTS):
+            network.resume(number)
+        end = network.now + seconds
+        while network.now < end:
+            self._endpoint_turn(changes=False)
+            network.step()
+            self.check()
+
+    def _fault(self) -> None:
+        """Make or mend a fault now and then."""
+        network, rng = self.network, self.rng
+        if rng.random() > 0.04:
+            return
+        number = rng.randrange(HOSTS)
+        match rng.randrange(5):
+            case 0:
+                network.cut_off(number)
+                self.isolated.add(number)
+            case 1:
+                network.heal()
+                self.isolated.clear()
+            case 2:
+                network.pause(number)
+            case 3:
+                network.resume(number)
+            case 4:
+                self.incarnation += 1000
+                network.resume(number)
+                network.start(number, self.incarnation)
+                self.connected_since[number] = network.now
+                host_id = network.addresses[number].host_id
+                self.listed = {key: v for key, v in self.listed.items() if key[0] != host_id}
+
+    def _note_connected(self) -> None:
+        """Note since when each host could hear of later announcements from two others."""
+        network = self.network
+        joined = [
+            number
+            for number in range(HOSTS)
+            if number not in self.isolated
+            and network.addresses[number].host_id not in network.paused
+        ]
+        for number in range(HOSTS):
+            if number not in joined or len(joined) < 3:
+                self.connected_since[number] = network.now
+
+    def _endpoint_turn(self, changes: bool = True) -> None:
+        """Let endpoints renew, leave, fall silent and return."""
+        network, rng = self.network, self.rng
+        for endpoint in self.endpoints:
+            if changes and rng.random() < 0.004:
+                self._change(endpoint)
+            if endpoint.serving and network.now >= endpoint.next_at:
+                endpoint.next_at = network.now + 0.8
+                endpoint.announce(network, rng.randrange(HOSTS), EndpointState.SERVING)
+
+    def _change(self, endpoint: FakeEndpoint) -> None:
+        """Leave, fall silent, or return with a new incarnation."""
+        if not endpoint.serving:
+            endpoint.serving = True
+            endpoint.incarnation += 1
+            endpoint.sequence = 0
+            return
+        endpoint.serving = False
+        if self.rng.random() < 0.5:
+            endpoint.announce(self.network, self.rng.randrange(HOSTS), EndpointState.LEAVING)
+
+    def _replay(self) -> None:
+        """Deliver an announcement late where a connected host knows a later one.
+
+        Hosts that all restarted, or were cut off from those who know, can't tell old from new.
+        """
+        network, rng = self.network, self.rng
+        endpoint = rng.choice(self.endpoints)
+        number = rng.randrange(HOSTS)
+        if rng.random() > 0.2 or not self._is_settled(number):
+            return
+        known = max(
+            self._known(other, endpoint.name) for other in range(HOSTS) if self._is_settled(other)
+        )
+        old = [
+            record
+            for sent, record in endpoint.history
+            if network.now - sent > 4.0 and (record.incarnation, record.sequence) <= known
+        ]
+        if old:
+            network.announce(number, rng.choice(old))
+
+    def _is_settled(self, number: int) -> bool:
+        """Return whether a host has been connected for long enough to know what others know."""
+        return self.network.now - self.connected_since[number] >= 8.0
+
+    def _known(self, number: int, name: str) -> tuple[int, int]:
+        """Return the latest announcement of an endpoint that a host knows of."""
+        entry = self.network.host(number)._endpoints.endpoint_by_id.get(EndpointId(name))
+        return (0, 0) if entry is None else (entry.incarnation, entry.sequence)
+
+    def check(self) -> None:
+        """Check the bound on expiry, and that no incarnation goes back."""
+        network = self.network
+        endpoint_by_name = {endpoint.name: endpoint for endpoint in self.endpoints}
+        for number in range(HOSTS):
+            host_id = network.addresses[number].host_id
+            if host_id in network.paused:
+                continue
+            for record in network.host(number).endpoints(network.now):
+                endpoint = endpoint_by_name[str(record.endpoint_id)]
+                assert network.now - endpoint.sent_at <= BOUND_S
+                key = (host_id, record.endpoint_id)
+                assert record.incarnation >= self.listed.get(key, 0)
+                self.listed[key] = record.incarnation
+
+    def check_converged(self) -> None:
+        """Check that every host gives work to exactly the endpoints that serve."""
+        network = self.network
+        expected = {(item.name, item.incarnation) for item in self.endpoints if item.serving}
+        for number in range(HOSTS):
+            records = network.host(number).endpoints(network.now)
+            assert {(str(item.endpoint_id), int(item.incarnation)) for item in records} == expected
+            views = network.host(number).hosts(network.now)
+            assert [view.state for view in views] == [HostState.ALIVE] * HOSTS
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_schedule(seed: int) -> None:
+    """No endpoint outlives its silence by 3 s, none returns, and all hosts agree at rest."""
+    schedule = Schedule(seed)
+    schedule.run(40.0)
+    schedule.settle(8.0)
+    schedule.check_converged()
+
+
+NEWS = st.tuples(
+    st.integers(1, 3),
+    st.integers(1, 4),
+    st.sampled_from([EndpointState.SERVING, EndpointState.SERVING, EndpointState.LEAVING]),
+)
+
+
+@settings(max_examples=400, deadline=None, derandomize=True)
+@given(st.lists(NEWS, min_size=1, max_size=8), st.randoms(use_true_random=False))
+def test_order_of_news_does_not_matter(
+    news: list[tuple[int, int, EndpointState]], rng: random.Random
+) -> None:
+    """The same records in any order, some twice, end in the same state."""
+    ends = set()
+    for _ in range(4):
+        shuffled = news + rng.sample(news, len(news) // 2)
+        rng.shuffle(shuffled)
+        table = EndpointTable(2.8)
+        for incarnation, sequence, state in shuffled:
+            table.merge_record(record_of("a", incarnation, sequence, state), 10.0, 10.0)
+        entry = table.endpoint_by_id[EndpointId("a")]
+        ends.add((entry.incarnation, entry.left))
+    assert len(ends) == 1
