Put the roles of the host process together

Cause: entry and control parts are there; the binary joins them. Control still runs on the in-memory log until the replicated one lands.

--- a/bench/measures/_site.py
+++ b/bench/measures/_site.py
@@ -151,7 +151,7 @@
     for number in range(MEMBER_COUNT):
         weight = LARGE_MEMBER_SHARE if number < LARGE_MEMBERS else 1.0
         name = str(member_id(number))
-        deployment.operate("member", "create", name, "--bearer-key", member_key(number))
+        deployment.operate("member", "create", name, "--key", member_key(number))
         deployment.operate(
             *("agreement", "create", f"agreement-{number}", "--member", name),
             *("--weight", str(weight), "--max-concurrency", str(UNCAPPED_CONCURRENCY)),
--- a/packages/core/src/lagoonwing_core/settings/models.py
+++ b/packages/core/src/lagoonwing_core/settings/models.py
@@ -155,12 +155,19 @@
     )
 
 
+class OperatorSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """An operator who may call a control replica."""
+
+    name: Annotated[Name, Meta(description="Name that stands in the history of changes.")]
+    key_hash: Annotated[KeyHash, Meta(description="Digest of the key that the operator gives.")]
+
+
 class ControlSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Settings of a control replica."""
 
-    operator_key_hashes: Annotated[
-        tuple[KeyHash, ...],
-        Meta(min_length=1, description="Digests of the keys that operators call with."),
+    operators: Annotated[
+        tuple[OperatorSettings, ...],
+        Meta(min_length=1, description="Operators who may call."),
     ]
     operator_port: Annotated[Port, Meta(description="Port for operators' gRPC.")] = (
         DEFAULT_OPERATOR_PORT
--- a/packages/entry/src/lagoonwing_entry/_claimed_calls.py
+++ b/packages/entry/src/lagoonwing_entry/_claimed_calls.py
@@ -20,7 +20,12 @@
 from lagoonwing_core.result_codes import Outcome, ResultCode
 from lagoonwing_entry._active_requests import NoSink
 from lagoonwing_entry._request_runner import RequestRunner
-from lagoonwing_entry.claims import (
+from lagoonwing_entry.const import STATUS_BY_CODE, STORE_RETRIES, STORE_RETRY_S
+from lagoonwing_entry.faults import FaultHook, FaultPoint
+from lagoonwing_entry.models import Finished, ServiceAnswer, ServiceCallBody
+from lagoonwing_entry.ports import ControlPort
+from lagoonwing_policy.models import RequestProfile
+from lagoonwing_wire.control_messages import (
     ClaimDecision,
     ClaimGranted,
     ClaimInProgress,
@@ -29,11 +34,6 @@
     StoredAnswer,
     TakeClaim,
 )
-from lagoonwing_entry.const import STATUS_BY_CODE, STORE_RETRIES, STORE_RETRY_S
-from lagoonwing_entry.faults import FaultHook, FaultPoint
-from lagoonwing_entry.models import Finished, ServiceAnswer, ServiceCallBody
-from lagoonwing_entry.ports import ControlPort
-from lagoonwing_policy.models import RequestProfile
 
 
 class ServiceCaller:
--- a/packages/entry/src/lagoonwing_entry/_control_shell.py
+++ b/packages/entry/src/lagoonwing_entry/_control_shell.py
@@ -113,7 +113,7 @@
             for stop in list(self._control.view.stop_by_id.values()):
                 if stop.state is StopState.DRAINING:
                     in_flight = self.in_flight_of(stop)
-                    await self._control.async_report_stop(stop.stop_id, in_flight)
+                    self._control.report_stop(stop.stop_id, in_flight)
 
     def in_flight_of(self, stop: PlannedStop) -> int:
         """Return the requests of this host that run on a stop's target."""
--- a/packages/entry/src/lagoonwing_entry/_entry_host.py
+++ b/packages/entry/src/lagoonwing_entry/_entry_host.py
@@ -94,6 +94,7 @@
             membership_decoder,
             scheduler,
             self.directory,
+            control,
             identity,
             channels,
             clock,
--- a/packages/entry/src/lagoonwing_entry/_membership_shell.py
+++ b/packages/entry/src/lagoonwing_entry/_membership_shell.py
@@ -14,8 +14,18 @@
 from lagoonwing_core.ids import EndpointId
 from lagoonwing_core.models import EndpointRecord
 from lagoonwing_entry._directory import EndpointDirectory
-from lagoonwing_entry.ports import MembershipPort, SchedulerPort, SendPort
+from lagoonwing_entry.ports import ControlPort, MembershipPort, SchedulerPort, SendPort
+from lagoonwing_membership import (
+    EndpointConflict,
+    EndpointExpired,
+    EndpointJoined,
+    EndpointLeft,
+    HostChanged,
+    HostState,
+    MembershipEvent,
+)
 from lagoonwing_wire import Channel, ChannelServer, Handlers, Identity, Link
+from lagoonwing_wire.control_messages import EndpointSummary
 
 PROTOCOL = "membership"
 
@@ -31,6 +41,7 @@
         decoder: msgspec.msgpack.Decoder[Any],
         scheduler: SchedulerPort,
         directory: EndpointDirectory,
+        control: ControlPort,
         identity: Identity,
         channels: ChannelServer | None,
         clock: Clock,
@@ -39,6 +50,7 @@
         self._membership = membership
         self._scheduler = scheduler
         self._directory = directory
+        self._control = control
         self._identity = identity
         self._clock = clock
         self._tick_s = tick_s
@@ -77,6 +89,7 @@
         self._record_by_id = records
         self._directory.replace(records.values())
         self._scheduler.set_endpoints(records.values(), now)
+        self._control.set_endpoints(map(_summary, records.values()))
 
     async def _async_tick(self) -> None:
         """Tick for ever."""
@@ -128,25 +141,32 @@
     return msgspec.structs.replace(new, sequence=old.sequence) == old
 
 
-_CODE_BY_EVENT = {
-    "EndpointJoined": EventCode.ENDPOINT_JOINED,
-    "EndpointLeft": EventCode.ENDPOINT_LEAVING,
-    "EndpointExpired": EventCode.ENDPOINT_EXPIRED,
-    "EndpointConflict": EventCode.ENDPOINT_REFUSED,
-}
-_HOST_CODE_BY_STATE = {
-    "alive": EventCode.HOST_JOINED,
-    "suspect": EventCode.HOST_SUSPECTED,
-    "lost": EventCode.HOST_LOST,
-}
+def _summary(record: EndpointRecord) -> EndpointSummary:
+    """Return what control needs to know of an endpoint."""
+    return EndpointSummary(
+        endpoint_id=record.endpoint_id,
+        failure_domain=record.failure_domain,
+        models=record.models,
+        layers=record.layers,
+        layer_count=record.layer_count,
+        service=record.service,
+    )
 
 
-def _log(event: Any) -> None:
+def _log(event: MembershipEvent) -> None:
     """Log an event of membership."""
-    fields = {name: getattr(event, name) for name in event.__dataclass_fields__}
-    name = type(event).__name__
-    code = _CODE_BY_EVENT.get(name)
-    if code is None:
-        state = fields.pop("state")
-        code = _HOST_CODE_BY_STATE[state.value]
-    log_event(code, **fields)
+    match event:
+        case EndpointJoined(endpoint_id=endpoint_id, incarnation=incarnation):
+            log_event(EventCode.ENDPOINT_JOINED, endpoint=endpoint_id, incarnation=incarnation)
+        case EndpointLeft(endpoint_id=endpoint_id, incarnation=incarnation):
+            log_event(EventCode.ENDPOINT_LEAVING, endpoint=endpoint_id, incarnation=incarnation)
+        case EndpointExpired(endpoint_id=endpoint_id, incarnation=incarnation):
+            log_event(EventCode.ENDPOINT_EXPIRED, endpoint=endpoint_id, incarnation=incarnation)
+        case EndpointConflict(endpoint_id=endpoint_id):
+            log_event(EventCode.ENDPOINT_REFUSED, endpoint=endpoint_id, reason=event)
+        case HostChanged(host_id=host_id, state=HostState.ALIVE):
+            log_event(EventCode.HOST_JOINED, peer=host_id)
+        case HostChanged(host_id=host_id, state=HostState.SUSPECT):
+            log_event(EventCode.HOST_SUSPECTED, peer=host_id)
+        case HostChanged(host_id=host_id, state=HostState.LOST):
+            log_event(EventCode.HOST_LOST, peer=host_id)
--- a/packages/entry/src/lagoonwing_entry/ports.py
+++ b/packages/entry/src/lagoonwing_entry/ports.py
@@ -29,7 +29,6 @@
     PlannedStop,
     Quarantine,
 )
-from lagoonwing_entry.claims import ClaimDecision, StoredAnswer, TakeClaim
 from lagoonwing_policy.models import (
     AllotmentGrant,
     AttemptResult,
@@ -38,6 +37,7 @@
     RouteStage,
     SchedulerCommand,
 )
+from lagoonwing_wire.control_messages import ClaimDecision, EndpointSummary, StoredAnswer, TakeClaim
 
 
 class SchedulerPort(Protocol):
@@ -210,5 +210,8 @@
     ) -> Result[None, Refusal]:
         """Record that a suspect ran alone to its end."""
 
-    async def async_report_stop(self, stop_id: StopId, in_flight: int) -> None:
+    def report_stop(self, stop_id: StopId, in_flight: int) -> None:
         """Report requests in flight on a stop's target."""
+
+    def set_endpoints(self, endpoints: Iterable[EndpointSummary]) -> None:
+        """Tell which endpoints this host knows, for the check of planned stops."""
--- a/packages/fakes/src/lagoonwing_fakes/deployment/_deployment.py
+++ b/packages/fakes/src/lagoonwing_fakes/deployment/_deployment.py
@@ -203,7 +203,7 @@
         addresses = []
         for number in range(1, self.plan.replicas + 1):
             addresses += ["--address", f"{host_address(self.plan, number)}:{OPERATOR_PORT}"]
-        command = [binary("lagoonctl"), *arguments, *addresses, "--key", OPERATOR_KEY]
+        command = [binary("lagoonctl"), *arguments, *addresses, "--token", OPERATOR_KEY]
         done = subprocess.run(  # noqa: S603
             command, capture_output=True, text=True, check=False, timeout=READY_TIMEOUT_S
         )
--- a/packages/fakes/src/lagoonwing_fakes/deployment/_settings_files.py
+++ b/packages/fakes/src/lagoonwing_fakes/deployment/_settings_files.py
@@ -52,7 +52,7 @@
             document["entry"] = _entry(plan, number)
         case HostProcess.CONTROL:
             document["control"] = {
-                "operator_key_hashes": [_digest(OPERATOR_KEY)],
+                "operators": [{"name": "operator", "key_hash": _digest(OPERATOR_KEY)}],
                 "operator_port": OPERATOR_PORT,
                 "metrics_port": METRICS_PORT,
             }
--- a/packages/follower/src/lagoonwing_follower/_coordinator.py
+++ b/packages/follower/src/lagoonwing_follower/_coordinator.py
@@ -147,7 +147,7 @@
         self._endpoints = tuple(sorted(endpoints, key=lambda item: item.endpoint_id))
 
     @callback
-    def async_report_stop(self, stop_id: StopId, in_flight: int) -> None:
+    def report_stop(self, stop_id: StopId, in_flight: int) -> None:
         """Tell how many requests are in flight on a stop's target."""
         changed = self._in_flight_by_stop.get(stop_id) != in_flight
         self._in_flight_by_stop[stop_id] = in_flight
--- /dev/null
+++ b/packages/lagoonwing/src/lagoonwing/_control_role.py
@@ -0,0 +1,65 @@
+"""Puts a control replica together."""
+
+from __future__ import annotations
+
+from lagoonwing._addresses import replica_addresses
+from lagoonwing_control import (
+    ControlService,
+    ControlSettings,
+    ControlStateMachine,
+    OperatorToken,
+)
+from lagoonwing_core.clock import LoopClock
+from lagoonwing_core.ids import HostId
+from lagoonwing_core.runtime import Runtime
+from lagoonwing_core.settings import ControlSettings as ControlSection
+from lagoonwing_core.settings import HostSettings
+from lagoonwing_replication import LocalLog
+from lagoonwing_wire import ChannelServer, Identity
+
+
+class ControlProcess:
+    """Process of a control replica."""
+
+    def __init__(self, runtime: Runtime) -> None:
+        self.runtime = runtime
+
+    async def async_drain(self) -> None:
+        """Return at once: operators resend a change whose answer was lost."""
+
+
+def build_control(settings: HostSettings, key: bytes) -> ControlProcess:
+    """Return the process of a control replica.
+
+    Args:
+        settings: Checked settings with a `control` section.
+        key: Key shared by the system's processes.
+    """
+    section = settings.control
+    assert section is not None
+    clock = LoopClock()
+    identity = Identity(HostId(settings.host_id), key)
+    server = ChannelServer(identity, settings.address, settings.peer_port)
+    state_machine = ControlStateMachine()
+    log = LocalLog(state_machine, HostId(settings.host_id))
+    control = ControlService(
+        _control_settings(settings, section), identity, state_machine, log, server, clock
+    )
+    runtime = Runtime(clock)
+    runtime.register(server)
+    runtime.register(control)
+    runtime.register(log)
+    return ControlProcess(runtime)
+
+
+def _control_settings(settings: HostSettings, section: ControlSection) -> ControlSettings:
+    """Return the settings of the control service."""
+    return ControlSettings(
+        host_id=HostId(settings.host_id),
+        replicas=replica_addresses(settings),
+        grpc_address=settings.address,
+        grpc_port=section.operator_port,
+        operators=tuple(
+            OperatorToken(operator.name, operator.key_hash) for operator in section.operators
+        ),
+    )
--- a/packages/policy/src/lagoonwing_policy/_ordered_set.py
+++ b/packages/policy/src/lagoonwing_policy/_ordered_set.py
@@ -4,7 +4,7 @@
 
 from typing import Generic, TypeVar
 
-from sortedcontainers import SortedList  # type: ignore[import-untyped]
+from sortedcontainers import SortedList
 
 ItemT = TypeVar("ItemT")
 
--- a/tests/entry/entry_cell.py
+++ b/tests/entry/entry_cell.py
@@ -37,7 +37,12 @@
     EntryHost,
     EntrySettings,
 )
-from lagoonwing_entry.claims import (
+from lagoonwing_entry.faults import FaultHook
+from lagoonwing_fakes import FakeEndpoint, FakeKind, FakeSettings, FaultPlan
+from lagoonwing_membership import Membership, MembershipMessage, MembershipSettings
+from lagoonwing_policy import Scheduler, SchedulerSettings
+from lagoonwing_wire import Identity
+from lagoonwing_wire.control_messages import (
     ClaimDecision,
     ClaimGranted,
     ClaimInProgress,
@@ -46,11 +51,6 @@
     StoredAnswer,
     TakeClaim,
 )
-from lagoonwing_entry.faults import FaultHook
-from lagoonwing_fakes import FakeEndpoint, FakeKind, FakeSettings, FaultPlan
-from lagoonwing_membership import Membership, MembershipMessage, MembershipSettings
-from lagoonwing_policy import Scheduler, SchedulerSettings
-from lagoonwing_wire import Identity
 
 MEMBER_KEY = "member-key"
 ENDPOINT_KEY = "endpoint-key"
@@ -182,7 +182,10 @@
         """Clear."""
         return Ok(None)
 
-    async def async_report_stop(self, stop_id: Any, in_flight: int) -> None:
+    def set_endpoints(self, endpoints: Any) -> None:
+        """Ignore the endpoints; control's own tests check planned stops."""
+
+    def report_stop(self, stop_id: Any, in_flight: int) -> None:
         """Note."""
         self.stop_reports.append((stop_id, in_flight))
 
