--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,3 @@
+"""Demonstration of the whole path with real processes."""
+
+from __future__ import annotations
--- a/packages/follower/src/lagoonwing_follower/_coordinator.py
+++ b/packages/follower/src/lagoonwing_follower/_coordinator.py
@@ -120,14 +120,18 @@
         in_force = self.view.revision >= self._floor and self._lease.in_force(self._clock.now())
         if in_force != self._was_in_force:
             self._was_in_force = in_force
-            code = (
-                EventCode.CONFIGURATION_LEASE_REGAINED
-                if in_force
-                else EventCode.CONFIGURATION_LEASE_LAPSED
-            )
-            log_event(code, revision=self.view.revision, leader=self._leader_host or "")
+            self._log_lease(in_force)
         return in_force
 
+    def _log_lease(self, in_force: bool) -> None:
+        """Log that the lease has lapsed or is in force again."""
+        revision = self.view.revision
+        leader = self._leader_host or ""
+        if in_force:
+            log_event(EventCode.CONFIGURATION_LEASE_REGAINED, revision=revision, leader=leader)
+        else:
+            log_event(EventCode.CONFIGURATION_LEASE_LAPSED, revision=revision, leader=leader)
+
     @callback
     def has_leader(self) -> bool:
         """Return whether a leader answered the last contact, so that claims can be taken."""
