--- a/packages/entry/src/lagoonwing_entry/_status_handlers.py
+++ b/packages/entry/src/lagoonwing_entry/_status_handlers.py
@@ -57,6 +57,7 @@
         """Answer the exposition."""
         metrics = self.context.metrics
         metrics.set_gauge("active_requests", self.context.runner.active_count)
+        metrics.set_gauge("endpoints", len(self.context.directory.records()))
         metrics.set_gauge("ready", float(self.context.state.refusal() is None))
         metrics.set_gauge("revision", self.context.control.view.revision)
         body, headers = metrics.render(self.request.headers.get_list("Accept"))
