--- a/tests/policy/test_fairness.py
+++ b/tests/policy/test_fairness.py
@@ -159,6 +159,17 @@
     assert served["calm"] == 0
 
 
+def test_long_head_without_a_slot_ends_the_pass(make_cell) -> None:
+    """In the order of arrival a long request that finds no slot makes the others wait."""
+    cell = make_cell(SchedulerSettings(queue=FirstComeFirstServed()))
+    cell.add_endpoints(e1=1)
+    cell.add_member("a")
+    for number in range(3):
+        cell.submit(f"a-{number}", "a", max_tokens=20_000)
+    assert cell.tick() == ["a-0"]
+    assert cell.finish("a-0") == ["a-1"]
+
+
 def test_long_work_leaves_slots_to_short_work(cell) -> None:
     """However much long work waits, a part of each endpoint's slots stays free of it."""
     cell.add_member("a")
