--- a/packages/policy/src/lagoonwing_policy/__init__.py
+++ b/packages/policy/src/lagoonwing_policy/__init__.py
@@ -14,17 +14,25 @@
     MixedWork,
     WeightedFair,
 )
+from lagoonwing_policy.retries import BudgetedRetries, FixedRetries
+from lagoonwing_policy.routing import FlowRoutes, LinkCost, RoundRobinRoutes, RouterSettings
 
 __all__ = [
     "Allotments",
     "BoundedLongWork",
     "BoundedQueue",
+    "BudgetedRetries",
     "CostSettings",
     "EarlyRefusal",
     "FirstComeFirstServed",
+    "FixedRetries",
+    "FlowRoutes",
+    "LinkCost",
     "MemberShare",
     "MixedWork",
     "NoLimits",
+    "RoundRobinRoutes",
+    "RouterSettings",
     "Scheduler",
     "SchedulerSettings",
     "WeightedFair",
--- a/packages/policy/src/lagoonwing_policy/_attempts.py
+++ b/packages/policy/src/lagoonwing_policy/_attempts.py
@@ -70,8 +70,9 @@
         route = entity.route
         commands: list[SchedulerCommand] = []
         if isinstance(result, AttemptFailed) and result.endpoint_died:
-            commands.extend(self._report_death(result.stage))
+            commands.extend(self._report_death(result.stage, now))
         self._release(entity, route)
+        self._router.on_attempt_ended(entity.profile, route, result, now)
         match result:
             case AttemptSucceeded(tokens):
                 commands.extend(self._succeed(entity, route, max(tokens, entity.tokens), now))
@@ -178,15 +179,14 @@
             return
         heapq.heappush(self._due_retries, (time, request_id))
 
-    def _report_death(self, stage: RouteStage) -> list[SchedulerCommand]:
+    def _report_death(self, stage: RouteStage, now: float) -> list[SchedulerCommand]:
         """Hold what ran on a dead endpoint until it is recorded as suspect."""
         running = tuple(
             entity.profile.fingerprint
             for request_id in self._tables.slots.running_on(stage.endpoint_id)
             if (entity := self._tables.requests.get(request_id)) is not None
         )
-        report = self._quarantines.on_endpoint_died(stage, running)
-        if report is None:
-            return []
-        self._unrecorded.update(report.fingerprints)
-        return [report]
+        reports = self._quarantines.on_endpoint_died(stage, running, now)
+        for report in reports:
+            self._unrecorded.update(report.fingerprints)
+        return list(reports)
--- a/packages/policy/src/lagoonwing_policy/_dispatch.py
+++ b/packages/policy/src/lagoonwing_policy/_dispatch.py
@@ -227,7 +227,7 @@
             # Endpoints that failed this request are better than none.
             entity.excluded = frozenset()
         elif exclusive and self._hold.is_free():
-            found = self._router.choose(entity.profile, use, excluded, False, now)
+            found = self._router.exclusive_route(entity.profile, now)
             if found.is_ok():
                 self._hold.acquire(entity.profile.request_id, found.ok)
         return None
--- a/packages/policy/src/lagoonwing_policy/_router_protocol.py
+++ b/packages/policy/src/lagoonwing_policy/_router_protocol.py
@@ -14,6 +14,7 @@
 from lagoonwing_core.models import EndpointRecord, PlannedStop, Quarantine
 from lagoonwing_policy.models import (
     AttemptFailed,
+    AttemptResult,
     ClearSuspect,
     EndpointLoad,
     ReportSuspects,
@@ -76,6 +77,17 @@
             The route, `NoFreeSlot`, or a refusal with `NO_ENDPOINT` or `INCOMPLETE_PIPELINE`.
         """
 
+    def exclusive_route(self, profile: RequestProfile, now: float) -> Result[Route, RouteFailure]:
+        """Return the route that a suspect has to run on, idle or not."""
+
+    def on_attempt_ended(
+        self, profile: RequestProfile, route: Route, result: AttemptResult, now: float
+    ) -> None:
+        """Learn from the end of an attempt which endpoints work."""
+
+    def set_entry_hosts(self, count: int) -> None:
+        """Set the number of entry hosts that share the endpoints, this one included."""
+
     def replace_stage(
         self,
         profile: RequestProfile,
@@ -92,6 +104,9 @@
     def report_prefix(self, endpoint_id: EndpointId, prefix_hash: str, held: bool) -> None:
         """Take note of a cache event."""
 
+    def report_cache_gap(self, endpoint_id: EndpointId) -> None:
+        """Take note that cache events were lost."""
+
 
 @dataclass(frozen=True, slots=True)
 class RetryAt:
@@ -130,6 +145,9 @@
 class Quarantines(Protocol):
     """Keeps the requests that ran on endpoints as they died."""
 
+    def set_endpoints(self, records: Iterable[EndpointRecord]) -> None:
+        """Take note of the endpoints' failure domains."""
+
     def set_quarantines(self, quarantines: Iterable[Quarantine]) -> None:
         """Replace the durable quarantines."""
 
@@ -137,8 +155,8 @@
         """Return how a request with this fingerprint may run."""
 
     def on_endpoint_died(
-        self, stage: RouteStage, running: tuple[Fingerprint, ...]
-    ) -> ReportSuspects | None:
+        self, stage: RouteStage, running: tuple[Fingerprint, ...], now: float
+    ) -> tuple[ReportSuspects, ...]:
         """Note a death; return what has to be recorded before any of `running` is retried."""
 
     def on_succeeded(self, fingerprint: Fingerprint, exclusive: bool) -> ClearSuspect | None:
--- a/packages/policy/src/lagoonwing_policy/_scheduler.py
+++ b/packages/policy/src/lagoonwing_policy/_scheduler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Iterable, Sequence
 
 from expression import Result
@@ -23,7 +24,6 @@
 from lagoonwing_policy._dispatch import DispatchSystem
 from lagoonwing_policy._router_protocol import Quarantines, Retries, Router
 from lagoonwing_policy._settings import SchedulerSettings
-from lagoonwing_policy._simple_systems import FirstFitRouter, SimpleQuarantines, SimpleRetries
 from lagoonwing_policy._tables import SchedulerTables
 from lagoonwing_policy._waits import WaitSystem
 from lagoonwing_policy.fairness.models import MemberShare
@@ -36,6 +36,9 @@
     RouteStage,
     SchedulerCommand,
 )
+from lagoonwing_policy.quarantine import QuarantineSystem
+from lagoonwing_policy.retries import RetrySystem
+from lagoonwing_policy.routing import FlowRouter
 
 
 class Scheduler:
@@ -53,9 +56,13 @@
             seed: Seed of every random choice.
         """
         self._tables = SchedulerTables(settings, seed)
-        self._router: Router = FirstFitRouter()
-        self._quarantines: Quarantines = SimpleQuarantines()
-        retries: Retries = SimpleRetries()
+        rng = random.Random(seed)
+        quarantines = QuarantineSystem()
+        router = FlowRouter(settings.routing, rng)
+        router.set_suspect_view(quarantines)
+        self._router: Router = router
+        self._quarantines: Quarantines = quarantines
+        retries: Retries = RetrySystem(settings.retries, rng)
         self._accounts = AccountSystem(self._tables)
         self._admission = AdmissionSystem(self._tables, self._quarantines)
         self._dispatch = DispatchSystem(
@@ -75,6 +82,7 @@
         """
         known = tuple(records)
         self._router.set_endpoints(known, now)
+        self._quarantines.set_endpoints(known)
         self._tables.slots.long_work.set_endpoints(known)
         self._tables.pools.set_endpoints(known)
 
@@ -246,6 +254,14 @@
         """Take a cache event, which is late and so no more than a hint."""
         self._router.report_prefix(endpoint_id, prefix_hash, held)
 
+    def report_cache_gap(self, endpoint_id: EndpointId) -> None:
+        """Take note that cache events of an endpoint were lost."""
+        self._router.report_cache_gap(endpoint_id)
+
+    def set_entry_hosts(self, count: int) -> None:
+        """Set the number of entry hosts that share the endpoints, this one included."""
+        self._router.set_entry_hosts(count)
+
     def in_flight(self, endpoint_id: EndpointId) -> int:
         """Return the number of attempts in flight on an endpoint."""
         return self._tables.slots.in_flight(endpoint_id)
--- a/packages/policy/src/lagoonwing_policy/_settings.py
+++ b/packages/policy/src/lagoonwing_policy/_settings.py
@@ -13,6 +13,8 @@
     QueuePolicy,
     WeightedFair,
 )
+from lagoonwing_policy.retries import BudgetedRetries, RetryPolicy
+from lagoonwing_policy.routing import RouterSettings
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +27,8 @@
         admission: Which requests are refused before they are queued.
         long_work: How much of the slots long work may take.
         cost: How the cost of a request is estimated.
+        routing: How endpoints are chosen.
+        retries: Whether a failed attempt is followed by another.
     """
 
     queue: QueuePolicy = field(default_factory=WeightedFair)
@@ -32,3 +36,5 @@
     admission: AdmissionPolicy = field(default_factory=EarlyRefusal)
     long_work: LongWorkPolicy = field(default_factory=BoundedLongWork)
     cost: CostSettings = field(default_factory=CostSettings)
+    routing: RouterSettings = field(default_factory=RouterSettings)
+    retries: RetryPolicy = field(default_factory=BudgetedRetries)
--- /dev/null
+++ b/packages/policy/src/lagoonwing_policy/quarantine/_system.py
@@ -0,0 +1,196 @@
+"""Keeps the requests that ran on endpoints as they died."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from lagoonwing_core.ids import EndpointId, FailureDomainId, Fingerprint
+from lagoonwing_core.models import EndpointRecord, Quarantine, QuarantineState
+from lagoonwing_policy._router_protocol import Standing
+from lagoonwing_policy.models import ClearSuspect, ReportSuspects, RouteStage
+from lagoonwing_policy.quarantine import const
+from lagoonwing_policy.quarantine._correlation import DeathCorrelator
+
+
+@dataclass(slots=True)
+class _LocalDeaths:
+    """Deaths that this host saw under one request.
+
+    Attributes:
+        is_suspect: Whether any of them is held against the request.
+    """
+
+    stages: set[RouteStage] = field(default_factory=set)
+    reported: set[RouteStage] = field(default_factory=set)
+    is_suspect: bool = False
+    last: float = 0.0
+
+
+class QuarantineSystem:
+    """Judges requests by the deaths in the durable state and by those seen here.
+
+    What this host saw counts at once; what others saw counts as soon as the durable state
+    tells. A death is reported before any request that ran there is tried again.
+    """
+
+    def __init__(self) -> None:
+        self._quarantine_by_fingerprint: dict[Fingerprint, Quarantine] = {}
+        self._local_by_fingerprint: OrderedDict[Fingerprint, _LocalDeaths] = OrderedDict()
+        self._domain_by_endpoint: dict[EndpointId, FailureDomainId] = {}
+        self._correlator = DeathCorrelator()
+
+    def set_endpoints(self, records: Iterable[EndpointRecord]) -> None:
+        """Take note of the endpoints' failure domains.
+
+        Args:
+            records: Endpoints that may get new work.
+        """
+        known = {record.endpoint_id: record.failure_domain for record in records}
+        # Deaths are told after the record has gone, so a generation of old ones stays.
+        self._domain_by_endpoint = {**self._last_generation(known), **known}
+
+    def _last_generation(
+        self, known: dict[EndpointId, FailureDomainId]
+    ) -> dict[EndpointId, FailureDomainId]:
+        """Return the domains known before, unless they have grown out of proportion."""
+        if len(self._domain_by_endpoint) > 4 * len(known) + const.MAX_LOCAL_DEATHS:
+            return {}
+        return self._domain_by_endpoint
+
+    def set_quarantines(self, quarantines: Iterable[Quarantine]) -> None:
+        """Replace the durable quarantines.
+
+        Args:
+            quarantines: Standings; one that is cleared ends what was seen here before.
+        """
+        current = {quarantine.fingerprint: quarantine for quarantine in quarantines}
+        for quarantine in current.values():
+            known = self._quarantine_by_fingerprint.get(quarantine.fingerprint)
+            is_new = known is None or quarantine.revision > known.revision
+            if quarantine.state is QuarantineState.CLEARED and is_new:
+                self._local_by_fingerprint.pop(quarantine.fingerprint, None)
+        self._quarantine_by_fingerprint = current
+
+    def standing(self, fingerprint: Fingerprint) -> Standing:
+        """Return how a request may run.
+
+        Args:
+            fingerprint: Digest of its normalised body.
+        """
+        durable = self._quarantine_by_fingerprint.get(fingerprint)
+        local = self._local_by_fingerprint.get(fingerprint)
+        if durable is not None and durable.state is QuarantineState.QUARANTINED:
+            return Standing.REFUSED
+        if len(self._all_deaths(fingerprint)) >= const.MAX_DEATHS:
+            return Standing.REFUSED
+        if durable is not None and durable.state is QuarantineState.SUSPECT:
+            return Standing.EXCLUSIVE
+        if local is not None and local.is_suspect:
+            return Standing.EXCLUSIVE
+        return Standing.ALLOWED
+
+    def on_endpoint_died(
+        self, stage: RouteStage, running: tuple[Fingerprint, ...], now: float
+    ) -> tuple[ReportSuspects, ...]:
+        """Note a death.
+
+        Args:
+            stage: Endpoint that died.
+            running: Fingerprints of what ran there.
+            now: Time in seconds.
+
+        Returns:
+            What has to be recorded before any of `running` is tried again; nothing if the
+            whole failure domain is the likely cause.
+        """
+        distinct = frozenset(running)
+        domain = self._domain_by_endpoint.get(stage.endpoint_id)
+        is_domain_wide = domain is not None and self._correlator.is_domain_wide(
+            domain, stage, distinct, now
+        )
+        self._expire(now)
+        for fingerprint in sorted(distinct):
+            self._note_death(fingerprint, stage, is_domain_wide, now)
+        return self._due_reports(sorted(distinct))
+
+    def on_succeeded(self, fingerprint: Fingerprint, exclusive: bool) -> ClearSuspect | None:
+        """Note that a request ran to its end.
+
+        Args:
+            fingerprint: Digest of its normalised body.
+            exclusive: Whether it ran alone.
+
+        Returns:
+            What makes its innocence known, if it was a suspect.
+        """
+        was_suspect = self.standing(fingerprint) is Standing.EXCLUSIVE
+        if was_suspect and not exclusive:
+            # It ran before it became a suspect, beside others; that proves nothing.
+            return None
+        self._local_by_fingerprint.pop(fingerprint, None)
+        return ClearSuspect(fingerprint) if was_suspect else None
+
+    def deaths(self, fingerprint: Fingerprint) -> frozenset[EndpointId]:
+        """Return the endpoints that died while they ran a request.
+
+        Args:
+            fingerprint: Digest of its normalised body.
+        """
+        return frozenset(stage.endpoint_id for stage in self._all_deaths(fingerprint))
+
+    def recorded_suspects(self) -> tuple[Fingerprint, ...]:
+        """Return the suspects of the durable state, the oldest first."""
+        suspects = [
+            item
+            for item in self._quarantine_by_fingerprint.values()
+            if item.state is QuarantineState.SUSPECT
+        ]
+        suspects.sort(key=lambda item: (item.revision, item.fingerprint))
+        return tuple(item.fingerprint for item in suspects)
+
+    def _all_deaths(self, fingerprint: Fingerprint) -> set[RouteStage]:
+        """Return the deaths under a request that are known here."""
+        local = self._local_by_fingerprint.get(fingerprint)
+        deaths = set(local.stages) if local is not None else set()
+        durable = self._quarantine_by_fingerprint.get(fingerprint)
+        if durable is not None and durable.state is not QuarantineState.CLEARED:
+            deaths.update(RouteStage(*death) for death in durable.deaths)
+        return deaths
+
+    def _note_death(
+        self, fingerprint: Fingerprint, stage: RouteStage, is_domain_wide: bool, now: float
+    ) -> None:
+        """Remember a death; a second one makes a suspect of any request."""
+        local = self._local_by_fingerprint.setdefault(fingerprint, _LocalDeaths())
+        self._local_by_fingerprint.move_to_end(fingerprint)
+        local.stages.add(stage)
+        local.last = now
+        if not is_domain_wide or len(local.stages) >= const.MAX_DEATHS:
+            local.is_suspect = True
+        if len(self._local_by_fingerprint) > const.MAX_LOCAL_DEATHS:
+            self._local_by_fingerprint.popitem(last=False)
+
+    def _due_reports(self, fingerprints: Iterable[Fingerprint]) -> tuple[ReportSuspects, ...]:
+        """Return the deaths of suspects that have not been reported, one report a death."""
+        suspects_by_stage: dict[RouteStage, list[Fingerprint]] = {}
+        for fingerprint in fingerprints:
+            local = self._local_by_fingerprint[fingerprint]
+            if not local.is_suspect:
+                continue
+            for stage in sorted(local.stages - local.reported, key=lambda item: item.endpoint_id):
+                suspects_by_stage.setdefault(stage, []).append(fingerprint)
+            local.reported |= local.stages
+        return tuple(
+            ReportSuspects(tuple(suspects), stage.endpoint_id, stage.incarnation)
+            for stage, suspects in suspects_by_stage.items()
+        )
+
+    def _expire(self, now: float) -> None:
+        """Forget deaths of long ago, which the durable state holds if they were reported."""
+        while self._local_by_fingerprint:
+            fingerprint, oldest = next(iter(self._local_by_fingerprint.items()))
+            if now - oldest.last < const.LOCAL_DEATH_LIFE_S:
+                return
+            del self._local_by_fingerprint[fingerprint]
--- /dev/null
+++ b/packages/policy/src/lagoonwing_policy/retries/_system.py
@@ -0,0 +1,76 @@
+"""Decides whether a failed attempt is followed by another, and when."""
+
+from __future__ import annotations
+
+import random
+
+from lagoonwing_core.ids import Attempt
+from lagoonwing_policy._router_protocol import GiveUp, RetryAt
+from lagoonwing_policy.models import AttemptFailed, Dispatch, RequestProfile
+from lagoonwing_policy.retries import errors
+from lagoonwing_policy.retries._budget import RetryBudget
+from lagoonwing_policy.retries.models import BudgetedRetries, FixedRetries, RetryPolicy
+
+
+class RetrySystem:
+    """Retries what can't repeat an effect, within budget and deadline."""
+
+    def __init__(self, policy: RetryPolicy, rng: random.Random) -> None:
+        """Create the system.
+
+        Args:
+            policy: How retries are bounded and delayed.
+            rng: Source of jitter.
+        """
+        self._policy = policy
+        self._rng = rng
+        self._budget = RetryBudget(policy) if isinstance(policy, BudgetedRetries) else None
+
+    def on_first_try(self, now: float) -> None:
+        """Count a first try towards the budget.
+
+        Args:
+            now: Time in seconds.
+        """
+        if self._budget is not None:
+            self._budget.earn(now)
+
+    def decide(
+        self, profile: RequestProfile, attempt: Attempt, failed: AttemptFailed, now: float
+    ) -> RetryAt | GiveUp:
+        """Return when to try again, or why not to.
+
+        Args:
+            profile: What is known of the request.
+            attempt: Number of the attempt that failed.
+            failed: How it failed.
+            now: Time in seconds.
+
+        Returns:
+            The time of the next attempt, before the deadline, or the refusal to answer with.
+        """
+        if not _may_repeat(profile, failed) or attempt >= self._policy.max_attempts:
+            return GiveUp(failed.refusal)
+        retry_time = now + self._delay(attempt, failed)
+        if retry_time >= profile.deadline:
+            return GiveUp(failed.refusal)
+        if self._budget is not None and not self._budget.spend(now):
+            return GiveUp(errors.budget_spent(failed))
+        return RetryAt(retry_time)
+
+    def _delay(self, attempt: Attempt, failed: AttemptFailed) -> float:
+        """Return the seconds until the next attempt."""
+        asked = failed.retry_after or 0.0
+        match self._policy:
+            case BudgetedRetries(backoff_base_s=base, backoff_max_s=longest):
+                # Full jitter: failures that came together must not be retried together.
+                return asked + self._rng.uniform(0.0, min(longest, base * 2.0 ** (attempt - 1)))
+            case FixedRetries(delay_s=delay):
+                return max(asked, delay)
+
+
+def _may_repeat(profile: RequestProfile, failed: AttemptFailed) -> bool:
+    """Return whether another attempt can neither repeat an effect nor double an answer."""
+    if failed.dispatch is Dispatch.MAY_HAVE_RUN and not profile.idempotent:
+        return False
+    return not failed.bytes_reached_caller or failed.resumable_tokens > 0
--- /dev/null
+++ b/packages/policy/src/lagoonwing_policy/routing/_affinity.py
@@ -0,0 +1,101 @@
+"""Preference of endpoints whose cache is likely to hold a prompt's prefix."""
+
+from __future__ import annotations
+
+import math
+from collections import OrderedDict
+from collections.abc import Sequence
+
+import xxhash
+
+from lagoonwing_core.ids import EndpointId
+from lagoonwing_policy.models import ModelWork, RequestProfile
+from lagoonwing_policy.routing import const
+from lagoonwing_policy.routing._pools import Candidate
+
+_HASH_RANGE = float(2**64)
+
+
+class PrefixTable:
+    """Prefixes that endpoints told to hold; late and with gaps, so each entry ages."""
+
+    def __init__(self) -> None:
+        self._seen_by_hash: dict[EndpointId, OrderedDict[str, float]] = {}
+
+    def report(self, endpoint_id: EndpointId, prefix_hash: str, held: bool, now: float) -> None:
+        """Take a cache event in."""
+        seen = self._seen_by_hash.setdefault(endpoint_id, OrderedDict())
+        seen.pop(prefix_hash, None)
+        if not held:
+            return
+        seen[prefix_hash] = now
+        if len(seen) > const.MAX_PREFIXES_PER_ENDPOINT:
+            seen.popitem(last=False)
+
+    def forget(self, endpoint_id: EndpointId) -> None:
+        """Drop what an endpoint told: it restarted, or events between were lost."""
+        self._seen_by_hash.pop(endpoint_id, None)
+
+    def keep_only(self, endpoint_ids: set[EndpointId]) -> None:
+        """Drop endpoints that are gone."""
+        for endpoint_id in list(self._seen_by_hash):
+            if endpoint_id not in endpoint_ids:
+                del self._seen_by_hash[endpoint_id]
+
+    def covered(self, endpoint_id: EndpointId, prefixes: Sequence[str], now: float) -> float:
+        """Return the share of a prompt's prefixes, from its beginning, that is likely cached."""
+        seen = self._seen_by_hash.get(endpoint_id)
+        if not seen or not prefixes:
+            return 0.0
+        for number in range(len(prefixes), 0, -1):
+            told = seen.get(prefixes[number - 1])
+            if told is not None and now - told < const.PREFIX_LIFE_S:
+                return number / len(prefixes)
+        return 0.0
+
+
+class PreferenceTable:
+    """Endpoints in an order that every entry host gives alike, by weighted rendezvous hashing."""
+
+    def __init__(self) -> None:
+        self._preferred_by_key: OrderedDict[tuple[str, str], tuple[Candidate, ...]] = OrderedDict()
+
+    def clear(self) -> None:
+        """Forget every order: the set of endpoints has changed."""
+        self._preferred_by_key.clear()
+
+    def preferred(
+        self, pool_key: str, profile: RequestProfile, candidates: Sequence[Candidate]
+    ) -> tuple[Candidate, ...]:
+        """Return the first few endpoints for a request's prefix, or for its fingerprint."""
+        key = (pool_key, affinity_key(profile))
+        known = self._preferred_by_key.get(key)
+        if known is not None:
+            self._preferred_by_key.move_to_end(key)
+            return known
+        chosen = tuple(rendezvous_order(key[1], candidates)[: const.PREFERRED_ENDPOINTS])
+        self._preferred_by_key[key] = chosen
+        if len(self._preferred_by_key) > const.MAX_PREFERENCES:
+            self._preferred_by_key.popitem(last=False)
+        return chosen
+
+
+def affinity_key(profile: RequestProfile) -> str:
+    """Return what requests that share a cache have in common."""
+    match profile.work:
+        case ModelWork(prefix_hashes=(first, *_)):
+            return first
+        case _:
+            return str(profile.fingerprint)
+
+
+def rendezvous_order(key: str, candidates: Sequence[Candidate]) -> list[Candidate]:
+    """Return endpoints by falling score; faster ones come first more often."""
+    return sorted(candidates, key=lambda item: (-_score(key, item), item.endpoint_id))
+
+
+def _score(key: str, candidate: Candidate) -> float:
+    """Return the weighted rendezvous score of an endpoint for a key."""
+    digest = xxhash.xxh3_64_intdigest(f"{key}|{candidate.endpoint_id}".encode())
+    uniform = (digest + 0.5) / _HASH_RANGE
+    return candidate.slots / candidate.interval_s / -math.log(uniform)
--- /dev/null
+++ b/packages/policy/src/lagoonwing_policy/routing/_choice.py
@@ -0,0 +1,78 @@
+"""One decision's view of the endpoints: which may be used, and what each would cost."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from lagoonwing_core.ids import EndpointId, FailureDomainId
+from lagoonwing_policy.models import ModelWork, RequestProfile
+from lagoonwing_policy.routing import const
+from lagoonwing_policy.routing._ejection import EjectionSystem
+from lagoonwing_policy.routing._load import LoadEstimator, LoadsByEndpoint
+from lagoonwing_policy.routing._pools import Candidate
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """What one decision rests on.
+
+    Attributes:
+        loads: Own attempts in flight.
+        excluded: Endpoints that must not be used.
+        exclusive: Whether every endpoint of the route must be idle.
+        avoided_domains: Failure domains in which the request has failed before.
+        ignores_ejection: Whether too few endpoints are left to heed ejections.
+    """
+
+    profile: RequestProfile
+    loads: LoadsByEndpoint
+    excluded: frozenset[EndpointId]
+    exclusive: bool
+    now: float
+    avoided_domains: frozenset[FailureDomainId] = frozenset()
+    ignores_ejection: bool = False
+
+
+class ChoiceRules:
+    """Rules shared by every way of choosing a route."""
+
+    def __init__(self, loads: LoadEstimator, ejection: EjectionSystem) -> None:
+        self.loads = loads
+        self.ejection = ejection
+
+    def may_use(self, candidate: Candidate, choice: Choice) -> bool:
+        """Return whether an attempt may start on an endpoint now."""
+        if candidate.endpoint_id in choice.excluded:
+            return False
+        if not choice.ignores_ejection:
+            use = choice.loads.get(candidate.endpoint_id)
+            running = use.running if use is not None else 0
+            if not self.ejection.may_use(candidate.stage, running, choice.now):
+                return False
+        return self.loads.has_room(candidate, choice.loads, choice.exclusive, choice.now)
+
+    def penalty(self, candidate: Candidate, choice: Choice) -> float:
+        """Return the factor on the cost of an endpoint that is better avoided."""
+        return const.SAME_DOMAIN_PENALTY if self._is_avoided(candidate, choice) else 1.0
+
+    def _is_avoided(self, candidate: Candidate, choice: Choice) -> bool:
+        """Return whether an earlier attempt failed in the endpoint's domain."""
+        return candidate.failure_domain in choice.avoided_domains
+
+    def is_depleted(self, candidates: Sequence[Candidate], choice: Choice) -> bool:
+        """Return whether ejections leave too few endpoints to be heeded."""
+        serving = sum(
+            self.ejection.may_use(candidate.stage, 0, choice.now) for candidate in candidates
+        )
+        return serving < len(candidates) * const.MIN_SERVING_SHARE
+
+
+def tokens_of_work(profile: RequestProfile, cached_share: float) -> float:
+    """Return the tokens to generate, with the prompt's uncached part at its lower weight."""
+    match profile.work:
+        case ModelWork(prompt_tokens=prompt_tokens, max_tokens=max_tokens):
+            uncached = prompt_tokens * (1.0 - cached_share)
+            return max_tokens + uncached * const.PROMPT_TOKEN_WEIGHT
+        case _:
+            return const.SERVICE_TOKENS
--- /dev/null
+++ b/packages/policy/src/lagoonwing_policy/routing/_endpoints.py
@@ -0,0 +1,85 @@
+"""Table of endpoints that may get new work: those known, less those that are to stop."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterable
+
+import msgspec
+
+from lagoonwing_core.ids import EndpointId
+from lagoonwing_core.models import (
+    EndpointRecord,
+    EndpointState,
+    PlannedStop,
+    StopState,
+    StopTarget,
+)
+from lagoonwing_policy.routing import const
+
+
+class UsableEndpoints:
+    """Endpoints and planned stops; tells when what may be used has changed."""
+
+    def __init__(self) -> None:
+        self._record_by_id: dict[EndpointId, EndpointRecord] = {}
+        self._former_by_id: OrderedDict[EndpointId, EndpointRecord] = OrderedDict()
+        self._stopped: frozenset[tuple[StopTarget, str]] = frozenset()
+
+    def set_endpoints(self, records: Iterable[EndpointRecord]) -> bool:
+        """Replace the table; return whether more than renewals has changed."""
+        # The sequence changes with each renewal and means nothing for routes.
+        new = {
+            record.endpoint_id: msgspec.structs.replace(record, sequence=0) for record in records
+        }
+        if new == self._record_by_id:
+            return False
+        for endpoint_id, record in self._record_by_id.items():
+            if endpoint_id not in new:
+                self._keep_former(record)
+        self._record_by_id = new
+        return True
+
+    def _keep_former(self, record: EndpointRecord) -> None:
+        """Keep the record of an endpoint that is gone: requests may still have to replace it."""
+        self._former_by_id.pop(record.endpoint_id, None)
+        self._former_by_id[record.endpoint_id] = record
+        if len(self._former_by_id) > const.MAX_FORMER_ENDPOINTS:
+            self._former_by_id.popitem(last=False)
+
+    def former(self, endpoint_id: EndpointId) -> EndpointRecord | None:
+        """Return the last record of an endpoint that is gone."""
+        return self._former_by_id.get(endpoint_id)
+
+    def set_stops(self, stops: Iterable[PlannedStop]) -> bool:
+        """Replace the planned stops; return whether what they cover has changed."""
+        stopped = frozenset(
+            (stop.target, stop.target_id) for stop in stops if stop.state is not StopState.CANCELLED
+        )
+        if stopped == self._stopped:
+            return False
+        self._stopped = stopped
+        return True
+
+    def usable(self) -> list[EndpointRecord]:
+        """Return the endpoints that may get new work, in the order of their ids."""
+        return [
+            self._record_by_id[endpoint_id]
+            for endpoint_id in sorted(self._record_by_id)
+            if self._is_usable(self._record_by_id[endpoint_id])
+        ]
+
+    def known(self, endpoint_id: EndpointId) -> EndpointRecord | None:
+        """Return the record of an endpoint, to be stopped or not."""
+        return self._record_by_id.get(endpoint_id)
+
+    def _is_usable(self, record: EndpointRecord) -> bool:
+        """Return whether an endpoint neither leaves nor is covered by a planned stop."""
+        if record.state is EndpointState.LEAVING:
+            return False
+        targets = {
+            (StopTarget.ENDPOINT, record.endpoint_id),
+            (StopTarget.FAILURE_DOMAIN, record.failure_domain),
+            (StopTarget.HOST, record.address),
+        }
+        return self._stopped.isdisjoint(targets)
--- /dev/null
+++ b/packages/policy/src/lagoonwing_policy/routing/_flow.py
@@ -0,0 +1,143 @@
+"""Maximum flow of tokens through stages that hold layer ranges."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import networkx as nx  # type: ignore[import-untyped]
+
+from lagoonwing_core.ids import EndpointId, FailureDomainId
+from lagoonwing_core.models import EndpointRecord
+from lagoonwing_policy.routing import const
+from lagoonwing_policy.routing._links import LinkTable
+
+_SOURCE = "source"
+_SINK = "sink"
+
+
+@dataclass(frozen=True, slots=True)
+class GroupKey:
+    """Stages that can stand for each other: same layers, same failure domain."""
+
+    first: int
+    end: int
+    failure_domain: FailureDomainId
+
+
+@dataclass(frozen=True, slots=True)
+class FlowPlan:
+    """Planned flow of one model.
+
+    Attributes:
+        tokens_per_s: Bound that the stages' rates allow.
+        latency_s: Time of one token through the pipeline, links included, at the planned flow.
+        flow_by_endpoint: Tokens per second planned through each stage.
+    """
+
+    tokens_per_s: float
+    latency_s: float
+    flow_by_endpoint: dict[EndpointId, float]
+
+
+def interval_s(record: EndpointRecord) -> float:
+    """Return the time between two tokens of one sequence on a busy endpoint."""
+    if record.tokens_per_s <= 0:
+        return const.UNKNOWN_INTERVAL_S
+    return max(1, record.slots) / record.tokens_per_s
+
+
+def rate(record: EndpointRecord) -> float:
+    """Return the tokens per second of an endpoint; a guess where it tells none."""
+    return max(1, record.slots) / interval_s(record)
+
+
+def plan_flow(records: Iterable[EndpointRecord], layer_count: int, links: LinkTable) -> FlowPlan:
+    """Plan the largest flow through stages, and of the largest ones the one with least link time.
+
+    Stages of equal layers in one domain are one edge, so the cost depends on the number of layer
+    ranges and domains, not of endpoints. A domain's node at a layer boundary joins what ends
+    there with what begins there; an edge between two domains' nodes costs their link's time.
+
+    Args:
+        records: Stages of one model.
+        layer_count: Layers of the model.
+        links: Times between failure domains.
+
+    Returns:
+        The plan; its flow is zero if no chain holds every layer exactly once.
+    """
+    members = _group(records, layer_count)
+    graph = _build_graph(members, layer_count, links)
+    if not nx.has_path(graph, _SOURCE, _SINK):
+        return FlowPlan(0.0, 0.0, {})
+    flow = nx.max_flow_min_cost(graph, _SOURCE, _SINK)
+    total = sum(flow[_SOURCE].values()) / const.FLOW_UNITS_PER_TOKEN
+    if total <= 0:
+        return FlowPlan(0.0, 0.0, {})
+    flow_by_endpoint: dict[EndpointId, float] = {}
+    token_seconds = _link_seconds(graph, flow)
+    for key, records_of_key in members.items():
+        through = _flow_of(flow, key) / const.FLOW_UNITS_PER_TOKEN
+        capacity = sum(rate(record) for record in records_of_key)
+        for record in records_of_key:
+            share = through * rate(record) / capacity
+            flow_by_endpoint[record.endpoint_id] = share
+            token_seconds += share * interval_s(record)
+    return FlowPlan(total, token_seconds / total, flow_by_endpoint)
+
+
+def _group(
+    records: Iterable[EndpointRecord], layer_count: int
+) -> dict[GroupKey, list[EndpointRecord]]:
+    """Group the stages of one split of the model."""
+    members: dict[GroupKey, list[EndpointRecord]] = defaultdict(list)
+    for record in records:
+        layers = record.layers
+        if layers is None or not 0 <= layers.first < layers.end <= layer_count:
+            continue
+        members[GroupKey(layers.first, layers.end, record.failure_domain)].append(record)
+    return members
+
+
+def _build_graph(
+    members: dict[GroupKey, list[EndpointRecord]], layer_count: int, links: LinkTable
+) -> nx.DiGraph:
+    """Build the graph of layer boundaries by failure domain."""
+    graph = nx.DiGraph()
+    graph.add_nodes_from((_SOURCE, _SINK))
+    ends: dict[int, set[FailureDomainId]] = defaultdict(set)
+    starts: dict[int, set[FailureDomainId]] = defaultdict(set)
+    for key, records in members.items():
+        units = sum(int(rate(record) * const.FLOW_UNITS_PER_TOKEN) for record in records)
+        tail = ("start", key.first, key.failure_domain)
+        head = ("end", key.end, key.failure_domain)
+        graph.add_edge(tail, head, capacity=units, weight=0)
+        starts[key.first].add(key.failure_domain)
+        ends[key.end].add(key.failure_domain)
+    for domain in starts.get(0, ()):
+        graph.add_edge(_SOURCE, ("start", 0, domain), weight=0)
+    for domain in ends.get(layer_count, ()):
+        graph.add_edge(("end", layer_count, domain), _SINK, weight=0)
+    for boundary in sorted(starts.keys() & ends.keys()):
+        for one in sorted(ends[boundary]):
+            for other in sorted(starts[boundary]):
+                weight = round(links.seconds(one, other) * const.COST_UNITS_PER_S)
+                graph.add_edge(("end", boundary, one), ("start", boundary, other), weight=weight)
+    return graph
+
+
+def _flow_of(flow: dict[object, dict[object, int]], key: GroupKey) -> int:
+    """Return the units planned through a group."""
+    tail = ("start", key.first, key.failure_domain)
+    return flow.get(tail, {}).get(("end", key.end, key.failure_domain), 0)
+
+
+def _link_seconds(graph: nx.DiGraph, flow: dict[object, dict[object, int]]) -> float:
+    """Return the token seconds per second that the plan spends on links."""
+    seconds = 0.0
+    for tail, head, weight in graph.edges(data="weight"):
+        units = flow.get(tail, {}).get(head, 0)
+        seconds += units / const.FLOW_UNITS_PER_TOKEN * weight / const.COST_UNITS_PER_S
+    return seconds
--- /dev/null
+++ b/packages/policy/src/lagoonwing_policy/routing/_pools.py
@@ -0,0 +1,149 @@
+"""Endpoints by the work that they serve, with the limits that follow from their plan."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+from lagoonwing_core.ids import EndpointId, FailureDomainId
+from lagoonwing_core.models import EndpointKind, EndpointRecord
+from lagoonwing_policy.models import ModelWork, RequestProfile, RouteStage, ServiceWork
+from lagoonwing_policy.routing import const
+from lagoonwing_policy.routing._flow import FlowPlan, interval_s, plan_flow
+from lagoonwing_policy.routing._links import LinkTable
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """An endpoint that may get work.
+
+    Attributes:
+        interval_s: Time between two tokens of one sequence.
+        slots: Sequences that the engine runs at once.
+        limit: Attempts that all entry hosts together may have in flight here.
+        planned: Whether the flow plan uses it.
+    """
+
+    endpoint_id: EndpointId
+    stage: RouteStage
+    failure_domain: FailureDomainId
+    first: int
+    end: int
+    interval_s: float
+    slots: int
+    limit: float
+    planned: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Split:
+    """Stages of one model by the layer at which they begin."""
+
+    layer_count: int
+    plan: FlowPlan
+    candidates_by_first: dict[int, tuple[Candidate, ...]]
+
+
+@dataclass(slots=True)
+class RoutePool:
+    """What serves one kind of work."""
+
+    whole: tuple[Candidate, ...] = ()
+    splits: tuple[Split, ...] = ()
+    candidate_by_id: dict[EndpointId, Candidate] = field(default_factory=dict)
+
+    def is_complete(self) -> bool:
+        """Return whether any route exists, free or not."""
+        return bool(self.whole) or any(split.plan.tokens_per_s > 0 for split in self.splits)
+
+
+def work_key(profile: RequestProfile) -> str:
+    """Return the key of the pool that a request needs."""
+    match profile.work:
+        case ModelWork(model_id=model_id):
+            return f"model/{model_id}"
+        case ServiceWork(service_id=service_id):
+            return f"service/{service_id}"
+
+
+def build_pools(records: Iterable[EndpointRecord], links: LinkTable) -> dict[str, RoutePool]:
+    """Group endpoints by what they serve and plan the flow of each model."""
+    records_by_key: dict[str, list[EndpointRecord]] = defaultdict(list)
+    for record in records:
+        for key in _served_keys(record):
+            records_by_key[key].append(record)
+    return {key: _build_pool(members, links) for key, members in records_by_key.items()}
+
+
+def _build_pool(records: Sequence[EndpointRecord], links: LinkTable) -> RoutePool:
+    """Build one pool."""
+    whole = tuple(
+        _whole_candidate(record) for record in records if record.kind is not EndpointKind.STAGE
+    )
+    stages_by_count: dict[int, list[EndpointRecord]] = defaultdict(list)
+    for record in records:
+        if record.kind is EndpointKind.STAGE and record.layers is not None:
+            stages_by_count[record.layer_count].append(record)
+    splits = tuple(_build_split(stages_by_count[n], n, links) for n in sorted(stages_by_count))
+    pool = RoutePool(whole, splits)
+    pool.candidate_by_id = {candidate.endpoint_id: candidate for candidate in whole}
+    for split in splits:
+        for candidates in split.candidates_by_first.values():
+            pool.candidate_by_id.update({item.endpoint_id: item for item in candidates})
+    return pool
+
+
+def _build_split(records: Sequence[EndpointRecord], layer_count: int, links: LinkTable) -> Split:
+    """Plan the flow of one split and bound each stage by it."""
+    plan = plan_flow(records, layer_count, links)
+    by_first: dict[int, list[Candidate]] = defaultdict(list)
+    for record in records:
+        candidate = _stage_candidate(record, plan)
+        by_first[candidate.first].append(candidate)
+    return Split(layer_count, plan, {first: tuple(items) for first, items in by_first.items()})
+
+
+def _whole_candidate(record: EndpointRecord) -> Candidate:
+    """Return an endpoint that needs no other."""
+    return Candidate(
+        record.endpoint_id,
+        RouteStage(record.endpoint_id, record.incarnation),
+        record.failure_domain,
+        first=0,
+        end=0,
+        interval_s=interval_s(record),
+        slots=max(1, record.slots),
+        limit=float(max(1, record.slots)),
+        planned=True,
+    )
+
+
+def _stage_candidate(record: EndpointRecord, plan: FlowPlan) -> Candidate:
+    """Return a stage; a sequence is only for a part of its time in each stage.
+
+    By Little's law a flow needs flow times latency sequences in flight. As the flow that enters
+    a layer boundary leaves it, limits in proportion to it never leave a stage short of others.
+    """
+    assert record.layers is not None
+    flow = plan.flow_by_endpoint.get(record.endpoint_id, 0.0)
+    slots = max(1, record.slots)
+    limit = max(1.0, flow * plan.latency_s * const.STAGE_HEADROOM) if flow else float(slots)
+    return Candidate(
+        record.endpoint_id,
+        RouteStage(record.endpoint_id, record.incarnation),
+        record.failure_domain,
+        record.layers.first,
+        record.layers.end,
+        interval_s(record),
+        slots,
+        limit,
+        planned=flow > 0,
+    )
+
+
+def _served_keys(record: EndpointRecord) -> list[str]:
+    """Return the keys of the pools that an endpoint belongs to."""
+    if record.kind is EndpointKind.SERVICE:
+        return [f"service/{record.service}"]
+    return [f"model/{model_id}" for model_id in record.models]
--- /dev/null
+++ b/packages/policy/src/lagoonwing_policy/routing/_router.py
@@ -0,0 +1,360 @@
+"""Router of one entry host: endpoint table, hints, and the choice of routes."""
+
+from __future__ import annotations
+
+import random
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import replace
+
+from expression import Error, Ok, Result
+
+from lagoonwing_core.errors import Refusal
+from lagoonwing_core.ids import EndpointId, FailureDomainId, RequestId
+from lagoonwing_core.models import EndpointRecord, PlannedStop
+from lagoonwing_policy._router_protocol import NoFreeSlot, RouteFailure
+from lagoonwing_policy.models import (
+    AttemptFailed,
+    AttemptResult,
+    AttemptSucceeded,
+    EndpointLoad,
+    RequestProfile,
+    Route,
+    RouteStage,
+)
+from lagoonwing_policy.routing import const, errors
+from lagoonwing_policy.routing._affinity import PreferenceTable, PrefixTable
+from lagoonwing_policy.routing._choice import Choice, ChoiceRules
+from lagoonwing_policy.routing._ejection import EjectionSystem
+from lagoonwing_policy.routing._endpoints import UsableEndpoints
+from lagoonwing_policy.routing._links import LinkTable
+from lagoonwing_policy.routing._load import LoadEstimator, LoadsByEndpoint
+from lagoonwing_policy.routing._pools import Candidate, RoutePool, build_pools, work_key
+from lagoonwing_policy.routing._round_robin import RoundRobinChooser
+from lagoonwing_policy.routing._stages import ChainChooser
+from lagoonwing_policy.routing._suspects import SuspectPlacement, SuspectView
+from lagoonwing_policy.routing._whole import WholeModelChooser
+from lagoonwing_policy.routing.models import FlowRoutes, RoundRobinRoutes, RouterSettings
+
+_NO_DOMAINS: frozenset[FailureDomainId] = frozenset()
+
+
+class FlowRouter:
+    """Chooses routes; free of I/O.
+
+    Own attempts in flight are facts; load reports and cache events are hints that age. The flow
+    of a model is planned anew only when the set of endpoints or the planned stops change.
+    """
+
+    def __init__(self, settings: RouterSettings, rng: random.Random) -> None:
+        """Create an empty router.
+
+        Args:
+            settings: Policy and link times.
+            rng: Source of every random choice.
+        """
+        self._policy = settings.policy
+        self._links = LinkTable(settings)
+        self._endpoints = UsableEndpoints()
+        self._loads = LoadEstimator(settings.entry_hosts)
+        self._ejection = EjectionSystem(rng)
+        self._rules = ChoiceRules(self._loads, self._ejection)
+        self._prefixes = PrefixTable()
+        self._preferences = PreferenceTable()
+        self._whole = WholeModelChooser(self._rules, self._prefixes, self._preferences, rng)
+        self._chains = ChainChooser(self._rules, self._links, rng)
+        self._round_robin = RoundRobinChooser(self._rules)
+        self._suspects = SuspectPlacement(self._chains)
+        self._pool_by_key: dict[str, RoutePool] = {}
+        self._candidate_by_id: dict[EndpointId, Candidate] = {}
+        self._failed_domains: OrderedDict[RequestId, frozenset[FailureDomainId]] = OrderedDict()
+        self._now = 0.0
+
+    def set_endpoints(self, records: Iterable[EndpointRecord], now: float) -> None:
+        """Replace the endpoint table.
+
+        Args:
+            records: Endpoints that may get new work.
+            now: Time in seconds.
+        """
+        self._now = now
+        if self._endpoints.set_endpoints(records):
+            self._rebuild()
+
+    def set_stops(self, stops: Iterable[PlannedStop]) -> None:
+        """Replace the planned stops; what they cover gets no new work.
+
+        Args:
+            stops: Planned stops; those cancelled cover nothing.
+        """
+        if self._endpoints.set_stops(stops):
+            self._rebuild()
+
+    def set_entry_hosts(self, count: int) -> None:
+        """Set the number of entry hosts that share the endpoints.
+
+        Args:
+            count: Entry hosts that are alive, this one included.
+        """
+        self._loads.set_entry_hosts(count)
+
+    def set_suspect_view(self, view: SuspectView) -> None:
+        """Set where suspects are looked up.
+
+        Args:
+            view: Deaths and recorded suspects.
+        """
+        self._suspects.set_view(view)
+
+    def choose(
+        self,
+        profile: RequestProfile,
+        loads_by_endpoint: LoadsByEndpoint,
+        excluded: frozenset[EndpointId],
+        exclusive: bool,
+        now: float,
+    ) -> Result[Route, RouteFailure]:
+        """Return a route whose every endpoint has room.
+
+        Args:
+            profile: What is known of the request.
+            loads_by_endpoint: Own attempts in flight; an endpoint that is missing is idle.
+            excluded: Endpoints that must not be used.
+            exclusive: Whether the route must be the suspect's own, and idle.
+            now: Time in seconds.
+
+        Returns:
+            The route, `NoFreeSlot`, or a refusal with `NO_ENDPOINT` or `INCOMPLETE_PIPELINE`.
+        """
+        self._now = now
+        key = work_key(profile)
+        pool = self._pool_by_key.get(key)
+        if pool is None:
+            return Error(errors.no_endpoint())
+        if not pool.is_complete():
+            return Error(errors.incomplete_pipeline())
+        avoided = self._failed_domains.get(profile.request_id, _NO_DOMAINS)
+        choice = Choice(profile, loads_by_endpoint, excluded, exclusive, now, avoided)
+        if exclusive:
+            return self._choose_alone(key, pool, choice)
+        choice = replace(choice, excluded=excluded | self._reserved(key, pool, choice))
+        chain = self._choose_chain(key, pool, choice)
+        if not chain and self._rules.is_depleted(list(pool.candidate_by_id.values()), choice):
+            chain = self._choose_chain(key, pool, replace(choice, ignores_ejection=True))
+        return Ok(_route(chain, exclusive=False)) if chain else Error(NoFreeSlot())
+
+    def exclusive_route(self, profile: RequestProfile, now: float) -> Result[Route, RouteFailure]:
+        """Return the route that a suspect has to run on, idle or not.
+
+        The scheduler keeps it free of other work until it is idle.
+
+        Args:
+            profile: What is known of the request.
+            now: Time in seconds.
+
+        Returns:
+            The route, `NoFreeSlot` while the suspect has to wait for news of a death, or a
+            refusal if nothing serves it.
+        """
+        key = work_key(profile)
+        pool = self._pool_by_key.get(key)
+        if pool is None:
+            return Error(errors.no_endpoint())
+        if not pool.is_complete():
+            return Error(errors.incomplete_pipeline())
+        choice = Choice(profile, {}, frozenset(), True, now)
+        chain = self._suspect_chain(key, pool, choice)
+        return Ok(_route(chain, exclusive=True)) if chain else Error(NoFreeSlot())
+
+    def replace_stage(
+        self,
+        profile: RequestProfile,
+        route: Route,
+        failed: RouteStage,
+        loads_by_endpoint: LoadsByEndpoint,
+        now: float,
+    ) -> Result[RouteStage, Refusal]:
+        """Return another stage that holds exactly the layers of `failed`.
+
+        Args:
+            profile: What is known of the request.
+            route: Route that the request runs on.
+            failed: Stage that died.
+            loads_by_endpoint: Own attempts in flight.
+            now: Time in seconds.
+
+        Returns:
+            The new stage, or a refusal if no other endpoint with these layers has room.
+        """
+        self._now = now
+        self._ejection.failed(failed, died=True, now=now)
+        pool = self._pool_by_key.get(work_key(profile))
+        layers = self._layers_of(failed.endpoint_id)
+        if pool is None or layers is None:
+            return Error(errors.no_replacement())
+        used = frozenset(stage.endpoint_id for stage in route.stages)
+        avoided = self._avoid_domain(profile.request_id, failed.endpoint_id)
+        choice = Choice(profile, loads_by_endpoint, used, route.exclusive, now, avoided)
+        for split in pool.splits:
+            found = self._chains.between(split, *layers, choice)
+            if found:
+                return Ok(found[0].stage)
+        return Error(errors.no_replacement())
+
+    def on_attempt_ended(
+        self, profile: RequestProfile, route: Route, result: AttemptResult, now: float
+    ) -> None:
+        """Learn from the end of an attempt which endpoints work.
+
+        Args:
+            profile: What is known of the request.
+            route: Route that the attempt ran on.
+            result: How it ended.
+            now: Time in seconds.
+        """
+        match result:
+            case AttemptSucceeded():
+                self._failed_domains.pop(profile.request_id, None)
+                for stage in route.stages:
+                    self._ejection.succeeded(stage)
+            case AttemptFailed(stage=stage, endpoint_died=died, retry_after=retry_after):
+                self._avoid_domain(profile.request_id, stage.endpoint_id)
+                # An endpoint that asks to wait is busy, not broken.
+                if retry_after is None or died:
+                    self._ejection.failed(stage, died, now)
+            case _:
+                self._failed_domains.pop(profile.request_id, None)
+
+    def report_load(self, load: EndpointLoad) -> None:
+        """Take note of a load report.
+
+        Args:
+            load: The report; late, so no more than a hint.
+        """
+        self._loads.report(load)
+
+    def report_prefix(self, endpoint_id: EndpointId, prefix_hash: str, held: bool) -> None:
+        """Take note of a cache event.
+
+        Args:
+            endpoint_id: Endpoint that told it.
+            prefix_hash: Digest of the prefix.
+            held: Whether the prefix is now held, or dropped.
+        """
+        self._prefixes.report(endpoint_id, prefix_hash, held, self._now)
+
+    def report_cache_gap(self, endpoint_id: EndpointId) -> None:
+        """Take note that cache events were lost: drops may be among them.
+
+        Args:
+            endpoint_id: Endpoint whose events have a gap.
+        """
+        self._prefixes.forget(endpoint_id)
+
+    def planned_tokens_per_s(self, profile_key: str) -> float:
+        """Return the bound that the plan of a model's stages allows, in tokens per second.
+
+        Args:
+            profile_key: Key of the pool, `model/` and the model's id.
+        """
+        pool = self._pool_by_key.get(profile_key)
+        if pool is None:
+            return 0.0
+        return sum(split.plan.tokens_per_s for split in pool.splits)
+
+    def _rebuild(self) -> None:
+        """Plan anew after the set of endpoints that may be used has changed."""
+        known = dict(self._candidate_by_id)
+        self._pool_by_key = build_pools(self._endpoints.usable(), self._links)
+        self._candidate_by_id = {}
+        for pool in self._pool_by_key.values():
+            self._candidate_by_id.update(pool.candidate_by_id)
+        for endpoint_id, old in known.items():
+            new = self._candidate_by_id.get(endpoint_id)
+            if new is not None and new.stage != old.stage:
+                # A restart empties the cache.
+                self._prefixes.forget(endpoint_id)
+        endpoint_ids = set(self._candidate_by_id)
+        self._preferences.clear()
+        self._prefixes.keep_only(endpoint_ids)
+        self._loads.keep_only(endpoint_ids)
+        self._ejection.keep_only(item.stage for item in self._candidate_by_id.values())
+
+    def _choose_chain(self, key: str, pool: RoutePool, choice: Choice) -> tuple[Candidate, ...]:
+        """Return the endpoints that the policy chooses; whole models before pipelines."""
+        match self._policy:
+            case FlowRoutes():
+                whole = self._whole.choose(key, pool.whole, choice) if pool.whole else None
+                if whole is not None:
+                    return (whole,)
+                chains = (self._chains.choose(split, choice) for split in pool.splits)
+                return next((chain for chain in chains if chain), ())
+            case RoundRobinRoutes():
+                whole = self._round_robin.choose(key, pool.whole, choice)
+                if whole is not None:
+                    return (whole,)
+                chains = (
+                    self._round_robin.choose_chain(key, split, choice) for split in pool.splits
+                )
+                return next((chain for chain in chains if chain), ())
+
+    def _choose_alone(
+        self, key: str, pool: RoutePool, choice: Choice
+    ) -> Result[Route, RouteFailure]:
+        """Return the suspect's own route if nothing else runs there."""
+        chain = self._suspect_chain(key, pool, choice)
+        is_idle = all(self._loads.has_room(item, choice.loads, True, choice.now) for item in chain)
+        if not chain or not is_idle:
+            return Error(NoFreeSlot())
+        return Ok(_route(chain, exclusive=True))
+
+    def _suspect_chain(self, key: str, pool: RoutePool, choice: Choice) -> tuple[Candidate, ...]:
+        """Return the endpoints that the request's fingerprint is given."""
+        return self._suspects.chain(
+            key, pool, choice.profile.fingerprint, self._is_healthy(choice.now), choice.now
+        )
+
+    def _reserved(self, key: str, pool: RoutePool, choice: Choice) -> frozenset[EndpointId]:
+        """Return the endpoints that are left to suspects."""
+        return self._suspects.reserved(key, pool, self._is_healthy(choice.now), choice.now)
+
+    def _is_healthy(self, now: float) -> _Healthy:
+        """Return the test whether an endpoint is not ejected."""
+        return _Healthy(self._ejection, now)
+
+    def _layers_of(self, endpoint_id: EndpointId) -> tuple[int, int] | None:
+        """Return the layers of an endpoint, which may be about to stop."""
+        record = self._endpoints.known(endpoint_id) or self._endpoints.former(endpoint_id)
+        if record is None or record.layers is None:
+            return None
+        return record.layers.first, record.layers.end
+
+    def _avoid_domain(
+        self, request_id: RequestId, endpoint_id: EndpointId
+    ) -> frozenset[FailureDomainId]:
+        """Remember the failure domain in which a request failed."""
+        record = self._endpoints.known(endpoint_id) or self._endpoints.former(endpoint_id)
+        avoided = self._failed_domains.pop(request_id, _NO_DOMAINS)
+        if record is not None:
+            avoided |= {record.failure_domain}
+        self._failed_domains[request_id] = avoided
+        if len(self._failed_domains) > const.MAX_FAILED_DOMAINS:
+            self._failed_domains.popitem(last=False)
+        return avoided
+
+
+class _Healthy:
+    """Tests whether an endpoint is not ejected."""
+
+    def __init__(self, ejection: EjectionSystem, now: float) -> None:
+        self._ejection = ejection
+        self._now = now
+
+    def __call__(self, candidate: Candidate) -> bool:
+        """Return whether the endpoint may get work."""
+        return self._ejection.may_use(candidate.stage, 0, self._now)
+
+
+def _route(chain: tuple[Candidate, ...], exclusive: bool) -> Route:
+    """Return the route over a chain of endpoints."""
+    return Route(tuple(candidate.stage for candidate in chain), exclusive=exclusive)
--- /dev/null
+++ b/packages/policy/src/lagoonwing_policy/routing/_stages.py
@@ -0,0 +1,141 @@
+"""Choice of a chain of stages that runs every layer exactly once."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass
+
+from lagoonwing_core.ids import FailureDomainId
+from lagoonwing_policy.routing import const
+from lagoonwing_policy.routing._choice import Choice, ChoiceRules
+from lagoonwing_policy.routing._links import LinkTable
+from lagoonwing_policy.routing._pools import Candidate, Split
+
+CostOf = Callable[[Candidate], float | None]
+
+
+@dataclass(frozen=True, slots=True)
+class _Tail:
+    """Cheapest chain from one candidate to the last layer."""
+
+    cost: float
+    candidate: Candidate
+    rest: _Tail | None
+
+    def chain(self) -> Iterator[Candidate]:
+        """Yield the candidates in the order of their layers."""
+        tail: _Tail | None = self
+        while tail is not None:
+            yield tail.candidate
+            tail = tail.rest
+
+
+class ChainChooser:
+    """Chooses the chain of least token time, links and crowding counted, that has room.
+
+    A stage's limit follows its planned flow. So once load fills the cheap chains, chains are
+    taken in proportion to the maximum flow, and idle sites still use the fastest.
+    """
+
+    def __init__(self, rules: ChoiceRules, links: LinkTable, rng: random.Random) -> None:
+        self._rules = rules
+        self._links = links
+        self._rng = rng
+
+    def choose(self, split: Split, choice: Choice) -> tuple[Candidate, ...]:
+        """Return the stages to use, or none if no chain has room."""
+        chain = self._cheapest(split, lambda item: self._cost(item, choice), sampled=True)
+        if chain or not _is_large(split):
+            return chain
+        return self._cheapest(split, lambda item: self._cost(item, choice), sampled=False)
+
+    def by_rank(self, split: Split, rank_of: CostOf) -> tuple[Candidate, ...]:
+        """Return the chain of least ranks, whatever its load."""
+        return self._cheapest(split, rank_of, sampled=False)
+
+    def between(self, split: Split, first: int, end: int, choice: Choice) -> tuple[Candidate, ...]:
+        """Return the cheapest single stage that holds exactly these layers and has room."""
+        priced = [
+            (cost, item)
+            for item in split.candidates_by_first.get(first, ())
+            if item.end == end and (cost := self._cost(item, choice)) is not None
+        ]
+        if not priced:
+            return ()
+        return (min(priced, key=lambda pair: (pair[0], pair[1].endpoint_id))[1],)
+
+    def _cost(self, candidate: Candidate, choice: Choice) -> float | None:
+        """Return the expected time per token on a stage, or `None` if it may not be used."""
+        if not self._rules.may_use(candidate, choice):
+            return None
+        total = self._rules.loads.total(candidate, choice.loads, choice.now)
+        crowding = 1.0 + total / candidate.limit
+        planned = 1.0 if candidate.planned else const.UNPLANNED_PENALTY
+        penalty = self._rules.penalty(candidate, choice)
+        return candidate.interval_s * crowding * planned * penalty
+
+    def _cheapest(self, split: Split, cost_of: CostOf, sampled: bool) -> tuple[Candidate, ...]:
+        """Return the cheapest chain, found from the last layer backwards."""
+        tails_by_first: dict[int, list[_Tail]] = {}
+        for first in sorted(split.candidates_by_first, reverse=True):
+            candidates = split.candidates_by_first[first]
+            if sampled and len(candidates) > const.MAX_COMPARED:
+                candidates = tuple(self._rng.sample(candidates, const.SAMPLE_SIZE))
+            tails = self._tails(split, candidates, cost_of, tails_by_first)
+            tails_by_first[first] = tails
+        best = min(tails_by_first.get(0, ()), key=_order, default=None)
+        return tuple(best.chain()) if best is not None else ()
+
+    def _tails(
+        self,
+        split: Split,
+        candidates: Sequence[Candidate],
+        cost_of: CostOf,
+        tails_by_first: dict[int, list[_Tail]],
+    ) -> list[_Tail]:
+        """Return the best chain to the end for each range and domain that begin here."""
+        best_by_group: dict[tuple[int, FailureDomainId], tuple[float, Candidate]] = {}
+        for candidate in candidates:
+            cost = cost_of(candidate)
+            if cost is None:
+                continue
+            group = (candidate.end, candidate.failure_domain)
+            known = best_by_group.get(group)
+            if known is None or cost < known[0]:
+                best_by_group[group] = (cost, candidate)
+        tails: list[_Tail] = []
+        for cost, candidate in best_by_group.values():
+            if candidate.end == split.layer_count:
+                tails.append(_Tail(cost, candidate, None))
+                continue
+            rest = self._best_rest(candidate, tails_by_first.get(candidate.end, ()))
+            if rest is not None:
+                tails.append(_Tail(cost + rest[0], candidate, rest[1]))
+        return tails
+
+    def _best_rest(
+        self, candidate: Candidate, tails: Sequence[_Tail]
+    ) -> tuple[float, _Tail] | None:
+        """Return the best way on from a candidate, with its cost and that of the link."""
+        priced = [
+            (
+                tail.cost
+                + self._links.seconds(candidate.failure_domain, tail.candidate.failure_domain),
+                tail,
+            )
+            for tail in tails
+        ]
+        if not priced:
+            return None
+        return min(priced, key=lambda pair: (pair[0], pair[1].candidate.endpoint_id))
+
+
+def _is_large(split: Split) -> bool:
+    """Return whether a sample was compared at any layer."""
+    return any(len(items) > const.MAX_COMPARED for items in split.candidates_by_first.values())
+
+
+def _order(tail: _Tail) -> tuple[float, str]:
+    """Return the key by which the best tail comes first."""
+    return tail.cost, tail.candidate.endpoint_id
