--- a/packages/policy/src/lagoonwing_policy/_attempts.py
+++ b/packages/policy/src/lagoonwing_policy/_attempts.py
@@ -69,7 +69,7 @@
             return []
         route = entity.route
         commands: list[SchedulerCommand] = []
-        if isinstance(result, AttemptFailed) and result.endpoint_died:
+        if isinstance(result, AttemptFailed) and _may_have_killed(result):
             commands.extend(self._report_death(result.stage, now))
         self._release(entity, route)
         self._router.on_attempt_ended(entity.profile, route, result, now)
@@ -190,3 +190,11 @@
         for report in reports:
             self._unrecorded.update(report.fingerprints)
         return list(reports)
+
+
+def _may_have_killed(failed: AttemptFailed) -> bool:
+    """Return whether an endpoint died while it may have run something.
+
+    An endpoint that refuses connections died before, of something else.
+    """
+    return failed.endpoint_died and failed.dispatch is Dispatch.MAY_HAVE_RUN
--- a/packages/policy/src/lagoonwing_policy/quarantine/_system.py
+++ b/packages/policy/src/lagoonwing_policy/quarantine/_system.py
@@ -40,6 +40,7 @@
         self._local_by_fingerprint: OrderedDict[Fingerprint, _LocalDeaths] = OrderedDict()
         self._domain_by_endpoint: dict[EndpointId, FailureDomainId] = {}
         self._correlator = DeathCorrelator()
+        self._recorded_suspects: tuple[Fingerprint, ...] = ()
 
     def set_endpoints(self, records: Iterable[EndpointRecord]) -> None:
         """Take note of the endpoints' failure domains.
@@ -72,6 +73,9 @@
             if quarantine.state is QuarantineState.CLEARED and is_new:
                 self._local_by_fingerprint.pop(quarantine.fingerprint, None)
         self._quarantine_by_fingerprint = current
+        suspects = [item for item in current.values() if item.state is QuarantineState.SUSPECT]
+        suspects.sort(key=lambda item: (item.revision, item.fingerprint))
+        self._recorded_suspects = tuple(item.fingerprint for item in suspects)
 
     def standing(self, fingerprint: Fingerprint) -> Standing:
         """Return how a request may run.
@@ -142,13 +146,7 @@
 
     def recorded_suspects(self) -> tuple[Fingerprint, ...]:
         """Return the suspects of the durable state, the oldest first."""
-        suspects = [
-            item
-            for item in self._quarantine_by_fingerprint.values()
-            if item.state is QuarantineState.SUSPECT
-        ]
-        suspects.sort(key=lambda item: (item.revision, item.fingerprint))
-        return tuple(item.fingerprint for item in suspects)
+        return self._recorded_suspects
 
     def _all_deaths(self, fingerprint: Fingerprint) -> set[RouteStage]:
         """Return the deaths under a request that are known here."""
--- a/packages/policy/src/lagoonwing_policy/routing/_pools.py
+++ b/packages/policy/src/lagoonwing_policy/routing/_pools.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
@@ -12,6 +13,7 @@
 from lagoonwing_policy.routing import const
 from lagoonwing_policy.routing._flow import FlowPlan, interval_s, plan_flow
 from lagoonwing_policy.routing._links import LinkTable
+from lagoonwing_policy.routing.models import FlowRoutes, RoundRobinRoutes, RoutePolicy
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,16 +69,20 @@
             return f"service/{service_id}"
 
 
-def build_pools(records: Iterable[EndpointRecord], links: LinkTable) -> dict[str, RoutePool]:
+def build_pools(
+    records: Iterable[EndpointRecord], links: LinkTable, policy: RoutePolicy
+) -> dict[str, RoutePool]:
     """Group endpoints by what they serve and plan the flow of each model."""
     records_by_key: dict[str, list[EndpointRecord]] = defaultdict(list)
     for record in records:
         for key in _served_keys(record):
             records_by_key[key].append(record)
-    return {key: _build_pool(members, links) for key, members in records_by_key.items()}
+    return {key: _build_pool(members, links, policy) for key, members in records_by_key.items()}
 
 
-def _build_pool(records: Sequence[EndpointRecord], links: LinkTable) -> RoutePool:
+def _build_pool(
+    records: Sequence[EndpointRecord], links: LinkTable, policy: RoutePolicy
+) -> RoutePool:
     """Build one pool."""
     whole = tuple(
         _whole_candidate(record) for record in records if record.kind is not EndpointKind.STAGE
@@ -85,7 +91,9 @@
     for record in records:
         if record.kind is EndpointKind.STAGE and record.layers is not None:
             stages_by_count[record.layer_count].append(record)
-    splits = tuple(_build_split(stages_by_count[n], n, links) for n in sorted(stages_by_count))
+    splits = tuple(
+        _build_split(stages_by_count[n], n, links, policy) for n in sorted(stages_by_count)
+    )
     pool = RoutePool(whole, splits)
     pool.candidate_by_id = {candidate.endpoint_id: candidate for candidate in whole}
     for split in splits:
@@ -94,12 +102,14 @@
     return pool
 
 
-def _build_split(records: Sequence[EndpointRecord], layer_count: int, links: LinkTable) -> Split:
+def _build_split(
+    records: Sequence[EndpointRecord], layer_count: int, links: LinkTable, policy: RoutePolicy
+) -> Split:
     """Plan the flow of one split and bound each stage by it."""
     plan = plan_flow(records, layer_count, links)
     by_first: dict[int, list[Candidate]] = defaultdict(list)
     for record in records:
-        candidate = _stage_candidate(record, plan)
+        candidate = _stage_candidate(record, plan, policy)
         by_first[candidate.first].append(candidate)
     return Split(layer_count, plan, {first: tuple(items) for first, items in by_first.items()})
 
@@ -119,16 +129,9 @@
     )
 
 
-def _stage_candidate(record: EndpointRecord, plan: FlowPlan) -> Candidate:
-    """Return a stage; a sequence is only for a part of its time in each stage.
-
-    By Little's law a flow needs flow times latency sequences in flight. As the flow that enters
-    a layer boundary leaves it, limits in proportion to it never leave a stage short of others.
-    """
+def _stage_candidate(record: EndpointRecord, plan: FlowPlan, policy: RoutePolicy) -> Candidate:
+    """Return a stage of a pipeline."""
     assert record.layers is not None
-    flow = plan.flow_by_endpoint.get(record.endpoint_id, 0.0)
-    slots = max(1, record.slots)
-    limit = max(1.0, flow * plan.latency_s * const.STAGE_HEADROOM) if flow else float(slots)
     return Candidate(
         record.endpoint_id,
         RouteStage(record.endpoint_id, record.incarnation),
@@ -136,12 +139,31 @@
         record.layers.first,
         record.layers.end,
         interval_s(record),
-        slots,
-        limit,
-        planned=flow > 0,
+        max(1, record.slots),
+        _stage_limit(record, plan, policy),
+        planned=plan.flow_by_endpoint.get(record.endpoint_id, 0.0) > 0,
     )
 
 
+def _stage_limit(record: EndpointRecord, plan: FlowPlan, policy: RoutePolicy) -> float:
+    """Return the attempts in flight on a stage; each is only for a part of its time there.
+
+    By Little's law a flow needs flow times latency sequences in flight. As the flow that enters
+    a layer boundary leaves it, limits in proportion to it never leave a stage short of others.
+    The baseline has no plan and allows as many as stages of this size would make a model.
+    """
+    slots = max(1, record.slots)
+    match policy:
+        case FlowRoutes():
+            flow = plan.flow_by_endpoint.get(record.endpoint_id, 0.0)
+            planned = flow * plan.latency_s * const.STAGE_HEADROOM
+            return max(1.0, planned) if flow else float(slots)
+        case RoundRobinRoutes():
+            assert record.layers is not None
+            held = max(1, record.layers.end - record.layers.first)
+            return slots * math.ceil(record.layer_count / held)
+
+
 def _served_keys(record: EndpointRecord) -> list[str]:
     """Return the keys of the pools that an endpoint belongs to."""
     if record.kind is EndpointKind.SERVICE:
--- a/packages/policy/src/lagoonwing_policy/routing/_router.py
+++ b/packages/policy/src/lagoonwing_policy/routing/_router.py
@@ -32,7 +32,7 @@
 from lagoonwing_policy.routing._pools import Candidate, RoutePool, build_pools, work_key
 from lagoonwing_policy.routing._round_robin import RoundRobinChooser
 from lagoonwing_policy.routing._stages import ChainChooser
-from lagoonwing_policy.routing._suspects import SuspectPlacement, SuspectView
+from lagoonwing_policy.routing._suspects import PoolView, SuspectPlacement, SuspectView
 from lagoonwing_policy.routing._whole import WholeModelChooser
 from lagoonwing_policy.routing.models import FlowRoutes, RoundRobinRoutes, RouterSettings
 
@@ -265,7 +265,7 @@
     def _rebuild(self) -> None:
         """Plan anew after the set of endpoints that may be used has changed."""
         known = dict(self._candidate_by_id)
-        self._pool_by_key = build_pools(self._endpoints.usable(), self._links)
+        self._pool_by_key = build_pools(self._endpoints.usable(), self._links, self._policy)
         self._candidate_by_id = {}
         for pool in self._pool_by_key.values():
             self._candidate_by_id.update(pool.candidate_by_id)
@@ -310,13 +310,13 @@
 
     def _suspect_chain(self, key: str, pool: RoutePool, choice: Choice) -> tuple[Candidate, ...]:
         """Return the endpoints that the request's fingerprint is given."""
-        return self._suspects.chain(
-            key, pool, choice.profile.fingerprint, self._is_healthy(choice.now), choice.now
-        )
+        view = PoolView(key, pool, self._is_healthy(choice.now), choice.now)
+        return self._suspects.chain(view, choice.profile.fingerprint)
 
     def _reserved(self, key: str, pool: RoutePool, choice: Choice) -> frozenset[EndpointId]:
         """Return the endpoints that are left to suspects."""
-        return self._suspects.reserved(key, pool, self._is_healthy(choice.now), choice.now)
+        view = PoolView(key, pool, self._is_healthy(choice.now), choice.now)
+        return self._suspects.reserved(view)
 
     def _is_healthy(self, now: float) -> _Healthy:
         """Return the test whether an endpoint is not ejected."""
--- a/packages/policy/src/lagoonwing_policy/routing/_suspects.py
+++ b/packages/policy/src/lagoonwing_policy/routing/_suspects.py
@@ -46,43 +46,111 @@
     lost_since: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class PoolView:
+    """A pool as one decision sees it."""
+
+    key: str
+    pool: RoutePool
+    may_use: Callable[[Candidate], bool]
+    now: float
+
+
 class SuspectPlacement:
     """Gives each suspect one chain of endpoints, by rendezvous hashing of its fingerprint.
 
-    Entry hosts agree on the chain without talking, for it follows from the fingerprint, the
-    endpoints and the deaths in the durable state. So copies at several hosts meet on one
-    endpoint. A chain that is gone is not replaced until the durable state has had time to
-    tell whether the suspect killed it.
+    Entry hosts agree on the chain without talking, for it follows from the endpoints and from
+    the suspects of the durable state, taken in the order of their records. So copies at several
+    hosts meet on one endpoint, and no two suspects meet. A chain that is gone is not replaced
+    until the durable state has had time to tell whether the suspect killed it.
     """
 
     def __init__(self, chains: ChainChooser) -> None:
         self._chains = chains
         self._view: SuspectView = NoSuspects()
         self._pin_by_key: OrderedDict[tuple[str, Fingerprint, int], _Pin] = OrderedDict()
-        self._seen_by_fingerprint: dict[Fingerprint, float] = {}
+        self._recorded: tuple[Fingerprint, ...] = ()
+        self._recorded_set: frozenset[Fingerprint] = frozenset()
+        self._recent: OrderedDict[Fingerprint, float] = OrderedDict()
+        self._awaited_since: OrderedDict[Fingerprint, float] = OrderedDict()
 
     def set_view(self, view: SuspectView) -> None:
         """Set where suspects are looked up."""
         self._view = view
 
-    def chain(
-        self,
-        pool_key: str,
-        pool: RoutePool,
-        fingerprint: Fingerprint,
-        may_use: Callable[[Candidate], bool],
-        now: float,
-    ) -> Chain:
+    def chain(self, view: PoolView, fingerprint: Fingerprint) -> Chain:
         """Return the endpoints of a suspect, or none while it has to wait."""
+        self._refresh(view.now)
+        if fingerprint in self._recent:
+            return self._active_chains(view).get(fingerprint, ())
+        if self._awaits_record(fingerprint, view.now):
+            return ()
+        return self._pinned(view, fingerprint, self.reserved(view))
+
+    def _awaits_record(self, fingerprint: Fingerprint, now: float) -> bool:
+        """Return whether this host's copy of the durable state has yet to hold a suspect.
+
+        Until then other suspects of earlier records may be unknown here, and meet this one.
+        """
+        if fingerprint in self._recorded_set:
+            return False
+        since = self._awaited_since.setdefault(fingerprint, now)
+        if len(self._awaited_since) > const.MAX_PINS:
+            self._awaited_since.popitem(last=False)
+        return now - since < const.SUSPECT_SETTLE_S
+
+    def reserved(self, view: PoolView) -> frozenset[EndpointId]:
+        """Return the endpoints that other work must leave to recent suspects."""
+        self._refresh(view.now)
+        if not self._recent:
+            return frozenset()
+        chains = self._active_chains(view).values()
+        return frozenset(candidate.endpoint_id for chain in chains for candidate in chain)
+
+    def _refresh(self, now: float) -> None:
+        """Note which suspects this host came to know a short while ago."""
+        suspects = self._view.recorded_suspects()
+        if suspects is not self._recorded:
+            self._recorded = suspects
+            news = frozenset(suspects) - self._recorded_set
+            self._recorded_set = frozenset(suspects)
+            kept = {
+                item: self._recent.get(item, now)
+                for item in suspects
+                if item in self._recent or item in news
+            }
+            self._recent = OrderedDict(kept)
+        for fingerprint in [
+            item for item, since in self._recent.items() if now - since >= const.RESERVATION_S
+        ]:
+            del self._recent[fingerprint]
+
+    def _active_chains(self, view: PoolView) -> dict[Fingerprint, Chain]:
+        """Return the chains of the first recent suspects; the others wait for their turn."""
+        most = max(1, int(len(view.pool.candidate_by_id) * const.MAX_RESERVED_SHARE))
+        taken: frozenset[EndpointId] = frozenset()
+        chain_by_fingerprint: dict[Fingerprint, Chain] = {}
+        for fingerprint in self._recent:
+            if len(taken) >= most:
+                break
+            chain = self._pinned(view, fingerprint, taken)
+            chain_by_fingerprint[fingerprint] = chain
+            taken |= {candidate.endpoint_id for candidate in chain}
+        return chain_by_fingerprint
+
+    def _pinned(
+        self, view: PoolView, fingerprint: Fingerprint, taken: frozenset[EndpointId]
+    ) -> Chain:
+        """Return the chain that a suspect keeps, or a new one away from other suspects."""
         deaths = self._view.deaths(fingerprint)
-        key = (pool_key, fingerprint, len(deaths))
+        key = (view.key, fingerprint, len(deaths))
         pin = self._pin_by_key.get(key)
-        if pin is not None and self._is_whole(pin.chain, pool, may_use):
+        if pin is not None and self._is_whole(pin.chain, view.pool, view.may_use):
             pin.lost_since = None
             return pin.chain
-        if pin is not None and self._is_settling(pin, now):
+        if pin is not None and self._is_settling(pin, view.now):
             return ()
-        chain = self._place(pool, fingerprint, deaths, may_use)
+        chain = self._place(view, fingerprint, deaths, taken)
         if chain:
             self._pin_by_key[key] = _Pin(chain)
             if len(self._pin_by_key) > const.MAX_PINS:
@@ -95,35 +163,6 @@
             pin.lost_since = now
         return now - pin.lost_since < const.SUSPECT_SETTLE_S
 
-    def reserved(
-        self,
-        pool_key: str,
-        pool: RoutePool,
-        may_use: Callable[[Candidate], bool],
-        now: float,
-    ) -> frozenset[EndpointId]:
-        """Return the endpoints that other work must leave to recent suspects."""
-        suspects = self._view.recorded_suspects()
-        if not suspects:
-            self._seen_by_fingerprint.clear()
-            return frozenset()
-        most = int(len(pool.candidate_by_id) * const.MAX_RESERVED_SHARE)
-        reserved: set[EndpointId] = set()
-        for fingerprint in self._recent(suspects, now):
-            chain = self.chain(pool_key, pool, fingerprint, may_use, now)
-            if len(reserved) + len(chain) > most:
-                break
-            reserved.update(candidate.endpoint_id for candidate in chain)
-        return frozenset(reserved)
-
-    def _recent(self, suspects: tuple[Fingerprint, ...], now: float) -> list[Fingerprint]:
-        """Return the suspects that this host came to know a short while ago."""
-        seen = {
-            fingerprint: self._seen_by_fingerprint.get(fingerprint, now) for fingerprint in suspects
-        }
-        self._seen_by_fingerprint = seen
-        return [item for item in suspects if now - seen[item] < const.RESERVATION_S]
-
     def _is_whole(
         self, chain: Chain, pool: RoutePool, may_use: Callable[[Candidate], bool]
     ) -> bool:
@@ -136,20 +175,20 @@
 
     def _place(
         self,
-        pool: RoutePool,
+        view: PoolView,
         fingerprint: Fingerprint,
         deaths: frozenset[EndpointId],
-        may_use: Callable[[Candidate], bool],
+        taken: frozenset[EndpointId],
     ) -> Chain:
-        """Return the first chain in rendezvous order without endpoints that died of it."""
-        for allowed in (frozenset(pool.candidate_by_id) - deaths, frozenset(pool.candidate_by_id)):
-            ordered = rendezvous_order(fingerprint, list(pool.candidate_by_id.values()))
+        """Return the first chain in rendezvous order, preferably off what died of it."""
+        ordered = rendezvous_order(fingerprint, list(view.pool.candidate_by_id.values()))
+        for unwanted in (deaths | taken, taken):
             rank_by_id = {
                 candidate.endpoint_id: float(rank)
                 for rank, candidate in enumerate(ordered)
-                if candidate.endpoint_id in allowed and may_use(candidate)
+                if candidate.endpoint_id not in unwanted and view.may_use(candidate)
             }
-            chain = self._first_by_rank(pool, rank_by_id)
+            chain = self._first_by_rank(view.pool, rank_by_id)
             if chain:
                 return chain
         return ()
--- a/packages/policy/src/lagoonwing_policy/routing/_whole.py
+++ b/packages/policy/src/lagoonwing_policy/routing/_whole.py
@@ -62,8 +62,9 @@
     def _completion_s(self, candidate: Candidate, choice: Choice) -> float:
         """Return the expected time until the request would be done on an endpoint."""
         rules = self._rules
-        in_flight = rules.loads.total(candidate, choice.loads, choice.now) + 1.0
-        crowding = max(1.0, in_flight / candidate.slots)
+        share = self._use_share(candidate, choice)
+        # Batches slow down as they fill; beyond the slots, requests wait for one.
+        crowding = max(1.0, share) + const.BATCH_SLOWDOWN * min(1.0, share)
         cached = 0.0
         if isinstance(choice.profile.work, ModelWork):
             prefixes = choice.profile.work.prefix_hashes
--- a/packages/policy/src/lagoonwing_policy/routing/const.py
+++ b/packages/policy/src/lagoonwing_policy/routing/const.py
@@ -18,6 +18,9 @@
 # Work of a prompt's token against a generated one.
 PROMPT_TOKEN_WEIGHT = 0.05
 
+# Part by which a full batch is slower than an empty one, for the comparison of endpoints.
+BATCH_SLOWDOWN = 0.25
+
 # Endpoints compared in one decision; beyond these a sample is compared.
 MAX_COMPARED = 24
 SAMPLE_SIZE = 12
--- /dev/null
+++ b/tests/policy/test_quarantine_hosts.py
@@ -0,0 +1,268 @@
+"""A request that crashes endpoints, sent to several entry hosts again and again."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+import msgspec
+import pytest
+
+from bench.clusters import whole_cluster
+from bench.stage_engines import MODEL
+from lagoonwing_core.errors import Refusal
+from lagoonwing_core.ids import (
+    AgreementId,
+    EndpointId,
+    Fingerprint,
+    Incarnation,
+    MemberId,
+    RequestId,
+    Revision,
+)
+from lagoonwing_core.models import Agreement, EntityState, Member, Quarantine, QuarantineState
+from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_policy import NoLimits, Scheduler, SchedulerSettings
+from lagoonwing_policy.models import (
+    AttemptFailed,
+    AttemptSucceeded,
+    ClearSuspect,
+    Dispatch,
+    ModelWork,
+    RefuseRequest,
+    ReportSuspects,
+    RequestProfile,
+    StartAttempt,
+)
+
+STEP_S = 0.02
+KILLER = Fingerprint("killer")
+MEMBER = MemberId("member")
+MAX_DEATHS = 2
+
+
+@dataclass
+class Site:
+    """Entry hosts, endpoints and a durable state that tells each host after a lag."""
+
+    seed: int
+    hosts: int = 4
+    lag_s: float = 0.1
+    restart_s: float = 5.0
+    now: float = 0.0
+    deaths: list[EndpointId] = field(default_factory=list)
+    done: set[RequestId] = field(default_factory=set)
+    refused: dict[RequestId, Refusal] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.rng = random.Random(self.seed)
+        records = whole_cluster(self.seed, 12)
+        self.record_by_id = {record.endpoint_id: record for record in records}
+        settings = SchedulerSettings(limits=NoLimits())
+        self.schedulers = [Scheduler(settings, seed=number) for number in range(self.hosts)]
+        self.quarantines: dict[Fingerprint, Quarantine] = {}
+        self.revision = 1
+        self.down_until: dict[EndpointId, float] = {}
+        self.attempts: dict[EndpointId, list[tuple[int, StartAttempt]]] = defaultdict(list)
+        self._events: list[tuple[float, int, object]] = []
+        self._ticket = 0
+        for host, scheduler in enumerate(self.schedulers):
+            scheduler.set_entry_hosts(self.hosts)
+            self._tell(host)
+        self._tell_endpoints()
+
+    def at(self, delay: float, action) -> None:
+        """Run an action later."""
+        self._ticket += 1
+        heapq.heappush(self._events, (self.now + delay, self._ticket, action))
+
+    def submit(self, host: int, name: str, fingerprint: Fingerprint | None = None) -> None:
+        """Submit a request."""
+        work = ModelWork(MODEL, 100, 0, 20, ())
+        profile = RequestProfile(
+            RequestId(name),
+            MEMBER,
+            fingerprint or Fingerprint(f"f-{name}"),
+            work,
+            self.now,
+            self.now + 30.0,
+            idempotent=True,
+        )
+        result = self.schedulers[host].submit(profile, self.now)
+        if result.is_error():
+            self.refused[profile.request_id] = result.error
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += STEP_S
+            while self._events and self._events[0][0] <= self.now:
+                heapq.heappop(self._events)[2]()
+            for host, scheduler in enumerate(self.schedulers):
+                self._carry_out(host, scheduler.tick(self.now))
+
+    def _carry_out(self, host: int, commands) -> None:
+        for command in commands:
+            match command:
+                case StartAttempt():
+                    self._start(host, command)
+                case RefuseRequest(request_id, refusal):
+                    self.refused[request_id] = refusal
+                case ReportSuspects():
+                    self.at(self.lag_s, lambda c=command, h=host: self._record(h, c))
+                case ClearSuspect(fingerprint):
+                    self.at(self.lag_s, lambda f=fingerprint: self._clear(f))
+
+    def _start(self, host: int, command: StartAttempt) -> None:
+        stage = command.route.stages[0]
+        record = self.record_by_id[stage.endpoint_id]
+        is_down = self.down_until.get(stage.endpoint_id, 0.0) > self.now
+        if is_down or record.incarnation != stage.incarnation:
+            self.at(0.01, lambda: self._fail(host, command, Dispatch.NO_BYTE_SENT))
+            return
+        self.attempts[stage.endpoint_id].append((host, command))
+        is_killer = "killer" in command.request_id
+        length = 0.3 if is_killer else self.rng.uniform(0.2, 1.0)
+        self.at(length, lambda: self._finish(host, command, is_killer))
+
+    def _finish(self, host: int, command: StartAttempt, is_killer: bool) -> None:
+        endpoint_id = command.route.stages[0].endpoint_id
+        if (host, command) not in self.attempts[endpoint_id]:
+            return
+        if is_killer:
+            self._die(endpoint_id)
+            return
+        self.attempts[endpoint_id].remove((host, command))
+        self.done.add(command.request_id)
+        scheduler = self.schedulers[host]
+        self._carry_out(
+            host,
+            scheduler.attempt_ended(
+                command.request_id, command.attempt, AttemptSucceeded(20), self.now
+            ),
+        )
+
+    def _die(self, endpoint_id: EndpointId) -> None:
+        """Crash an endpoint with everything on it; it comes back after a while."""
+        self.deaths.append(endpoint_id)
+        self.down_until[endpoint_id] = self.now + self.restart_s
+        running = self.attempts.pop(endpoint_id)
+        for host, command in running:
+            self.at(0.005, lambda h=host, c=command: self._fail(h, c, Dispatch.MAY_HAVE_RUN))
+        self.at(2.8, self._tell_endpoints)
+        self.at(self.restart_s, lambda: self._restart(endpoint_id))
+
+    def _restart(self, endpoint_id: EndpointId) -> None:
+        record = self.record_by_id[endpoint_id]
+        self.record_by_id[endpoint_id] = msgspec.structs.replace(
+            record, incarnation=Incarnation(record.incarnation + 1)
+        )
+        self._tell_endpoints()
+
+    def _fail(self, host: int, command: StartAttempt, dispatch: Dispatch) -> None:
+        refusal = Refusal(ResultCode.ENDPOINT_LOST, "connection reset")
+        failed = AttemptFailed(command.route.stages[0], dispatch, True, False, 0, refusal)
+        scheduler = self.schedulers[host]
+        self._carry_out(
+            host, scheduler.attempt_ended(command.request_id, command.attempt, failed, self.now)
+        )
+
+    def _record(self, host: int, report: ReportSuspects) -> None:
+        """Accept a report as the durable state does."""
+        death = (report.endpoint_id, report.incarnation)
+        for fingerprint in report.fingerprints:
+            known = self.quarantines.get(fingerprint)
+            deaths = known.deaths if known is not None else ()
+            deaths = deaths if death in deaths else (*deaths, death)
+            fatal = len(deaths) >= MAX_DEATHS
+            state = QuarantineState.QUARANTINED if fatal else QuarantineState.SUSPECT
+            self._accept(fingerprint, state, deaths)
+        scheduler = self.schedulers[host]
+        self._carry_out(host, scheduler.suspects_recorded(report.fingerprints, self.now))
+
+    def _clear(self, fingerprint: Fingerprint) -> None:
+        known = self.quarantines.get(fingerprint)
+        if known is not None and known.state is QuarantineState.SUSPECT:
+            self._accept(fingerprint, QuarantineState.CLEARED, ())
+
+    def _accept(self, fingerprint: Fingerprint, state: QuarantineState, deaths) -> None:
+        self.revision += 1
+        self.quarantines[fingerprint] = Quarantine(
+            fingerprint=fingerprint,
+            state=state,
+            deaths=deaths,
+            revision=Revision(self.revision),
+        )
+        for host in range(self.hosts):
+            self.at(self.rng.uniform(0.0, self.lag_s), lambda h=host: self._tell(h))
+
+    def _tell(self, host: int) -> None:
+        """Tell a host the current durable state."""
+        agreement = Agreement(
+            agreement_id=AgreementId("a"),
+            member_id=MEMBER,
+            weight=1.0,
+            max_concurrency=None,
+            max_requests_per_s=None,
+            max_tokens_per_s=None,
+            state=EntityState.ACTIVE,
+            revision=Revision(1),
+        )
+        member = Member(
+            member_id=MEMBER,
+            name="m",
+            key_hashes=(),
+            state=EntityState.ACTIVE,
+            revision=Revision(1),
+        )
+        quarantines = list(self.quarantines.values())
+        self.schedulers[host].set_agreements([agreement], [member], quarantines, [], [], self.now)
+
+    def _tell_endpoints(self) -> None:
+        """Tell every host which endpoints are announced."""
+        up = [
+            record
+            for endpoint_id, record in self.record_by_id.items()
+            if self.down_until.get(endpoint_id, 0.0) <= self.now + STEP_S
+        ]
+        for scheduler in self.schedulers:
+            scheduler.set_endpoints(up, self.now)
+
+
+@pytest.mark.parametrize("lag_s", [0.05, 0.5])
+@pytest.mark.parametrize("seed", range(8))
+def test_two_endpoints_at_most_die_of_one_request(seed: int, lag_s: float) -> None:
+    """Resends under other ids to all hosts kill at most two; others' work is done."""
+    site = Site(seed, lag_s=lag_s)
+    sent = []
+    killers = 0
+    for number in range(1200):
+        sent.append(f"r{number}")
+        site.submit(number % site.hosts, sent[-1])
+        if number % 40 == 20:
+            killers += 1
+            site.submit(site.rng.randrange(site.hosts), f"killer-{killers}", KILLER)
+        site.run(0.04)
+    site.run(30.0)
+    assert len(site.deaths) <= MAX_DEATHS
+    assert set(sent) - site.done == set()
+    assert site.quarantines[KILLER].state is QuarantineState.QUARANTINED
+    innocent = [item for key, item in site.quarantines.items() if key != KILLER]
+    assert all(item.state is QuarantineState.CLEARED for item in innocent)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_copies_sent_to_every_host_at_once(seed: int) -> None:
+    """Copies that reach all hosts in the same moment kill at most two endpoints."""
+    site = Site(seed)
+    for host in range(site.hosts):
+        site.submit(host, f"killer-{host}", KILLER)
+    for number in range(100):
+        site.submit(number % site.hosts, f"r{number}")
+        site.run(0.05)
+    site.run(30.0)
+    assert len(site.deaths) <= MAX_DEATHS
+    assert len(site.done) == 100
--- /dev/null
+++ b/tests/policy/test_retries.py
@@ -0,0 +1,123 @@
+"""Retries: what may repeat, deadline, jitter, budget."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+import pytest
+
+from bench.retry_storm import Storm, run_storm
+from bench.stage_engines import profile_of
+from lagoonwing_core.errors import Refusal
+from lagoonwing_core.ids import Attempt, EndpointId, Incarnation
+from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_policy._router_protocol import GiveUp, RetryAt
+from lagoonwing_policy.models import AttemptFailed, Dispatch, RouteStage
+from lagoonwing_policy.retries import BudgetedRetries, RetrySystem
+
+LOST = Refusal(ResultCode.ENDPOINT_LOST, "connection reset")
+FAILED = AttemptFailed(
+    RouteStage(EndpointId("e"), Incarnation(1)), Dispatch.NO_BYTE_SENT, True, False, 0, LOST
+)
+# Requests in flight twice over would double the load on what is left.
+DOUBLE = 2.0
+
+
+def _system(**options: float) -> RetrySystem:
+    return RetrySystem(BudgetedRetries(**options), random.Random(1))
+
+
+@pytest.mark.parametrize("dispatch", list(Dispatch))
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_only_what_cannot_repeat_an_effect_is_retried(dispatch: Dispatch, idempotent: bool) -> None:
+    """Work that isn't idempotent is never retried once a byte may have left."""
+    profile = replace(profile_of(0, 10), idempotent=idempotent)
+    decision = _system().decide(profile, Attempt(1), replace(FAILED, dispatch=dispatch), 0.0)
+    may_repeat = idempotent or dispatch is not Dispatch.MAY_HAVE_RUN
+    assert isinstance(decision, RetryAt) is may_repeat
+    if not may_repeat:
+        assert decision == GiveUp(LOST)
+
+
+def test_answer_in_part_is_retried_only_where_it_can_go_on() -> None:
+    """A caller never gets the beginning of an answer twice."""
+    partly = replace(FAILED, bytes_reached_caller=True)
+    system = _system()
+    assert system.decide(profile_of(0, 10), Attempt(1), partly, 0.0) == GiveUp(LOST)
+    resumable = replace(partly, resumable_tokens=3)
+    assert isinstance(system.decide(profile_of(0, 10), Attempt(1), resumable, 0.0), RetryAt)
+
+
+def test_never_past_the_deadline_and_retry_after_is_honoured() -> None:
+    """The endpoint's wish delays the retry, and the deadline ends it."""
+    system = _system()
+    busy = replace(FAILED, retry_after=3.0)
+    for number in range(5):
+        profile = replace(profile_of(number, 10), deadline=20.0)
+        retry = system.decide(profile, Attempt(1), busy, 10.0)
+        assert isinstance(retry, RetryAt)
+        assert 13.0 <= retry.time < 20.0
+    short = replace(profile_of(9, 10), deadline=12.9)
+    assert system.decide(short, Attempt(1), busy, 10.0) == GiveUp(LOST)
+
+
+def test_full_jitter_spreads_retries_over_a_growing_span() -> None:
+    """Delays are spread from none to the bound, which doubles with each attempt."""
+    policy = BudgetedRetries(min_burst=1e6, backoff_base_s=0.1, backoff_max_s=0.4, max_attempts=9)
+    system = RetrySystem(policy, random.Random(1))
+    for attempt, longest in ((1, 0.1), (2, 0.2), (3, 0.4), (4, 0.4)):
+        times = [
+            system.decide(profile_of(0, 10), Attempt(attempt), FAILED, 0.0).time for _ in range(400)
+        ]
+        assert min(times) < longest * 0.1
+        assert longest * 0.9 < max(times) <= longest
+
+
+def test_attempts_are_bounded() -> None:
+    """The last attempt's failure is the answer."""
+    policy = BudgetedRetries()
+    system = RetrySystem(policy, random.Random(1))
+    last = Attempt(policy.max_attempts)
+    assert system.decide(profile_of(0, 10), last, FAILED, 0.0) == GiveUp(LOST)
+
+
+def test_budget_bounds_retries_by_first_tries() -> None:
+    """Beyond what is saved up, retries are a share of first tries."""
+    policy = BudgetedRetries()
+    system = RetrySystem(policy, random.Random(1))
+    retried = 0
+    first_tries = 20_000
+    for number in range(first_tries):
+        now = number / 1000
+        system.on_first_try(now)
+        decision = system.decide(profile_of(number, 10), Attempt(1), FAILED, now)
+        retried += isinstance(decision, RetryAt)
+    in_window = policy.burst_window_s * 1000
+    assert retried <= policy.budget_share * first_tries + policy.burst_share * in_window
+    assert retried >= policy.budget_share * first_tries * 0.9
+
+
+def test_spent_budget_is_told_truthfully() -> None:
+    """Not run is said only where nothing can have run."""
+    system = _system(min_burst=0.0)
+    refused = system.decide(profile_of(0, 10), Attempt(1), FAILED, 0.0)
+    assert refused.refusal.code is ResultCode.RETRY_BUDGET_SPENT
+    ran = replace(FAILED, dispatch=Dispatch.MAY_HAVE_RUN)
+    assert system.decide(profile_of(0, 10), Attempt(1), ran, 0.0) == GiveUp(LOST)
+
+
+def test_quiet_site_may_retry() -> None:
+    """The first failures of a site without traffic are retried."""
+    system = _system()
+    decisions = [system.decide(profile_of(n, 10), Attempt(1), FAILED, 1000.0 * n) for n in range(5)]
+    assert all(isinstance(decision, RetryAt) for decision in decisions)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_loss_of_a_domain_does_not_double_the_load_on_the_rest(seed: int) -> None:
+    """Attempts a second on the endpoints left stay under twice those of before."""
+    storm = run_storm(Storm(seed=seed))
+    assert storm.attempts_on_rest_after < DOUBLE * storm.attempts_on_rest_before
+    assert storm.retries < storm.first_tries
+    assert storm.refused == 0
--- /dev/null
+++ b/tests/policy/test_routing.py
@@ -0,0 +1,385 @@
+"""Routes: speed, caches, stops, ejection, replacement, suspects' endpoints."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import msgspec
+import pytest
+
+from bench.clusters import LAYERS, make_record, whole_cluster
+from bench.stage_engines import MODEL, profile_of
+from lagoonwing_core.errors import Refusal
+from lagoonwing_core.ids import EndpointId, Fingerprint, Incarnation, Revision, StopId
+from lagoonwing_core.models import LayerRange, PlannedStop, StopState, StopTarget
+from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_policy._router_protocol import EndpointUse, NoFreeSlot
+from lagoonwing_policy.models import (
+    AttemptFailed,
+    AttemptSucceeded,
+    Dispatch,
+    EndpointLoad,
+    ModelWork,
+    Route,
+    RouteStage,
+)
+from lagoonwing_policy.routing import FlowRouter, RoundRobinRoutes, RouterSettings, const
+
+NONE: frozenset[EndpointId] = frozenset()
+LOST = Refusal(ResultCode.ENDPOINT_LOST, "connection reset")
+
+
+def _records(*speeds: float):
+    rng = random.Random(3)
+    records = [make_record(number, rng, speed=speed) for number, speed in enumerate(speeds)]
+    return [msgspec.structs.replace(record, slots=4) for record in records]
+
+
+def _router(records, settings: RouterSettings | None = None, entry_hosts: int = 1) -> FlowRouter:
+    router = FlowRouter(settings or RouterSettings(), random.Random(1))
+    router.set_entry_hosts(entry_hosts)
+    router.set_endpoints(records, 0.0)
+    return router
+
+
+def _with_prefix(number: int, *prefixes: str):
+    profile = profile_of(number, 20)
+    work = ModelWork(MODEL, 4000, 0, 20, prefixes)
+    return type(profile)(
+        profile.request_id, profile.member_id, profile.fingerprint, work, 0.0, 1e6, True
+    )
+
+
+def _chosen(router, profile, loads=None, excluded=NONE, exclusive=False, now=0.0) -> str:
+    route = router.choose(profile, loads or {}, excluded, exclusive, now)
+    assert route.is_ok(), route.error
+    return str(route.ok.stages[0].endpoint_id)
+
+
+def _fail(router, profile, name: str, now: float, died: bool = False, incarnation: int = 1):
+    stage = RouteStage(EndpointId(name), Incarnation(incarnation))
+    failed = AttemptFailed(stage, Dispatch.MAY_HAVE_RUN, died, False, 0, LOST)
+    router.on_attempt_ended(profile, Route((stage,)), failed, now)
+
+
+def _stop(target: StopTarget, target_id: str, state: StopState = StopState.DRAINING):
+    return PlannedStop(
+        stop_id=StopId("s"), target=target, target_id=target_id, state=state, revision=Revision(1)
+    )
+
+
+def test_faster_endpoint_is_taken_until_it_is_crowded() -> None:
+    """An idle site uses the fastest endpoint; slots are never passed."""
+    router = _router(_records(60.0, 240.0, 60.0))
+    loads: dict[EndpointId, EndpointUse] = {}
+    taken: Counter[str] = Counter()
+    for number in range(12):
+        name = _chosen(router, profile_of(number, 20), loads)
+        loads.setdefault(EndpointId(name), EndpointUse()).running += 1
+        taken[name] += 1
+        if number == 0:
+            assert name == "endpoint-0001"
+    assert set(taken.values()) == {4}
+    full = router.choose(profile_of(13, 20), loads, NONE, False, 0.0)
+    assert isinstance(full.error, NoFreeSlot)
+
+
+def test_nothing_serves_is_a_refusal() -> None:
+    """Work that no endpoint serves is refused; so once the last endpoint stops."""
+    router = _router([])
+    refused = router.choose(profile_of(0, 20), {}, NONE, False, 0.0)
+    assert refused.error.code is ResultCode.NO_ENDPOINT
+
+
+@pytest.mark.parametrize(
+    ("target", "target_id"),
+    [
+        (StopTarget.ENDPOINT, "endpoint-0000"),
+        (StopTarget.FAILURE_DOMAIN, "domain-0"),
+        (StopTarget.HOST, "127.0.0.9"),
+    ],
+)
+def test_planned_stop_takes_endpoints_out(target: StopTarget, target_id: str) -> None:
+    """What is to stop gets no new work, until the stop is cancelled."""
+    records = _records(240.0, 60.0)
+    records[0] = msgspec.structs.replace(records[0], address="127.0.0.9")
+    router = _router(records)
+    router.set_stops([_stop(target, target_id)])
+    assert {_chosen(router, profile_of(n, 20)) for n in range(20)} == {"endpoint-0001"}
+    router.set_stops([_stop(target, target_id, StopState.SAFE)])
+    assert {_chosen(router, profile_of(n, 20)) for n in range(20)} == {"endpoint-0001"}
+    router.set_stops([_stop(target, target_id, StopState.CANCELLED)])
+    assert "endpoint-0000" in {_chosen(router, profile_of(n, 20)) for n in range(20)}
+
+
+def test_equal_prefixes_meet_on_one_endpoint_at_every_entry_host() -> None:
+    """Requests that share a prefix go to the same endpoint, whichever host routes them."""
+    records = whole_cluster(5)
+    records = [msgspec.structs.replace(record, tokens_per_s=100.0, slots=8) for record in records]
+    for prefix in ("a", "b", "c", "d"):
+        names = {
+            _chosen(_router_of(records, seed), _with_prefix(seed, prefix, f"{prefix}{seed}"))
+            for seed in range(4)
+        }
+        assert len(names) == 1
+
+
+def _router_of(records, seed: int) -> FlowRouter:
+    """Return the router of one of several entry hosts."""
+    router = FlowRouter(RouterSettings(), random.Random(seed))
+    router.set_endpoints(records, 0.0)
+    return router
+
+
+def test_popular_prefix_spills_over_at_bounded_load() -> None:
+    """One prefix doesn't crowd one endpoint while others idle."""
+    router = _router(_records(*[100.0] * 8))
+    loads: dict[EndpointId, EndpointUse] = {}
+    for number in range(16):
+        name = _chosen(router, _with_prefix(number, "p"), loads)
+        loads.setdefault(EndpointId(name), EndpointUse()).running += 1
+    assert max(use.running for use in loads.values()) < 4
+
+
+def test_cache_events_attract_until_they_age_or_have_a_gap() -> None:
+    """A told prefix shortens the expected completion; a gap or age ends that."""
+    router = _router(_records(100.0, 104.0))
+    profile = _with_prefix(1, *[f"p{n}" for n in range(8)])
+    base = _chosen(router, profile)
+    other = "endpoint-0001" if base == "endpoint-0000" else "endpoint-0000"
+    crowd = {EndpointId(base): EndpointUse(running=3)}
+    assert _chosen(router, profile, crowd) == other
+    router.report_prefix(EndpointId(base), "p7", True)
+    router.report_prefix(EndpointId(other), "p7", False)
+    covered = router._prefixes.covered
+    prefixes = profile.work.prefix_hashes
+    assert covered(EndpointId(base), prefixes, 0.0) == 1.0
+    assert covered(EndpointId(base), prefixes, const.PREFIX_LIFE_S + 1.0) == 0.0
+    router.report_cache_gap(EndpointId(base))
+    assert covered(EndpointId(base), prefixes, 0.0) == 0.0
+
+
+def test_restart_empties_the_cache_that_was_told() -> None:
+    """A new incarnation holds nothing of what the old one told."""
+    records = _records(100.0, 100.0)
+    router = _router(records)
+    router.report_prefix(EndpointId("endpoint-0000"), "p", True)
+    restarted = [msgspec.structs.replace(records[0], incarnation=Incarnation(2)), records[1]]
+    router.set_endpoints(restarted, 1.0)
+    assert router._prefixes.covered(EndpointId("endpoint-0000"), ("p",), 1.0) == 0.0
+
+
+def test_dead_endpoint_is_ejected_at_once_and_probed_later() -> None:
+    """A death ejects; after a time one probe at a time may go there; success restores."""
+    router = _router(_records(240.0, 60.0, 60.0))
+    _fail(router, profile_of(0, 20), "endpoint-0000", 0.0, died=True)
+    for number in range(1, 30):
+        assert _chosen(router, profile_of(number, 20), now=0.1) != "endpoint-0000"
+    late = 0.1 + 2 * const.EJECTION_MIN_S
+    assert _chosen(router, profile_of(40, 20), now=late) == "endpoint-0000"
+    probing = {EndpointId("endpoint-0000"): EndpointUse(running=1)}
+    assert _chosen(router, profile_of(41, 20), probing, now=late) != "endpoint-0000"
+    route = Route((RouteStage(EndpointId("endpoint-0000"), Incarnation(1)),))
+    router.on_attempt_ended(profile_of(40, 20), route, AttemptSucceeded(1), late)
+    assert _chosen(router, profile_of(42, 20), probing, now=late) == "endpoint-0000"
+
+
+def test_gray_failures_eject_after_a_few_in_a_row() -> None:
+    """Errors without a death eject only in a row; a new incarnation starts clean."""
+    records = _records(240.0, 60.0, 60.0)
+    router = _router(records)
+    for number in range(const.EJECT_AFTER_FAILURES - 1):
+        _fail(router, profile_of(number, 20), "endpoint-0000", 0.0)
+    assert _chosen(router, profile_of(10, 20)) == "endpoint-0000"
+    _fail(router, profile_of(11, 20), "endpoint-0000", 0.0)
+    assert _chosen(router, profile_of(12, 20)) != "endpoint-0000"
+    restarted = [msgspec.structs.replace(records[0], incarnation=Incarnation(2)), *records[1:]]
+    router.set_endpoints(restarted, 0.1)
+    assert _chosen(router, profile_of(13, 20), now=0.1) == "endpoint-0000"
+
+
+def test_busy_endpoint_is_not_held_for_broken() -> None:
+    """Refusals that ask to wait don't eject."""
+    router = _router(_records(240.0, 60.0, 60.0))
+    stage = RouteStage(EndpointId("endpoint-0000"), Incarnation(1))
+    busy = AttemptFailed(
+        stage, Dispatch.REFUSED_BEFORE_START, False, False, 0, LOST, retry_after=0.2
+    )
+    for number in range(10):
+        router.on_attempt_ended(profile_of(number, 20), Route((stage,)), busy, 0.0)
+    assert _chosen(router, profile_of(20, 20)) == "endpoint-0000"
+
+
+def test_ejections_are_ignored_once_too_few_are_left() -> None:
+    """A doubtful endpoint is better than none."""
+    router = _router(_records(100.0, 100.0))
+    for name in ("endpoint-0000", "endpoint-0001"):
+        _fail(router, profile_of(0, 20), name, 0.0, died=True)
+    assert _chosen(router, profile_of(5, 20), now=0.1)
+
+
+def test_retry_prefers_another_failure_domain() -> None:
+    """After a failure the same domain comes last."""
+    router = _router(_records(100.0, 80.0, 80.0, 100.0))
+    profile = profile_of(0, 20)
+    _fail(router, profile, "endpoint-0000", 0.0)
+    excluded = frozenset({EndpointId("endpoint-0000")})
+    assert _chosen(router, profile, excluded=excluded) in ("endpoint-0001", "endpoint-0002")
+
+
+def test_shares_of_entry_hosts_and_what_a_report_lets_them_borrow() -> None:
+    """Four hosts share the slots; a fresh report of an idle engine lets one use more."""
+    router = _router(_records(100.0), entry_hosts=4)
+    loads = {EndpointId("endpoint-0000"): EndpointUse(running=1)}
+    profile = profile_of(0, 20)
+    assert isinstance(router.choose(profile, loads, NONE, False, 0.0).error, NoFreeSlot)
+    router.report_load(EndpointLoad(EndpointId("endpoint-0000"), 1, 0, 0, reported=0.0))
+    assert _chosen(router, profile, loads, now=0.1) == "endpoint-0000"
+    stale = 0.1 + const.HINT_LIFE_S
+    assert isinstance(router.choose(profile, loads, NONE, False, stale).error, NoFreeSlot)
+
+
+def _pipeline():
+    rng = random.Random(2)
+    half = LAYERS // 2
+    ranges = [LayerRange(0, half)] * 2 + [LayerRange(half, LAYERS)] * 3
+    return [make_record(number, rng, layers, 100.0) for number, layers in enumerate(ranges)]
+
+
+def test_only_the_dead_stage_is_replaced() -> None:
+    """The new stage holds the same layers, is not on the route, and is not to stop."""
+    records = _pipeline()
+    router = _router(records)
+    profile = profile_of(0, 20)
+    route = Route(
+        (
+            RouteStage(EndpointId("endpoint-0000"), Incarnation(1)),
+            RouteStage(EndpointId("endpoint-0002"), Incarnation(1)),
+        )
+    )
+    router.set_endpoints([r for r in records if r.endpoint_id != "endpoint-0002"], 1.0)
+    router.set_stops([_stop(StopTarget.ENDPOINT, "endpoint-0003")])
+    found = router.replace_stage(profile, route, route.stages[1], {}, 1.0)
+    assert found.ok.endpoint_id == "endpoint-0004"
+    router.set_stops([_stop(StopTarget.FAILURE_DOMAIN, "domain-0")])
+    router.set_endpoints(records[:3], 2.0)
+    none = router.replace_stage(profile, route, route.stages[1], {}, 2.0)
+    assert none.error.code is ResultCode.NO_ENDPOINT
+
+
+def test_round_robin_takes_turns() -> None:
+    """The baseline ignores speed."""
+    router = _router(_records(60.0, 240.0, 60.0), RouterSettings(RoundRobinRoutes()))
+    taken = Counter(_chosen(router, profile_of(n, 20)) for n in range(30))
+    assert set(taken.values()) == {10}
+
+
+class _Suspects:
+    """Suspects as the durable state would tell them."""
+
+    def __init__(self) -> None:
+        self.recorded: tuple[Fingerprint, ...] = ()
+        self.died: frozenset[EndpointId] = frozenset()
+
+    def deaths(self, fingerprint: Fingerprint) -> frozenset[EndpointId]:
+        """Return the deaths."""
+        return self.died
+
+    def recorded_suspects(self) -> tuple[Fingerprint, ...]:
+        """Return the suspects."""
+        return self.recorded
+
+
+def test_suspect_has_one_endpoint_to_itself_at_every_entry_host() -> None:
+    """All hosts give a suspect the same endpoint and keep other work off it."""
+    records = whole_cluster(7, 12)
+    own = set()
+    for seed in range(4):
+        view = _Suspects()
+        view.recorded = (Fingerprint("f0"),)
+        router = _router_of(records, seed)
+        router.set_suspect_view(view)
+        name = _chosen(router, profile_of(0, 20), exclusive=True)
+        own.add(name)
+        others = {_chosen(router, profile_of(n, 20)) for n in range(1, 60)}
+        assert name not in others
+    assert len(own) == 1
+
+
+def test_suspect_waits_for_its_endpoint_to_be_idle() -> None:
+    """An exclusive route is given only where nothing else runs."""
+    view = _Suspects()
+    view.recorded = (Fingerprint("f0"),)
+    router = _router(whole_cluster(7, 12))
+    router.set_suspect_view(view)
+    profile = profile_of(0, 20)
+    name = router.exclusive_route(profile, 0.0).ok.stages[0].endpoint_id
+    busy = {name: EndpointUse(running=1)}
+    assert isinstance(router.choose(profile, busy, NONE, True, 0.0).error, NoFreeSlot)
+    assert _chosen(router, profile, exclusive=True) == name
+
+
+def test_suspect_gets_no_third_endpoint_before_the_durable_state_could_tell() -> None:
+    """Once its endpoint is gone, a suspect waits for news before it is placed again."""
+    records = whole_cluster(7, 12)
+    view = _Suspects()
+    view.recorded = (Fingerprint("f0"),)
+    router = _router(records)
+    router.set_suspect_view(view)
+    profile = profile_of(0, 20)
+    name = _chosen(router, profile, exclusive=True)
+    router.set_endpoints([r for r in records if r.endpoint_id != name], 1.0)
+    for now in (1.0, 2.0, 1.0 + const.SUSPECT_SETTLE_S - 0.1):
+        waiting = router.choose(profile, {}, NONE, True, now)
+        assert isinstance(waiting.error, NoFreeSlot)
+    later = 1.0 + const.SUSPECT_SETTLE_S + 0.1
+    assert _chosen(router, profile, exclusive=True, now=later) != name
+
+
+def test_suspects_keep_no_more_than_a_part_of_a_pool() -> None:
+    """Many suspects at once leave most endpoints to other work."""
+    records = whole_cluster(7, 12)
+    view = _Suspects()
+    view.recorded = tuple(Fingerprint(f"f{n}") for n in range(40))
+    router = _router(records)
+    router.set_suspect_view(view)
+    loads: dict[EndpointId, EndpointUse] = {}
+    while True:
+        chosen = router.choose(profile_of(100, 20), loads, NONE, False, 0.0)
+        if chosen.is_error():
+            break
+        loads.setdefault(chosen.ok.stages[0].endpoint_id, EndpointUse()).running += 1
+    assert len(loads) >= 12 * (1 - const.MAX_RESERVED_SHARE)
+
+
+def test_suspects_never_meet_and_take_turns() -> None:
+    """The suspects that are placed have an endpoint each; the others wait for their turn."""
+    view = _Suspects()
+    view.recorded = tuple(Fingerprint(f"f{n}") for n in range(8))
+    router = _router(whole_cluster(7, 12))
+    router.set_suspect_view(view)
+    routes = [router.choose(profile_of(n, 20), {}, NONE, True, 0.0) for n in range(8)]
+    names = [route.ok.stages[0].endpoint_id for route in routes if route.is_ok()]
+    assert 0 < len(names) == len(set(names)) < 8
+    view.recorded = view.recorded[len(names) :]
+    assert router.choose(profile_of(len(names), 20), {}, NONE, True, 0.1).is_ok()
+
+
+def test_suspect_waits_until_this_host_knows_of_its_record() -> None:
+    """Before its record has arrived here, other suspects may be unknown as well."""
+    view = _Suspects()
+    router = _router(whole_cluster(7, 12))
+    router.set_suspect_view(view)
+    profile = profile_of(0, 20)
+    assert isinstance(router.choose(profile, {}, NONE, True, 0.0).error, NoFreeSlot)
+    view.recorded = (Fingerprint("f0"),)
+    assert router.choose(profile, {}, NONE, True, 0.1).is_ok()
+
+
+def test_suspect_that_was_evicted_from_the_durable_state_runs_in_the_end() -> None:
+    """A record that never arrives delays a suspect, and does not hold it for ever."""
+    router = _router(whole_cluster(7, 12))
+    profile = profile_of(0, 20)
+    assert isinstance(router.choose(profile, {}, NONE, True, 0.0).error, NoFreeSlot)
+    assert router.choose(profile, {}, NONE, True, const.SUSPECT_SETTLE_S + 0.1).is_ok()
--- a/tests/policy/test_scheduler.py
+++ b/tests/policy/test_scheduler.py
@@ -25,6 +25,8 @@
     EntityState,
     LayerRange,
     Member,
+    Quarantine,
+    QuarantineState,
 )
 from lagoonwing_core.result_codes import ResultCode
 from lagoonwing_policy import Scheduler, SchedulerSettings
@@ -81,6 +83,18 @@
     return agreement, member
 
 
+def _tell_suspect(scheduler: Scheduler, fingerprint: str, now: float) -> None:
+    """Hand the scheduler a durable state that holds a suspect."""
+    agreement, member = _member("acme")
+    suspect = Quarantine(
+        fingerprint=Fingerprint(fingerprint),
+        state=QuarantineState.SUSPECT,
+        deaths=((EndpointId("e1"), Incarnation(1)),),
+        revision=Revision(2),
+    )
+    scheduler.set_agreements([agreement], [member], [suspect], [], [], now)
+
+
 def _profile(name: str, member: str = "acme", idempotent: bool = True) -> RequestProfile:
     work = ModelWork(MODEL, prompt_tokens=10, photos=0, max_tokens=10)
     return RequestProfile(
@@ -176,5 +190,21 @@
     commands = scheduler.attempt_ended(RequestId("r1"), Attempt(1), died, 1.0)
     assert [type(command) for command in commands] == [ReportSuspects]
     assert scheduler.tick(5.0) == []
-    (started,) = scheduler.suspects_recorded([Fingerprint("f-r1")], 6.0)
+    assert scheduler.suspects_recorded([Fingerprint("f-r1")], 6.0) == []
+    assert scheduler.tick(6.1) == []
+    _tell_suspect(scheduler, "f-r1", 6.2)
+    (started,) = scheduler.tick(6.2)
     assert isinstance(started, StartAttempt)
+    assert started.route.exclusive
+
+
+def test_refused_connection_makes_no_suspect(scheduler: Scheduler) -> None:
+    """A request that never reached a dead endpoint did not kill it."""
+    scheduler.set_endpoints([_endpoint("e1"), _endpoint("e2")], 0.0)
+    scheduler.submit(_profile("r1"), 0.0)
+    scheduler.tick(0.0)
+    refused = _failed("e1", Dispatch.NO_BYTE_SENT, died=True)
+    assert scheduler.attempt_ended(RequestId("r1"), Attempt(1), refused, 1.0) == []
+    (retried,) = scheduler.tick(2.0)
+    assert isinstance(retried, StartAttempt)
+    assert not retried.route.exclusive
