--- /dev/null
+++ b/packages/policy/src/lagoonwing_policy/routing/_suspects.py
@@ -0,0 +1,205 @@
+"""Endpoints on which suspects run alone, the same ones at every entry host."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from lagoonwing_core.ids import EndpointId, Fingerprint
+from lagoonwing_policy.routing import const
+from lagoonwing_policy.routing._affinity import rendezvous_order
+from lagoonwing_policy.routing._pools import Candidate, RoutePool
+from lagoonwing_policy.routing._stages import ChainChooser
+
+Chain = tuple[Candidate, ...]
+
+
+class SuspectView(Protocol):
+    """What routing needs to know of suspects."""
+
+    def deaths(self, fingerprint: Fingerprint) -> frozenset[EndpointId]:
+        """Return the endpoints that died while they ran a request."""
+
+    def recorded_suspects(self) -> tuple[Fingerprint, ...]:
+        """Return the suspects of the durable state, the oldest first."""
+
+
+class NoSuspects:
+    """View of a system without suspects."""
+
+    def deaths(self, fingerprint: Fingerprint) -> frozenset[EndpointId]:
+        """Return no endpoints."""
+        return frozenset()
+
+    def recorded_suspects(self) -> tuple[Fingerprint, ...]:
+        """Return no suspects."""
+        return ()
+
+
+@dataclass(slots=True)
+class _Pin:
+    """Chain given to a suspect; `lost_since` is when one of its endpoints was found gone."""
+
+    chain: Chain
+    lost_since: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class PoolView:
+    """A pool as one decision sees it."""
+
+    key: str
+    pool: RoutePool
+    may_use: Callable[[Candidate], bool]
+    now: float
+
+
+class SuspectPlacement:
+    """Gives each suspect one chain of endpoints, by rendezvous hashing of its fingerprint.
+
+    Entry hosts agree on the chain without talking, for it follows from the endpoints and from
+    the suspects of the durable state, taken in the order of their records. So copies at several
+    hosts meet on one endpoint, and no two suspects meet. A chain that is gone is not replaced
+    until the durable state has had time to tell whether the suspect killed it.
+    """
+
+    def __init__(self, chains: ChainChooser) -> None:
+        self._chains = chains
+        self._view: SuspectView = NoSuspects()
+        self._pin_by_key: OrderedDict[tuple[str, Fingerprint, int], _Pin] = OrderedDict()
+        self._recorded: tuple[Fingerprint, ...] = ()
+        self._recorded_set: frozenset[Fingerprint] = frozenset()
+        self._recent: OrderedDict[Fingerprint, float] = OrderedDict()
+        self._awaited_since: OrderedDict[Fingerprint, float] = OrderedDict()
+
+    def set_view(self, view: SuspectView) -> None:
+        """Set where suspects are looked up."""
+        self._view = view
+
+    def chain(self, view: PoolView, fingerprint: Fingerprint) -> Chain:
+        """Return the endpoints of a suspect, or none while it has to wait."""
+        self._refresh(view.now)
+        if fingerprint in self._recent:
+            return self._active_chains(view).get(fingerprint, ())
+        if self._awaits_record(fingerprint, view.now):
+            return ()
+        return self._pinned(view, fingerprint, self.reserved(view))
+
+    def _awaits_record(self, fingerprint: Fingerprint, now: float) -> bool:
+        """Return whether this host's copy of the durable state has yet to hold a suspect.
+
+        Until then other suspects of earlier records may be unknown here, and meet this one.
+        """
+        if fingerprint in self._recorded_set:
+            return False
+        since = self._awaited_since.setdefault(fingerprint, now)
+        if len(self._awaited_since) > const.MAX_PINS:
+            self._awaited_since.popitem(last=False)
+        return now - since < const.SUSPECT_SETTLE_S
+
+    def reserved(self, view: PoolView) -> frozenset[EndpointId]:
+        """Return the endpoints that other work must leave to recent suspects."""
+        self._refresh(view.now)
+        if not self._recent:
+            return frozenset()
+        chains = self._active_chains(view).values()
+        return frozenset(candidate.endpoint_id for chain in chains for candidate in chain)
+
+    def _refresh(self, now: float) -> None:
+        """Note which suspects this host came to know a short while ago."""
+        suspects = self._view.recorded_suspects()
+        if suspects is not self._recorded:
+            self._recorded = suspects
+            news = frozenset(suspects) - self._recorded_set
+            self._recorded_set = frozenset(suspects)
+            kept = {
+                item: self._recent.get(item, now)
+                for item in suspects
+                if item in self._recent or item in news
+            }
+            self._recent = OrderedDict(kept)
+        for fingerprint in [
+            item for item, since in self._recent.items() if now - since >= const.RESERVATION_S
+        ]:
+            del self._recent[fingerprint]
+
+    def _active_chains(self, view: PoolView) -> dict[Fingerprint, Chain]:
+        """Return the chains of the first recent suspects; the others wait for their turn."""
+        most = max(1, int(len(view.pool.candidate_by_id) * const.MAX_RESERVED_SHARE))
+        taken: frozenset[EndpointId] = frozenset()
+        chain_by_fingerprint: dict[Fingerprint, Chain] = {}
+        for fingerprint in self._recent:
+            if len(taken) >= most:
+                break
+            chain = self._pinned(view, fingerprint, taken)
+            chain_by_fingerprint[fingerprint] = chain
+            taken |= {candidate.endpoint_id for candidate in chain}
+        return chain_by_fingerprint
+
+    def _pinned(
+        self, view: PoolView, fingerprint: Fingerprint, taken: frozenset[EndpointId]
+    ) -> Chain:
+        """Return the chain that a suspect keeps, or a new one away from other suspects."""
+        deaths = self._view.deaths(fingerprint)
+        key = (view.key, fingerprint, len(deaths))
+        pin = self._pin_by_key.get(key)
+        if pin is not None and self._is_whole(pin.chain, view.pool, view.may_use):
+            pin.lost_since = None
+            return pin.chain
+        if pin is not None and self._is_settling(pin, view.now):
+            return ()
+        chain = self._place(view, fingerprint, deaths, taken)
+        if chain:
+            self._pin_by_key[key] = _Pin(chain)
+            if len(self._pin_by_key) > const.MAX_PINS:
+                self._pin_by_key.popitem(last=False)
+        return chain
+
+    def _is_settling(self, pin: _Pin, now: float) -> bool:
+        """Return whether the durable state may yet tell that the suspect killed its chain."""
+        if pin.lost_since is None:
+            pin.lost_since = now
+        return now - pin.lost_since < const.SUSPECT_SETTLE_S
+
+    def _is_whole(
+        self, chain: Chain, pool: RoutePool, may_use: Callable[[Candidate], bool]
+    ) -> bool:
+        """Return whether every endpoint of a chain still runs the same incarnation."""
+        for candidate in chain:
+            current = pool.candidate_by_id.get(candidate.endpoint_id)
+            if current is None or current.stage != candidate.stage or not may_use(current):
+                return False
+        return True
+
+    def _place(
+        self,
+        view: PoolView,
+        fingerprint: Fingerprint,
+        deaths: frozenset[EndpointId],
+        taken: frozenset[EndpointId],
+    ) -> Chain:
+        """Return the first chain in rendezvous order, preferably off what died of it."""
+        ordered = rendezvous_order(fingerprint, list(view.pool.candidate_by_id.values()))
+        for unwanted in (deaths | taken, taken):
+            rank_by_id = {
+                candidate.endpoint_id: float(rank)
+                for rank, candidate in enumerate(ordered)
+                if candidate.endpoint_id not in unwanted and view.may_use(candidate)
+            }
+            chain = self._first_by_rank(view.pool, rank_by_id)
+            if chain:
+                return chain
+        return ()
+
+    def _first_by_rank(self, pool: RoutePool, rank_by_id: dict[EndpointId, float]) -> Chain:
+        """Return the endpoint, or the chain, of the lowest ranks."""
+        whole = [item for item in pool.whole if item.endpoint_id in rank_by_id]
+        if whole:
+            return (min(whole, key=lambda item: rank_by_id[item.endpoint_id]),)
+        for split in pool.splits:
+            chain = self._chains.by_rank(split, lambda item: rank_by_id.get(item.endpoint_id))
+            if chain:
+                return chain
+        return ()
