Test answers that are late, crossed, doubled or cut, and bad input

Failures caused by the stand-ins: crossed, truncated, reset, refused, silent, doubled and late answers of whole models; lost answers of calls that may run only once; stages that fail, freeze or die in the middle of an answer; drains and planned stops; malformed, oversize and slow input on the callers' and announce ports. Found on the way: tornado drops data that is pending when a connection closes, so the last tokens before a cut may be run again by the endpoint that resumes; the caller never gets them twice.

--- a/tests/entry/entry_cell.py
+++ b/tests/entry/entry_cell.py
@@ -55,6 +55,8 @@
 MEMBER_KEY = "member-key"
 ENDPOINT_KEY = "endpoint-key"
 ADDRESS = "127.0.0.1"
+# Ends a test that would hang; nothing is measured against it.
+HANG_TIMEOUT_S = 20.0
 _DECODER: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(MembershipMessage)
 
 
@@ -220,6 +222,16 @@
         return [event for event in self.events if event != "[DONE]"][-1]
 
 
+async def async_until(condition: Callable[[], Any]) -> None:
+    """Wait until something in the same event loop, or a stand-in's log, shows what is waited for.
+
+    The stand-ins' logs and tables have no events to wait on.
+    """
+    async with asyncio.timeout(HANG_TIMEOUT_S):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+
+
 class Host:
     """One entry host with its control."""
 
@@ -241,6 +253,7 @@
             caller=CallerServerSettings(ADDRESS, 0, **caller),
             announce=AnnounceServerSettings(ADDRESS, 0, frozenset({key_hash}), renew_after_s=0.2),
             adapter=adapter or AdapterSettings(),
+            stop_report_period_s=0.02,
         )
         own = HostAddress(
             host_id=HostId(name), address=ADDRESS, port=1, failure_domain=FailureDomainId("fd1")
--- a/tests/entry/test_entry_path.py
+++ b/tests/entry/test_entry_path.py
@@ -3,23 +3,12 @@
 from __future__ import annotations
 
 import json
-from collections.abc import AsyncIterator
-from pathlib import Path
 
-import pytest
 from entry_cell import Cell, chat_prompt
 
 from lagoonwing_fakes import FakeKind, expected_text
 
 
-@pytest.fixture
-async def cell(tmp_path: Path) -> AsyncIterator[Cell]:
-    """A cell that is closed after the test."""
-    cell = Cell(tmp_path)
-    yield cell
-    await cell.async_close()
-
-
 async def test_chat_whole_and_streamed_through_one_endpoint(cell: Cell) -> None:
     """Both forms give the tokens that belong to the prompt, and say that it is done."""
     host = await cell.async_add_host()
