--- a/packages/lagoonctl/src/lagoonctl/_commands/__init__.py
+++ b/packages/lagoonctl/src/lagoonctl/_commands/__init__.py
@@ -28,6 +28,7 @@
     StopList,
     StopOrder,
 )
+from lagoonctl.load.command import LoadCommand
 
 COMMANDS: tuple[type[Command], ...] = (
     MemberCreate,
@@ -53,4 +54,5 @@
     Status,
     Watch,
     History,
+    LoadCommand,
 )
