--- /dev/null
+++ b/bench/consensus_mutations.py
@@ -0,0 +1,26 @@
+"""Prints which check catches which fault in the replicated log's core, as a table."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parents[1] / "tests" / "consensus"))
+
+from consensus_mutations import MUTATIONS, find_catch  # noqa: E402
+
+
+def main() -> int:
+    """Run every mutation; return 1 if one is not caught."""
+    print("| Fault | Caught by | Schedules run |")
+    print("| --- | --- | ---: |")
+    missed = 0
+    for mutation in MUTATIONS:
+        catch = find_catch(mutation)
+        missed += catch.check is None
+        print(f"| {mutation.name} | {catch.check or 'nothing'} | {catch.schedules} |", flush=True)
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/consensus/src/lagoonwing_consensus/_core.py
@@ -0,0 +1,222 @@
+"""One replica of the log, free of I/O."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Mapping, Sequence
+
+from lagoonwing_consensus import (
+    _election,
+    _lease,
+    _membership,
+    _replication,
+    _snapshots,
+)
+from lagoonwing_consensus._entry_log import EntryLog
+from lagoonwing_consensus._replica_sets import ReplicaSets
+from lagoonwing_consensus._state import Output, ReplicaState
+from lagoonwing_consensus.messages import (
+    AppendReply,
+    AppendRequest,
+    Message,
+    SnapshotReply,
+    SnapshotRequest,
+    VoteReply,
+    VoteRequest,
+)
+from lagoonwing_consensus.models import (
+    Entry,
+    EntryKind,
+    Replica,
+    ReplicaRole,
+    ReplicaSet,
+    RestoredState,
+    Snapshot,
+)
+from lagoonwing_consensus.settings import CoreSettings
+from lagoonwing_core.ids import LogIndex, ReplicaId, Term
+
+
+class ReplicaCore:
+    """Replica that turns messages and the passing of time into outputs.
+
+    Each call that may have an effect returns an `Output`, which the shell carries out in the
+    order of the calls. Times are seconds on the replica's own monotonic clock.
+    """
+
+    def __init__(
+        self,
+        replica_id: ReplicaId,
+        settings: CoreSettings,
+        restored: RestoredState,
+        seed: int,
+        now: float,
+    ) -> None:
+        snapshot = restored.snapshot
+        log = EntryLog(snapshot.index, snapshot.term, restored.entries)
+        sets = ReplicaSets(snapshot.index, snapshot.replica_set)
+        for entry in restored.entries:
+            sets.append(entry)
+        applied = max(restored.applied, snapshot.index)
+        self._state = ReplicaState(
+            replica_id=replica_id,
+            settings=settings,
+            random=random.Random(seed),
+            log=log,
+            sets=sets,
+            snapshot=snapshot,
+            term=restored.hard_state.term,
+            vote=restored.hard_state.vote,
+            commit=snapshot.index,
+            applied=applied,
+            persisted_index=log.last_index,
+            contact_at=now,
+            election_deadline=now,
+        )
+        _election.reset_election_deadline(self._state, now)
+        self._state.advance_commit(min(restored.hard_state.commit, log.last_index))
+
+    @property
+    def replica_id(self) -> ReplicaId:
+        """Identity of the replica's disk."""
+        return self._state.replica_id
+
+    @property
+    def role(self) -> ReplicaRole:
+        """What the replica does in its term."""
+        return self._state.role
+
+    @property
+    def term(self) -> Term:
+        """Latest term known."""
+        return self._state.term
+
+    @property
+    def leader_id(self) -> ReplicaId | None:
+        """Leader of the term, if known."""
+        return self._state.leader_id
+
+    @property
+    def commit(self) -> LogIndex:
+        """Last entry known to be accepted."""
+        return self._state.commit
+
+    @property
+    def last_index(self) -> LogIndex:
+        """Last entry of the log."""
+        return self._state.log.last_index
+
+    @property
+    def snapshot_index(self) -> LogIndex:
+        """Last entry that the latest snapshot covers."""
+        return self._state.snapshot.index
+
+    @property
+    def replica_set(self) -> ReplicaSet:
+        """Replica set in force."""
+        return self._state.sets.current
+
+    @property
+    def is_term_ready(self) -> bool:
+        """Whether this replica leads and has accepted an entry of its own term."""
+        return _replication.is_term_ready(self._state)
+
+    def is_lease_valid(self, now: float) -> bool:
+        """Return whether this replica may act as leader at this moment."""
+        return _lease.is_lease_valid(self._state, now)
+
+    def read_index(self, now: float) -> LogIndex | None:
+        """Return the entry that a current read must see, or nothing if it isn't known.
+
+        Only a leader under a valid lease knows it, once it has accepted an entry of its term.
+        """
+        return _replication.read_index(self._state, now)
+
+    def heard_at_by_id(self) -> Mapping[ReplicaId, float]:
+        """Return when each peer was last heard: all of them on a leader, else the leader."""
+        state = self._state
+        if state.role is ReplicaRole.LEADER:
+            return {
+                peer_id: progress.heard_at for peer_id, progress in state.progress_by_id.items()
+            }
+        return {} if state.leader_id is None else {state.leader_id: state.contact_at}
+
+    def start(self) -> Output:
+        """Return the entries that were known as accepted at the restart."""
+        return self._take_output()
+
+    def tick(self, now: float) -> Output:
+        """Let time pass; to be called several times in each heartbeat interval."""
+        _election.tick(self._state, now)
+        _membership.tick(self._state, now)
+        _replication.tick(self._state, now)
+        return self._take_output()
+
+    def step(self, message: Message, now: float) -> Output:
+        """Take one message of a peer."""
+        if message.receiver != self._state.replica_id:
+            return self._take_output()
+        match message:
+            case VoteRequest():
+                _election.handle_vote_request(self._state, message, now)
+            case VoteReply():
+                _election.handle_vote_reply(self._state, message, now)
+            case AppendRequest():
+                _replication.handle_append_request(self._state, message, now)
+            case AppendReply():
+                _replication.handle_append_reply(self._state, message, now)
+            case SnapshotRequest():
+                _snapshots.handle_snapshot_request(self._state, message, now)
+            case SnapshotReply():
+                _snapshots.handle_snapshot_reply(self._state, message, now)
+        return self._take_output()
+
+    def propose(self, commands: Sequence[bytes], now: float) -> Output:
+        """Append commands, on the leader; their indexes follow `last_index`.
+
+        Raises:
+            ValueError: This replica does not lead.
+        """
+        if self._state.role is not ReplicaRole.LEADER:
+            raise ValueError("only the leader appends")
+        for command in commands:
+            index = LogIndex(self._state.log.last_index + 1)
+            self._state.append(Entry(index, self._state.term, EntryKind.COMMAND, command))
+        _replication.broadcast(self._state, now)
+        return self._take_output()
+
+    def add_learner(self, replica: Replica, now: float) -> Output:
+        """Take in a replica that asks to join; without effect where it can't be done now."""
+        _membership.add_learner(self._state, replica, now)
+        return self._take_output()
+
+    def persisted(self, index: LogIndex, term: Term, now: float) -> Output:
+        """Take note that all entries of earlier outputs up to this one are synced."""
+        _replication.handle_persisted(self._state, index, term, now)
+        return self._take_output()
+
+    def make_snapshot(self, applied: LogIndex, encoded: bytes) -> Snapshot:
+        """Return the snapshot of a state machine that has applied every entry to `applied`.
+
+        Raises:
+            ValueError: The entry is no longer held, or not accepted.
+        """
+        term = self._state.log.term_at(applied)
+        if term is None or applied > self._state.commit:
+            raise ValueError(f"no snapshot can be made at entry {applied}")
+        return Snapshot(applied, term, self._state.sets.at(applied), encoded)
+
+    def compact(self, snapshot: Snapshot, keep_entries: int) -> None:
+        """Forget the entries that a synced snapshot covers, but for the last few.
+
+        Args:
+            snapshot: Snapshot made here, which is on disk.
+            keep_entries: Entries kept for peers that lag a little.
+        """
+        _snapshots.compact(self._state, snapshot, keep_entries)
+
+    def _take_output(self) -> Output:
+        """Return what has gathered since the last call."""
+        output = self._state.output
+        self._state.output = Output()
+        return output
--- /dev/null
+++ b/packages/consensus/src/lagoonwing_consensus/_snapshots.py
@@ -0,0 +1,170 @@
+"""Snapshots: sent in parts to peers that lack entries which the log has forgotten."""
+
+from __future__ import annotations
+
+import zlib
+
+from lagoonwing_consensus import _replication
+from lagoonwing_consensus._state import (
+    IncomingSnapshot,
+    Progress,
+    ReplicaState,
+    SnapshotTransfer,
+)
+from lagoonwing_consensus.const import MAX_SNAPSHOT_BYTES
+from lagoonwing_consensus.messages import SnapshotReply, SnapshotRequest
+from lagoonwing_consensus.models import Snapshot
+from lagoonwing_core.ids import LogIndex, ReplicaId
+
+
+def compact(state: ReplicaState, snapshot: Snapshot, keep_entries: int) -> None:
+    """Forget the entries that a synced snapshot covers, but for the last few."""
+    if snapshot.index <= state.snapshot.index:
+        return
+    state.snapshot = snapshot
+    index = LogIndex(snapshot.index - keep_entries)
+    state.log.compact(index)
+    state.sets.compact(state.log.base_index)
+
+
+def start_transfer(state: ReplicaState, peer_id: ReplicaId, progress: Progress, now: float) -> None:
+    """Begin to send the latest snapshot to one peer."""
+    snapshot = state.snapshot
+    progress.transfer = SnapshotTransfer(snapshot, zlib.crc32(snapshot.state))
+    progress.inflight.clear()
+    _send_part(state, peer_id, progress, progress.transfer, now)
+
+
+def resend_part(state: ReplicaState, peer_id: ReplicaId, progress: Progress, now: float) -> None:
+    """Send the current part again if it has been unanswered for long."""
+    transfer = progress.transfer
+    if transfer is None or now < transfer.sent_at + state.settings.snapshot_retry_s:
+        return
+    _send_part(state, peer_id, progress, transfer, now)
+
+
+def handle_snapshot_request(state: ReplicaState, request: SnapshotRequest, now: float) -> None:
+    """Take one part of a snapshot, and install the whole with the last one."""
+    if not _replication.follow_leader(state, request.sender, request.term, now):
+        _reply(state, request, next_offset=0, installed=False)
+        return
+    if is_known(state, request.index):
+        _reply(state, request, next_offset=request.size, installed=True)
+        return
+    incoming = _take_part(state, request)
+    if len(incoming.state) < request.size:
+        _reply(state, request, next_offset=len(incoming.state), installed=False)
+        return
+    whole = bytes(incoming.state)
+    state.incoming = None
+    if zlib.crc32(whole) != request.checksum:
+        _reply(state, request, next_offset=0, installed=False)
+        return
+    install(state, Snapshot(request.index, request.snapshot_term, request.replica_set, whole))
+    _reply(state, request, next_offset=request.size, installed=True)
+
+
+def is_known(state: ReplicaState, index: LogIndex) -> bool:
+    """Return whether this log holds every accepted entry up to a snapshot's."""
+    return index <= state.commit
+
+
+def install(state: ReplicaState, snapshot: Snapshot) -> None:
+    """Replace the start of the log by a snapshot."""
+    state.output.snapshot = snapshot
+    state.snapshot = snapshot
+    if state.log.term_at(snapshot.index) == snapshot.term:
+        state.log.compact(snapshot.index)
+        state.sets.compact(snapshot.index)
+    else:
+        state.output.log_reset = True
+        state.log.reset(snapshot.index, snapshot.term)
+        state.sets.reset(snapshot.index, snapshot.replica_set)
+        state.persisted_index = snapshot.index
+    state.commit = max(state.commit, snapshot.index)
+    state.applied = max(state.applied, snapshot.index)
+
+
+def handle_snapshot_reply(state: ReplicaState, reply: SnapshotReply, now: float) -> None:
+    """Send the next part, or go on with entries after the last one."""
+    progress = _replication.confirm(state, reply.sender, reply.term, reply.sent_at, now)
+    if progress is None:
+        return
+    transfer = progress.transfer
+    if transfer is None or transfer.snapshot.index != reply.index:
+        return
+    if not reply.installed:
+        if reply.next_offset == transfer.offset:
+            # A doubled answer; the part is on its way already.
+            return
+        transfer.offset = reply.next_offset
+        _send_part(state, reply.sender, progress, transfer, now)
+        return
+    progress.transfer = None
+    progress.match_index = max(progress.match_index, reply.index)
+    progress.next_index = LogIndex(progress.match_index + 1)
+    progress.probing = False
+    _replication.advance_leader_commit(state, now)
+    _replication.send_entries(state, reply.sender, progress, now)
+
+
+def _take_part(state: ReplicaState, request: SnapshotRequest) -> IncomingSnapshot:
+    """Add a part to the snapshot that is arriving, if it is the next one."""
+    incoming = state.incoming
+    is_same = incoming is not None and (incoming.index, incoming.term) == (
+        request.index,
+        request.snapshot_term,
+    )
+    if incoming is None or not is_same or request.offset == 0:
+        incoming = IncomingSnapshot(request.index, request.snapshot_term, bytearray())
+        state.incoming = incoming
+    fits = len(incoming.state) + len(request.part) <= min(request.size, MAX_SNAPSHOT_BYTES)
+    if request.offset == len(incoming.state) and fits:
+        incoming.state += request.part
+    return incoming
+
+
+def _send_part(
+    state: ReplicaState,
+    peer_id: ReplicaId,
+    progress: Progress,
+    transfer: SnapshotTransfer,
+    now: float,
+) -> None:
+    """Send the part at the transfer's offset."""
+    snapshot = transfer.snapshot
+    end = transfer.offset + state.settings.snapshot_chunk_bytes
+    transfer.sent_at = now
+    progress.sent_at = now
+    state.output.early_messages.append(
+        SnapshotRequest(
+            sender=state.replica_id,
+            receiver=peer_id,
+            term=state.term,
+            index=snapshot.index,
+            snapshot_term=snapshot.term,
+            replica_set=snapshot.replica_set,
+            size=len(snapshot.state),
+            checksum=transfer.checksum,
+            offset=transfer.offset,
+            part=snapshot.state[transfer.offset : end],
+            sent_at=now,
+        )
+    )
+
+
+def _reply(
+    state: ReplicaState, request: SnapshotRequest, *, next_offset: int, installed: bool
+) -> None:
+    """Answer one part once everything so far is synced."""
+    state.output.messages.append(
+        SnapshotReply(
+            sender=state.replica_id,
+            receiver=request.sender,
+            term=state.term,
+            index=request.index,
+            next_offset=next_offset,
+            installed=installed,
+            sent_at=request.sent_at,
+        )
+    )
--- a/packages/consensus/src/lagoonwing_consensus/models.py
+++ b/packages/consensus/src/lagoonwing_consensus/models.py
@@ -60,3 +60,60 @@
     term: Term
     kind: EntryKind
     payload: bytes = b""
+
+
+class HardState(msgspec.Struct, frozen=True, array_like=True):
+    """What a replica must not forget besides its entries.
+
+    Attributes:
+        vote: Candidate that got this replica's vote in the term.
+        commit: Last accepted entry known when this was written; may lag.
+    """
+
+    term: Term = Term(0)
+    vote: ReplicaId | None = None
+    commit: LogIndex = LogIndex(0)
+
+
+class Snapshot(msgspec.Struct, frozen=True, array_like=True):
+    """State of the state machine after one entry.
+
+    Attributes:
+        index: Last entry whose effect the state holds.
+        term: Term of that entry.
+        replica_set: Replicas in force at that entry.
+        state: Encoded state of the state machine.
+    """
+
+    index: LogIndex = LogIndex(0)
+    term: Term = Term(0)
+    replica_set: ReplicaSet = ReplicaSet()
+    state: bytes = b""
+
+
+class RestoredState(msgspec.Struct, frozen=True):
+    """What a replica finds on its disk at its start.
+
+    Attributes:
+        entries: Entries after the snapshot, without gaps.
+        applied: Last entry that the state machine holds; at least the snapshot's index.
+    """
+
+    hard_state: HardState = HardState()
+    snapshot: Snapshot = Snapshot()
+    entries: tuple[Entry, ...] = ()
+    applied: LogIndex = LogIndex(0)
+
+
+def encode_replica_set(replica_set: ReplicaSet) -> bytes:
+    """Return the payload of a replica set entry."""
+    return _ENCODER.encode(replica_set)
+
+
+def decode_replica_set(payload: bytes) -> ReplicaSet:
+    """Return the replica set of an entry's payload."""
+    return _REPLICA_SET_DECODER.decode(payload)
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_REPLICA_SET_DECODER = msgspec.msgpack.Decoder(ReplicaSet)
--- /dev/null
+++ b/tests/consensus/consensus_mutations.py
@@ -0,0 +1,172 @@
+"""Faults put into the core or its shell, each of which some check must catch."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass
+from functools import partial
+from typing import Any
+from unittest.mock import patch
+
+from consensus_scenarios import SCENARIOS
+from consensus_simulation import Mistakes, Simulation, ViolationError
+
+from lagoonwing_consensus import (
+    _election,
+    _lease,
+    _membership,
+    _replication,
+    _snapshots,
+)
+from lagoonwing_consensus._state import ReplicaState
+
+MAX_SCHEDULES = 1000
+
+
+@dataclass(frozen=True)
+class Mutation:
+    """One fault.
+
+    Attributes:
+        patches: Module, name and replacement of each function changed.
+    """
+
+    name: str
+    patches: tuple[tuple[Any, str, Any], ...] = ()
+    mistakes: Mistakes = Mistakes()
+
+    @contextmanager
+    def applied(self) -> Iterator[None]:
+        """Have the fault in force for a while."""
+        with ExitStack() as stack:
+            for module, name, replacement in self.patches:
+                stack.enter_context(patch.object(module, name, replacement))
+            yield
+
+
+@dataclass(frozen=True)
+class Catch:
+    """How a mutation was caught.
+
+    Attributes:
+        check: Name of the promise that was seen broken, or nothing.
+        schedules: Schedules run until then.
+    """
+
+    check: str | None
+    schedules: int
+
+
+def find_catch(mutation: Mutation) -> Catch:
+    """Run schedules with a mutation until one is caught, if possible by a promise of safety."""
+    stalled: Catch | None = None
+    with mutation.applied():
+        for count, run in enumerate(_runs(mutation), 1):
+            try:
+                run()
+            except ViolationError as violation:
+                catch = Catch(str(violation).split(":")[0], count)
+                if catch.check != "progress":
+                    return catch
+                stalled = stalled or catch
+    return stalled or Catch(None, MAX_SCHEDULES)
+
+
+def _runs(mutation: Mutation) -> Iterator[Callable[[], None]]:
+    """Return the scenarios and schedules in order."""
+    for seed in range(3):
+        for scenario in SCENARIOS:
+            yield partial(scenario, seed, mutation.mistakes)
+    for seed in range(MAX_SCHEDULES):
+        yield Simulation(seed, mutation.mistakes).run
+
+
+def _start_without_pre_vote(state: ReplicaState, now: float) -> None:
+    """Start an election at once."""
+    _election.start_election(state, now)
+
+
+def _keep_conflicting_entry(state: ReplicaState, entry: Any) -> None:
+    """Keep whatever stands in a new entry's place."""
+    if entry.index > state.log.last_index:
+        state.append(entry)
+
+
+def _vote_for_anyone(state: ReplicaState, request: Any) -> bool:
+    """Vote without looking at the vote given before."""
+    return request.term == state.term and _election.is_up_to_date(state, request)
+
+
+def _yes(*args: object) -> bool:
+    """Allow everything."""
+    return True
+
+
+def _no(*args: object) -> bool:
+    """Forbid everything."""
+    return False
+
+
+def _forget_promise_at_restart(state: ReplicaState, now: float) -> bool:
+    """Look only at messages of a leader of the own life."""
+    return state.leader_id is not None and _PROMISE(state, now)
+
+
+_PROMISE = _lease.is_promise_in_force
+
+MUTATIONS: Sequence[Mutation] = (
+    Mutation("no sync before messages", mistakes=Mistakes(syncs=False)),
+    Mutation("vote not persisted", mistakes=Mistakes(keeps_vote=False)),
+    Mutation("wiped disk keeps its identity", mistakes=Mistakes(wiped_disk_keeps_identity=True)),
+    Mutation("no pre-vote", ((_election, "start_pre_vote", _start_without_pre_vote),)),
+    Mutation("no quorum check", ((_election, "has_lost_quorum", _no),)),
+    Mutation("no term check", ((_replication, "is_term_over", _no),)),
+    Mutation("two votes in a term", ((_election, "may_grant_vote", _vote_for_anyone),)),
+    Mutation("no log check in votes", ((_election, "is_up_to_date", _yes),)),
+    Mutation("commit of former terms by copies", ((_replication, "may_commit", _yes),)),
+    Mutation("no lease wait in votes", ((_lease, "is_promise_in_force", _no),)),
+    Mutation(
+        "lease wait forgotten at restart",
+        ((_lease, "is_promise_in_force", _forget_promise_at_restart),),
+    ),
+    Mutation(
+        "lease from the answer's arrival",
+        ((_replication, "lease_start", lambda sent_at, now: now),),
+    ),
+    Mutation("previous entry not checked", ((_replication, "holds_previous", _yes),)),
+    Mutation("conflicting entries kept", ((_replication, "take_entry", _keep_conflicting_entry),)),
+    Mutation(
+        "leader's commit taken over unbounded",
+        (
+            (
+                _replication,
+                "commit_of_follower",
+                lambda state, commit, last_new: min(commit, state.log.last_index),
+            ),
+        ),
+    ),
+    Mutation(
+        "quorum one short",
+        (
+            (_replication, "quorum_size", lambda count: count // 2),
+            (_election, "quorum_size", lambda count: max(1, count // 2)),
+        ),
+    ),
+    Mutation(
+        "replica set changed while one is open",
+        ((_membership, "may_change", lambda state: state.role.value == "leader"),),
+    ),
+    Mutation("old snapshot installed", ((_snapshots, "is_known", _no),)),
+    Mutation(
+        "reads before the term's first entry",
+        (
+            (
+                _replication,
+                "is_term_ready",
+                lambda state: state.role.value == "leader",
+            ),
+        ),
+    ),
+    Mutation("lost voter not replaced", ((_membership, "next_set", lambda state, now: None),)),
+)
--- /dev/null
+++ b/tests/consensus/consensus_simulation.py
@@ -0,0 +1,545 @@
+"""Replicas on a simulated network and on simulated disks, with faults by seed."""
+
+from __future__ import annotations
+
+import hashlib
+import heapq
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+import msgspec
+
+from lagoonwing_consensus import (
+    CoreSettings,
+    Entry,
+    EntryKind,
+    HardState,
+    InvariantError,
+    Message,
+    Output,
+    Replica,
+    ReplicaCore,
+    ReplicaRole,
+    ReplicaSet,
+    RestoredState,
+    Snapshot,
+    encode_replica_set,
+)
+from lagoonwing_core.ids import HostId, LogIndex, ReplicaId, Term
+
+SETTINGS = CoreSettings(
+    heartbeat_s=1.0,
+    election_min_s=4.0,
+    election_max_s=7.0,
+    election_retry_min_s=0.6,
+    election_retry_max_s=2.5,
+    clock_drift_ratio=0.1,
+    max_message_entries=3,
+    max_inflight_messages=2,
+    snapshot_chunk_bytes=24,
+    snapshot_retry_s=2.0,
+    voter_lost_s=9.0,
+    learner_lag_entries=2,
+)
+HOSTS = ("a", "b", "c", "d")
+CHAOS_S = 80.0
+SETTLE_S = 90.0
+KEEP_ENTRIES = 3
+
+
+class ViolationError(Exception):
+    """A promise of the log was broken; the first argument names it."""
+
+
+@dataclass
+class Disk:
+    """What one replica has synced."""
+
+    replica: Replica
+    hard_state: HardState = HardState()
+    snapshot: Snapshot = Snapshot()
+    entries: list[Entry] = field(default_factory=list)
+
+    def write(self, output: Output, *, keeps_vote: bool) -> None:
+        """Carry out the durable part of one output."""
+        if output.hard_state is not None:
+            state = output.hard_state
+            self.hard_state = state if keeps_vote else HardState(state.term, None, state.commit)
+        if output.snapshot is not None:
+            self.snapshot = output.snapshot
+            kept = [] if output.log_reset else self.entries
+            self.entries = [entry for entry in kept if entry.index > self.snapshot.index]
+        for entry in output.entries:
+            self.entries = [kept for kept in self.entries if kept.index < entry.index]
+            self.entries.append(entry)
+
+
+@dataclass
+class Node:
+    """One host with its disk, clock and, while it runs, its core."""
+
+    disk: Disk
+    clock_offset: float
+    clock_rate: float
+    core: ReplicaCore | None = None
+    life: int = 0
+    unsynced: deque[Output] = field(default_factory=deque)
+    applied: int = 0
+    state_hash: bytes = b""
+    role: ReplicaRole = ReplicaRole.FOLLOWER
+
+
+@dataclass(frozen=True)
+class Faults:
+    """How often what goes wrong in one schedule; shares of messages, and kinds of events."""
+
+    loss: float
+    double: float
+    slow: float
+    kinds: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class Mistakes:
+    """Mistakes of the shell that a mutation may make."""
+
+    syncs: bool = True
+    keeps_vote: bool = True
+    wiped_disk_keeps_identity: bool = False
+
+
+class Simulation:
+    """One schedule: a time of faults, then a time in which the log must get on."""
+
+    def __init__(self, seed: int, mistakes: Mistakes = Mistakes()) -> None:
+        self.random = random.Random(seed)
+        self._mistakes = mistakes
+        self.now = 0.0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = 0
+        self._entry_by_position: dict[tuple[int, int], tuple[bytes, int]] = {}
+        self.accepted_by_index: dict[int, Entry] = {}
+        self._hash_by_index: dict[int, bytes] = {}
+        self._leader_by_term: dict[int, ReplicaId] = {}
+        self.answered = 0
+        self._blocked: set[tuple[str, str]] = set()
+        self._wiped: set[ReplicaId] = set()
+        self._wipes = 0
+        self._settling = False
+        self.settled = False
+        self._faults = self._draw_faults()
+        self._settings = replace(SETTINGS, max_message_entries=self.random.choice((1, 3)))
+        self.node_by_host = {host: self._make_node(host) for host in HOSTS}
+        replicas = [node.disk.replica for node in self.node_by_host.values()]
+        founding = ReplicaSet(tuple(replicas[:3]), tuple(replicas[3:]))
+        entry = Entry(LogIndex(1), Term(1), EntryKind.REPLICA_SET, encode_replica_set(founding))
+        self.node_by_host["a"].disk.entries.append(entry)
+        self.node_by_host["a"].disk.hard_state = HardState(Term(1))
+
+    def run(self) -> None:
+        """Run the schedule.
+
+        Raises:
+            ViolationError: A promise was broken.
+        """
+        for host in HOSTS:
+            self._start(host)
+        self._at(1.0, self._propose)
+        self._at(self.random.uniform(6.0, 14.0), self._cause_fault)
+        self._at(CHAOS_S, self._settle)
+        while self.now < CHAOS_S + SETTLE_S and not self.settled:
+            self.step()
+        if not self.settled:
+            raise ViolationError("progress: nothing is accepted though all faults are over")
+
+    def step(self) -> None:
+        """Let the next thing happen."""
+        self.now, _, action = heapq.heappop(self._events)
+        try:
+            action()
+        except InvariantError as error:
+            raise ViolationError(f"invariant: {error}") from error
+
+    def isolate(self, hosts: list[str]) -> None:
+        """Cut some hosts off from the rest, both ways."""
+        self._blocked = {
+            (one, two) for one in HOSTS for two in HOSTS if (one in hosts) is not (two in hosts)
+        }
+
+    def heal(self) -> None:
+        """End every cut of the network."""
+        self._blocked.clear()
+
+    def kill(self, host: str) -> None:
+        """Kill the process of a host; of what it had not synced a part may be on disk."""
+        node = self.node_by_host[host]
+        node.core = None
+        node.role = ReplicaRole.FOLLOWER
+        for _ in range(self.random.randint(0, len(node.unsynced))):
+            node.disk.write(node.unsynced.popleft(), keeps_vote=self._mistakes.keeps_vote)
+        node.unsynced.clear()
+
+    def local_now(self, node: Node) -> float:
+        """Return the time on a node's own clock."""
+        return node.clock_offset + node.clock_rate * self.now
+
+    def _draw_faults(self) -> Faults:
+        """Choose what goes wrong in this schedule."""
+        pick = self.random.choice
+        kinds = ("cut", "cut_one_way", "cut_one_way", "heal", "cut_new_leader") + (
+            "crash",
+            "crash",
+            "crash_all",
+            "wipe",
+            "snapshot",
+        )
+        return Faults(
+            loss=pick((0.0, 0.0, 0.05, 0.2)),
+            double=pick((0.0, 0.1)),
+            slow=pick((0.0, 0.05, 0.3)),
+            kinds=tuple(self.random.sample(kinds, self.random.randint(2, len(kinds)))),
+        )
+
+    def _make_node(self, host: str) -> Node:
+        """Return a host with an empty disk."""
+        drift = SETTINGS.clock_drift_ratio
+        return Node(
+            disk=Disk(_replica(host, 0)),
+            clock_offset=self.random.uniform(0.0, 1000.0),
+            clock_rate=self.random.uniform(1.0 - drift, 1.0 + drift),
+        )
+
+    def _at(self, delay: float, action: Callable[[], None]) -> None:
+        """Let something happen later."""
+        self._sequence += 1
+        heapq.heappush(self._events, (self.now + delay, self._sequence, action))
+
+    def _start(self, host: str) -> None:
+        """Start the process of a host from its disk."""
+        node = self.node_by_host[host]
+        disk = node.disk
+        node.life += 1
+        node.applied, node.state_hash = _decode_state(disk.snapshot)
+        restored = RestoredState(
+            disk.hard_state, disk.snapshot, tuple(disk.entries), disk.snapshot.index
+        )
+        seed = self.random.getrandbits(32)
+        node.role = ReplicaRole.FOLLOWER
+        node.core = ReplicaCore(
+            disk.replica.replica_id, self._settings, restored, seed, self.local_now(node)
+        )
+        self._carry_out(host, node.core.start())
+        self._tick(host, node.life)
+
+    def _tick(self, host: str, life: int) -> None:
+        """Let a process notice the time."""
+        node = self.node_by_host[host]
+        if node.core is None or node.life != life:
+            return
+        self._carry_out(host, node.core.tick(self.local_now(node)))
+        self._ask_to_join(host)
+        self._check_read(node)
+        self._at(0.7, lambda: self._tick(host, life))
+
+    def _ask_to_join(self, host: str) -> None:
+        """Let a replica outside the set ask whoever leads to be taken in."""
+        node = self.node_by_host[host]
+        replica = node.disk.replica
+        if replica.replica_id not in self._wiped and replica.replica_id.endswith("0"):
+            return
+        for other, peer in self.node_by_host.items():
+            if peer.core is not None and (host, other) not in self._blocked:
+                self._carry_out(other, peer.core.add_learner(replica, self.local_now(peer)))
+
+    def _carry_out(self, host: str, output: Output) -> None:
+        """Do what a core asks for, and check it."""
+        node = self.node_by_host[host]
+        core = node.core
+        assert core is not None
+        for entry in output.entries:
+            self._check_entry(core, entry)
+        if core.role is not node.role:
+            node.role = core.role
+            if core.role is ReplicaRole.LEADER:
+                self._check_election(core)
+                self._cut_new_leader(host)
+        if core.role is ReplicaRole.LEADER:
+            self._check_lease(node)
+        if output.snapshot is not None and output.snapshot.index > node.applied:
+            node.applied, node.state_hash = _decode_state(output.snapshot)
+            self._check_state(node)
+        self._apply(node, output.committed)
+        for message in output.early_messages:
+            self._send(host, message)
+        is_durable = output.hard_state or output.snapshot or output.entries
+        if not self._mistakes.syncs:
+            self._send_all(host, output)
+            if output.entries:
+                self._tell_persisted(host, output.entries[-1])
+            output.messages.clear()
+        elif not is_durable and not node.unsynced:
+            self._send_all(host, output)
+            return
+        node.unsynced.append(output)
+        if len(node.unsynced) == 1:
+            self._start_sync(host)
+
+    def _start_sync(self, host: str) -> None:
+        """Begin to sync everything that waits for it."""
+        node = self.node_by_host[host]
+        life, count = node.life, len(node.unsynced)
+        slowness = self.random.choice((0.02, 0.02, 0.5))
+        self._at(slowness, lambda: self._end_sync(host, life, count))
+
+    def _end_sync(self, host: str, life: int, count: int) -> None:
+        """Release what waited for the sync."""
+        node = self.node_by_host[host]
+        if node.core is None or node.life != life:
+            return
+        outputs = [node.unsynced.popleft() for _ in range(count)]
+        for output in outputs:
+            node.disk.write(output, keeps_vote=self._mistakes.keeps_vote)
+        if node.unsynced:
+            self._start_sync(host)
+        for output in outputs:
+            self._send_all(host, output)
+            if output.entries:
+                self._tell_persisted(host, output.entries[-1])
+
+    def _tell_persisted(self, host: str, entry: Entry) -> None:
+        """Tell a core that its entries are synced."""
+        node = self.node_by_host[host]
+        assert node.core is not None
+        output = node.core.persisted(entry.index, entry.term, self.local_now(node))
+        self._carry_out(host, output)
+
+    def _send_all(self, host: str, output: Output) -> None:
+        """Send the messages that waited for a sync."""
+        for message in output.messages:
+            self._send(host, message)
+
+    def _send(self, host: str, message: Message) -> None:
+        """Put one message on the network."""
+        receiver = message.receiver.split("-")[0]
+        if (host, receiver) in self._blocked:
+            return
+        faults = self._faults
+        copies = 2 if self.random.random() < faults.double else 1
+        for _ in range(copies):
+            if self._settling or self.random.random() >= faults.loss:
+                self._at(self._draw_delay(), lambda: self._deliver(receiver, message))
+
+    def _draw_delay(self) -> float:
+        """Return how long one message travels."""
+        if not self._settling and self.random.random() < self._faults.slow:
+            return self.random.uniform(0.0, 18.0)
+        return self.random.uniform(0.01, 0.2)
+
+    def _deliver(self, host: str, message: Message) -> None:
+        """Hand a message over, if its receiver runs."""
+        node = self.node_by_host[host]
+        if node.core is None or message.receiver != node.disk.replica.replica_id:
+            return
+        self._carry_out(host, node.core.step(message, self.local_now(node)))
+
+    def _propose(self) -> None:
+        """Propose to whoever believes to lead."""
+        self._at(self.random.uniform(0.5, 4.0), self._propose)
+        for host, node in self.node_by_host.items():
+            if node.core is not None and node.core.role is ReplicaRole.LEADER:
+                commands = [self.random.randbytes(4) for _ in range(self.random.randint(0, 3))]
+                self._carry_out(host, node.core.propose(commands, self.local_now(node)))
+        if self._settling:
+            self.settled = self._has_settled()
+
+    def _cause_fault(self) -> None:
+        """Let one thing go wrong or be mended."""
+        if self._settling:
+            return
+        self._at(self.random.uniform(0.5, 6.0), self._cause_fault)
+        host, other = self._draw_hosts()
+        match self.random.choice(self._faults.kinds):
+            case "cut":
+                self.isolate([host] if self.random.random() < 0.6 else [host, other])
+            case "cut_one_way":
+                self._blocked.add((host, other))
+            case "crash":
+                self._crash_for_a_while(host)
+            case "crash_all":
+                for each in HOSTS:
+                    self._crash_for_a_while(each)
+            case "wipe":
+                self._wipe(host)
+            case "snapshot":
+                self._take_snapshot(host)
+            case "heal" | "cut_new_leader":
+                self.heal()
+
+    def _draw_hosts(self) -> tuple[str, str]:
+        """Return a host that something happens to, often one that leads, and another."""
+        leaders = [host for host in HOSTS if self.node_by_host[host].role is ReplicaRole.LEADER]
+        shuffled = self.random.sample(HOSTS, len(HOSTS))
+        if leaders and self.random.random() < 0.4:
+            shuffled.sort(key=lambda host: host != leaders[0])
+        return shuffled[0], shuffled[1]
+
+    def _cut_new_leader(self, host: str) -> None:
+        """Cut a new leader off before its first entry has left it."""
+        if "cut_new_leader" in self._faults.kinds and self.random.random() < 0.5:
+            self.isolate([host])
+
+    def _crash_for_a_while(self, host: str) -> None:
+        """Kill a process and start it again later."""
+        if self.node_by_host[host].core is None:
+            return
+        self.kill(host)
+        longest = self.random.choice((0.5, 14.0))
+        self._at(self.random.uniform(0.1, longest), lambda: self._restart(host))
+
+    def _restart(self, host: str) -> None:
+        """Start a process unless it runs."""
+        if self.node_by_host[host].core is None:
+            self._start(host)
+
+    def _wipe(self, host: str) -> None:
+        """Empty a disk, if every replica set in use keeps a majority of its disks."""
+        node = self.node_by_host[host]
+        if not self.accepted_by_index:
+            # A log of which nobody but its founder has a copy is lost with the founder's disk.
+            return
+        gone = self._wiped | {node.disk.replica.replica_id}
+        if not all(_keeps_majority(replica_set, gone) for replica_set in self._sets_in_use()):
+            return
+        self.kill(host)
+        self._wiped = gone
+        self._wipes += 1
+        keeps = self._mistakes.wiped_disk_keeps_identity
+        node.disk = Disk(node.disk.replica if keeps else _replica(host, self._wipes))
+        self._at(self.random.uniform(0.1, 5.0), lambda: self._restart(host))
+
+    def _sets_in_use(self) -> list[ReplicaSet]:
+        """Return every replica set that any replica may still act by."""
+        sets = [
+            node.core.replica_set for node in self.node_by_host.values() if node.core is not None
+        ]
+        for node in self.node_by_host.values():
+            sets.append(node.disk.snapshot.replica_set)
+            for output in (Output(entries=node.disk.entries), *node.unsynced):
+                sets.extend(
+                    msgspec.msgpack.decode(entry.payload, type=ReplicaSet)
+                    for entry in output.entries
+                    if entry.kind is EntryKind.REPLICA_SET
+                )
+        return sets
+
+    def _take_snapshot(self, host: str) -> None:
+        """Let a process snapshot its state and forget entries."""
+        node = self.node_by_host[host]
+        if node.core is None or node.applied <= node.core.snapshot_index or node.unsynced:
+            return
+        encoded = msgspec.msgpack.encode((node.applied, node.state_hash))
+        snapshot = node.core.make_snapshot(LogIndex(node.applied), encoded)
+        node.disk.write(Output(snapshot=snapshot), keeps_vote=True)
+        node.core.compact(snapshot, KEEP_ENTRIES)
+
+    def _settle(self) -> None:
+        """End all faults."""
+        self._settling = True
+        self.heal()
+        self._faults = Faults(0.0, 0.0, 0.0, ())
+        for host in HOSTS:
+            self._restart(host)
+
+    def _has_settled(self) -> bool:
+        """Return whether every running replica has applied everything and there are voters."""
+        cores = [node.core for node in self.node_by_host.values() if node.core is not None]
+        leaders = [core for core in cores if core.is_term_ready]
+        if len(leaders) != 1 or leaders[0].commit < max(self.accepted_by_index, default=0):
+            return False
+        if any(core.commit < leaders[0].commit - 8 for core in cores):
+            return False
+        voter_ids = {voter.replica_id for voter in leaders[0].replica_set.voters}
+        return len(voter_ids) == SETTINGS.voter_count and not voter_ids & self._wiped
+
+    def _check_entry(self, core: ReplicaCore, entry: Entry) -> None:
+        """Log matching: index and term name one entry and one predecessor."""
+        previous = core._state.log.term_at(LogIndex(entry.index - 1))
+        if previous is None:
+            return
+        position = (entry.index, entry.term)
+        known = self._entry_by_position.setdefault(position, (entry.payload, previous))
+        if known != (entry.payload, previous):
+            raise ViolationError(f"log matching: two entries at {position}")
+
+    def _check_election(self, core: ReplicaCore) -> None:
+        """Election safety and leader completeness."""
+        first = self._leader_by_term.setdefault(core.term, core.replica_id)
+        if first != core.replica_id:
+            raise ViolationError(f"election safety: {first} and {core.replica_id} lead a term")
+        log = core._state.log
+        for index, entry in self.accepted_by_index.items():
+            if index > log.base_index and log.term_at(LogIndex(index)) != entry.term:
+                raise ViolationError(f"leader completeness: accepted entry {index} is missing")
+
+    def _check_lease(self, node: Node) -> None:
+        """Lease exclusivity: no two leaders may act at one moment."""
+        assert node.core is not None
+        if not node.core.is_lease_valid(self.local_now(node)):
+            return
+        for other in self.node_by_host.values():
+            if other is node or other.core is None:
+                continue
+            if other.core.is_lease_valid(self.local_now(other)):
+                raise ViolationError("lease exclusivity: two leaders may act")
+
+    def _check_read(self, node: Node) -> None:
+        """Reads under the lease see every change that was answered before."""
+        assert node.core is not None
+        index = node.core.read_index(self.local_now(node))
+        if index is not None and index < self.answered:
+            raise ViolationError(f"stale read: {index} after {self.answered} was answered")
+
+    def _apply(self, node: Node, committed: list[Entry]) -> None:
+        """State machine safety, and revisions that only rise, one by one."""
+        for entry in committed:
+            if entry.index != node.applied + 1:
+                raise ViolationError(f"revision order: {entry.index} after {node.applied}")
+            known = self.accepted_by_index.setdefault(entry.index, entry)
+            if known != entry:
+                raise ViolationError(f"state machine safety: two entries accepted at {entry.index}")
+            node.applied = entry.index
+            node.state_hash = hashlib.blake2s(
+                node.state_hash + entry.payload, digest_size=16
+            ).digest()
+            self._check_state(node)
+            assert node.core is not None
+            if node.core.role is ReplicaRole.LEADER:
+                self.answered = max(self.answered, entry.index)
+
+    def _check_state(self, node: Node) -> None:
+        """Every replica reaches the same state at the same entry."""
+        known = self._hash_by_index.setdefault(node.applied, node.state_hash)
+        if known != node.state_hash:
+            raise ViolationError(f"state machine safety: states differ at entry {node.applied}")
+
+
+def _replica(host: str, number: int) -> Replica:
+    """Return the replica on a host's disk after some wipes."""
+    return Replica(ReplicaId(f"{host}-{number}"), HostId(host), f"127.0.0.{number + 1}", 1)
+
+
+def _decode_state(snapshot: Snapshot) -> tuple[int, bytes]:
+    """Return the applied index and the state of a snapshot."""
+    if not snapshot.state:
+        return 0, b""
+    return msgspec.msgpack.decode(snapshot.state, type=tuple[int, bytes])
+
+
+def _keeps_majority(replica_set: ReplicaSet, gone: set[ReplicaId]) -> bool:
+    """Return whether most voters of a set still have their disk, also with a learner added."""
+    voters = [voter.replica_id in gone for voter in replica_set.voters]
+    learners = [learner.replica_id in gone for learner in replica_set.learners]
+    enlarged = [*voters, *sorted(learners)[-1:]]
+    return not voters or (2 * sum(voters) < len(voters) and 2 * sum(enlarged) < len(enlarged))
--- /dev/null
+++ b/tests/consensus/test_consensus_schedules.py
@@ -0,0 +1,28 @@
+"""Schedules of faults over the replicated log's core, by fixed seeds."""
+
+from __future__ import annotations
+
+import pytest
+from consensus_scenarios import SCENARIOS
+from consensus_simulation import Mistakes, Simulation
+
+SCHEDULES_PER_CASE = 500
+CASES = 24
+
+
+@pytest.mark.parametrize("case", range(CASES))
+def test_promises_hold_in_every_schedule(case: int) -> None:
+    """No schedule breaks a promise, and each gets on once its faults are over."""
+    for seed in range(case * SCHEDULES_PER_CASE, (case + 1) * SCHEDULES_PER_CASE):
+        try:
+            Simulation(seed).run()
+        except Exception as error:
+            error.add_note(f"seed {seed}")
+            raise
+
+
+@pytest.mark.parametrize("scenario", SCENARIOS, ids=lambda scenario: scenario.__name__)
+def test_promises_hold_in_scripted_schedules(scenario) -> None:
+    """No scripted schedule breaks its promise."""
+    for seed in range(50):
+        scenario(seed, Mistakes())
