Let a replica campaign while the set that takes its vote is open

Only the demoted host had a log long enough to win, and it did not campaign, as it believed to be a learner. It now campaigns until the set is known to be accepted, leads without counting itself, and steps down once the set is accepted.

--- a/packages/consensus/src/lagoonwing_consensus/_election.py
+++ b/packages/consensus/src/lagoonwing_consensus/_election.py
@@ -13,14 +13,33 @@
 def tick(state: ReplicaState, now: float) -> None:
     """Start an election, or give leadership up, when its time has come."""
     if state.role is ReplicaRole.LEADER:
-        if has_lost_quorum(state, now):
+        if has_lost_quorum(state, now) or has_lost_vote(state):
             become_follower(state, state.term, None, now)
         return
     if now < state.election_deadline:
         return
-    if state.replica_id not in state.sets.voter_ids:
-        return
-    start_pre_vote(state, now)
+    if may_campaign(state):
+        start_pre_vote(state, now)
+
+
+def may_campaign(state: ReplicaState) -> bool:
+    """Return whether this replica may start an election.
+
+    It may also while the set that takes its vote away is not known to be accepted: only its log
+    may be long enough to win, and it then leads without counting itself.
+    """
+    if state.replica_id in state.sets.voter_ids:
+        return True
+    if state.sets.current_index <= state.commit:
+        return False
+    return state.replica_id in {voter.replica_id for voter in state.sets.previous.voters}
+
+
+def has_lost_vote(state: ReplicaState) -> bool:
+    """Return whether this leader's vote has been taken away for good."""
+    if state.replica_id in state.sets.voter_ids:
+        return False
+    return state.sets.current_index <= state.commit
 
 
 def has_lost_quorum(state: ReplicaState, now: float) -> bool:
