Add disk, network shell and formation of the replicated log

Segments of checksummed frames, one frame a sync; a bad frame with a valid later one behind it is damage and refused, else a torn tail and cut off. A log is formed only by all hosts with empty folders, each bound for good to one founder; a wiped disk comes back under a new identity as a learner. Ruled out: a bootstrap set with well-known ids, as a wiped voter would vote from amnesia under its old id. A full disk makes the replica come back as after a restart; a failed sync keeps it out.

--- /dev/null
+++ b/packages/replication/src/lagoonwing_replication/_files.py
@@ -0,0 +1,134 @@
+"""Checksummed frames in files, and writes that last."""
+
+from __future__ import annotations
+
+import errno
+import os
+import struct
+from dataclasses import dataclass
+from pathlib import Path
+
+from crc32c import crc32c
+
+from lagoonwing_replication.const import MAX_FRAME_BYTES
+from lagoonwing_replication.errors import CorruptStorageError, StorageError
+
+MAGIC = b"\xf4LW1"
+_HEADER = struct.Struct(">4sIIQ")
+_SEQUENCE = struct.Struct(">Q")
+_FULL_ERRNOS = frozenset({errno.ENOSPC, errno.EDQUOT})
+
+
+@dataclass(frozen=True, slots=True)
+class Frame:
+    """One checksummed piece of a file.
+
+    Attributes:
+        sequence: Number that rises by one from frame to frame of a log.
+        end: Position after the frame.
+    """
+
+    sequence: int
+    payload: bytes
+    end: int
+
+
+def encode_frame(sequence: int, payload: bytes) -> bytes:
+    """Return the bytes of a frame."""
+    checksum = crc32c(payload, crc32c(_SEQUENCE.pack(sequence)))
+    return _HEADER.pack(MAGIC, len(payload), checksum, sequence) + payload
+
+
+def decode_frame(content: bytes, start: int) -> Frame | None:
+    """Return the frame at a position, or nothing if there is no whole and valid one."""
+    if start + _HEADER.size > len(content):
+        return None
+    magic, length, checksum, sequence = _HEADER.unpack_from(content, start)
+    end = start + _HEADER.size + length
+    if magic != MAGIC or length > MAX_FRAME_BYTES or end > len(content):
+        return None
+    payload = content[start + _HEADER.size : end]
+    if crc32c(payload, crc32c(_SEQUENCE.pack(sequence))) != checksum:
+        return None
+    return Frame(sequence, payload, end)
+
+
+def has_later_frame(content: bytes, start: int, sequence: int) -> bool:
+    """Return whether a valid frame with a number above `sequence` begins after a position."""
+    position = content.find(MAGIC, start + 1)
+    while position >= 0:
+        frame = decode_frame(content, position)
+        if frame is not None and frame.sequence > sequence:
+            return True
+        position = content.find(MAGIC, position + 1)
+    return False
+
+
+def write_all(descriptor: int, content: bytes) -> None:
+    """Write every byte.
+
+    Raises:
+        StorageError: The disk is full or broken; a part may have been written.
+    """
+    view = memoryview(content)
+    try:
+        while view:
+            view = view[os.write(descriptor, view) :]
+    except OSError as error:
+        raise StorageError(f"write: {error}", is_full=error.errno in _FULL_ERRNOS) from error
+
+
+def sync_file(descriptor: int) -> None:
+    """Wait until a file's content lasts.
+
+    Raises:
+        StorageError: What was written since the last sync may be lost, even if it can be read.
+    """
+    try:
+        os.fdatasync(descriptor)
+    except OSError as error:
+        raise StorageError(f"sync: {error}") from error
+
+
+def sync_folder(folder: Path) -> None:
+    """Wait until the names in a folder last."""
+    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(descriptor)
+    except OSError as error:
+        raise StorageError(f"sync of {folder.name}: {error}") from error
+    finally:
+        os.close(descriptor)
+
+
+def replace_file(path: Path, payload: bytes) -> None:
+    """Put a file of one frame in place, whole or not at all.
+
+    Raises:
+        StorageError: The file could not be written; the former one stands.
+    """
+    temporary = path.with_suffix(".tmp")
+    try:
+        descriptor = os.open(temporary, os.O_CREAT | os.O_TRUNC | os.O_WRONLY, 0o600)
+    except OSError as error:
+        raise StorageError(f"open: {error}", is_full=error.errno in _FULL_ERRNOS) from error
+    try:
+        write_all(descriptor, encode_frame(0, payload))
+        sync_file(descriptor)
+    finally:
+        os.close(descriptor)
+    temporary.rename(path)
+    sync_folder(path.parent)
+
+
+def read_file(path: Path) -> bytes:
+    """Return the payload of a file of one frame.
+
+    Raises:
+        CorruptStorageError: The file is damaged.
+    """
+    content = path.read_bytes()
+    frame = decode_frame(content, 0)
+    if frame is None or frame.end != len(content):
+        raise CorruptStorageError(f"{path.name} is damaged")
+    return frame.payload
--- /dev/null
+++ b/packages/replication/src/lagoonwing_replication/_peers.py
@@ -0,0 +1,90 @@
+"""Channels to the other replicas, by host."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgspec
+from expression import Result
+
+from lagoonwing_core.callback import callback
+from lagoonwing_core.errors import Refusal
+from lagoonwing_core.ids import HostId
+from lagoonwing_replication.const import PROTOCOL_NAME
+from lagoonwing_replication.messages import ShellMessage
+from lagoonwing_wire import Channel, ChannelServer, Handlers, Identity, Link
+
+
+class Peers:
+    """Sends to hosts over own links, or over the channels that the hosts have opened."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        server: ChannelServer,
+        on_push: Callable[[HostId, ShellMessage], None],
+        async_on_call: Callable[[Channel[Any], ShellMessage], Any],
+    ) -> None:
+        self._identity = identity
+        self._on_push = on_push
+        self._link_by_host: dict[HostId, Link] = {}
+        self._accepted_by_host: dict[HostId, Channel[Any]] = {}
+        self._handlers: Handlers[ShellMessage] = Handlers(
+            decoder=msgspec.msgpack.Decoder(ShellMessage),
+            on_push=self._take_push,
+            async_on_call=async_on_call,
+            on_closed=self._forget_channel,
+        )
+        server.register(PROTOCOL_NAME, self._handlers, self._keep_channel)
+
+    @property
+    def host_ids(self) -> Iterable[HostId]:
+        """Hosts to which links are kept."""
+        return self._link_by_host.keys()
+
+    async def async_add(self, host_id: HostId, address: str, port: int) -> None:
+        """Keep a link to a host from now on."""
+        if host_id == self._identity.host_id or host_id in self._link_by_host:
+            return
+        link = Link(self._identity, address, port, PROTOCOL_NAME, self._handlers)
+        self._link_by_host[host_id] = link
+        await link.async_setup()
+
+    async def async_unload(self) -> None:
+        """Close every link."""
+        for link in self._link_by_host.values():
+            await link.async_unload()
+        self._link_by_host.clear()
+
+    @callback
+    def push(self, host_id: HostId, message: ShellMessage) -> None:
+        """Send a message; it is lost if no channel is open."""
+        link = self._link_by_host.get(host_id)
+        if link is not None and link.push(message):
+            return
+        channel = self._accepted_by_host.get(host_id)
+        if channel is not None:
+            channel.push(message)
+
+    async def async_call(
+        self, host_id: HostId, message: ShellMessage, timeout: float
+    ) -> Result[ShellMessage, Refusal]:
+        """Call a host over the own link."""
+        return await self._link_by_host[host_id].async_call(message, timeout)
+
+    @callback
+    def _take_push(self, channel: Channel[ShellMessage], message: ShellMessage) -> None:
+        """Hand a push over with the host that it came from."""
+        self._on_push(channel.peer_id, message)
+
+    @callback
+    def _keep_channel(self, channel: Channel[Any]) -> None:
+        """Remember a channel that a host has opened."""
+        self._accepted_by_host[channel.peer_id] = channel
+
+    @callback
+    def _forget_channel(self, channel: Channel[ShellMessage]) -> None:
+        """Forget a channel that has ended."""
+        if self._accepted_by_host.get(channel.peer_id) is channel:
+            del self._accepted_by_host[channel.peer_id]
--- /dev/null
+++ b/packages/replication/src/lagoonwing_replication/_proposals.py
@@ -0,0 +1,102 @@
+"""Commands on their way from a caller into the log and back."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from dataclasses import dataclass
+
+from expression import Error, Ok, Result
+
+from lagoonwing_core.callback import callback
+from lagoonwing_core.errors import Refusal
+from lagoonwing_core.ids import LogIndex, Term
+from lagoonwing_core.result_codes import ResultCode
+
+Answer = Result[bytes, Refusal]
+
+
+@dataclass(slots=True, eq=False)
+class Proposal:
+    """One command whose caller waits."""
+
+    command: bytes
+    answer: asyncio.Future[Answer]
+    term: Term = Term(0)
+
+
+class Proposals:
+    """Commands that wait to be appended, and those that wait to be accepted."""
+
+    def __init__(self) -> None:
+        self._waiting: deque[Proposal] = deque()
+        self._proposal_by_index: dict[LogIndex, Proposal] = {}
+        self._unaccepted_bytes = 0
+
+    @property
+    def has_waiting(self) -> bool:
+        """Whether a command waits to be appended."""
+        return bool(self._waiting)
+
+    @callback
+    def add(self, command: bytes) -> Proposal:
+        """Queue a command."""
+        answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        proposal = Proposal(command, answer)
+        self._waiting.append(proposal)
+        return proposal
+
+    @callback
+    def withdraw(self, proposal: Proposal) -> bool:
+        """Take a command back and return whether it had not been appended yet."""
+        if proposal not in self._waiting:
+            return False
+        self._waiting.remove(proposal)
+        return True
+
+    @callback
+    def take_batch(self, max_unaccepted_bytes: int) -> list[Proposal]:
+        """Return the commands to append now, in their order."""
+        batch: list[Proposal] = []
+        while self._waiting and self._unaccepted_bytes < max_unaccepted_bytes:
+            proposal = self._waiting.popleft()
+            self._unaccepted_bytes += len(proposal.command)
+            batch.append(proposal)
+        return batch
+
+    @callback
+    def appended(self, batch: list[Proposal], first: LogIndex, term: Term) -> None:
+        """Take note of where commands stand in the log."""
+        for offset, proposal in enumerate(batch):
+            proposal.term = term
+            self._proposal_by_index[LogIndex(first + offset)] = proposal
+
+    @callback
+    def accepted(self, index: LogIndex, term: Term, answer: bytes) -> None:
+        """Answer the caller of the command at an index."""
+        proposal = self._proposal_by_index.pop(index, None)
+        if proposal is None:
+            return
+        self._unaccepted_bytes -= len(proposal.command)
+        if proposal.term == term:
+            _resolve(proposal, Ok(answer))
+        else:
+            _resolve(proposal, Error(Refusal(ResultCode.NOT_LEADER, "")))
+
+    @callback
+    def refuse_all(self, detail: str) -> None:
+        """Refuse every command: appended ones may still be accepted, the others never."""
+        for proposal in self._proposal_by_index.values():
+            refusal = Refusal(ResultCode.NO_QUORUM, "leadership was lost before acceptance")
+            _resolve(proposal, Error(refusal))
+        for proposal in self._waiting:
+            _resolve(proposal, Error(Refusal(ResultCode.NOT_LEADER, detail)))
+        self._proposal_by_index.clear()
+        self._waiting.clear()
+        self._unaccepted_bytes = 0
+
+
+def _resolve(proposal: Proposal, answer: Answer) -> None:
+    """Answer a caller who may have given up."""
+    if not proposal.answer.done():
+        proposal.answer.set_result(answer)
--- /dev/null
+++ b/packages/replication/src/lagoonwing_replication/_replay.py
@@ -0,0 +1,96 @@
+"""The log as its segments tell it, read from the first to the last frame."""
+
+from __future__ import annotations
+
+from lagoonwing_consensus import Entry, HardState, RestoredState, Snapshot
+from lagoonwing_core.ids import LogIndex, Term
+from lagoonwing_replication._records import LogFrame, SegmentHeader
+from lagoonwing_replication.errors import CorruptStorageError
+
+
+class Replay:
+    """Log that results from the frames taken so far."""
+
+    def __init__(self) -> None:
+        self.hard_state = HardState()
+        self.base_index = LogIndex(0)
+        self.base_term: Term | None = Term(0)
+        self.entries: list[Entry] = []
+
+    @property
+    def last_index(self) -> LogIndex:
+        """Index of the last entry."""
+        return LogIndex(self.base_index + len(self.entries))
+
+    @property
+    def last_term(self) -> Term | None:
+        """Term of the last entry, if known."""
+        return self.entries[-1].term if self.entries else self.base_term
+
+    def take_header(self, header: SegmentHeader) -> None:
+        """Begin with a segment."""
+        self._take_hard_state(header.hard_state)
+        if (header.base_index, header.base_term) != (self.last_index, self.last_term):
+            self._reset(header.base_index, header.base_term)
+
+    def take_frame(self, frame: LogFrame) -> int:
+        """Take the steps of one frame and return the highest index of its entries."""
+        highest = 0
+        for change in frame.changes:
+            if change.hard_state is not None:
+                self._take_hard_state(change.hard_state)
+            if change.reset is not None:
+                self._reset(change.reset.index, change.reset.term)
+            for entry in change.entries:
+                self._take_entry(entry)
+                highest = max(highest, entry.index)
+        state = self.hard_state
+        self._take_hard_state(HardState(state.term, state.vote, frame.commit))
+        return highest
+
+    def restored(self, snapshot: Snapshot) -> RestoredState:
+        """Return the log after a snapshot.
+
+        Raises:
+            CorruptStorageError: Entries are missing between the two, or accepted ones at the end.
+        """
+        if snapshot.index < self.base_index:
+            raise CorruptStorageError(
+                f"entries {snapshot.index + 1}..{self.base_index} are missing"
+            )
+        entries: list[Entry] = []
+        if self._term_at(snapshot.index) == snapshot.term:
+            entries = self.entries[snapshot.index - self.base_index :]
+        last_index = entries[-1].index if entries else snapshot.index
+        if self.hard_state.commit > last_index:
+            raise CorruptStorageError(f"accepted entries after {last_index} are missing")
+        return RestoredState(self.hard_state, snapshot, tuple(entries), snapshot.index)
+
+    def _take_hard_state(self, state: HardState) -> None:
+        """Take term and vote; what was accepted once stays so."""
+        commit = max(state.commit, self.hard_state.commit)
+        self.hard_state = HardState(state.term, state.vote, commit)
+
+    def _take_entry(self, entry: Entry) -> None:
+        """Put an entry in its place, removing those from there on."""
+        if entry.index > self.last_index + 1:
+            raise CorruptStorageError(f"entry {entry.index} follows entry {self.last_index}")
+        if entry.index <= self.base_index:
+            self._reset(LogIndex(entry.index - 1), None)
+        del self.entries[entry.index - self.base_index - 1 :]
+        self.entries.append(entry)
+
+    def _reset(self, index: LogIndex, term: Term | None) -> None:
+        """Start over after an entry."""
+        self.base_index = index
+        self.base_term = term
+        self.entries.clear()
+
+    def _term_at(self, index: LogIndex) -> Term | None:
+        """Return the term of an entry, if it is held."""
+        offset = index - self.base_index
+        if offset == 0:
+            return self.base_term
+        if offset > len(self.entries):
+            return None
+        return self.entries[offset - 1].term
--- /dev/null
+++ b/packages/replication/src/lagoonwing_replication/_writer.py
@@ -0,0 +1,93 @@
+"""Writes outputs to disk off the loop; one sync covers all that have gathered."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from typing import TypeVar
+
+from lagoonwing_consensus import Output
+from lagoonwing_core.callback import callback
+from lagoonwing_core.ids import LogIndex
+from lagoonwing_replication._storage import Storage
+from lagoonwing_replication.errors import StorageError
+
+ResultT = TypeVar("ResultT")
+
+
+class Writer:
+    """Queue of outputs in front of the disk.
+
+    Attributes:
+        syncs: Batches written so far.
+    """
+
+    def __init__(
+        self,
+        storage: Storage,
+        on_synced: Callable[[Sequence[Output]], None],
+        on_failed: Callable[[StorageError], None],
+        commit: Callable[[], LogIndex],
+    ) -> None:
+        self._storage = storage
+        self._on_synced = on_synced
+        self._on_failed = on_failed
+        self._commit = commit
+        # One thread: the disk's work is done in the order in which it is asked for.
+        self._executor = ThreadPoolExecutor(1, "log-disk")
+        self._queue: list[Output] = []
+        self._task: asyncio.Task[None] | None = None
+        self.syncs = 0
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether every output is on disk."""
+        return self._task is None
+
+    async def async_run(self, function: Callable[..., ResultT], *arguments: object) -> ResultT:
+        """Run one of the storage's methods in the disk's thread."""
+        loop = asyncio.get_running_loop()
+        return await loop.run_in_executor(self._executor, function, *arguments)
+
+    @callback
+    def enqueue(self, output: Output) -> None:
+        """Have an output written."""
+        self._queue.append(output)
+        if self._task is None:
+            self._task = asyncio.get_running_loop().create_task(self._async_drain())
+
+    @callback
+    def discard(self) -> None:
+        """Forget what is not being written yet."""
+        self._queue.clear()
+
+    async def async_unload(self) -> None:
+        """Wait for the write under way, then release the disk."""
+        self._queue.clear()
+        if self._task is not None:
+            await asyncio.wait({self._task})
+        await self.async_run(self._storage.close)
+        self._executor.shutdown(wait=False)
+
+    async def _async_drain(self) -> None:
+        """Write batch after batch until none is left."""
+        try:
+            while self._queue:
+                batch, self._queue = self._queue, []
+                if not await self._async_write(batch):
+                    return
+        finally:
+            self._task = None
+
+    async def _async_write(self, batch: list[Output]) -> bool:
+        """Write one batch and return whether that worked."""
+        try:
+            await self.async_run(self._storage.append, batch, self._commit())
+        except StorageError as error:
+            self._queue.clear()
+            self._on_failed(error)
+            return False
+        self.syncs += 1
+        self._on_synced(batch)
+        return True
--- /dev/null
+++ b/tests/replication/conftest.py
@@ -0,0 +1,8 @@
+"""Makes the helper module importable for the tests of this folder."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent))
--- /dev/null
+++ b/tests/replication/replication_cluster.py
@@ -0,0 +1,156 @@
+"""Replicas with real folders and streams in one event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+from tornado.testing import bind_unused_port
+
+from lagoonwing_consensus import CoreSettings
+from lagoonwing_core.ids import HostId, LogIndex
+from lagoonwing_replication import LogSettings, RaftLog, ReplicaHost
+from lagoonwing_wire import ChannelServer, Identity
+
+CORE = CoreSettings(
+    heartbeat_s=0.05,
+    election_min_s=0.3,
+    election_max_s=0.5,
+    election_retry_min_s=0.05,
+    election_retry_max_s=0.2,
+    voter_lost_s=0.8,
+    learner_lag_entries=4,
+)
+WAIT_S = 20.0
+POLL_S = 0.02
+
+
+class ListMachine:
+    """State machine that keeps every command."""
+
+    def __init__(self) -> None:
+        self.commands: list[bytes] = []
+
+    def apply(self, index: LogIndex, command: bytes) -> bytes:
+        """Keep one command and return how many there are."""
+        self.commands.append(command)
+        return str(len(self.commands)).encode()
+
+    def snapshot(self) -> bytes:
+        """Return every command."""
+        return msgspec.msgpack.encode(self.commands)
+
+    def restore(self, snapshot: bytes) -> None:
+        """Replace every command."""
+        self.commands = msgspec.msgpack.decode(snapshot, type=list[bytes])
+
+
+class Host:
+    """One replica with its server, which can be stopped and started."""
+
+    def __init__(self, settings: LogSettings) -> None:
+        self.settings = settings
+        self.machine = ListMachine()
+        self.log: RaftLog | None = None
+        self._server: ChannelServer | None = None
+
+    async def async_start(self) -> None:
+        """Start the replica with an empty state machine."""
+        own = self.settings.own_host
+        identity = Identity(own.host_id, b"key")
+        self.machine = ListMachine()
+        server = ChannelServer(identity, own.address, own.port)
+        self.log = RaftLog(self.settings, self.machine, identity, server)
+        await server.async_setup()
+        self._server = server
+        await self.log.async_setup()
+
+    async def async_stop(self) -> None:
+        """Stop the replica."""
+        log, server = self.log, self._server
+        self.log, self._server = None, None
+        if log is not None and server is not None:
+            await log.async_unload()
+            await server.async_unload()
+
+    def wipe(self) -> None:
+        """Empty the folder."""
+        shutil.rmtree(self.settings.folder)
+
+
+class Cluster:
+    """Several hosts that hold one log."""
+
+    def __init__(self, folder: Path, voters: int, learners: int = 0, **options: int) -> None:
+        hosts: list[ReplicaHost] = []
+        for number in range(voters + learners):
+            address = f"127.0.0.{number + 11}"
+            sock, port = bind_unused_port(address=address)
+            sock.close()
+            host_id = HostId(f"host-{number}")
+            hosts.append(ReplicaHost(host_id, address, port, number < voters))
+        self.host_by_id = {
+            host.host_id: Host(
+                LogSettings(host.host_id, folder / host.host_id, tuple(hosts), core=CORE, **options)
+            )
+            for host in hosts
+        }
+
+    async def async_start(self) -> None:
+        """Start every host."""
+        await asyncio.gather(*(host.async_start() for host in self.host_by_id.values()))
+
+    async def async_stop(self) -> None:
+        """Stop every host."""
+        await asyncio.gather(*(host.async_stop() for host in self.host_by_id.values()))
+
+    def leader(self) -> Host | None:
+        """Return the host that may act as leader."""
+        for host in self.host_by_id.values():
+            if host.log is not None and host.log.lease_term() is not None:
+                return host
+        return None
+
+    async def async_leader(self) -> Host:
+        """Wait for a leader."""
+        await async_until(lambda: self.leader() is not None)
+        leader = self.leader()
+        return leader or await self.async_leader()
+
+    async def async_propose(self, command: bytes) -> bytes:
+        """Propose to whoever leads until a command is accepted.
+
+        A command may be accepted twice when leadership changes meanwhile.
+        """
+        async with asyncio.timeout(WAIT_S):
+            while True:
+                leader = await self.async_leader()
+                if leader.log is not None:
+                    result = await leader.log.async_propose(command, 1.0)
+                    if result.is_ok():
+                        return result.ok
+
+    async def async_until_equal(self) -> list[bytes]:
+        """Wait until every running host has the leader's state, and return it."""
+
+        def is_equal() -> bool:
+            running = [host for host in self.host_by_id.values() if host.log is not None]
+            states = [host.machine.commands for host in running]
+            applied = {host.log.status().applied for host in running if host.log is not None}
+            return len(applied) == 1 and all(state == states[0] for state in states)
+
+        await async_until(is_equal)
+        return next(
+            host.machine.commands for host in self.host_by_id.values() if host.log is not None
+        )
+
+
+async def async_until(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds."""
+    async with asyncio.timeout(WAIT_S):
+        # Conditions look into several replicas, which share no event.
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(POLL_S)
--- /dev/null
+++ b/tests/replication/test_raft_log.py
@@ -0,0 +1,166 @@
+"""Replicas on real folders and streams: kills, restarts, wiped and full disks."""
+
+from __future__ import annotations
+
+import errno
+import os
+from pathlib import Path
+
+import pytest
+from replication_cluster import Cluster, async_until
+
+from lagoonwing_core.ids import HostId
+from lagoonwing_core.result_codes import ResultCode
+
+
+async def test_every_replica_gets_every_change(tmp_path: Path) -> None:
+    """Changes are accepted by the leader only, and reach all replicas in order."""
+    cluster = Cluster(tmp_path, voters=3)
+    await cluster.async_start()
+    for number in range(20):
+        await cluster.async_propose(b"%d" % number)
+    leader = await cluster.async_leader()
+    assert await cluster.async_until_equal() == [b"%d" % number for number in range(20)]
+    assert (await leader.log.async_read_barrier(5.0)).is_ok()
+    for host in cluster.host_by_id.values():
+        if host is not leader:
+            refusal = (await host.log.async_propose(b"x", 1.0)).error
+            assert refusal.code is ResultCode.NOT_LEADER
+            assert refusal.detail == leader.settings.host_id
+            assert (await host.log.async_read_barrier(1.0)).is_error()
+    await cluster.async_stop()
+
+
+async def test_killed_leader_is_succeeded_and_comes_back(tmp_path: Path) -> None:
+    """Another replica leads after the leader's end; the old one follows when it is back."""
+    cluster = Cluster(tmp_path, voters=3)
+    await cluster.async_start()
+    await cluster.async_propose(b"before")
+    former = await cluster.async_leader()
+    before = former.log.status()
+    await former.async_stop()
+    await cluster.async_propose(b"between")
+    await former.async_start()
+    await cluster.async_propose(b"after")
+    assert await cluster.async_until_equal() == [b"before", b"between", b"after"]
+    assert former.log.status().term > before.term
+    assert set(former.log.status().voters) == set(before.voters)
+    await cluster.async_stop()
+
+
+async def test_all_restart_at_once(tmp_path: Path) -> None:
+    """Accepted changes outlive a stop of every replica."""
+    cluster = Cluster(tmp_path, voters=3, snapshot_entries=7, keep_entries=2)
+    await cluster.async_start()
+    for number in range(30):
+        await cluster.async_propose(b"%d" % number)
+    await cluster.async_stop()
+    await cluster.async_start()
+    await cluster.async_propose(b"30")
+    assert await cluster.async_until_equal() == [b"%d" % number for number in range(31)]
+    await cluster.async_stop()
+
+
+async def test_two_losses_with_a_repair_between(tmp_path: Path) -> None:
+    """A learner takes a lost voter's place, so that a second loss leaves a majority."""
+    cluster = Cluster(tmp_path, voters=3, learners=1)
+    await cluster.async_start()
+    await cluster.async_propose(b"one")
+    first = await cluster.async_leader()
+    await first.async_stop()
+
+    def is_replaced() -> bool:
+        leader = cluster.leader()
+        if leader is None:
+            return False
+        voters = {voter.host_id for voter in leader.log.status().voters}
+        return len(voters) == 3 and first.settings.host_id not in voters
+
+    await async_until(is_replaced)
+    second = await cluster.async_leader()
+    await second.async_stop()
+    await cluster.async_propose(b"two")
+    await first.async_start()
+    await second.async_start()
+    await cluster.async_propose(b"three")
+    assert await cluster.async_until_equal() == [b"one", b"two", b"three"]
+    await cluster.async_stop()
+
+
+async def test_wiped_replica_comes_back_as_another(tmp_path: Path) -> None:
+    """A replica without its disk joins under a new identity and gets the state by snapshot."""
+    cluster = Cluster(tmp_path, voters=3, snapshot_entries=5, keep_entries=0)
+    await cluster.async_start()
+    for number in range(12):
+        await cluster.async_propose(b"%d" % number)
+    host = next(host for host in cluster.host_by_id.values() if host is not cluster.leader())
+    before = {voter.replica_id for voter in host.log.status().voters}
+    await host.async_stop()
+    host.wipe()
+    await host.async_start()
+
+    def has_new_voter() -> bool:
+        leader = cluster.leader()
+        if leader is None:
+            return False
+        voters = leader.log.status().voters
+        return len(voters) == 3 and len({voter.replica_id for voter in voters} - before) == 1
+
+    await async_until(has_new_voter)
+    assert await cluster.async_until_equal() == [b"%d" % number for number in range(12)]
+    assert cluster.leader().log.status().learners == ()
+    await cluster.async_stop()
+
+
+async def test_wiped_founder_forms_no_second_log(tmp_path: Path) -> None:
+    """The host that forms new logs doesn't do so while any other host knows a log."""
+    cluster = Cluster(tmp_path, voters=3)
+    await cluster.async_start()
+    await cluster.async_propose(b"one")
+    founder = cluster.host_by_id[HostId("host-0")]
+    other = cluster.host_by_id[HostId("host-1")]
+    await cluster.async_until_equal()
+    await cluster.async_stop()
+    founder.wipe()
+    await founder.async_start()
+    await other.async_start()
+    assert founder.log.status().voters == ()
+    await cluster.host_by_id[HostId("host-2")].async_start()
+    await cluster.async_propose(b"two")
+    assert await cluster.async_until_equal() == [b"one", b"two"]
+    await cluster.async_stop()
+
+
+@pytest.mark.parametrize("error_number", [errno.ENOSPC, errno.EIO])
+async def test_full_disk_stops_the_leader_alive(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, error_number: int
+) -> None:
+    """A leader that can't write gives leadership up, acknowledges nothing and stays alive.
+
+    With a full disk it comes back once there is room; with a broken one it stays out.
+    """
+    cluster = Cluster(tmp_path, voters=3)
+    await cluster.async_start()
+    await cluster.async_propose(b"one")
+    leader = await cluster.async_leader()
+    is_broken = True
+    write = os.write
+
+    def write_or_fail(descriptor: int, content: memoryview) -> int:
+        target = os.readlink(f"/proc/self/fd/{descriptor}")
+        if is_broken and str(leader.settings.folder) in target:
+            write(descriptor, content[: len(content) // 2])
+            raise OSError(error_number, "injected")
+        return write(descriptor, content)
+
+    monkeypatch.setattr(os, "write", write_or_fail)
+    await leader.log.async_propose(b"lost or not", 1.0)
+    await async_until(lambda: cluster.leader() not in (None, leader))
+    assert leader.log.lease_term() is None
+    await cluster.async_propose(b"two")
+    is_broken = False
+    if error_number == errno.ENOSPC:
+        state = await cluster.async_until_equal()
+        assert state[0] == b"one"
+        assert state[-1] == b"two"
+    await cluster.async_stop()
