Run control on the replicated log

Cause: the log with disk and network has landed; the control role uses it, with each replica's part taken from the settings.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -241,7 +241,7 @@
 async def async_main() -> int:
     """Run the demonstration in a folder that is removed if it succeeds."""
     folder = Path(tempfile.mkdtemp(prefix="lagoonwing-demo-"))
-    deployment = Deployment(DeploymentPlan(folder, NETWORK, entries=4, replicas=1))
+    deployment = Deployment(DeploymentPlan(folder, NETWORK, entries=4, replicas=3))
     try:
         await Demo(deployment).async_run()
     except Exception:
--- a/packages/lagoonwing/src/lagoonwing/_control_role.py
+++ b/packages/lagoonwing/src/lagoonwing/_control_role.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
 from lagoonwing._addresses import replica_addresses
 from lagoonwing_control import (
     ControlService,
@@ -13,10 +15,12 @@
 from lagoonwing_core.ids import HostId
 from lagoonwing_core.runtime import Runtime
 from lagoonwing_core.settings import ControlSettings as ControlSection
-from lagoonwing_core.settings import HostSettings
-from lagoonwing_replication import LocalLog
+from lagoonwing_core.settings import HostSettings, ReplicaKind
+from lagoonwing_replication import LogSettings, RaftLog, ReplicaHost
 from lagoonwing_wire import ChannelServer, Identity
 
+LOG_FOLDER = "log"
+
 
 class ControlProcess:
     """Process of a control replica."""
@@ -41,7 +45,7 @@
     identity = Identity(HostId(settings.host_id), key)
     server = ChannelServer(identity, settings.address, settings.peer_port)
     state_machine = ControlStateMachine()
-    log = LocalLog(state_machine, HostId(settings.host_id))
+    log = RaftLog(_log_settings(settings), state_machine, identity, server)
     control = ControlService(
         _control_settings(settings, section), identity, state_machine, log, server, clock
     )
@@ -52,6 +56,25 @@
     return ControlProcess(runtime)
 
 
+def _log_settings(settings: HostSettings) -> LogSettings:
+    """Return the settings of the replicated log."""
+    # The schema refuses a control replica without a folder.
+    assert settings.data_folder is not None
+    return LogSettings(
+        host_id=HostId(settings.host_id),
+        folder=Path(settings.data_folder) / LOG_FOLDER,
+        hosts=tuple(
+            ReplicaHost(
+                host_id=HostId(replica.host_id),
+                address=replica.address,
+                port=replica.port,
+                is_voter=replica.starts_as is ReplicaKind.VOTER,
+            )
+            for replica in settings.replicas
+        ),
+    )
+
+
 def _control_settings(settings: HostSettings, section: ControlSection) -> ControlSettings:
     """Return the settings of the control service."""
     return ControlSettings(
