--- /dev/null
+++ b/packages/policy/src/lagoonwing_policy/sharing/_division.py
@@ -0,0 +1,91 @@
+"""Weighted max-min division of a pool's slots among members, then among entry hosts."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from lagoonwing_core.ids import HostId, MemberId
+from lagoonwing_policy.sharing.const import EVEN_SHARE
+from lagoonwing_policy.sharing.models import MemberWork
+
+
+@dataclass(frozen=True, slots=True)
+class Division:
+    """Slots of one pool by entry host.
+
+    Attributes:
+        slots_by_member: Slots that a member gets over all entry hosts.
+        slots_by_host: Slots that an entry host may use, those for new work included.
+        used_by_host: Slots of each member at each entry host.
+    """
+
+    slots_by_member: Mapping[MemberId, float]
+    slots_by_host: Mapping[HostId, float]
+    used_by_host: Mapping[HostId, Mapping[MemberId, float]]
+
+
+def divide_pool(slots: float, rows_by_host: Mapping[HostId, Iterable[MemberWork]]) -> Division:
+    """Divide a pool's slots.
+
+    A member gets no more than it has work for; what it leaves goes to the others by weight. Its
+    slots are spread over the entry hosts as its work is. What all members leave, and a small
+    reserve, is divided evenly among the hosts.
+
+    Args:
+        slots: Slots of the pool.
+        rows_by_host: Work of this pool at each entry host; hosts without work are named too.
+    """
+    demand, weight = _totals(rows_by_host)
+    contended = slots * (1.0 - EVEN_SHARE)
+    allotted = fill_by_weight(contended, demand, weight)
+    spare = slots - sum(allotted.values())
+    even = spare / len(rows_by_host)
+    used: dict[HostId, dict[MemberId, float]] = {}
+    total: dict[HostId, float] = {}
+    for host_id, rows in rows_by_host.items():
+        used[host_id] = {
+            row.member_id: allotted[row.member_id] * row.requests / demand[row.member_id]
+            for row in rows
+            if demand[row.member_id] > 0.0
+        }
+        total[host_id] = even + sum(used[host_id].values())
+    return Division(allotted, total, used)
+
+
+def _totals(
+    rows_by_host: Mapping[HostId, Iterable[MemberWork]],
+) -> tuple[dict[MemberId, float], dict[MemberId, float]]:
+    """Return requests and weight by member over all entry hosts."""
+    demand: dict[MemberId, float] = {}
+    weight: dict[MemberId, float] = {}
+    for rows in rows_by_host.values():
+        for row in rows:
+            demand[row.member_id] = demand.get(row.member_id, 0.0) + row.requests
+            weight[row.member_id] = max(weight.get(row.member_id, 0.0), row.weight)
+    return demand, weight
+
+
+def fill_by_weight(
+    amount: float, demand: Mapping[MemberId, float], weight: Mapping[MemberId, float]
+) -> dict[MemberId, float]:
+    """Divide an amount by weight without giving any member more than its demand.
+
+    Members are taken in the order of demand over weight: each in turn gets its demand or its
+    weighted part of what is left, whichever is less.
+
+    Args:
+        amount: What there is to divide.
+        demand: What each member can use.
+        weight: Weight of each member.
+    """
+    result: dict[MemberId, float] = {}
+    left = amount
+    weight_left = sum(weight.values())
+    order = sorted(demand, key=lambda item: (demand[item] / max(weight[item], 1e-9), item))
+    for member_id in order:
+        part = left * weight[member_id] / weight_left if weight_left > 0.0 else 0.0
+        result[member_id] = min(demand[member_id], part)
+        left -= result[member_id]
+        weight_left -= weight[member_id]
+    return result
--- /dev/null
+++ b/packages/policy/src/lagoonwing_policy/sharing/_system.py
@@ -0,0 +1,132 @@
+"""Keeps the news of other entry hosts and works out this host's share of the capacity."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from lagoonwing_core.ids import HostId, MemberId
+from lagoonwing_policy.fairness.models import MemberShare
+from lagoonwing_policy.sharing._division import Division, divide_pool
+from lagoonwing_policy.sharing.const import MAX_NEWS_ROWS, NEWS_LIFE_S
+from lagoonwing_policy.sharing.models import CapacityPart, MemberWork, Shares, WorkNews
+
+
+@dataclass(frozen=True, slots=True)
+class _Heard:
+    """News of one entry host with the time until which it counts."""
+
+    rows: tuple[MemberWork, ...]
+    expires: float
+
+
+class SharingSystem:
+    """Divides each pool among the entry hosts by what they told one another; free of I/O.
+
+    A host that has told nothing for `NEWS_LIFE_S` keeps its even part and no more.
+    """
+
+    def __init__(self, host_id: HostId) -> None:
+        self._host_id = host_id
+        self._heard_by_host: dict[HostId, _Heard] = {}
+
+    def news(self, rows: Iterable[MemberWork]) -> WorkNews:
+        """Return what to tell the other entry hosts, the largest work first if it is cut."""
+        chosen = sorted(rows, key=lambda row: (-row.requests, row.pool, row.member_id))
+        return WorkNews(tuple(chosen[:MAX_NEWS_ROWS]))
+
+    def receive(self, host_id: HostId, news: WorkNews, now: float) -> None:
+        """Take news of another entry host; it replaces what that host told before."""
+        if host_id == self._host_id or len(news.rows) > MAX_NEWS_ROWS:
+            return
+        self._heard_by_host[host_id] = _Heard(news.rows, now + NEWS_LIFE_S)
+
+    def shares(
+        self,
+        own_rows: Iterable[MemberWork],
+        hosts: Iterable[HostId],
+        slots_by_pool: Mapping[str, float],
+        now: float,
+    ) -> Shares:
+        """Work out what this entry host may use.
+
+        Args:
+            own_rows: Work at this host.
+            hosts: Entry hosts that are alive; this one is counted in any case.
+            slots_by_pool: Slots of each pool that this host knows.
+            now: Time in seconds.
+        """
+        alive = sorted({*hosts, self._host_id})
+        rows_by_host = self._rows_by_host(alive, own_rows, now)
+        division_by_pool = {
+            pool: divide_pool(slots_by_pool[pool], _of_pool(rows_by_host, pool))
+            for pool in _pools(rows_by_host)
+            if slots_by_pool.get(pool, 0.0) > 0.0
+        }
+        position = alive.index(self._host_id)
+        even = CapacityPart(position / len(alive), (position + 1) / len(alive))
+        parts = {
+            pool: self._part(alive, division) for pool, division in division_by_pool.items()
+        }
+        expires = now + NEWS_LIFE_S
+        return Shares(parts, even, self._member_shares(division_by_pool.values(), expires))
+
+    def _rows_by_host(
+        self, alive: list[HostId], own_rows: Iterable[MemberWork], now: float
+    ) -> dict[HostId, tuple[MemberWork, ...]]:
+        """Return the work of each host; nothing for those whose news is too old."""
+        rows_by_host: dict[HostId, tuple[MemberWork, ...]] = {}
+        for host_id in alive:
+            heard = self._heard_by_host.get(host_id)
+            fresh = heard is not None and now < heard.expires
+            rows_by_host[host_id] = heard.rows if heard is not None and fresh else ()
+        rows_by_host[self._host_id] = tuple(own_rows)
+        self._heard_by_host = {
+            host_id: heard
+            for host_id, heard in self._heard_by_host.items()
+            if now < heard.expires
+        }
+        return rows_by_host
+
+    def _part(self, alive: list[HostId], division: Division) -> CapacityPart:
+        """Return this host's span of a pool."""
+        total = sum(division.slots_by_host.values())
+        start = 0.0
+        for host_id in alive:
+            end = start + division.slots_by_host[host_id] / total
+            if host_id == self._host_id:
+                return CapacityPart(start, min(1.0, end))
+            start = end
+        raise KeyError(self._host_id)
+
+    def _member_shares(
+        self, divisions: Iterable[Division], expires: float
+    ) -> tuple[MemberShare, ...]:
+        """Return the part of each member's slots that lies here, over all pools."""
+        here: dict[MemberId, float] = {}
+        everywhere: dict[MemberId, float] = {}
+        for division in divisions:
+            for member_id, slots in division.slots_by_member.items():
+                used = division.used_by_host[self._host_id].get(member_id, 0.0)
+                here[member_id] = here.get(member_id, 0.0) + used
+                everywhere[member_id] = everywhere.get(member_id, 0.0) + slots
+        return tuple(
+            MemberShare(member_id, here[member_id] / everywhere[member_id], expires)
+            for member_id in sorted(here)
+            if here[member_id] > 0.0
+        )
+
+
+def _pools(rows_by_host: Mapping[HostId, tuple[MemberWork, ...]]) -> list[str]:
+    """Return the pools in which any host has work."""
+    return sorted({row.pool for rows in rows_by_host.values() for row in rows})
+
+
+def _of_pool(
+    rows_by_host: Mapping[HostId, tuple[MemberWork, ...]], pool: str
+) -> dict[HostId, list[MemberWork]]:
+    """Return the rows of one pool by host."""
+    return {
+        host_id: [row for row in rows if row.pool == pool]
+        for host_id, rows in rows_by_host.items()
+    }
--- /dev/null
+++ b/packages/policy/src/lagoonwing_policy/sharing/const.py
@@ -0,0 +1,9 @@
+"""Bounds of the division of capacity among entry hosts."""
+
+from __future__ import annotations
+
+# Part of a pool that is divided evenly, so that a host where a member turns up can start at once.
+EVEN_SHARE = 0.1
+NEWS_LIFE_S = 1.0
+NEWS_PERIOD_S = 0.1
+MAX_NEWS_ROWS = 4096
