--- /dev/null
+++ b/bench/limits_driver.py
@@ -0,0 +1,465 @@
+"""Schedulers on a paused clock before endpoints that are no more than slots and a speed."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections import Counter, deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from lagoonwing_core.ids import (
+    AgreementId,
+    EndpointId,
+    FailureDomainId,
+    Fingerprint,
+    Incarnation,
+    MemberId,
+    ModelId,
+    RequestId,
+    Revision,
+)
+from lagoonwing_core.models import (
+    Agreement,
+    EndpointKind,
+    EndpointRecord,
+    EndpointState,
+    EntityState,
+    Member,
+)
+from lagoonwing_policy import Scheduler, SchedulerSettings
+from lagoonwing_policy.models import (
+    AllotmentGrant,
+    AttemptSucceeded,
+    CapDimension,
+    EndpointLoad,
+    ModelWork,
+    Priority,
+    RefuseRequest,
+    RequestProfile,
+    SchedulerCommand,
+    StartAttempt,
+)
+
+MODEL = ModelId("m")
+TICK_S = 0.01
+LOAD_REPORT_S = 0.2
+ALLOTMENT_S = 0.1
+LEASE_S = 1.0
+PROGRESS_S = 0.1
+PREFILL_TOKENS_PER_S = 5000.0
+SPEEDS_TOKENS_PER_S = (400.0, 800.0, 1600.0)
+SLOTS = 8
+
+
+@dataclass(slots=True)
+class Job:
+    """One request and what became of it; times in seconds, `None` while not come to pass."""
+
+    name: str
+    member: str
+    arrived: float
+    prompt: int
+    output: int
+    max_tokens: int
+    entry: int
+    deadline_s: float
+    is_long: bool
+    started: float | None = None
+    first_token: float | None = None
+    finished: float | None = None
+    refused: int | None = None
+
+
+@dataclass(slots=True)
+class Running:
+    """A job on an endpoint."""
+
+    job: Job
+    start: StartAttempt
+    relayed: int = 0
+
+
+@dataclass(slots=True)
+class Engine:
+    """Endpoint with slots, a speed per slot and a queue by priority."""
+
+    record: EndpointRecord
+    running: int = 0
+    queue: dict[Priority, deque[Running]] = field(
+        default_factory=lambda: {priority: deque() for priority in Priority}
+    )
+    busy_s: float = 0.0
+
+    @property
+    def slot_speed(self) -> float:
+        """Return the tokens per second of one slot."""
+        return self.record.tokens_per_s / self.record.slots
+
+    def queued(self) -> int:
+        """Return the number of jobs that wait in the engine."""
+        return sum(len(queue) for queue in self.queue.values())
+
+
+@dataclass(frozen=True, slots=True)
+class MemberPlan:
+    """A member of the workload; `concurrency` is its cap."""
+
+    name: str
+    weight: float
+    concurrency: int | None = None
+
+
+def make_endpoints(count: int, slots: int = SLOTS) -> list[EndpointRecord]:
+    """Return endpoints of three speeds in three failure domains."""
+    return [
+        EndpointRecord(
+            endpoint_id=EndpointId(f"e{number:03}"),
+            incarnation=Incarnation(1),
+            sequence=1,
+            state=EndpointState.SERVING,
+            kind=EndpointKind.WHOLE_MODEL,
+            address="127.0.0.1",
+            port=number + 1,
+            failure_domain=FailureDomainId(f"d{number % 3}"),
+            models=(MODEL,),
+            slots=slots,
+            tokens_per_s=SPEEDS_TOKENS_PER_S[number // 3 % 3],
+            honours_priority=True,
+        )
+        for number in range(count)
+    ]
+
+
+def make_agreements(members: Iterable[MemberPlan]) -> tuple[list[Agreement], list[Member]]:
+    """Return the agreements and members of a workload."""
+    agreements, known = [], []
+    for plan in members:
+        agreements.append(
+            Agreement(
+                agreement_id=AgreementId(plan.name),
+                member_id=MemberId(plan.name),
+                weight=plan.weight,
+                max_concurrency=plan.concurrency,
+                max_requests_per_s=None,
+                max_tokens_per_s=None,
+                state=EntityState.ACTIVE,
+                revision=Revision(1),
+            )
+        )
+        known.append(
+            Member(
+                member_id=MemberId(plan.name),
+                name=plan.name,
+                key_hashes=(),
+                state=EntityState.ACTIVE,
+                revision=Revision(1),
+            )
+        )
+    return agreements, known
+
+
+class Simulation:
+    """Runs jobs through schedulers; every entry host has its own."""
+
+    def __init__(
+        self,
+        settings: SchedulerSettings,
+        entries: int,
+        endpoints: list[EndpointRecord],
+        members: list[MemberPlan],
+        seed: int,
+    ) -> None:
+        self.now = 0.0
+        self.jobs: list[Job] = []
+        self.cap_excess: Counter[str] = Counter()
+        self._members = members
+        self._cap_by_member = {plan.name: plan.concurrency for plan in members}
+        self._in_flight: Counter[str] = Counter()
+        self._engines = {record.endpoint_id: Engine(record) for record in endpoints}
+        self._schedulers = [Scheduler(settings, seed + number) for number in range(entries)]
+        self._running: dict[str, Running] = {}
+        self._job_by_name: dict[str, Job] = {}
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        agreements, known = make_agreements(members)
+        for scheduler in self._schedulers:
+            scheduler.set_entry_hosts(entries)
+            scheduler.set_endpoints(endpoints, 0.0)
+            scheduler.set_agreements(agreements, known, [], [], [], 0.0)
+
+    @property
+    def slots(self) -> int:
+        """Return the slots of all endpoints."""
+        return sum(engine.record.slots for engine in self._engines.values())
+
+    def run(self, jobs: list[Job], until: float) -> None:
+        """Run until a time."""
+        self.jobs = jobs
+        by_name = iter(sorted(jobs, key=lambda job: job.arrived))
+        for job in by_name:
+            self._at(job.arrived, lambda job=job: self._arrive(job))  # type: ignore[misc]
+        for number in range(len(self._schedulers)):
+            self._every(TICK_S, TICK_S * number / 4, lambda number=number: self._tick(number))  # type: ignore[misc]
+        self._every(LOAD_REPORT_S, 0.0, self._report_load)
+        self._every(PROGRESS_S, 0.0, self._report_progress)
+        self._every(ALLOTMENT_S, 0.0, self._allot)
+        while self._events and self._events[0][0] <= until:
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+
+    def busy_share(self, since: float, until: float) -> float:
+        """Return the share of slot time in which a slot ran something."""
+        busy = 0.0
+        for job in self.jobs:
+            if job.first_token is None or job.started is None:
+                continue
+            end = until if job.finished is None else min(until, job.finished)
+            begin = max(since, job.first_token - job.prompt / PREFILL_TOKENS_PER_S)
+            busy += max(0.0, end - begin)
+        return busy / (self.slots * (until - since))
+
+    def _at(self, time: float, action: Callable[[], None]) -> None:
+        """Do something at a time."""
+        heapq.heappush(self._events, (time, next(self._order), action))
+
+    def _every(self, period: float, first: float, action: Callable[[], None]) -> None:
+        """Do something again and again."""
+
+        def act() -> None:
+            action()
+            self._at(self.now + period, act)
+
+        self._at(first, act)
+
+    def _arrive(self, job: Job) -> None:
+        """Submit a job."""
+        profile = RequestProfile(
+            RequestId(job.name),
+            MemberId(job.member),
+            Fingerprint(job.name),
+            ModelWork(MODEL, job.prompt, 0, job.max_tokens),
+            arrived=self.now,
+            deadline=self.now + job.deadline_s,
+            idempotent=True,
+        )
+        self._job_by_name[job.name] = job
+        result = self._schedulers[job.entry].submit(profile, self.now)
+        if result.is_error():
+            job.refused = int(result.error.code)
+            return
+        self._carry_out(job.entry, self._schedulers[job.entry].tick(self.now))
+
+    def _tick(self, number: int) -> None:
+        """Run a tick of one entry host."""
+        self._carry_out(number, self._schedulers[number].tick(self.now))
+
+    def _carry_out(self, number: int, commands: list[SchedulerCommand]) -> None:
+        """Start and refuse jobs."""
+        for command in commands:
+            match command:
+                case StartAttempt(request_id=request_id):
+                    self._start(self._job_by_name[request_id], command)
+                case RefuseRequest(request_id, refusal):
+                    self._job_by_name[request_id].refused = int(refusal.code)
+                case _:
+                    continue
+
+    def _start(self, job: Job, command: StartAttempt) -> None:
+        """Hand a job to an engine."""
+        job.started = self.now
+        self._count(job.member, 1)
+        running = Running(job, command)
+        self._running[job.name] = running
+        engine = self._engines[command.route.stages[0].endpoint_id]
+        if engine.running < engine.record.slots:
+            self._run(engine, running)
+        else:
+            engine.queue[command.route.priority].append(running)
+
+    def _run(self, engine: Engine, running: Running) -> None:
+        """Let a job take a slot."""
+        engine.running += 1
+        job = running.job
+        first = self.now + job.prompt / PREFILL_TOKENS_PER_S
+        job.first_token = first
+        self._at(first + job.output / engine.slot_speed, lambda: self._finish(engine, running))
+
+    def _finish(self, engine: Engine, running: Running) -> None:
+        """End a job and let the next one of the engine's queue run."""
+        job = running.job
+        job.finished = self.now
+        self._count(job.member, -1)
+        del self._running[job.name]
+        engine.running -= 1
+        for priority in Priority:
+            if engine.queue[priority]:
+                self._run(engine, engine.queue[priority].popleft())
+                break
+        scheduler = self._schedulers[job.entry]
+        scheduler.tokens_relayed(RequestId(job.name), job.output - running.relayed, self.now)
+        commands = scheduler.attempt_ended(
+            RequestId(job.name), running.start.attempt, AttemptSucceeded(job.output), self.now
+        )
+        self._carry_out(job.entry, commands)
+
+    def _count(self, member: str, change: int) -> None:
+        """Count a member's requests in flight over all entry hosts, and any beyond its cap."""
+        self._in_flight[member] += change
+        cap = self._cap_by_member[member]
+        if cap is not None and change > 0 and self._in_flight[member] > cap:
+            self.cap_excess[member] += 1
+
+    def _report_progress(self) -> None:
+        """Relay the tokens that the engines generated."""
+        for running in list(self._running.values()):
+            job = running.job
+            if job.first_token is None or self.now <= job.first_token:
+                continue
+            engine = self._engines[running.start.route.stages[0].endpoint_id]
+            tokens = min(job.output - 1, int((self.now - job.first_token) * engine.slot_speed))
+            if tokens > running.relayed:
+                self._schedulers[job.entry].tokens_relayed(
+                    RequestId(job.name), tokens - running.relayed, self.now
+                )
+                running.relayed = tokens
+
+    def _report_load(self) -> None:
+        """Send load reports, half a period late."""
+        loads = [
+            EndpointLoad(record_id, engine.running, engine.queued(), 0, self.now)
+            for record_id, engine in self._engines.items()
+        ]
+
+        def deliver() -> None:
+            for scheduler in self._schedulers:
+                for load in loads:
+                    scheduler.report_load(load)
+
+        self._at(self.now + LOAD_REPORT_S / 2, deliver)
+
+    def _allot(self) -> None:
+        """Divide each cap by demand; what an entry host uses or holds in lease stays its own."""
+        demands = [
+            {demand.member_id: demand for demand in scheduler.demand(self.now)}
+            for scheduler in self._schedulers
+        ]
+        for member, cap in self._cap_by_member.items():
+            if cap is not None:
+                self._allot_member(MemberId(member), cap, demands)
+
+    def _allot_member(self, member_id: MemberId, cap: int, demands: list[dict]) -> None:  # type: ignore[type-arg]
+        """Grant one member's cap; a lowered grant is in force at once, as the entry agreed."""
+        used = [int(known[member_id].used) if member_id in known else 0 for known in demands]
+        wanted = [int(known[member_id].wanted) if member_id in known else 0 for known in demands]
+        amounts = list(used)
+        free = cap - sum(amounts)
+        while free > 0:
+            number = max(range(len(amounts)), key=lambda n: wanted[n] - amounts[n])
+            if wanted[number] <= amounts[number]:
+                # Idle capacity is spread evenly, so that a first request need not wait.
+                number = min(range(len(amounts)), key=lambda n: amounts[n])
+            amounts[number] += 1
+            free -= 1
+        for scheduler, amount in zip(self._schedulers, amounts, strict=True):
+            grant = AllotmentGrant(
+                member_id, CapDimension.CONCURRENCY, float(amount), self.now + LEASE_S
+            )
+            scheduler.set_allotments([grant], self.now)
+
+
+@dataclass(frozen=True, slots=True)
+class Workload:
+    """Arrivals of a run.
+
+    Attributes:
+        load: Offered work as a share of the capacity.
+        long_share: Share of requests that are twenty times longer.
+        uniform_limit: Whether every request has the same token limit, so that its shape tells
+            nothing and estimates are off by ten and more.
+        surge: Member that surges, with the factor and the times of begin and end.
+        surge_entry: Entry host through which the surge comes; all if `None`.
+    """
+
+    load: float
+    seconds: float
+    long_share: float = 0.05
+    uniform_limit: bool = False
+    surge: tuple[str, float, float, float] | None = None
+    surge_entry: int | None = None
+    deadline_s: float = 30.0
+
+
+SHORT_TOKENS = (30, 70)
+LONG_FACTOR = 20
+
+
+def make_jobs(
+    workload: Workload,
+    members: list[MemberPlan],
+    capacity_tokens_per_s: float,
+    entries: int,
+    seed: int,
+) -> list[Job]:
+    """Return the arrivals; those without surge and those of short work are alike by seed."""
+    mean = sum(SHORT_TOKENS) / 2 * (1 + 0.05 * (LONG_FACTOR - 1))
+    total_rate = workload.load * capacity_tokens_per_s / mean
+    total_weight = sum(plan.weight for plan in members)
+    jobs: list[Job] = []
+    for index, plan in enumerate(members):
+        rate = total_rate * plan.weight / total_weight
+        rng = random.Random(seed * 1000 + index)
+        jobs.extend(_stream(workload, plan.name, rate, (0.0, workload.seconds), entries, rng))
+        if workload.surge is not None and workload.surge[0] == plan.name:
+            _, factor, begin, end = workload.surge
+            rng = random.Random(seed * 1000 + 500)
+            extra = _stream(
+                workload, f"{plan.name}", rate * (factor - 1), (begin, end), entries, rng, "s"
+            )
+            if workload.surge_entry is not None:
+                for job in extra:
+                    job.entry = workload.surge_entry
+            jobs.extend(extra)
+    return jobs
+
+
+def _stream(
+    workload: Workload,
+    member: str,
+    rate: float,
+    span: tuple[float, float],
+    entries: int,
+    rng: random.Random,
+    mark: str = "n",
+) -> list[Job]:
+    """Return one member's arrivals, at random times."""
+    jobs: list[Job] = []
+    now, end = span
+    number = 0
+    while True:
+        now += rng.expovariate(rate)
+        if now >= end:
+            return jobs
+        number += 1
+        is_long = rng.random() < 0.05
+        output = rng.randint(*SHORT_TOKENS)
+        prompt = rng.randint(100, 400)
+        entry = rng.randrange(entries)
+        if is_long and workload.long_share == 0.0:
+            continue
+        output *= LONG_FACTOR if is_long else 1
+        limit = 2048 if is_long or workload.uniform_limit else 128
+        jobs.append(
+            Job(
+                f"{member}-{mark}{number}",
+                member,
+                now,
+                prompt,
+                output,
+                limit,
+                entry,
+                workload.deadline_s,
+                is_long,
+            )
+        )
