Let entry hosts share the room that a load report shows

The estimator now keeps what others had in flight when the report came, and a host borrows only its part of the room, with random rounding. report_load takes the own count.

--- a/packages/policy/src/lagoonwing_policy/_router_protocol.py
+++ b/packages/policy/src/lagoonwing_policy/_router_protocol.py
@@ -98,8 +98,8 @@
     ) -> Result[RouteStage, Refusal]:
         """Return another stage that holds the layers of `failed`."""
 
-    def report_load(self, load: EndpointLoad) -> None:
-        """Take note of a load report."""
+    def report_load(self, load: EndpointLoad, own_in_flight: int) -> None:
+        """Take note of a load report, and of what this host has in flight there now."""
 
     def report_prefix(self, endpoint_id: EndpointId, prefix_hash: str, held: bool) -> None:
         """Take note of a cache event."""
--- a/packages/policy/src/lagoonwing_policy/_scheduler.py
+++ b/packages/policy/src/lagoonwing_policy/_scheduler.py
@@ -248,7 +248,7 @@
 
     def report_load(self, load: EndpointLoad) -> None:
         """Take a load report, which is late and so no more than a hint."""
-        self._router.report_load(load)
+        self._router.report_load(load, self.in_flight(load.endpoint_id))
 
     def report_prefix(self, endpoint_id: EndpointId, prefix_hash: str, held: bool) -> None:
         """Take a cache event, which is late and so no more than a hint."""
--- a/packages/policy/src/lagoonwing_policy/routing/_load.py
+++ b/packages/policy/src/lagoonwing_policy/routing/_load.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import math
+import random
 from collections.abc import Mapping
+from dataclasses import dataclass
 
 from lagoonwing_core.ids import EndpointId
 from lagoonwing_policy._router_protocol import EndpointUse
@@ -14,28 +16,44 @@
 LoadsByEndpoint = Mapping[EndpointId, EndpointUse]
 
 
+@dataclass(frozen=True, slots=True)
+class _Report:
+    """Load report, with what this host had in flight when it came.
+
+    Attributes:
+        others: Attempts of other entry hosts, running and queued.
+        own: Attempts of this entry host.
+    """
+
+    load: EndpointLoad
+    others: int
+    own: int
+
+
 class LoadEstimator:
     """Estimates what all entry hosts have in flight on an endpoint."""
 
-    def __init__(self, entry_hosts: int) -> None:
+    def __init__(self, entry_hosts: int, rng: random.Random) -> None:
+        self._rng = rng
         self._entry_hosts = max(1, entry_hosts)
-        self._load_by_id: dict[EndpointId, EndpointLoad] = {}
+        self._report_by_id: dict[EndpointId, _Report] = {}
 
     def set_entry_hosts(self, count: int) -> None:
         """Set the number of entry hosts that share the endpoints."""
         self._entry_hosts = max(1, count)
 
-    def report(self, load: EndpointLoad) -> None:
-        """Keep the latest report of an endpoint."""
-        known = self._load_by_id.get(load.endpoint_id)
-        if known is None or load.reported >= known.reported:
-            self._load_by_id[load.endpoint_id] = load
+    def report(self, load: EndpointLoad, own: int) -> None:
+        """Keep the latest report of an endpoint, and what this host has in flight there now."""
+        known = self._report_by_id.get(load.endpoint_id)
+        if known is None or load.reported >= known.load.reported:
+            others = max(0, load.running + load.queued - own)
+            self._report_by_id[load.endpoint_id] = _Report(load, others, own)
 
     def keep_only(self, endpoint_ids: set[EndpointId]) -> None:
         """Drop reports of endpoints that are gone."""
-        for endpoint_id in list(self._load_by_id):
+        for endpoint_id in list(self._report_by_id):
             if endpoint_id not in endpoint_ids:
-                del self._load_by_id[endpoint_id]
+                del self._report_by_id[endpoint_id]
 
     def total(self, candidate: Candidate, loads: LoadsByEndpoint, now: float) -> float:
         """Estimate the attempts in flight of all entry hosts.
@@ -48,12 +66,11 @@
         if self._entry_hosts == 1:
             return own
         alike = own * (self._entry_hosts - 1)
-        load = self._load_by_id.get(candidate.endpoint_id)
-        if load is None:
+        report = self._report_by_id.get(candidate.endpoint_id)
+        if report is None:
             return own + alike
-        weight = max(0.0, 1.0 - (now - load.reported) / const.HINT_LIFE_S)
-        reported = max(0, load.running + load.queued - own)
-        return own + weight * reported + (1.0 - weight) * alike
+        weight = max(0.0, 1.0 - (now - report.load.reported) / const.HINT_LIFE_S)
+        return own + weight * report.others + (1.0 - weight) * alike
 
     def has_room(
         self, candidate: Candidate, loads: LoadsByEndpoint, exclusive: bool, now: float
@@ -70,14 +87,25 @@
             return False
         if use.running < math.ceil(candidate.limit / self._entry_hosts):
             return True
-        load = self._load_by_id.get(candidate.endpoint_id)
-        if self._entry_hosts == 1 or load is None or now - load.reported > const.HINT_LIFE_S:
+        report = self._report_by_id.get(candidate.endpoint_id)
+        if self._entry_hosts == 1 or report is None:
             return False
-        return self.total(candidate, loads, now) < candidate.limit
+        if now - report.load.reported > const.HINT_LIFE_S:
+            return False
+        return self._may_borrow(candidate, report, use.running)
+
+    def _may_borrow(self, candidate: Candidate, report: _Report, own: int) -> bool:
+        """Return whether this host's part of the room that a report showed is left.
+
+        Every entry host saw the same room; if each took all of it, the engine would queue.
+        """
+        room = candidate.limit - report.others - report.own
+        taken = max(0, own - report.own)
+        return taken + self._rng.random() < room / self._entry_hosts
 
     def _is_used_by_others(self, candidate: Candidate, now: float) -> bool:
         """Return whether a fresh report shows work of other entry hosts."""
-        load = self._load_by_id.get(candidate.endpoint_id)
-        if load is None or now - load.reported > const.HINT_LIFE_S:
+        report = self._report_by_id.get(candidate.endpoint_id)
+        if report is None or now - report.load.reported > const.HINT_LIFE_S:
             return False
-        return self._entry_hosts > 1 and load.running + load.queued > 0
+        return self._entry_hosts > 1 and report.load.running + report.load.queued > 0
--- a/packages/policy/src/lagoonwing_policy/routing/_router.py
+++ b/packages/policy/src/lagoonwing_policy/routing/_router.py
@@ -56,7 +56,7 @@
         self._policy = settings.policy
         self._links = LinkTable(settings)
         self._endpoints = UsableEndpoints()
-        self._loads = LoadEstimator(settings.entry_hosts)
+        self._loads = LoadEstimator(settings.entry_hosts, rng)
         self._ejection = EjectionSystem(rng)
         self._rules = ChoiceRules(self._loads, self._ejection)
         self._prefixes = PrefixTable()
@@ -225,13 +225,14 @@
             case _:
                 self._failed_domains.pop(profile.request_id, None)
 
-    def report_load(self, load: EndpointLoad) -> None:
+    def report_load(self, load: EndpointLoad, own_in_flight: int) -> None:
         """Take note of a load report.
 
         Args:
             load: The report; late, so no more than a hint.
+            own_in_flight: What this entry host has in flight on the endpoint now.
         """
-        self._loads.report(load)
+        self._loads.report(load, own_in_flight)
 
     def report_prefix(self, endpoint_id: EndpointId, prefix_hash: str, held: bool) -> None:
         """Take note of a cache event.
--- a/tests/policy/test_routing.py
+++ b/tests/policy/test_routing.py
@@ -234,7 +234,7 @@
     loads = {EndpointId("endpoint-0000"): EndpointUse(running=1)}
     profile = profile_of(0, 20)
     assert isinstance(router.choose(profile, loads, NONE, False, 0.0).error, NoFreeSlot)
-    router.report_load(EndpointLoad(EndpointId("endpoint-0000"), 1, 0, 0, reported=0.0))
+    router.report_load(EndpointLoad(EndpointId("endpoint-0000"), 1, 0, 0, reported=0.0), 1)
     assert _chosen(router, profile, loads, now=0.1) == "endpoint-0000"
     stale = 0.1 + const.HINT_LIFE_S
     assert isinstance(router.choose(profile, loads, NONE, False, stale).error, NoFreeSlot)
