Give suspects the same endpoints at every host, whatever each has seen

Chains are now given as records arrive, in the order of the records, and without heed to what one host alone knows of endpoints' health.

--- a/packages/policy/src/lagoonwing_policy/routing/_suspects.py
+++ b/packages/policy/src/lagoonwing_policy/routing/_suspects.py
@@ -128,12 +128,30 @@
     def _active_chains(self, view: PoolView) -> dict[Fingerprint, Chain]:
         """Return the chains of the first recent suspects; the others wait for their turn."""
         most = max(1, int(len(view.pool.candidate_by_id) * const.MAX_RESERVED_SHARE))
-        taken: frozenset[EndpointId] = frozenset()
+        used: set[EndpointId] = set()
         chain_by_fingerprint: dict[Fingerprint, Chain] = {}
-        for fingerprint in self._recent:
-            if len(taken) >= most:
+        for fingerprint, chain in self._recent_chains(view).items():
+            endpoint_ids = {candidate.endpoint_id for candidate in chain}
+            if len(used) >= most:
                 break
+            if used.isdisjoint(endpoint_ids):
+                chain_by_fingerprint[fingerprint] = chain
+                used |= endpoint_ids
+        return chain_by_fingerprint
+
+    def _recent_chains(self, view: PoolView) -> dict[Fingerprint, Chain]:
+        """Return the chains of recent suspects, given in the order of their records.
+
+        Each is given as its record arrives, whether or not it is its turn: later, hosts would
+        differ in which of the others have been cleared.
+        """
+        taken: frozenset[EndpointId] = frozenset()
+        chain_by_fingerprint: dict[Fingerprint, Chain] = {}
+        for fingerprint in list(self._recent)[: const.MAX_PINS // 4]:
             chain = self._pinned(view, fingerprint, taken)
+            if not chain and taken:
+                taken = frozenset()
+                chain = self._pinned(view, fingerprint, taken)
             chain_by_fingerprint[fingerprint] = chain
             taken |= {candidate.endpoint_id for candidate in chain}
         return chain_by_fingerprint
@@ -145,53 +163,72 @@
         deaths = self._view.deaths(fingerprint)
         key = (view.key, fingerprint, len(deaths))
         pin = self._pin_by_key.get(key)
-        if pin is not None and self._is_whole(pin.chain, view.pool, view.may_use):
-            pin.lost_since = None
+        if pin is None:
+            # What this host alone knows of endpoints' health must not make hosts differ.
+            pin = _Pin(self._place_apart(view, fingerprint, deaths, taken, heeds_health=False))
+            self._keep(key, pin)
+        if self._is_whole(pin, view):
             return pin.chain
-        if pin is not None and self._is_settling(pin, view.now):
+        if self._is_settling(pin, view.now):
             return ()
-        chain = self._place(view, fingerprint, deaths, taken)
+        chain = self._place_apart(view, fingerprint, deaths, taken, heeds_health=True)
         if chain:
-            self._pin_by_key[key] = _Pin(chain)
-            if len(self._pin_by_key) > const.MAX_PINS:
-                self._pin_by_key.popitem(last=False)
+            self._keep(key, _Pin(chain))
         return chain
 
+    def _keep(self, key: tuple[str, Fingerprint, int], pin: _Pin) -> None:
+        """Keep a pin within the bound of the table, unless it has no chain."""
+        if not pin.chain:
+            return
+        self._pin_by_key[key] = pin
+        if len(self._pin_by_key) > const.MAX_PINS:
+            self._pin_by_key.popitem(last=False)
+
     def _is_settling(self, pin: _Pin, now: float) -> bool:
         """Return whether the durable state may yet tell that the suspect killed its chain."""
+        if not pin.chain:
+            return False
         if pin.lost_since is None:
             pin.lost_since = now
         return now - pin.lost_since < const.SUSPECT_SETTLE_S
 
-    def _is_whole(
-        self, chain: Chain, pool: RoutePool, may_use: Callable[[Candidate], bool]
-    ) -> bool:
+    def _is_whole(self, pin: _Pin, view: PoolView) -> bool:
         """Return whether every endpoint of a chain still runs the same incarnation."""
-        for candidate in chain:
-            current = pool.candidate_by_id.get(candidate.endpoint_id)
-            if current is None or current.stage != candidate.stage or not may_use(current):
+        for candidate in pin.chain:
+            current = view.pool.candidate_by_id.get(candidate.endpoint_id)
+            if current is None or current.stage != candidate.stage or not view.may_use(current):
                 return False
-        return True
+        pin.lost_since = None
+        return bool(pin.chain)
 
-    def _place(
+    def _place_apart(
         self,
         view: PoolView,
         fingerprint: Fingerprint,
         deaths: frozenset[EndpointId],
         taken: frozenset[EndpointId],
+        heeds_health: bool,
     ) -> Chain:
-        """Return the first chain in rendezvous order, preferably off what died of it."""
+        """Return a chain away from other suspects, if possible off what died of this one."""
+        chain = self._place(view, fingerprint, deaths | taken, heeds_health)
+        return chain or self._place(view, fingerprint, taken, heeds_health)
+
+    def _place(
+        self,
+        view: PoolView,
+        fingerprint: Fingerprint,
+        unwanted: frozenset[EndpointId],
+        heeds_health: bool,
+    ) -> Chain:
+        """Return the first chain in rendezvous order without unwanted endpoints."""
         ordered = rendezvous_order(fingerprint, list(view.pool.candidate_by_id.values()))
-        for unwanted in (deaths | taken, taken):
-            rank_by_id = {
-                candidate.endpoint_id: float(rank)
-                for rank, candidate in enumerate(ordered)
-                if candidate.endpoint_id not in unwanted and view.may_use(candidate)
-            }
-            chain = self._first_by_rank(view.pool, rank_by_id)
-            if chain:
-                return chain
-        return ()
+        rank_by_id = {
+            candidate.endpoint_id: float(rank)
+            for rank, candidate in enumerate(ordered)
+            if candidate.endpoint_id not in unwanted
+            and (not heeds_health or view.may_use(candidate))
+        }
+        return self._first_by_rank(view.pool, rank_by_id)
 
     def _first_by_rank(self, pool: RoutePool, rank_by_id: dict[EndpointId, float]) -> Chain:
         """Return the endpoint, or the chain, of the lowest ranks."""
--- a/tests/policy/test_quarantine_hosts.py
+++ b/tests/policy/test_quarantine_hosts.py
@@ -176,7 +176,9 @@
         for fingerprint in report.fingerprints:
             known = self.quarantines.get(fingerprint)
             deaths = known.deaths if known is not None else ()
-            deaths = deaths if death in deaths else (*deaths, death)
+            if death in deaths:
+                continue
+            deaths = (*deaths, death)
             fatal = len(deaths) >= MAX_DEATHS
             state = QuarantineState.QUARANTINED if fatal else QuarantineState.SUSPECT
             self._accept(fingerprint, state, deaths)
--- a/tests/policy/test_routing.py
+++ b/tests/policy/test_routing.py
@@ -383,3 +383,16 @@
     profile = profile_of(0, 20)
     assert isinstance(router.choose(profile, {}, NONE, True, 0.0).error, NoFreeSlot)
     assert router.choose(profile, {}, NONE, True, const.SUSPECT_SETTLE_S + 0.1).is_ok()
+
+
+def test_suspect_of_a_small_site_may_return_to_the_restarted_endpoint() -> None:
+    """Where nothing else serves, the next incarnation of what died is used."""
+    records = _records(100.0)
+    view = _Suspects()
+    view.recorded = (Fingerprint("f0"),)
+    view.died = frozenset({EndpointId("endpoint-0000")})
+    router = _router(records)
+    router.set_suspect_view(view)
+    restarted = msgspec.structs.replace(records[0], incarnation=Incarnation(2))
+    router.set_endpoints([restarted], 5.0)
+    assert _chosen(router, profile_of(0, 20), exclusive=True, now=5.0) == "endpoint-0000"
