Try the endpoint that failed again where nothing else serves

Cause: a retry excluded the endpoint that had failed it until its deadline, also where no other endpoint serves the work. The new test in tests/policy/ test_scheduler.py failed before; 526 tests pass now.

--- a/packages/policy/src/lagoonwing_policy/_dispatch.py
+++ b/packages/policy/src/lagoonwing_policy/_dispatch.py
@@ -230,6 +230,12 @@
             found = self._router.exclusive_route(entity.profile, now)
             if found.is_ok():
                 self._hold.acquire(entity.profile.request_id, found.ok)
+        elif (
+            entity.excluded
+            and self._router.choose(entity.profile, {}, excluded, False, now).is_error()
+        ):
+            # Even idle, nothing else would serve it.
+            entity.excluded = frozenset()
         return None
 
     def _excluded(self, entity: RequestEntity) -> frozenset[EndpointId]:
--- a/tests/policy/test_scheduler.py
+++ b/tests/policy/test_scheduler.py
@@ -208,3 +208,19 @@
     (retried,) = scheduler.tick(2.0)
     assert isinstance(retried, StartAttempt)
     assert not retried.route.exclusive
+
+
+def test_retry_returns_to_the_only_endpoint(scheduler: Scheduler) -> None:
+    """Where no other endpoint serves, the one that failed is tried again."""
+    scheduler.set_endpoints([_endpoint("e1")], 0.0)
+    scheduler.submit(_profile("r1"), 0.0)
+    scheduler.tick(0.0)
+    failed = _failed("e1", Dispatch.NO_BYTE_SENT)
+    scheduler.attempt_ended(RequestId("r1"), Attempt(1), failed, 1.0)
+    started = [
+        command
+        for step in range(100)
+        for command in scheduler.tick(1.0 + step / 50)
+        if isinstance(command, StartAttempt)
+    ]
+    assert [command.route.stages[0].endpoint_id for command in started] == ["e1"]
