Divide capacity among entry hosts by what each member has to do

Ruled out: an even split (a surge at one host takes the portion of members there), division by the control leader (nothing without a quorum, and a second slower).

--- a/packages/entry/src/lagoonwing_entry/_entry_host.py
+++ b/packages/entry/src/lagoonwing_entry/_entry_host.py
@@ -21,12 +21,14 @@
 from lagoonwing_entry._http_adapter import HttpEndpointAdapter
 from lagoonwing_entry._membership_shell import MembershipShell
 from lagoonwing_entry._request_runner import RequestRunner
+from lagoonwing_entry._sharing_shell import SharingShell
 from lagoonwing_entry._suspects import SuspectReporter
 from lagoonwing_entry.adapter import EndpointAdapter
 from lagoonwing_entry.diagnostics import EntryMetrics
 from lagoonwing_entry.faults import FaultHook, NoFaults
 from lagoonwing_entry.models import EntrySettings
 from lagoonwing_entry.ports import ControlPort, MembershipPort, SchedulerPort
+from lagoonwing_policy.sharing import SharingSystem
 from lagoonwing_wire import ChannelServer, Identity
 
 
@@ -45,6 +47,7 @@
         membership_decoder: Decoder of membership's messages.
         control: The follower.
         channels: Server on which other entry hosts push membership's messages.
+        sharing: Division of capacity among entry hosts; without it each uses all of it.
         adapter: Calls to endpoints, if not by HTTP as the stand-ins speak it.
         faults: Hook for tests.
     """
@@ -61,6 +64,7 @@
         membership_decoder: msgspec.msgpack.Decoder[Any],
         control: ControlPort,
         channels: ChannelServer | None = None,
+        sharing: SharingSystem | None = None,
         adapter: EndpointAdapter | None = None,
         faults: FaultHook | None = None,
     ) -> None:
@@ -101,14 +105,12 @@
             settings.membership_tick_s,
         )
         self.control = ControlShell(settings, control, scheduler, self.runner, self.state, clock)
-        components: tuple[Component, ...] = (
-            adapter,
-            self.runner,
-            self.membership,
-            self.control,
-            self.announcements,
-            self.callers,
-        )
+        components: list[Component] = [adapter, self.runner, self.membership, self.control]
+        if sharing is not None:
+            components.append(
+                SharingShell(sharing, scheduler, membership, self.runner, identity, channels, clock)
+            )
+        components += [self.announcements, self.callers]
         self._runtime = Runtime(clock)
         for component in components:
             self._runtime.register(component)
--- a/packages/entry/src/lagoonwing_entry/ports.py
+++ b/packages/entry/src/lagoonwing_entry/ports.py
@@ -29,6 +29,7 @@
     PlannedStop,
     Quarantine,
 )
+from lagoonwing_membership import HostView
 from lagoonwing_policy.models import (
     AllotmentGrant,
     AttemptResult,
@@ -37,6 +38,7 @@
     RouteStage,
     SchedulerCommand,
 )
+from lagoonwing_policy.sharing import MemberWork, Shares
 from lagoonwing_wire.control_messages import ClaimDecision, EndpointSummary, StoredAnswer, TakeClaim
 
 
@@ -93,6 +95,15 @@
     def demand(self, now: float) -> list[MemberDemand]:
         """Return what this host would like of each member's caps."""
 
+    def work(self, now: float) -> tuple[MemberWork, ...]:
+        """Return the work of each member in each pool."""
+
+    def slots_by_pool(self) -> dict[str, float]:
+        """Return the slots of each pool over all entry hosts."""
+
+    def set_shares(self, shares: Shares, now: float) -> None:
+        """Set what this host may use of the capacity."""
+
     def in_flight(self, endpoint_id: EndpointId) -> int:
         """Return the number of attempts in flight on an endpoint."""
 
@@ -124,6 +135,9 @@
     def endpoints(self, now: float) -> Iterable[EndpointRecord]:
         """Return records that may get new work."""
 
+    def hosts(self, now: float) -> Sequence[HostView]:
+        """Return what is believed of every host of the cell."""
+
     def events(self) -> Sequence[Any]:
         """Return and drop what happened."""
 
--- a/packages/lagoonwing/src/lagoonwing/_policies.py
+++ b/packages/lagoonwing/src/lagoonwing/_policies.py
@@ -2,18 +2,49 @@
 
 from __future__ import annotations
 
-from lagoonwing_core.settings import EntrySettings, LimitPolicy, QueuePolicy
+from lagoonwing_core.ids import HostId
+from lagoonwing_core.settings import (
+    EntrySettings,
+    HostSettings,
+    LimitPolicy,
+    QueuePolicy,
+    RoutePolicy,
+)
 from lagoonwing_policy import (
     Allotments,
     BoundedLongWork,
     BoundedQueue,
     EarlyRefusal,
     FirstComeFirstServed,
+    FlowRoutes,
     MixedWork,
     NoLimits,
+    RoundRobinRoutes,
+    RouterSettings,
     SchedulerSettings,
     WeightedFair,
 )
+from lagoonwing_policy.sharing import SharingSystem
+
+
+def sharing_system(settings: HostSettings) -> SharingSystem | None:
+    """Return the division of capacity among entry hosts; none in the order of arrival."""
+    section = settings.entry
+    assert section is not None
+    match section.queue_policy:
+        case QueuePolicy.WEIGHTED_FAIR:
+            return SharingSystem(HostId(settings.host_id))
+        case QueuePolicy.FIRST_COME:
+            return None
+
+
+def _route_policy(policy: RoutePolicy) -> FlowRoutes | RoundRobinRoutes:
+    """Return the router's policy."""
+    match policy:
+        case RoutePolicy.FLOW:
+            return FlowRoutes()
+        case RoutePolicy.ROUND_ROBIN:
+            return RoundRobinRoutes()
 
 
 def scheduler_settings(section: EntrySettings) -> SchedulerSettings:
@@ -22,6 +53,7 @@
     The order of arrival goes with one queue for short and long work and without early refusal, so
     that the baseline of the measures holds none of the policies that it is compared with.
     """
+    routing = RouterSettings(policy=_route_policy(section.route_policy))
     limits = Allotments() if section.limit_policy is LimitPolicy.ALLOTMENTS else NoLimits()
     match section.queue_policy:
         case QueuePolicy.WEIGHTED_FAIR:
@@ -30,6 +62,7 @@
                 limits=limits,
                 admission=EarlyRefusal(),
                 long_work=BoundedLongWork(),
+                routing=routing,
             )
         case QueuePolicy.FIRST_COME:
             return SchedulerSettings(
@@ -37,4 +70,5 @@
                 limits=limits,
                 admission=BoundedQueue(),
                 long_work=MixedWork(),
+                routing=routing,
             )
--- a/packages/policy/src/lagoonwing_policy/_requests.py
+++ b/packages/policy/src/lagoonwing_policy/_requests.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import Enum
 
-from lagoonwing_core.ids import Attempt, EndpointId, RequestId
+from lagoonwing_core.ids import Attempt, EndpointId, MemberId, RequestId
 from lagoonwing_policy._ordered_set import OrderedSet
 from lagoonwing_policy.models import ModelWork, Priority, RequestProfile, Route, ServiceWork
 
@@ -80,6 +81,10 @@
         """Return a request that is held."""
         return self._entity_by_id.get(request_id)
 
+    def counts(self) -> Counter[tuple[str, MemberId]]:
+        """Return the number of requests by pool and member."""
+        return Counter((entity.pool, entity.profile.member_id) for entity in self)
+
     def add(self, entity: RequestEntity) -> None:
         """Add a request that waits."""
         self._entity_by_id[entity.profile.request_id] = entity
--- a/packages/policy/src/lagoonwing_policy/_router_protocol.py
+++ b/packages/policy/src/lagoonwing_policy/_router_protocol.py
@@ -22,6 +22,7 @@
     Route,
     RouteStage,
 )
+from lagoonwing_policy.sharing.models import CapacityPart
 
 
 @dataclass(slots=True)
@@ -86,7 +87,12 @@
         """Learn from the end of an attempt which endpoints work."""
 
     def set_entry_hosts(self, count: int) -> None:
-        """Set the number of entry hosts that share the endpoints, this one included."""
+        """Divide every endpoint evenly among a number of entry hosts."""
+
+    def set_capacity_parts(
+        self, part_by_pool: Mapping[str, CapacityPart], even_part: CapacityPart
+    ) -> None:
+        """Set which part of each pool's limits this entry host may use."""
 
     def replace_stage(
         self,
--- a/packages/policy/src/lagoonwing_policy/_scheduler.py
+++ b/packages/policy/src/lagoonwing_policy/_scheduler.py
@@ -39,6 +39,7 @@
 from lagoonwing_policy.quarantine import QuarantineSystem
 from lagoonwing_policy.retries import RetrySystem
 from lagoonwing_policy.routing import FlowRouter
+from lagoonwing_policy.sharing.models import MemberWork, Shares
 
 
 class Scheduler:
@@ -259,9 +260,41 @@
         self._router.report_cache_gap(endpoint_id)
 
     def set_entry_hosts(self, count: int) -> None:
-        """Set the number of entry hosts that share the endpoints, this one included."""
+        """Divide every endpoint evenly, as long as nothing is known of the others' work.
+
+        Args:
+            count: Entry hosts that are alive, this one included.
+        """
         self._router.set_entry_hosts(count)
 
+    def work(self, now: float) -> tuple[MemberWork, ...]:
+        """Return the work of each member in each pool at this entry host.
+
+        Args:
+            now: Time in seconds.
+        """
+        weights = self._tables.weights
+        return tuple(
+            MemberWork(pool, member_id, float(count), weights.agreed(member_id))
+            for (pool, member_id), count in sorted(self._tables.requests.counts().items())
+        )
+
+    def slots_by_pool(self) -> dict[str, float]:
+        """Return the slots of each pool over all entry hosts."""
+        return {pool.key: pool.slots for pool in self._tables.pools}
+
+    def set_shares(self, shares: Shares, now: float) -> None:
+        """Set what this entry host may use of the capacity that it shares with others.
+
+        Args:
+            shares: Parts of pools, and of each member's capacity.
+            now: Time in seconds.
+        """
+        self._router.set_capacity_parts(shares.part_by_pool, shares.even_part)
+        self._tables.weights.set_shares(shares.member_shares)
+        for pool in self._tables.pools:
+            self._tables.pools.reopen(pool)
+
     def in_flight(self, endpoint_id: EndpointId) -> int:
         """Return the number of attempts in flight on an endpoint."""
         return self._tables.slots.in_flight(endpoint_id)
--- a/packages/policy/src/lagoonwing_policy/routing/_load.py
+++ b/packages/policy/src/lagoonwing_policy/routing/_load.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import random
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -11,8 +10,12 @@
 from lagoonwing_policy._router_protocol import EndpointUse
 from lagoonwing_policy.models import EndpointLoad
 from lagoonwing_policy.routing import const
+from lagoonwing_policy.routing._parts import PartTable
 from lagoonwing_policy.routing._pools import Candidate
 
+# Least part that the estimate of the others divides by.
+MIN_PART = 0.01
+
 LoadsByEndpoint = Mapping[EndpointId, EndpointUse]
 
 
@@ -33,15 +36,11 @@
 class LoadEstimator:
     """Estimates what all entry hosts have in flight on an endpoint."""
 
-    def __init__(self, entry_hosts: int, rng: random.Random) -> None:
+    def __init__(self, parts: PartTable, rng: random.Random) -> None:
         self._rng = rng
-        self._entry_hosts = max(1, entry_hosts)
+        self._parts = parts
         self._report_by_id: dict[EndpointId, _Report] = {}
 
-    def set_entry_hosts(self, count: int) -> None:
-        """Set the number of entry hosts that share the endpoints."""
-        self._entry_hosts = max(1, count)
-
     def report(self, load: EndpointLoad, own: int) -> None:
         """Keep the latest report of an endpoint, and what this host has in flight there now."""
         known = self._report_by_id.get(load.endpoint_id)
@@ -58,14 +57,15 @@
     def total(self, candidate: Candidate, loads: LoadsByEndpoint, now: float) -> float:
         """Estimate the attempts in flight of all entry hosts.
 
-        Without a fresh report the others are taken to be as busy as this host, for the
-        platform's balancer spreads callers evenly. A report counts less as it ages.
+        Without a fresh report the others are taken to use their parts as this host does its own.
+        A report counts less as it ages.
         """
         use = loads.get(candidate.endpoint_id)
         own = use.running if use is not None else 0
-        if self._entry_hosts == 1:
+        size = self._parts.part(candidate.endpoint_id).size
+        if size >= 1.0:
             return own
-        alike = own * (self._entry_hosts - 1)
+        alike = own * (1.0 / max(size, MIN_PART) - 1.0)
         report = self._report_by_id.get(candidate.endpoint_id)
         if report is None:
             return own + alike
@@ -77,7 +77,7 @@
     ) -> bool:
         """Return whether one more attempt may start on an endpoint.
 
-        An entry host's share of the limit is always its own; a fresh report that shows room
+        An entry host's part of the limit is always its own; a fresh report that shows room
         lets it borrow what the others leave.
         """
         use = loads.get(candidate.endpoint_id)
@@ -85,10 +85,10 @@
             return not exclusive or not self._is_used_by_others(candidate, now)
         if exclusive or use.exclusive:
             return False
-        if use.running < math.ceil(candidate.limit / self._entry_hosts):
+        if use.running < self._parts.quota(candidate.endpoint_id, candidate.limit):
             return True
         report = self._report_by_id.get(candidate.endpoint_id)
-        if self._entry_hosts == 1 or report is None:
+        if self._parts.part(candidate.endpoint_id).size >= 1.0 or report is None:
             return False
         if now - report.load.reported > const.HINT_LIFE_S:
             return False
@@ -101,11 +101,13 @@
         """
         room = candidate.limit - report.others - report.own
         taken = max(0, own - report.own)
-        return taken + self._rng.random() < room / self._entry_hosts
+        size = self._parts.part(candidate.endpoint_id).size
+        return taken + self._rng.random() < room * size
 
     def _is_used_by_others(self, candidate: Candidate, now: float) -> bool:
         """Return whether a fresh report shows work of other entry hosts."""
         report = self._report_by_id.get(candidate.endpoint_id)
         if report is None or now - report.load.reported > const.HINT_LIFE_S:
             return False
-        return self._entry_hosts > 1 and report.load.running + report.load.queued > 0
+        shared = self._parts.part(candidate.endpoint_id).size < 1.0
+        return shared and report.load.running + report.load.queued > 0
--- a/packages/policy/src/lagoonwing_policy/routing/_router.py
+++ b/packages/policy/src/lagoonwing_policy/routing/_router.py
@@ -4,7 +4,7 @@
 
 import random
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import replace
 
 from expression import Error, Ok, Result
@@ -29,12 +29,14 @@
 from lagoonwing_policy.routing._endpoints import UsableEndpoints
 from lagoonwing_policy.routing._links import LinkTable
 from lagoonwing_policy.routing._load import LoadEstimator, LoadsByEndpoint
+from lagoonwing_policy.routing._parts import PartTable
 from lagoonwing_policy.routing._pools import Candidate, RoutePool, build_pools, work_key
 from lagoonwing_policy.routing._round_robin import RoundRobinChooser
 from lagoonwing_policy.routing._stages import ChainChooser
 from lagoonwing_policy.routing._suspects import PoolView, SuspectPlacement, SuspectView
 from lagoonwing_policy.routing._whole import WholeModelChooser
 from lagoonwing_policy.routing.models import FlowRoutes, RoundRobinRoutes, RouterSettings
+from lagoonwing_policy.sharing.models import CapacityPart
 
 _NO_DOMAINS: frozenset[FailureDomainId] = frozenset()
 
@@ -56,7 +58,8 @@
         self._policy = settings.policy
         self._links = LinkTable(settings)
         self._endpoints = UsableEndpoints()
-        self._loads = LoadEstimator(settings.entry_hosts, rng)
+        self._parts = PartTable(settings.entry_hosts)
+        self._loads = LoadEstimator(self._parts, rng)
         self._ejection = EjectionSystem(rng)
         self._rules = ChoiceRules(self._loads, self._ejection)
         self._prefixes = PrefixTable()
@@ -91,12 +94,28 @@
             self._rebuild()
 
     def set_entry_hosts(self, count: int) -> None:
-        """Set the number of entry hosts that share the endpoints.
+        """Divide every endpoint evenly, as long as nothing is known of the others' work.
 
         Args:
             count: Entry hosts that are alive, this one included.
         """
-        self._loads.set_entry_hosts(count)
+        self._parts.set_entry_hosts(count)
+
+    def set_capacity_parts(
+        self, part_by_pool: Mapping[str, CapacityPart], even_part: CapacityPart
+    ) -> None:
+        """Set which part of each pool's limits this entry host may use.
+
+        Args:
+            part_by_pool: Parts of pools in which any entry host has work.
+            even_part: Part of every other pool.
+        """
+        parts: dict[EndpointId, CapacityPart] = {}
+        for key, part in part_by_pool.items():
+            pool = self._pool_by_key.get(key)
+            if pool is not None:
+                parts.update(dict.fromkeys(pool.candidate_by_id, part))
+        self._parts.replace(parts, even_part)
 
     def set_suspect_view(self, view: SuspectView) -> None:
         """Set where suspects are looked up.
--- a/packages/policy/src/lagoonwing_policy/sharing/_division.py
+++ b/packages/policy/src/lagoonwing_policy/sharing/_division.py
@@ -44,15 +44,25 @@
     used: dict[HostId, dict[MemberId, float]] = {}
     total: dict[HostId, float] = {}
     for host_id, rows in rows_by_host.items():
-        used[host_id] = {
-            row.member_id: allotted[row.member_id] * row.requests / demand[row.member_id]
-            for row in rows
-            if demand[row.member_id] > 0.0
-        }
+        used[host_id] = _used(rows, allotted, demand)
         total[host_id] = even + sum(used[host_id].values())
     return Division(allotted, total, used)
 
 
+def _used(
+    rows: Iterable[MemberWork],
+    allotted: Mapping[MemberId, float],
+    demand: Mapping[MemberId, float],
+) -> dict[MemberId, float]:
+    """Return the slots of each member at one entry host, as its work there is to all of it."""
+    used: dict[MemberId, float] = {}
+    for row in rows:
+        if demand[row.member_id] > 0.0:
+            part = allotted[row.member_id] * row.requests / demand[row.member_id]
+            used[row.member_id] = used.get(row.member_id, 0.0) + part
+    return used
+
+
 def _totals(
     rows_by_host: Mapping[HostId, Iterable[MemberWork]],
 ) -> tuple[dict[MemberId, float], dict[MemberId, float]]:
--- a/packages/policy/src/lagoonwing_policy/sharing/_system.py
+++ b/packages/policy/src/lagoonwing_policy/sharing/_system.py
@@ -65,9 +65,7 @@
         }
         position = alive.index(self._host_id)
         even = CapacityPart(position / len(alive), (position + 1) / len(alive))
-        parts = {
-            pool: self._part(alive, division) for pool, division in division_by_pool.items()
-        }
+        parts = {pool: self._part(alive, division) for pool, division in division_by_pool.items()}
         expires = now + NEWS_LIFE_S
         return Shares(parts, even, self._member_shares(division_by_pool.values(), expires))
 
@@ -82,9 +80,7 @@
             rows_by_host[host_id] = heard.rows if heard is not None and fresh else ()
         rows_by_host[self._host_id] = tuple(own_rows)
         self._heard_by_host = {
-            host_id: heard
-            for host_id, heard in self._heard_by_host.items()
-            if now < heard.expires
+            host_id: heard for host_id, heard in self._heard_by_host.items() if now < heard.expires
         }
         return rows_by_host
 
@@ -127,6 +123,5 @@
 ) -> dict[HostId, list[MemberWork]]:
     """Return the rows of one pool by host."""
     return {
-        host_id: [row for row in rows if row.pool == pool]
-        for host_id, rows in rows_by_host.items()
+        host_id: [row for row in rows if row.pool == pool] for host_id, rows in rows_by_host.items()
     }
--- /dev/null
+++ b/tests/policy/test_sharing.py
@@ -0,0 +1,105 @@
+"""Division of capacity among entry hosts: fair to members over all hosts, conserved in slots."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lagoonwing_core.ids import EndpointId, HostId, MemberId
+from lagoonwing_policy.routing._parts import PartTable
+from lagoonwing_policy.sharing import MemberWork, SharingSystem, divide_pool, fill_by_weight
+
+POOL = "model/m"
+HOSTS = [HostId(f"host-{number}") for number in range(4)]
+
+
+def _row(member: str, requests: float, weight: float = 1.0) -> MemberWork:
+    return MemberWork(POOL, MemberId(member), requests, weight)
+
+
+def _cell(rows_by_host: dict[HostId, list[MemberWork]], now: float = 0.0):
+    """Return systems of all hosts that have heard one another's news."""
+    systems = {host: SharingSystem(host) for host in HOSTS}
+    for host, system in systems.items():
+        for other in systems.values():
+            other.receive(host, system.news(rows_by_host.get(host, [])), now)
+    return systems
+
+
+def _shares(systems, rows_by_host, slots: float, now: float = 0.0):
+    return {
+        host: system.shares(rows_by_host.get(host, []), HOSTS, {POOL: slots}, now)
+        for host, system in systems.items()
+    }
+
+
+def test_a_surge_at_one_host_takes_nothing_from_members_at_the_others() -> None:
+    """Others keep their weighted portion of all slots, wherever the surge comes in."""
+    rows = {
+        HOSTS[0]: [_row("surging", 1000.0), _row("a", 50.0)],
+        HOSTS[1]: [_row("a", 50.0)],
+        HOSTS[2]: [_row("b", 100.0)],
+    }
+    division = divide_pool(100.0, {host: rows.get(host, []) for host in HOSTS})
+    assert division.slots_by_member == pytest.approx({"surging": 30.0, "a": 30.0, "b": 30.0})
+    assert division.slots_by_host[HOSTS[1]] == pytest.approx(15.0 + 2.5)
+    assert division.slots_by_host[HOSTS[2]] == pytest.approx(30.0 + 2.5)
+    assert division.slots_by_host[HOSTS[3]] == pytest.approx(2.5)
+
+
+def test_idle_capacity_is_lent() -> None:
+    """A member without work leaves its portion to those that have work."""
+    division = divide_pool(100.0, {HOSTS[0]: [_row("a", 500.0)], HOSTS[1]: [_row("b", 10.0)]})
+    assert division.slots_by_member == pytest.approx({"a": 80.0, "b": 10.0})
+
+
+@given(
+    st.lists(st.tuples(st.integers(0, 3), st.integers(0, 5), st.integers(1, 400)), max_size=24),
+    st.integers(1, 60),
+    st.integers(1, 200),
+)
+def test_quotas_add_up_to_the_limit(work, endpoints: int, limit: int) -> None:
+    """Hosts with the same news never let more start on an endpoint than its limit."""
+    rows: dict[HostId, list[MemberWork]] = {}
+    for host, member, requests in work:
+        rows.setdefault(HOSTS[host], []).append(_row(f"m{member}", float(requests)))
+    shares = _shares(_cell(rows), rows, float(endpoints * limit))
+    for number in range(min(endpoints, 5)):
+        endpoint_id = EndpointId(f"endpoint-{number}")
+        total = 0
+        for share in shares.values():
+            table = PartTable(entry_hosts=4)
+            part = share.part_by_pool.get(POOL, share.even_part)
+            table.replace({endpoint_id: part}, share.even_part)
+            total += table.quota(endpoint_id, float(limit))
+        assert total == limit
+
+
+@given(st.dictionaries(st.integers(0, 20), st.tuples(st.integers(0, 100), st.integers(1, 9))))
+def test_filling_gives_no_more_than_demand_or_amount(members) -> None:
+    """Nobody gets more than demanded, the sum fits, and nothing is left while demand is."""
+    demand = {MemberId(str(key)): float(value[0]) for key, value in members.items()}
+    weight = {MemberId(str(key)): float(value[1]) for key, value in members.items()}
+    result = fill_by_weight(90.0, demand, weight)
+    assert all(result[key] <= demand[key] + 1e-9 for key in demand)
+    expected = min(90.0, sum(demand.values()))
+    assert sum(result.values()) == pytest.approx(expected)
+
+
+def test_old_news_counts_no_more() -> None:
+    """A host that has fallen silent keeps its even part, and the rest goes to the others."""
+    rows = {HOSTS[0]: [_row("a", 100.0)], HOSTS[1]: [_row("b", 100.0)]}
+    systems = _cell(rows)
+    early = systems[HOSTS[0]].shares(rows[HOSTS[0]], HOSTS, {POOL: 100.0}, 0.5)
+    late = systems[HOSTS[0]].shares(rows[HOSTS[0]], HOSTS, {POOL: 100.0}, 1.5)
+    assert early.part_by_pool[POOL].size == pytest.approx(0.475)
+    assert late.part_by_pool[POOL].size == pytest.approx(0.925)
+
+
+def test_a_host_alone_uses_everything() -> None:
+    """Without other hosts the whole pool is this host's."""
+    system = SharingSystem(HOSTS[0])
+    shares = system.shares([_row("a", 3.0)], [], {POOL: 10.0}, 0.0)
+    assert (shares.part_by_pool[POOL].start, shares.part_by_pool[POOL].end) == (0.0, 1.0)
+    assert (shares.even_part.start, shares.even_part.end) == (0.0, 1.0)
