--- /dev/null
+++ b/bench/entry/__init__.py
@@ -0,0 +1,3 @@
+"""Cost of the relay through one entry host."""
+
+from __future__ import annotations
