--- a/packages/entry/src/lagoonwing_entry/_dispatch.py
+++ b/packages/entry/src/lagoonwing_entry/_dispatch.py
@@ -84,7 +84,10 @@
         traceback: TracebackType | None,
     ) -> None:
         """Cancel what is not finished."""
-        if self._exchange is not None and not self._exchange.finished:
+        if self._exchange is None:
+            return
+        self._exchange.stop_watch()
+        if not self._exchange.finished:
             self.cut()
 
     def cut(self) -> None:
@@ -118,8 +121,7 @@
         """
         assert self._exchange is not None
         try:
-            async with asyncio.timeout(timeout):
-                return await self._exchange.async_chunk()
+            return await self._exchange.async_chunk(timeout)
         except AnswerBrokenError as error:
             raise self._lost(ResultCode.ANSWER_INCOMPLETE, str(error), died=True) from error
         except TimeoutError as error:
--- a/packages/entry/src/lagoonwing_entry/_http_client.py
+++ b/packages/entry/src/lagoonwing_entry/_http_client.py
@@ -64,6 +64,8 @@
         self._drained: asyncio.Future[None] | None = None
         self._finished = False
         self._broken = False
+        self._silent_at = 0.0
+        self._silence_timer: asyncio.TimerHandle | None = None
 
     @property
     def finished(self) -> bool:
@@ -76,13 +78,17 @@
         Raises:
             AnswerBrokenError: The connection ended first.
         """
-        return await asyncio.shield(self._head)
+        return await self._head
 
-    async def async_chunk(self) -> bytes | None:
+    async def async_chunk(self, timeout: float) -> bytes | None:
         """Wait for the next part of the body; nothing at its proper end.
 
+        Args:
+            timeout: Longest silence, in seconds.
+
         Raises:
             AnswerBrokenError: The connection ended before the body was whole.
+            TimeoutError: Nothing came in time.
         """
         while not self._chunks:
             if self._finished:
@@ -90,6 +96,7 @@
             if self._broken:
                 raise AnswerBrokenError("the connection ended in the middle of the answer")
             self._readable = asyncio.get_running_loop().create_future()
+            self._watch_silence(timeout)
             await self._readable
         data = b"".join(self._chunks) if len(self._chunks) > 1 else self._chunks[0]
         self._chunks.clear()
@@ -98,6 +105,13 @@
             self._drained.set_result(None)
         return data
 
+    @callback
+    def stop_watch(self) -> None:
+        """Stop to watch for silence."""
+        if self._silence_timer is not None:
+            self._silence_timer.cancel()
+            self._silence_timer = None
+
     @callback
     def on_head(self, head: AnswerHead) -> None:
         """Take status and headers."""
@@ -119,6 +133,7 @@
     def on_finish(self) -> None:
         """Note the proper end."""
         self._finished = True
+        self.stop_watch()
         self._wake()
 
     @callback
@@ -127,12 +142,33 @@
         if self._finished:
             return
         self._broken = True
+        self.stop_watch()
         if not self._head.done():
             self._head.set_exception(AnswerBrokenError("the connection ended before an answer"))
             # The reader may have gone; an unread exception would only warn about it.
             self._head.exception()
         self._wake()
 
+    def _watch_silence(self, timeout: float) -> None:
+        """Let the reader time out; one timer serves many waits, for each token is a wait."""
+        loop = asyncio.get_running_loop()
+        self._silent_at = loop.time() + timeout
+        if self._silence_timer is not None and self._silence_timer.when() > self._silent_at:
+            self.stop_watch()
+        if self._silence_timer is None:
+            self._silence_timer = loop.call_at(self._silent_at, self._on_silence_timer)
+
+    def _on_silence_timer(self) -> None:
+        """Time the reader out if it still waits for what it began to wait for long ago."""
+        self._silence_timer = None
+        if self._readable is None or self._readable.done():
+            return
+        loop = asyncio.get_running_loop()
+        if loop.time() < self._silent_at:
+            self._silence_timer = loop.call_at(self._silent_at, self._on_silence_timer)
+            return
+        self._readable.set_exception(TimeoutError())
+
     def _wake(self) -> None:
         """Wake the reader."""
         if self._readable is not None and not self._readable.done():
--- a/packages/entry/src/lagoonwing_entry/_request_runner.py
+++ b/packages/entry/src/lagoonwing_entry/_request_runner.py
@@ -16,6 +16,7 @@
 from lagoonwing_entry._attempts import AttemptRunner
 from lagoonwing_entry._directory import EndpointDirectory
 from lagoonwing_entry._suspects import SuspectReporter
+from lagoonwing_entry.const import IDLE_TICK_S
 from lagoonwing_entry.diagnostics import EntryMetrics
 from lagoonwing_entry.models import Finished, ModelCall, ServiceCallBody
 from lagoonwing_entry.ports import SchedulerPort
@@ -131,7 +132,8 @@
     async def _async_tick(self) -> None:
         """Tick for ever."""
         while True:
-            await asyncio.sleep(self._tick_s)
+            # Without requests only lapsing grants are left to the ticks.
+            await asyncio.sleep(self._tick_s if self._active_by_id else IDLE_TICK_S)
             try:
                 self.pump()
             except Exception as error:
--- a/packages/entry/src/lagoonwing_entry/const.py
+++ b/packages/entry/src/lagoonwing_entry/const.py
@@ -33,6 +33,7 @@
 MAX_UNREAD_ANSWER_BYTES = 256 * 1024
 MAX_ANSWER_HEADER_BYTES = 16 * 1024
 IDLE_CONNECTION_LIFE_S = 30.0
+IDLE_TICK_S = 0.1
 
 # Wire attempt = attempt of the scheduler * stride + stages replaced within it.
 ATTEMPT_STRIDE = 256
