--- a/packages/entry/src/lagoonwing_entry/_announce_server.py
+++ b/packages/entry/src/lagoonwing_entry/_announce_server.py
@@ -18,7 +18,7 @@
 from lagoonwing_core.ids import RequestId
 from lagoonwing_core.models import EndpointKind, EndpointRecord
 from lagoonwing_core.result_codes import Outcome, ResultCode
-from lagoonwing_entry._bounded_handler import BodyLimits, BoundedHandler
+from lagoonwing_entry._bounded_handler import BodyBudget, BodyLimits, BoundedHandler
 from lagoonwing_entry._bounded_server import BoundedHTTPServer, bounded_server
 from lagoonwing_entry.const import MAX_KEY_BYTES
 from lagoonwing_entry.models import AnnounceServerSettings
@@ -45,13 +45,17 @@
     _numbers = itertools.count(1)
 
     def initialize(
-        self, settings: AnnounceServerSettings, membership: MembershipPort, clock: Clock
+        self,
+        settings: AnnounceServerSettings,
+        membership: MembershipPort,
+        clock: Clock,
+        budget: BodyBudget,
     ) -> None:
         """Take what the handler needs."""
         self.announce_settings = settings
         self.membership = membership
         self.clock = clock
-        self.limits = BodyLimits(settings.max_body_bytes, settings.body_timeout_s)
+        self.limits = BodyLimits(settings.max_body_bytes, settings.body_timeout_s, budget)
         self.request_id = RequestId(f"announce-{next(self._numbers)}")
 
     def begin(self) -> Refusal | None:
@@ -115,6 +119,7 @@
             "settings": self._settings,
             "membership": self._membership,
             "clock": self._clock,
+            "budget": BodyBudget(self._settings.max_held_bytes),
         }
         application = Application(
             [("/announce", AnnounceHandler, arguments)], log_function=lambda handler: None
--- a/packages/entry/src/lagoonwing_entry/_attempts.py
+++ b/packages/entry/src/lagoonwing_entry/_attempts.py
@@ -13,6 +13,7 @@
 from lagoonwing_entry._suspects import SuspectReporter
 from lagoonwing_entry.adapter import EndpointAdapter
 from lagoonwing_entry.const import ATTEMPT_STRIDE
+from lagoonwing_entry.diagnostics import EntryMetrics
 from lagoonwing_entry.errors import CallerGoneError, DispatchError
 from lagoonwing_entry.models import (
     CompletionCall,
@@ -42,12 +43,14 @@
         scheduler: SchedulerPort,
         directory: EndpointDirectory,
         suspects: SuspectReporter,
+        metrics: EntryMetrics,
         clock: Clock,
     ) -> None:
         self._adapter = adapter
         self._scheduler = scheduler
         self._directory = directory
         self._suspects = suspects
+        self._metrics = metrics
         self._clock = clock
 
     async def async_run(self, active: ActiveRequest, command: StartAttempt) -> AttemptResult:
@@ -126,6 +129,7 @@
         if not active.texts:
             self._scheduler.first_token(request_id, now)
         active.texts.extend(token.text for token in batch.tokens)
+        self._metrics.tokens += len(batch.tokens)
         self._scheduler.tokens_relayed(request_id, len(batch.tokens), now)
         await active.sink.async_take(batch)
 
--- a/packages/entry/src/lagoonwing_entry/_bounded_handler.py
+++ b/packages/entry/src/lagoonwing_entry/_bounded_handler.py
@@ -31,12 +31,31 @@
 _MAX_DROPPED_BYTES = 1 << 40
 
 
+class BodyBudget:
+    """Bound on the bytes of all bodies together, from their arrival to their answers."""
+
+    def __init__(self, max_bytes: int) -> None:
+        self._free_bytes = max_bytes
+
+    def take(self, count: int) -> bool:
+        """Take bytes, if there are as many."""
+        if count > self._free_bytes:
+            return False
+        self._free_bytes -= count
+        return True
+
+    def release(self, count: int) -> None:
+        """Give bytes back."""
+        self._free_bytes += count
+
+
 @dataclass(frozen=True, slots=True)
 class BodyLimits:
-    """Limits of one body."""
+    """Limits of one body, and of all together."""
 
     max_bytes: int
     timeout_s: float
+    budget: BodyBudget
 
 
 @stream_request_body
@@ -58,6 +77,7 @@
         """Check the headers and start to read."""
         self._chunks: list[bytes] = []
         self._received = 0
+        self._budgeted = 0
         self._refused_early: Refusal | None = self._check_headers() or self.begin()
         connection = self.request.connection
         assert isinstance(connection, HTTP1Connection)
@@ -75,10 +95,14 @@
         if self._received > self.limits.max_bytes and self._refused_early is None:
             detail = f"the body passes {self.limits.max_bytes} bytes"
             self._refused_early = Refusal(ResultCode.BODY_TOO_LARGE, detail)
+        if self._refused_early is None and not self.limits.budget.take(len(chunk)):
+            detail = "too many bytes of bodies are being held"
+            self._refused_early = Refusal(ResultCode.QUEUE_FULL, detail, 1.0)
         if self._refused_early is None:
+            self._budgeted += len(chunk)
             self._chunks.append(chunk)
         else:
-            self._chunks.clear()
+            self._drop_body()
 
     def take_body(self) -> bytes | None:
         """Return the whole body, or answer the refusal that was found and return nothing."""
@@ -91,12 +115,14 @@
         return b"".join(self._chunks)
 
     def on_finish(self) -> None:
-        """Stop to watch the body's time."""
+        """Release what the body held."""
         self._body_timer.cancel()
+        self._drop_body()
 
     def on_connection_close(self) -> None:
-        """Stop to watch the body's time."""
+        """Release what the body held."""
         self._body_timer.cancel()
+        self._drop_body()
 
     def refuse(self, refusal: Refusal, outcome: Outcome = Outcome.NOT_RUN) -> None:
         """Answer that a request was not done."""
@@ -145,6 +171,12 @@
             return Refusal(ResultCode.BODY_TOO_LARGE, detail)
         return None
 
+    def _drop_body(self) -> None:
+        """Drop the body and give its bytes back."""
+        self._chunks.clear()
+        self.limits.budget.release(self._budgeted)
+        self._budgeted = 0
+
     def _expects_continue(self) -> bool:
         """Return whether the client waits for a word before it sends the body."""
         return str(self.request.headers.get("Expect", "")).lower() == "100-continue"
--- a/packages/entry/src/lagoonwing_entry/_caller_handlers.py
+++ b/packages/entry/src/lagoonwing_entry/_caller_handlers.py
@@ -20,7 +20,7 @@
 from lagoonwing_core.models import EntityState, Member
 from lagoonwing_core.result_codes import Outcome, ResultCode
 from lagoonwing_entry._answers import StreamSink, WholeSink
-from lagoonwing_entry._bounded_handler import BodyLimits, BoundedHandler
+from lagoonwing_entry._bounded_handler import BodyBudget, BodyLimits, BoundedHandler
 from lagoonwing_entry._claimed_calls import ServiceCaller
 from lagoonwing_entry._directory import EndpointDirectory
 from lagoonwing_entry._host_state import HostStateTable
@@ -86,6 +86,7 @@
     state: HostStateTable
     metrics: EntryMetrics
     clock: Clock
+    budget: BodyBudget
     _numbers: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
 
     def next_request_id(self) -> RequestId:
@@ -101,7 +102,7 @@
         """Take what the handlers need."""
         self.context = context
         caller = context.settings.caller
-        self.limits = BodyLimits(caller.max_body_bytes, caller.body_timeout_s)
+        self.limits = BodyLimits(caller.max_body_bytes, caller.body_timeout_s, context.budget)
         self.request_id = context.next_request_id()
         self.arrived = context.clock.now()
         self.member: Member | None = None
--- a/packages/entry/src/lagoonwing_entry/_claimed_calls.py
+++ b/packages/entry/src/lagoonwing_entry/_claimed_calls.py
@@ -14,13 +14,20 @@
 from expression import Result
 
 from lagoonwing_core.callback import callback
+from lagoonwing_core.clock import Clock
 from lagoonwing_core.errors import Refusal
 from lagoonwing_core.events import EventCode, log_event
 from lagoonwing_core.ids import IdempotencyKey
 from lagoonwing_core.result_codes import Outcome, ResultCode
 from lagoonwing_entry._active_requests import NoSink
 from lagoonwing_entry._request_runner import RequestRunner
-from lagoonwing_entry.const import STATUS_BY_CODE, STORE_RETRIES, STORE_RETRY_S
+from lagoonwing_entry.const import (
+    DEADLINE_SLACK_S,
+    LATE_OUTCOME_S,
+    STATUS_BY_CODE,
+    STORE_RETRIES,
+    STORE_RETRY_S,
+)
 from lagoonwing_entry.faults import FaultHook, FaultPoint
 from lagoonwing_entry.models import Finished, ServiceAnswer, ServiceCallBody
 from lagoonwing_entry.ports import ControlPort
@@ -40,11 +47,17 @@
     """Runs plain calls; calls that may run only once outlive their callers."""
 
     def __init__(
-        self, runner: RequestRunner, control: ControlPort, faults: FaultHook, timeout_s: float
+        self,
+        runner: RequestRunner,
+        control: ControlPort,
+        faults: FaultHook,
+        clock: Clock,
+        timeout_s: float,
     ) -> None:
         self._runner = runner
         self._control = control
         self._faults = faults
+        self._clock = clock
         self._timeout_s = timeout_s
         self._tasks: set[asyncio.Task[Any]] = set()
 
@@ -67,8 +80,17 @@
             running = self._runner.async_run(profile, call, NoSink())
         else:
             running = self._async_claimed(profile, call, call.key)
-        # The caller may go; the outcome of the only dispatch must still be learnt and stored.
-        return await asyncio.shield(self._start(running))
+        # The caller may go, and the deadline pass; the outcome of the only dispatch must still
+        # be learnt and stored.
+        task = self._start(running)
+        try:
+            async with asyncio.timeout_at(
+                max(profile.deadline, self._clock.now()) + DEADLINE_SLACK_S
+            ):
+                finished: Finished = await asyncio.shield(task)
+        except TimeoutError:
+            return _unknown(ResultCode.DEADLINE_EXCEEDED, "the deadline has passed")
+        return finished
 
     async def _async_claimed(
         self, profile: RequestProfile, call: ServiceCallBody, key: IdempotencyKey
@@ -112,7 +134,7 @@
         self, profile: RequestProfile, call: ServiceCallBody, claim: TakeClaim
     ) -> Finished:
         """Run the call under its claim and make its outcome durable before it is told."""
-        finished = await self._runner.async_run(profile, call, NoSink())
+        finished = await self._runner.async_run(profile, call, NoSink(), LATE_OUTCOME_S)
         if finished.outcome is Outcome.NOT_RUN:
             await self._async_release(claim)
             return finished
--- a/packages/entry/src/lagoonwing_entry/_dispatch.py
+++ b/packages/entry/src/lagoonwing_entry/_dispatch.py
@@ -18,8 +18,14 @@
     HEADER_OUTCOME,
     HEADER_REQUEST_ID,
     HEADER_RETRY_AFTER,
+    MAX_SEND_DELAY_S,
+)
+from lagoonwing_entry.errors import (
+    AnswerBrokenError,
+    ConnectError,
+    DispatchError,
+    ForeignAnswerError,
 )
-from lagoonwing_entry.errors import AnswerBrokenError, ConnectError, DispatchError
 from lagoonwing_entry.models import DispatchFailure, DispatchId
 from lagoonwing_policy.models import Dispatch
 
@@ -63,8 +69,7 @@
             DispatchError: No byte was sent.
         """
         try:
-            connection = await self._pool.async_take(self._record, self._request.fresh)
-            self._connection = connection
+            connection = await self._async_connect()
             self._exchange = connection.send(
                 RequestStartLine(self._request.method, self._request.path, "HTTP/1.1"),
                 self._headers(),
@@ -73,10 +78,25 @@
             )
         except ConnectError as error:
             refusal = Refusal(ResultCode.ENDPOINT_LOST, str(error))
-            failure = DispatchFailure(Dispatch.NO_BYTE_SENT, refusal, endpoint_died=True)
+            failure = DispatchFailure(Dispatch.NO_BYTE_SENT, refusal, endpoint_died=error.refused)
             raise DispatchError(failure) from error
         return self
 
+    async def _async_connect(self) -> ClientConnection:
+        """Return a connection on which the request may be sent now.
+
+        Raises:
+            ConnectError: There is none, or this process stood still meanwhile: what was known
+                of the endpoint as it was chosen may no longer hold.
+        """
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        self._connection = await self._pool.async_take(self._record, self._request.fresh)
+        if loop.time() - started > MAX_SEND_DELAY_S:
+            self._connection.close()
+            raise ConnectError("too much time passed between the choice and the dispatch")
+        return self._connection
+
     async def __aexit__(
         self,
         kind: type[BaseException] | None,
@@ -105,6 +125,8 @@
         try:
             async with asyncio.timeout(timeout):
                 head = await self._exchange.async_head()
+        except ForeignAnswerError as error:
+            raise self.discarded(str(error)) from error
         except AnswerBrokenError as error:
             raise self._lost(ResultCode.ENDPOINT_LOST, str(error), died=True) from error
         except TimeoutError as error:
--- a/packages/entry/src/lagoonwing_entry/_entry_host.py
+++ b/packages/entry/src/lagoonwing_entry/_entry_host.py
@@ -12,6 +12,7 @@
 from lagoonwing_core.runtime import Component, Runtime
 from lagoonwing_entry._announce_server import AnnounceServer
 from lagoonwing_entry._attempts import AttemptRunner
+from lagoonwing_entry._bounded_handler import BodyBudget
 from lagoonwing_entry._caller_handlers import CallerContext
 from lagoonwing_entry._caller_server import CallerServer
 from lagoonwing_entry._claimed_calls import ServiceCaller
@@ -70,12 +71,19 @@
         self.state = HostStateTable(control)
         adapter = adapter or HttpEndpointAdapter(settings.adapter, clock)
         suspects = SuspectReporter(control, settings.control_timeout_s)
-        attempts = AttemptRunner(adapter, scheduler, self.directory, suspects, clock)
+        attempts = AttemptRunner(adapter, scheduler, self.directory, suspects, self.metrics, clock)
         self.runner = RequestRunner(
-            scheduler, attempts, self.directory, suspects, self.metrics, clock, settings.tick_s
+            scheduler,
+            attempts,
+            self.directory,
+            suspects,
+            self.metrics,
+            self.state,
+            clock,
+            settings.tick_s,
         )
         self._services = ServiceCaller(
-            self.runner, control, faults or NoFaults(), settings.claim_timeout_s
+            self.runner, control, faults or NoFaults(), clock, settings.claim_timeout_s
         )
         context = CallerContext(
             settings=settings,
@@ -86,6 +94,7 @@
             state=self.state,
             metrics=self.metrics,
             clock=clock,
+            budget=BodyBudget(settings.caller.max_held_bytes),
         )
         self.callers = CallerServer(settings.caller, context)
         self.announcements = AnnounceServer(settings.announce, membership, clock)
@@ -100,6 +109,7 @@
             clock,
             settings.membership_tick_s,
         )
+        self.runner.refresh_records = self.membership.refresh_if_stale
         self.control = ControlShell(settings, control, scheduler, self.runner, self.state, clock)
         components: tuple[Component, ...] = (
             adapter,
--- a/packages/entry/src/lagoonwing_entry/_host_state.py
+++ b/packages/entry/src/lagoonwing_entry/_host_state.py
@@ -24,6 +24,10 @@
         """Return why new work is refused, if it is."""
         if self.draining or self.stop_ordered:
             return Refusal(ResultCode.HOST_DRAINING, "this host is being stopped", 1.0)
+        return self.lease_refusal()
+
+    def lease_refusal(self) -> Refusal | None:
+        """Return why nothing may be dispatched, if so."""
         if not self._control.may_take_work():
             detail = "this host has lost touch with the durable state"
             return Refusal(ResultCode.CONFIGURATION_LEASE_LAPSED, detail, 1.0)
--- a/packages/entry/src/lagoonwing_entry/_http_client.py
+++ b/packages/entry/src/lagoonwing_entry/_http_client.py
@@ -29,7 +29,7 @@
     MAX_ANSWER_HEADER_BYTES,
     MAX_UNREAD_ANSWER_BYTES,
 )
-from lagoonwing_entry.errors import AnswerBrokenError, ConnectError
+from lagoonwing_entry.errors import AnswerBrokenError, ConnectError, ForeignAnswerError
 
 # A stream of tokens has no end known in advance; readers bound what they keep.
 _MAX_STREAM_BYTES = 1 << 40
@@ -136,6 +136,13 @@
         self.stop_watch()
         self._wake()
 
+    @callback
+    def on_foreign(self) -> None:
+        """Note that another request's answer came."""
+        if not self._head.done():
+            self._head.set_exception(ForeignAnswerError("the answer is not of this attempt"))
+            self._head.exception()
+
     @callback
     def on_broken(self) -> None:
         """Note that nothing more will come."""
@@ -249,6 +256,7 @@
             return
         if not self._exchange.accepts(headers):
             log_event(EventCode.ANSWER_DISCARDED, peer=self._peer, reason="not of this attempt")
+            self._exchange.on_foreign()
             self.close()
             return
         framed = "Content-Length" in headers or "Transfer-Encoding" in headers
@@ -317,7 +325,9 @@
     except (OSError, StreamClosedError, TimeoutError) as error:
         stream.close()
         detail = str(error) or type(error).__name__
-        raise ConnectError(f"{address}:{port}: {detail}") from error
+        cause = error.real_error if isinstance(error, StreamClosedError) else error
+        refused = isinstance(cause, ConnectionRefusedError)
+        raise ConnectError(f"{address}:{port}: {detail}", refused) from error
     except asyncio.CancelledError:
         stream.close()
         raise
--- a/packages/entry/src/lagoonwing_entry/_membership_shell.py
+++ b/packages/entry/src/lagoonwing_entry/_membership_shell.py
@@ -62,6 +62,7 @@
         )
         self._link_by_address: dict[tuple[str, int], Link] = {}
         self._record_by_id: dict[EndpointId, EndpointRecord] = {}
+        self._refreshed = 0.0
         self._task: asyncio.Task[None] | None = None
         if channels is not None:
             channels.register(PROTOCOL, self._handlers)
@@ -79,10 +80,17 @@
         for link in self._link_by_address.values():
             await link.async_unload()
 
+    @callback
+    def refresh_if_stale(self) -> None:
+        """Judge the records anew if the ticks stood still."""
+        if self._clock.now() - self._refreshed > 2 * self._tick_s:
+            self.refresh()
+
     @callback
     def refresh(self) -> None:
         """Hand changed records to the scheduler and the directory."""
         now = self._clock.now()
+        self._refreshed = now
         records = {record.endpoint_id: record for record in self._membership.endpoints(now)}
         if _same(records, self._record_by_id):
             return
--- a/packages/entry/src/lagoonwing_entry/_request_runner.py
+++ b/packages/entry/src/lagoonwing_entry/_request_runner.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from lagoonwing_core.callback import callback
 from lagoonwing_core.clock import Clock
@@ -15,6 +15,7 @@
 from lagoonwing_entry._active_requests import ActiveRequest, TokenSink
 from lagoonwing_entry._attempts import AttemptRunner
 from lagoonwing_entry._directory import EndpointDirectory
+from lagoonwing_entry._host_state import HostStateTable
 from lagoonwing_entry._suspects import SuspectReporter
 from lagoonwing_entry.const import IDLE_TICK_S
 from lagoonwing_entry.diagnostics import EntryMetrics
@@ -48,6 +49,7 @@
         directory: EndpointDirectory,
         suspects: SuspectReporter,
         metrics: EntryMetrics,
+        state: HostStateTable,
         clock: Clock,
         tick_s: float,
     ) -> None:
@@ -56,6 +58,7 @@
         self._directory = directory
         self._suspects = suspects
         self._metrics = metrics
+        self._state = state
         self._clock = clock
         self._tick_s = tick_s
         self._active_by_id: dict[RequestId, ActiveRequest] = {}
@@ -64,6 +67,8 @@
         self._ticker: asyncio.Task[None] | None = None
         self._idle = asyncio.Event()
         self._idle.set()
+        # Set by whoever keeps the endpoint records; called before each dispatch.
+        self.refresh_records: Callable[[], None] = lambda: None
 
     async def async_setup(self) -> None:
         """Start to tick."""
@@ -93,11 +98,21 @@
         await self._idle.wait()
 
     async def async_run(
-        self, profile: RequestProfile, work: ModelCall | ServiceCallBody, sink: TokenSink
+        self,
+        profile: RequestProfile,
+        work: ModelCall | ServiceCallBody,
+        sink: TokenSink,
+        linger_s: float = 0.0,
     ) -> Finished:
         """Run a request to its end, its refusal or its deadline.
 
         Cancelling this call ends the request; the endpoint is told by closing the connection.
+
+        Args:
+            profile: What the scheduler needs to know.
+            work: What is dispatched.
+            sink: Where tokens go.
+            linger_s: How long a dispatch is waited for past the deadline.
         """
         submitted = self._scheduler.submit(profile, self._clock.now())
         if submitted.is_error():
@@ -117,13 +132,27 @@
         self._idle.clear()
         self.pump()
         try:
-            async with asyncio.timeout_at(profile.deadline):
-                return await finished
+            return await self._async_finished(active, linger_s)
         except TimeoutError:
             return self._expire(active)
         finally:
             self._abandon(active)
 
+    async def _async_finished(self, active: ActiveRequest, linger_s: float) -> Finished:
+        """Wait for the end of a request.
+
+        Raises:
+            TimeoutError: The deadline has passed, and a dispatch's additional time too.
+        """
+        try:
+            async with asyncio.timeout_at(active.profile.deadline):
+                return await asyncio.shield(active.finished)
+        except TimeoutError:
+            if active.task is None or not linger_s:
+                raise
+        async with asyncio.timeout(linger_s):
+            return await active.finished
+
     @callback
     def pump(self) -> None:
         """Tick the scheduler and carry out its commands."""
@@ -180,6 +209,12 @@
             refusal = Refusal(ResultCode.OUTCOME_UNKNOWN, "the call may have run")
             self._refuse(command.request_id, refusal)
             return
+        lapsed = self._state.lease_refusal()
+        if lapsed is not None:
+            # The lease may have lapsed while the request waited, or while the process stood still.
+            self._end(command, AttemptCancelled(0))
+            self._refuse(command.request_id, lapsed)
+            return
         log_event(
             EventCode.ROUTE_CHOSEN,
             request=command.request_id,
@@ -189,6 +224,7 @@
             priority=command.route.priority.value,
             exclusive=command.route.exclusive,
         )
+        self.refresh_records()
         records = [self._directory.record_of(stage) for stage in command.route.stages]
         known = tuple(record for record in records if record is not None)
         if len(known) != len(records):
--- a/packages/entry/src/lagoonwing_entry/const.py
+++ b/packages/entry/src/lagoonwing_entry/const.py
@@ -20,8 +20,8 @@
 MAX_IDEMPOTENCY_KEY_BYTES = 200
 MAX_HEADER_BYTES = 16 * 1024
 # Headers between this and `MAX_HEADER_BYTES` are read only so that they can be refused.
-MAX_HEADER_READ_BYTES = 64 * 1024
-CONNECTION_IDLE_TIMEOUT_S = 75.0
+MAX_HEADER_READ_BYTES = 32 * 1024
+CONNECTION_IDLE_TIMEOUT_S = 60.0
 CONNECTION_READ_CHUNK_BYTES = 64 * 1024
 
 DEFAULT_MAX_TOKENS = 512
@@ -34,6 +34,12 @@
 MAX_ANSWER_HEADER_BYTES = 16 * 1024
 IDLE_CONNECTION_LIFE_S = 30.0
 IDLE_TICK_S = 0.1
+# Longest time between the choice of an endpoint and the first byte of a dispatch.
+MAX_SEND_DELAY_S = 1.5
+# How long a call that may run only once is waited for after its caller was told `unknown`.
+LATE_OUTCOME_S = 120.0
+# Lets a refusal that comes with the deadline go before the answer that the deadline gives.
+DEADLINE_SLACK_S = 0.05
 
 # Wire attempt = attempt of the scheduler * stride + stages replaced within it.
 ATTEMPT_STRIDE = 256
--- a/packages/entry/src/lagoonwing_entry/models.py
+++ b/packages/entry/src/lagoonwing_entry/models.py
@@ -29,6 +29,7 @@
 
     Attributes:
         max_body_bytes: Largest body of a request.
+        max_held_bytes: Bytes of all bodies together, from their arrival to their answers.
         body_timeout_s: Time in which a body must have arrived.
         write_timeout_s: Time after which a caller that reads nothing is held to be gone.
         max_connections: Connections held open at once.
@@ -40,6 +41,7 @@
     address: str
     port: int
     max_body_bytes: int = 8 * 1024 * 1024
+    max_held_bytes: int = 256 * 1024 * 1024
     body_timeout_s: float = 10.0
     write_timeout_s: float = 10.0
     max_connections: int = 10_000
@@ -63,6 +65,7 @@
     entries: tuple[str, ...] = ()
     renew_after_s: float = 0.8
     max_body_bytes: int = 64 * 1024
+    max_held_bytes: int = 16 * 1024 * 1024
     body_timeout_s: float = 5.0
     max_connections: int = 10_000
 
--- a/tests/entry/test_entry_services.py
+++ b/tests/entry/test_entry_services.py
@@ -175,3 +175,18 @@
     assert answer.code == 200
     assert answer.headers["Content-Type"] == "application/json"
     assert json.loads(answer.body)["path"] == "/reserve"
+
+
+async def test_a_late_answer_is_stored_after_the_caller_was_told_unknown(cell: Cell) -> None:
+    """The dispatch is waited for past the deadline, so that a resend learns its outcome."""
+    host = await cell.async_add_host()
+    fake = await cell.async_add_service("v1", plan=FaultPlan(fault=Fault.FREEZE, count=1))
+    late = await _async_reserve(host, **{"X-Deadline-Ms": "200"})
+    assert late.code == 504
+    assert late.headers["X-Outcome"] == "unknown"
+    fake.engine.order(FaultPlan())
+    await async_until(lambda: cell.table.answer_by_key)
+    again = await _async_reserve(host)
+    assert again.headers["X-Outcome"] == "done"
+    assert again.headers["X-Result-Code"] == "1001"
+    assert len(cell.truth("effect")) == 1
