Test following, operators' races and both traces of a lost leader

A shared log in the tests stands for the replicated one: a test appoints its leader, lets replicas lag and loses answers. Found and mended: calls to the leader were bound to an injected clock while sleeping on the loop's, so that a paused clock retried for ever; a test hung on it.

--- a/packages/follower/src/lagoonwing_follower/_coordinator.py
+++ b/packages/follower/src/lagoonwing_follower/_coordinator.py
@@ -78,7 +78,7 @@
         self._lease = ConfigurationLease(settings.configuration_lease_s)
         self._was_in_force = False
         self._holder = AllotmentHolder(settings.incarnation)
-        self._links = LeaderLink(settings.replicas, identity, clock, self._on_push, self._on_closed)
+        self._links = LeaderLink(settings.replicas, identity, self._on_push, self._on_closed)
         self._watcher = Watcher(self._source, self._tables_changed, settings.seed)
         self._prober = Prober(self._links, clock)
         self._voters: tuple[HostId, ...] = ()
--- a/packages/follower/src/lagoonwing_follower/_leader_link.py
+++ b/packages/follower/src/lagoonwing_follower/_leader_link.py
@@ -9,7 +9,6 @@
 from expression import Error, Ok, Result
 
 from lagoonwing_core.callback import callback
-from lagoonwing_core.clock import Clock
 from lagoonwing_core.errors import Refusal
 from lagoonwing_core.ids import HostId
 from lagoonwing_core.models import HostAddress
@@ -33,11 +32,9 @@
         self,
         replicas: tuple[HostAddress, ...],
         identity: Identity,
-        clock: Clock,
         on_push: Callable[[Channel[Any], ControlMessage], None],
         on_closed: Callable[[Channel[Any]], None],
     ) -> None:
-        self._clock = clock
         self.address_by_host = {replica.host_id: replica for replica in replicas}
         handlers = Handlers(
             decoder=CONTROL_DECODER,
@@ -112,15 +109,17 @@
 
     async def async_call(self, message: ControlMessage, timeout: float) -> Result[Any, Refusal]:
         """Ask the leader, again and again until the timeout; the message must be idempotent."""
-        deadline = self._clock.now() + timeout
+        # Waiting is bound to the loop's time, for sleeps and calls are.
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout
         while True:
-            left = deadline - self._clock.now()
+            left = deadline - loop.time()
             result = await self.async_call_once(message, max(0.01, left))
             match result:
                 case Result(tag="error", error=Refusal(code=code)) if (
                     code in _RETRIED or code >= ResultCode.NOT_AUTHENTIC
                 ):
-                    if self._clock.now() + RETRY_INTERVAL_S >= deadline:
+                    if loop.time() + RETRY_INTERVAL_S >= deadline:
                         return result
                     await asyncio.sleep(RETRY_INTERVAL_S)
                 case _:
--- a/tests/support/control_support.py
+++ b/tests/support/control_support.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 import grpc
+from shared_log import SharedLog, SharedLogReplica
 from tornado.testing import bind_unused_port
 
 from lagoonwing_control import (
@@ -18,9 +19,10 @@
     ControlStateMachine,
     OperatorToken,
 )
-from lagoonwing_core.clock import LoopClock
+from lagoonwing_core.clock import Clock, LoopClock
 from lagoonwing_core.ids import FailureDomainId, HostId, Incarnation
 from lagoonwing_core.models import HostAddress
+from lagoonwing_core.runtime import Component
 from lagoonwing_follower import ControlCoordinator, FollowerSettings
 from lagoonwing_replication import LocalLog
 from lagoonwing_rpc import operator_pb2_grpc
@@ -44,7 +46,7 @@
     """A running control replica."""
 
     service: ControlService
-    log: LocalLog
+    log: LocalLog | SharedLogReplica
     server: ChannelServer
     settings: ControlSettings
 
@@ -61,15 +63,21 @@
 
 
 async def async_start_replica(
-    settings: ControlSettings | None = None, state_machine: ControlStateMachine | None = None
+    settings: ControlSettings | None = None,
+    state_machine: ControlStateMachine | None = None,
+    shared: SharedLog | None = None,
 ) -> Replica:
     """Start one replica on free ports."""
-    settings = settings or make_settings()
+    settings = settings or make_settings()[0]
     identity = Identity(settings.host_id, KEY)
     own = next(item for item in settings.replicas if item.host_id == settings.host_id)
     server = ChannelServer(identity, own.address, own.port)
     state_machine = state_machine or ControlStateMachine()
-    log = LocalLog(state_machine, settings.host_id)
+    log = (
+        LocalLog(state_machine, settings.host_id)
+        if shared is None
+        else SharedLogReplica(shared, settings.host_id, state_machine)
+    )
     service = ControlService(settings, identity, state_machine, log, server)
     await server.async_setup()
     await service.async_setup()
@@ -77,23 +85,54 @@
     return Replica(service, log, server, settings)
 
 
-def make_settings(max_request_s: float = 900.0) -> ControlSettings:
-    """Return settings of a single replica on free ports."""
-    host_id = HostId("control-1")
-    address = HostAddress(
-        host_id=host_id,
-        address="127.0.0.1",
-        port=unused_port(),
-        failure_domain=FailureDomainId("a"),
-    )
-    return ControlSettings(
-        host_id=host_id,
-        replicas=(address,),
-        grpc_address="127.0.0.1",
-        grpc_port=unused_port(),
-        operators=OPERATORS,
-        max_request_s=max_request_s,
+def make_settings(count: int = 1, max_request_s: float = 900.0) -> list[ControlSettings]:
+    """Return settings of replicas on free ports, each in a failure domain of its own."""
+    addresses = tuple(
+        HostAddress(
+            host_id=HostId(f"control-{number + 1}"),
+            address="127.0.0.1",
+            port=unused_port(),
+            failure_domain=FailureDomainId("abc"[number % 3]),
+        )
+        for number in range(count)
     )
+    return [
+        ControlSettings(
+            host_id=address.host_id,
+            replicas=addresses,
+            grpc_address="127.0.0.1",
+            grpc_port=unused_port(),
+            operators=OPERATORS,
+            max_request_s=max_request_s,
+        )
+        for address in addresses
+    ]
+
+
+@asynccontextmanager
+async def running_replicas(
+    count: int, max_request_s: float = 900.0
+) -> AsyncIterator[tuple[SharedLog, list[Replica]]]:
+    """Run replicas over a shared log; the first one leads."""
+    settings = make_settings(count, max_request_s)
+    shared = SharedLog(settings[0].replicas)
+    replicas = [await async_start_replica(item, shared=shared) for item in settings]
+    shared.appoint(replicas[0].settings.host_id)
+    try:
+        yield shared, replicas
+    finally:
+        for replica in replicas:
+            await replica.async_unload()
+
+
+@asynccontextmanager
+async def running(component: Component) -> AsyncIterator[None]:
+    """Run a component."""
+    await component.async_setup()
+    try:
+        yield
+    finally:
+        await component.async_unload()
 
 
 def make_follower(
@@ -101,10 +140,11 @@
     host_id: str = "entry-1",
     data_folder: Path | None = None,
     incarnation: int = 1,
+    clock: Clock | None = None,
 ) -> ControlCoordinator:
     """Return a follower of replicas."""
     settings = FollowerSettings(replicas, Incarnation(incarnation), data_folder)
-    return ControlCoordinator(settings, Identity(HostId(host_id), KEY), LoopClock())
+    return ControlCoordinator(settings, Identity(HostId(host_id), KEY), clock or LoopClock())
 
 
 @asynccontextmanager
