--- a/packages/consensus/src/lagoonwing_consensus/_state.py
+++ b/packages/consensus/src/lagoonwing_consensus/_state.py
@@ -44,6 +44,11 @@
     messages: list[Message] = field(default_factory=list)
     committed: list[Entry] = field(default_factory=list)
 
+    @property
+    def is_durable(self) -> bool:
+        """Whether anything must be synced."""
+        return self.hard_state is not None or self.snapshot is not None or bool(self.entries)
+
 
 @dataclass(slots=True)
 class SnapshotTransfer:
--- /dev/null
+++ b/packages/replication/src/lagoonwing_replication/_applier.py
@@ -0,0 +1,98 @@
+"""Brings accepted entries into the state machine and answers those who proposed them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from lagoonwing_consensus import (
+    Entry,
+    EntryKind,
+    Output,
+    Replica,
+    ReplicaSet,
+    Snapshot,
+    decode_replica_set,
+)
+from lagoonwing_core.callback import callback
+from lagoonwing_core.events import EventCode, log_event
+from lagoonwing_core.ids import LogIndex
+from lagoonwing_replication._proposals import Proposals
+from lagoonwing_replication.models import StateMachine
+
+
+class Applier:
+    """Owner of the state machine.
+
+    Attributes:
+        applied: Last entry that the state machine holds.
+        accepted_set: Replica set accepted last.
+        bytes_since_snapshot: Payload applied since a snapshot was begun.
+    """
+
+    def __init__(
+        self,
+        state_machine: StateMachine,
+        proposals: Proposals,
+        on_replica: Callable[[Replica], None],
+    ) -> None:
+        self.applied = LogIndex(0)
+        self.accepted_set = ReplicaSet()
+        self.bytes_since_snapshot = 0
+        self._state_machine = state_machine
+        self._proposals = proposals
+        self._on_replica = on_replica
+
+    @callback
+    def take(self, output: Output) -> None:
+        """Apply what an output hands out."""
+        if output.snapshot is not None:
+            self.restore(output.snapshot)
+        for entry in output.committed:
+            self._apply(entry)
+
+    @callback
+    def restore(self, snapshot: Snapshot) -> None:
+        """Replace the state by a snapshot's, unless the state is past it."""
+        if snapshot.index <= self.applied:
+            return
+        self._state_machine.restore(snapshot.state)
+        self.applied = snapshot.index
+        self.bytes_since_snapshot = 0
+        self._accept_set(snapshot.replica_set)
+
+    @callback
+    def encode_state(self) -> bytes:
+        """Return the whole state for a snapshot."""
+        self.bytes_since_snapshot = 0
+        return self._state_machine.snapshot()
+
+    @callback
+    def _apply(self, entry: Entry) -> None:
+        """Apply one accepted entry."""
+        match entry.kind:
+            case EntryKind.COMMAND:
+                answer = self._state_machine.apply(entry.index, entry.payload)
+                self._proposals.accepted(entry.index, entry.term, answer)
+            case EntryKind.REPLICA_SET:
+                self._accept_set(decode_replica_set(entry.payload))
+            case EntryKind.NO_OP:
+                pass
+        self.applied = entry.index
+        self.bytes_since_snapshot += len(entry.payload)
+
+    @callback
+    def _accept_set(self, replica_set: ReplicaSet) -> None:
+        """Log a change of the voters and tell of every replica."""
+        before = {voter.replica_id for voter in self.accepted_set.voters}
+        after = {voter.replica_id for voter in replica_set.voters}
+        self.accepted_set = replica_set
+        if before != after:
+            log_event(
+                EventCode.VOTER_CHANGED,
+                added=",".join(sorted(after - before)),
+                removed=",".join(sorted(before - after)),
+                voters=len(after),
+                learners=len(replica_set.learners),
+            )
+        for replica in (*replica_set.voters, *replica_set.learners):
+            self._on_replica(replica)
--- a/packages/replication/src/lagoonwing_replication/_files.py
+++ b/packages/replication/src/lagoonwing_replication/_files.py
@@ -33,6 +33,11 @@
     end: int
 
 
+def is_full_error(error: OSError) -> bool:
+    """Return whether there is no room, so that a later try may work."""
+    return error.errno in _FULL_ERRNOS
+
+
 def encode_frame(sequence: int, payload: bytes) -> bytes:
     """Return the bytes of a frame."""
     checksum = crc32c(payload, crc32c(_SEQUENCE.pack(sequence)))
@@ -75,7 +80,7 @@
         while view:
             view = view[os.write(descriptor, view) :]
     except OSError as error:
-        raise StorageError(f"write: {error}", is_full=error.errno in _FULL_ERRNOS) from error
+        raise StorageError(f"write: {error}", is_full=is_full_error(error)) from error
 
 
 def sync_file(descriptor: int) -> None:
@@ -111,7 +116,7 @@
     try:
         descriptor = os.open(temporary, os.O_CREAT | os.O_TRUNC | os.O_WRONLY, 0o600)
     except OSError as error:
-        raise StorageError(f"open: {error}", is_full=error.errno in _FULL_ERRNOS) from error
+        raise StorageError(f"open: {error}", is_full=is_full_error(error)) from error
     try:
         write_all(descriptor, encode_frame(0, payload))
         sync_file(descriptor)
--- a/packages/replication/src/lagoonwing_replication/_formation.py
+++ b/packages/replication/src/lagoonwing_replication/_formation.py
@@ -5,11 +5,13 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from typing import Any
 
 from expression import Result
 
 from lagoonwing_consensus import Replica, ReplicaSet
-from lagoonwing_core.ids import HostId
+from lagoonwing_core.ids import HostId, ReplicaId
+from lagoonwing_replication._binding import Binding
 from lagoonwing_replication._peers import Peers
 from lagoonwing_replication._records import DiskIdentity
 from lagoonwing_replication.const import (
@@ -18,8 +20,9 @@
     JOIN_INTERVAL_S,
     PACKET_VERSION,
 )
-from lagoonwing_replication.messages import FormReply, FormRequest, JoinRequest
+from lagoonwing_replication.messages import FormReply, FormRequest, JoinRequest, ShellMessage
 from lagoonwing_replication.settings import LogSettings
+from lagoonwing_wire import Channel
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,36 +46,52 @@
     def __init__(
         self,
         settings: LogSettings,
-        peers: Peers,
+        binding: Binding,
         standing: Callable[[], Standing | None],
         async_found: Callable[[ReplicaSet], Awaitable[None]],
     ) -> None:
         self._settings = settings
-        self._peers = peers
+        self._binding = binding
         self._standing = standing
         self._async_found = async_found
 
-    async def async_run(self) -> None:
+    async def async_run(self, peers: Peers) -> None:
         """Look after the replica's membership for the life of the process."""
         while True:
             standing = self._standing()
             if standing is None or standing.is_member:
                 await asyncio.sleep(JOIN_INTERVAL_S)
                 continue
-            if self._may_found(standing) and await self._async_try_to_found(standing):
+            if self._may_found(standing) and await self._async_try_to_found(peers, standing):
                 continue
             request = JoinRequest(PACKET_VERSION, standing.identity.cluster_id, standing.replica)
-            for host_id in self._peers.host_ids:
-                self._peers.push(host_id, request)
+            for host_id in peers.host_ids:
+                peers.push(host_id, request)
             await asyncio.sleep(FORM_INTERVAL_S)
 
+    async def async_answer(self, channel: Channel[Any], message: ShellMessage) -> FormReply:
+        """Tell a founder which replica this is, and bind it to the founder's log if asked to."""
+        standing = self._standing()
+        match message:
+            case FormRequest(founder_id=founder_id, binds=True):
+                if standing is not None and standing.is_empty:
+                    await self._binding.async_bind(founder_id)
+            case _:
+                pass
+        if standing is None:
+            own = self._settings.own_host
+            unknown = Replica(ReplicaId(""), own.host_id, own.address, own.port)
+            return FormReply(PACKET_VERSION, unknown, "", is_empty=False)
+        cluster_id = self._binding.cluster_id
+        return FormReply(PACKET_VERSION, standing.replica, cluster_id, standing.is_empty)
+
     def _may_found(self, standing: Standing) -> bool:
         """Return whether this host forms new logs and belongs to none."""
         if self._settings.host_id != self._settings.founder_id:
             return False
         return standing.is_empty and standing.identity.cluster_id == ""
 
-    async def _async_try_to_found(self, standing: Standing) -> bool:
+    async def _async_try_to_found(self, peers: Peers, standing: Standing) -> bool:
         """Form a new log if every host is up and belongs to none.
 
         Every host is asked twice: first whether it is free, then to note for good which log it
@@ -81,7 +100,8 @@
         """
         founder_id = standing.replica.replica_id
         for binds in (False, True):
-            replies = await self._async_ask_all(FormRequest(PACKET_VERSION, founder_id, binds))
+            request = FormRequest(PACKET_VERSION, founder_id, binds)
+            replies = await self._async_ask_all(peers, request)
             allowed = {founder_id} if binds else {founder_id, ""}
             if len(replies) < len(self._settings.hosts) - 1:
                 return False
@@ -90,12 +110,12 @@
         await self._async_found(self._first_set(standing.replica, replies))
         return True
 
-    async def _async_ask_all(self, request: FormRequest) -> list[FormReply]:
+    async def _async_ask_all(self, peers: Peers, request: FormRequest) -> list[FormReply]:
         """Call every other host and return the replies that came."""
         others = [one.host_id for one in self._settings.hosts]
         others.remove(self._settings.host_id)
         results = await asyncio.gather(
-            *(self._peers.async_call(host, request, FORM_CALL_TIMEOUT_S) for host in others)
+            *(peers.async_call(host, request, FORM_CALL_TIMEOUT_S) for host in others)
         )
         replies: list[FormReply] = []
         for host_id, result in zip(others, results, strict=True):
--- a/packages/replication/src/lagoonwing_replication/_writer.py
+++ b/packages/replication/src/lagoonwing_replication/_writer.py
@@ -10,6 +10,7 @@
 from lagoonwing_consensus import Output
 from lagoonwing_core.callback import callback
 from lagoonwing_core.ids import LogIndex
+from lagoonwing_replication._files import is_full_error
 from lagoonwing_replication._storage import Storage
 from lagoonwing_replication.errors import StorageError
 
@@ -46,9 +47,16 @@
         return self._task is None
 
     async def async_run(self, function: Callable[..., ResultT], *arguments: object) -> ResultT:
-        """Run one of the storage's methods in the disk's thread."""
+        """Run one of the storage's methods in the disk's thread.
+
+        Raises:
+            StorageError: The disk is full, broken or damaged.
+        """
         loop = asyncio.get_running_loop()
-        return await loop.run_in_executor(self._executor, function, *arguments)
+        try:
+            return await loop.run_in_executor(self._executor, function, *arguments)
+        except OSError as error:
+            raise StorageError(str(error), is_full=is_full_error(error)) from error
 
     @callback
     def enqueue(self, output: Output) -> None:
@@ -82,12 +90,14 @@
 
     async def _async_write(self, batch: list[Output]) -> bool:
         """Write one batch and return whether that worked."""
+        durable = [output for output in batch if output.is_durable]
         try:
-            await self.async_run(self._storage.append, batch, self._commit())
+            if durable:
+                await self.async_run(self._storage.append, durable, self._commit())
         except StorageError as error:
             self._queue.clear()
             self._on_failed(error)
             return False
-        self.syncs += 1
+        self.syncs += bool(durable)
         self._on_synced(batch)
         return True
--- a/tests/consensus/consensus_simulation.py
+++ b/tests/consensus/consensus_simulation.py
@@ -273,13 +273,12 @@
         self._apply(node, output.committed)
         for message in output.early_messages:
             self._send(host, message)
-        is_durable = output.hard_state or output.snapshot or output.entries
         if not self._mistakes.syncs:
             self._send_all(host, output)
             if output.entries:
                 self._tell_persisted(host, output.entries[-1])
             output.messages.clear()
-        elif not is_durable and not node.unsynced:
+        elif not output.is_durable and not node.unsynced:
             self._send_all(host, output)
             return
         node.unsynced.append(output)
