Sync a single voter's term before it sends, and finish a formation that crashed

Cause of the first: a set with one voter wins its election in the call that starts the term, and its entries went out before the term was synced; after a crash it could start the same term with other entries. Cause of the second: a founder bound to its own log, yet without its first entry, no longer counted as free. Both tests failed before (scripted schedule check_term_is_synced_first; test_formation_goes_on_after_a_crash).

--- a/packages/consensus/src/lagoonwing_consensus/_core.py
+++ b/packages/consensus/src/lagoonwing_consensus/_core.py
@@ -219,4 +219,8 @@
         """Return what has gathered since the last call."""
         output = self._state.output
         self._state.output = Output()
+        if output.hard_state is not None:
+            # A term that is not synced could be started once more after a crash.
+            output.messages = [*output.early_messages, *output.messages]
+            output.early_messages = []
         return output
--- a/packages/replication/src/lagoonwing_replication/_formation.py
+++ b/packages/replication/src/lagoonwing_replication/_formation.py
@@ -89,7 +89,9 @@
         """Return whether this host forms new logs and belongs to none."""
         if self._settings.host_id != self._settings.founder_id:
             return False
-        return standing.is_empty and standing.identity.cluster_id == ""
+        # Bound to itself but empty, it crashed just before it had begun the log.
+        free = ("", standing.identity.replica_id)
+        return standing.is_empty and standing.identity.cluster_id in free
 
     async def _async_try_to_found(self, peers: Peers, standing: Standing) -> bool:
         """Form a new log if every host is up and belongs to none.
--- a/tests/consensus/consensus_scenarios.py
+++ b/tests/consensus/consensus_scenarios.py
@@ -190,6 +190,18 @@
         raise ViolationError("leader completeness: a leader without an accepted entry was elected")
 
 
+def check_term_is_synced_first(seed: int, mistakes: Mistakes) -> None:
+    """A single voter sends nothing of a term that it could forget and start once more."""
+    only = ReplicaSet(VOTERS[:1], VOTERS[1:])
+    entry = Entry(LogIndex(1), Term(1), EntryKind.REPLICA_SET, encode_replica_set(only))
+    core = _replica_with(seed, 0, entry)
+    output = core.tick(3.0 * SETTINGS.election_max_s)
+    if core.role is not ReplicaRole.LEADER or output.hard_state is None:
+        raise ViolationError("progress: a single voter doesn't lead")
+    if output.early_messages:
+        raise ViolationError("log matching: entries of a term that is not synced were sent")
+
+
 VOTERS = tuple(Replica(ReplicaId(f"{host}-0"), HostId(host), "127.0.0.1", 1) for host in HOSTS[:3])
 FOUNDING = Entry(
     LogIndex(1), Term(1), EntryKind.REPLICA_SET, encode_replica_set(ReplicaSet(VOTERS))
@@ -240,4 +252,5 @@
     check_promise_survives_restart,
     check_old_snapshot_is_ignored,
     check_commit_of_former_term,
+    check_term_is_synced_first,
 )
--- a/tests/replication/test_raft_log.py
+++ b/tests/replication/test_raft_log.py
@@ -11,6 +11,7 @@
 
 from lagoonwing_core.ids import HostId
 from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_replication._storage import Storage
 
 
 async def test_every_replica_gets_every_change(tmp_path: Path) -> None:
@@ -131,6 +132,21 @@
     await cluster.async_stop()
 
 
+async def test_formation_goes_on_after_a_crash(tmp_path: Path) -> None:
+    """A founder that crashed after binding the disks, before the first entry, forms the log."""
+    cluster = Cluster(tmp_path, voters=3)
+    founder_id = HostId("host-0")
+    folder = cluster.host_by_id[founder_id].settings.folder
+    storage = Storage(folder, founder_id)
+    replica_id = storage.open().identity.replica_id
+    storage.bind(replica_id)
+    storage.close()
+    await cluster.async_start()
+    await cluster.async_propose(b"one")
+    assert await cluster.async_until_equal() == [b"one"]
+    await cluster.async_stop()
+
+
 @pytest.mark.parametrize("error_number", [errno.ENOSPC, errno.EIO])
 async def test_full_disk_stops_the_leader_alive(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, error_number: int
