--- a/bench/consensus_bench.py
+++ b/bench/consensus_bench.py
@@ -1,6 +1,6 @@
 """Measures the replicated log: changes, failover, replay, and what an idle replica costs.
 
-    .venv/bin/python -m bench.consensus_bench [--kills N] [--seconds S]
+    python -m bench.consensus_bench --commit $(git rev-parse --short HEAD)
 
 Replicas are processes of their own with their own folders on this machine's disk, on loopback.
 The table is written to bench/results/consensus.md.
@@ -269,39 +269,43 @@
         for count in (500, 50_000):
             rows.append(measure_replay(folder / f"replay-{count}", count))
         site = Site(folder / "changes", voters=3, learners=0)
-        await site.async_start()
-        await site.async_leader()
-        rows += await async_measure_changes(site, seconds)
-        await site.async_stop()
+        try:
+            await site.async_start()
+            rows += await async_measure_changes(site, seconds)
+        finally:
+            await site.async_stop()
         site = Site(folder / "failover", voters=3, learners=1)
-        await site.async_start()
-        await site.async_leader()
-        await asyncio.sleep(SETTLE_S)
-        rows += await async_measure_cost(site, seconds, 0.0)
-        rows += await async_measure_cost(site, seconds, 1.0)
-        times = await async_measure_failover(site, kills, signal.SIGKILL)
-        rows.append(_failover_row("leader killed", times))
-        times = await async_measure_failover(site, stops, signal.SIGSTOP)
-        rows.append(_failover_row("leader stopped by SIGSTOP", times))
-        await site.async_stop()
+        try:
+            await site.async_start()
+            await site.async_leader()
+            await asyncio.sleep(SETTLE_S)
+            for changes_per_s in (0.0, 1.0):
+                rows += await async_measure_cost(site, seconds, changes_per_s)
+            for name, rounds, stop in (
+                ("leader killed", kills, signal.SIGKILL),
+                ("leader stopped by SIGSTOP", stops, signal.SIGSTOP),
+            ):
+                times = await async_measure_failover(site, rounds, stop)
+                rows.append(_failover_row(name, times))
+        finally:
+            await site.async_stop()
     return rows
 
 
 def main() -> None:
     """Measure and write the table."""
     parser = argparse.ArgumentParser()
+    parser.add_argument("--commit", required=True, help="commit that is measured")
     parser.add_argument("--kills", type=int, default=40)
     parser.add_argument("--stops", type=int, default=10)
     parser.add_argument("--seconds", type=float, default=8.0)
     arguments = parser.parse_args()
     rows = asyncio.run(async_main(arguments.kills, arguments.stops, arguments.seconds))
-    git = ["git", "rev-parse", "--short", "HEAD"]
-    commit = subprocess.run(git, cwd=ROOT, capture_output=True, text=True, check=True).stdout
     load = os.getloadavg()[0]
     lines = [
         "# Replicated log",
         "",
-        f"Commit {commit.strip()}; replicas as processes on one machine of {os.cpu_count()} cores",
+        f"Commit {arguments.commit}; replicas as processes on one machine of {os.cpu_count()} cores",
         f"whose load was {load:.1f} at the end; loopback; default settings; a sync before each",
         "acknowledgement; three voters, and one learner in the failover and cost rows.",
         "",
