--- a/bench/consensus_bench.py
+++ b/bench/consensus_bench.py
@@ -175,7 +175,11 @@
 
 
 async def async_measure_failover(site: Site, rounds: int, stop: signal.Signals) -> list[float]:
-    """Return the seconds from the leader's end to the next accepted change, per round."""
+    """Return the seconds from the leader's end to the next accepted change, per round.
+
+    Raises:
+        RuntimeError: A leader that was stopped still believed to lead as it went on.
+    """
     times: list[float] = []
     for _ in range(rounds):
         leader = await site.async_leader()
@@ -189,6 +193,9 @@
             site.start(leader)
         else:
             os.kill(site.process_by_host[leader].pid, signal.SIGCONT)
+            report = await site.async_report(leader)
+            if report is not None and report.leads:
+                raise RuntimeError("two leaders at one moment")
         await site.async_until_equal()
     return times
 
@@ -261,10 +268,10 @@
     )
 
 
-async def async_main(kills: int, stops: int, seconds: float) -> list[str]:
+async def async_main(kills: int, stops: int, seconds: float, parent: Path | None) -> list[str]:
     """Run every measurement and return the rows."""
     rows: list[str] = []
-    with tempfile.TemporaryDirectory(dir=ROOT) as name:
+    with tempfile.TemporaryDirectory(dir=parent) as name:
         folder = Path(name)
         for count in (500, 50_000):
             rows.append(measure_replay(folder / f"replay-{count}", count))
@@ -299,13 +306,16 @@
     parser.add_argument("--kills", type=int, default=40)
     parser.add_argument("--stops", type=int, default=10)
     parser.add_argument("--seconds", type=float, default=8.0)
+    parser.add_argument("--folder", type=Path, help="where the replicas' folders are made")
     arguments = parser.parse_args()
-    rows = asyncio.run(async_main(arguments.kills, arguments.stops, arguments.seconds))
+    rows = asyncio.run(
+        async_main(arguments.kills, arguments.stops, arguments.seconds, arguments.folder)
+    )
     load = os.getloadavg()[0]
     lines = [
         "# Replicated log",
         "",
-        f"Commit {arguments.commit}; replicas as processes on one machine of {os.cpu_count()} cores",
+        f"Commit {arguments.commit}; replicas as processes on a machine of {os.cpu_count()} cores",
         f"whose load was {load:.1f} at the end; loopback; default settings; a sync before each",
         "acknowledgement; three voters, and one learner in the failover and cost rows.",
         "",
--- a/packages/replication/src/lagoonwing_replication/_raft_log.py
+++ b/packages/replication/src/lagoonwing_replication/_raft_log.py
@@ -20,7 +20,6 @@
     ReplicaSet,
     RestoredState,
 )
-from lagoonwing_consensus.const import MAX_COMMAND_BYTES
 from lagoonwing_core.callback import callback
 from lagoonwing_core.clock import Clock
 from lagoonwing_core.errors import Refusal
@@ -41,11 +40,11 @@
 from lagoonwing_replication._leadership import Leadership
 from lagoonwing_replication._peers import Peers
 from lagoonwing_replication._proposals import Proposals
+from lagoonwing_replication._proposer import Proposer
 from lagoonwing_replication._snapshotter import Snapshotter
 from lagoonwing_replication._storage import Recovered, Storage
 from lagoonwing_replication._writer import Writer
 from lagoonwing_replication.const import (
-    MAX_UNACCEPTED_BYTES,
     PACKET_VERSION,
     STORAGE_RETRY_S,
     TICK_S,
@@ -61,6 +60,9 @@
     """One replica of the log on disk and network.
 
     Register it before the channel server is set up. The state machine is called on the loop.
+
+    Attributes:
+        core: The core, while the disk can be used.
     """
 
     name = "raft_log"
@@ -77,12 +79,12 @@
         self.on_leadership = on_leadership
         self._settings = settings
         self._clock = clock or BootClock()
-        self._core: ReplicaCore | None = None
+        self.core: ReplicaCore | None = None
         self._tasks: set[asyncio.Task[None]] = set()
-        self._is_flushing = False
         self._changes = ChangeSignal()
         self._directory = Directory()
         self._proposals = Proposals()
+        self._proposer = Proposer(self, self._proposals, self._changes)
         self._leadership = Leadership(self._take_leadership)
         self._storage = Storage(settings.folder, settings.host_id)
         self._writer = Writer(
@@ -137,21 +139,7 @@
             appended; the detail is the leader's host id or empty), or `NO_QUORUM` (not known
             whether it was or will be accepted).
         """
-        if len(command) > MAX_COMMAND_BYTES:
-            return Error(Refusal(ResultCode.MESSAGE_TOO_LARGE, f"{len(command)} bytes"))
-        deadline = asyncio.get_running_loop().time() + timeout
-        while self.lease_term() is None:
-            if not self._is_leading() or not await self._changes.async_wait(deadline):
-                return Error(self._not_leader())
-        proposal = self._proposals.add(command)
-        self._schedule_flush()
-        try:
-            async with asyncio.timeout_at(deadline):
-                return await proposal.answer
-        except TimeoutError:
-            if self._proposals.withdraw(proposal):
-                return Error(self._not_leader())
-            return Error(Refusal(ResultCode.NO_QUORUM, f"not accepted within {timeout} s"))
+        return await self._proposer.async_propose(command, timeout)
 
     async def async_read_barrier(self, timeout: float) -> Result[None, Refusal]:
         """Wait until the local state holds every change accepted before the call.
@@ -161,9 +149,9 @@
         """
         deadline = asyncio.get_running_loop().time() + timeout
         while True:
-            core = self._core
+            core = self.core
             if core is None or core.role is not ReplicaRole.LEADER:
-                return Error(self._not_leader())
+                return Error(self.not_leader())
             index = core.read_index(self._clock.now())
             if index is not None and self._applier.applied >= index:
                 return Ok(None)
@@ -172,7 +160,7 @@
 
     def lease_term(self) -> Term | None:
         """Return the term in which this replica may act as leader at this moment."""
-        core = self._core
+        core = self.core
         if core is None or self._leadership.term != core.term:
             return None
         return core.term if core.is_lease_valid(self._clock.now()) else None
@@ -184,7 +172,7 @@
 
     def status(self) -> LogStatus:
         """Return what this replica knows of the log."""
-        core = self._core
+        core = self.core
         applied = self._applier.applied
         if core is None:
             return status_without_disk(self._applier.accepted_set, applied)
@@ -220,26 +208,26 @@
             secrets.randbits(32),
             self._clock.now(),
         )
-        self._core = core
+        self.core = core
         self._carry_out(core.start())
 
     @callback
     def _stop_core(self) -> None:
         """Take no part any more; nothing is acknowledged from now on."""
-        self._core = None
+        self.core = None
         self._writer.discard()
         self._proposals.refuse_all("")
         self._leadership.update(None, None)
         self._changes.notify()
 
     @callback
-    def _step(self, call: Callable[[ReplicaCore, float], Output]) -> None:
+    def step(self, call: Callable[[ReplicaCore, float], Output]) -> None:
         """Call the core and do what it asks for.
 
         A core that contradicts itself, or a state machine that fails, is stopped for good: a
         state that has missed a change would differ from the others without notice.
         """
-        core = self._core
+        core = self.core
         if core is None:
             return
         try:
@@ -266,23 +254,23 @@
         else:
             for message in output.messages:
                 self._send(message)
-        self._leadership.update(self._core, self._directory.leader_host(self._core))
+        self._leadership.update(self.core, self._directory.leader_host(self.core))
         self._changes.notify()
-        if output.committed and self._core is not None:
-            self._snapshotter.take_if_due(self._core)
-            self._schedule_flush()
+        if output.committed and self.core is not None:
+            self._snapshotter.take_if_due(self.core)
+            self._proposer.schedule()
 
     @callback
     def _take_synced(self, outputs: Sequence[Output]) -> None:
         """Release what waited for a sync."""
-        if self._core is None:
+        if self.core is None:
             return
         for output in outputs:
             for message in output.messages:
                 self._send(message)
         last = next((output.entries[-1] for output in reversed(outputs) if output.entries), None)
         if last is not None:
-            self._step(lambda core, now: core.persisted(last.index, last.term, now))
+            self.step(lambda core, now: core.persisted(last.index, last.term, now))
 
     @callback
     def _take_storage_failure(self, error: StorageError) -> None:
@@ -307,39 +295,16 @@
             self._start_core(recovered)
             return
 
-    @callback
-    def _schedule_flush(self) -> None:
-        """Append what waits once the loop has gathered what arrives together."""
-        if self._is_flushing or not self._proposals.has_waiting:
-            return
-        self._is_flushing = True
-        asyncio.get_running_loop().call_soon(self._flush)
-
-    @callback
-    def _flush(self) -> None:
-        """Append the commands that wait."""
-        self._is_flushing = False
-        core = self._core
-        if core is None or core.role is not ReplicaRole.LEADER:
-            self._proposals.refuse_all(self._not_leader().detail)
-            return
-        batch = self._proposals.take_batch(MAX_UNACCEPTED_BYTES)
-        if not batch:
-            return
-        self._proposals.appended(batch, LogIndex(core.last_index + 1), core.term)
-        commands = [proposal.command for proposal in batch]
-        self._step(lambda core, now: core.propose(commands, now))
-
     async def _async_tick(self) -> None:
         """Let the core notice the time."""
         while True:
             await asyncio.sleep(TICK_S)
-            self._step(lambda core, now: core.tick(now))
+            self.step(lambda core, now: core.tick(now))
 
     @callback
     def _take_push(self, host_id: HostId, message: ShellMessage) -> None:
         """Take a message of another host."""
-        if self._core is None or message.version != PACKET_VERSION:
+        if self.core is None or message.version != PACKET_VERSION:
             return
         match message:
             case Packet():
@@ -348,7 +313,7 @@
                 own_id = self._binding.cluster_id
                 if own_id and cluster_id in ("", own_id) and replica.host_id == host_id:
                     self._directory.learn(replica.replica_id, host_id)
-                    self._step(lambda core, now: core.add_learner(replica, now))
+                    self.step(lambda core, now: core.add_learner(replica, now))
             case _:
                 pass
 
@@ -358,7 +323,7 @@
         message = packet.message
         if packet.cluster_id == self._binding.cluster_id:
             self._directory.learn(message.sender, host_id)
-            self._step(lambda core, now: core.step(message, now))
+            self.step(lambda core, now: core.step(message, now))
             return
         is_unbound = self._binding.cluster_id == ""
         if is_unbound and message.receiver == self._binding.known().replica_id:
@@ -373,14 +338,14 @@
     @callback
     def _standing(self) -> Standing | None:
         """Return where this replica stands, unless its disk has failed."""
-        if self._core is None or self._binding.identity is None:
+        if self.core is None or self._binding.identity is None:
             return None
-        return standing_of(self._settings, self._binding.identity, self._core)
+        return standing_of(self._settings, self._binding.identity, self.core)
 
     @callback
     def _send(self, message: Message) -> None:
         """Send one message of the core."""
-        host_id = self._directory.host_of(self._core, message.receiver)
+        host_id = self._directory.host_of(self.core, message.receiver)
         if host_id is not None:
             packet = Packet(PACKET_VERSION, self._binding.cluster_id, message)
             self._peers.push(host_id, packet)
@@ -395,21 +360,17 @@
     def _take_leadership(self, term: Term | None) -> None:
         """Pass a change of leadership on."""
         if term is None:
-            self._proposals.refuse_all(self._not_leader().detail)
+            self._proposals.refuse_all(self.not_leader().detail)
         self.on_leadership(term)
 
-    def _not_leader(self) -> Refusal:
+    def not_leader(self) -> Refusal:
         """Return the refusal that names the leader, if known."""
-        leader = self._directory.leader_host(self._core)
+        leader = self._directory.leader_host(self.core)
         return Refusal(ResultCode.NOT_LEADER, leader or "")
 
-    def _is_leading(self) -> bool:
-        """Return whether this replica leads, under a valid lease or not."""
-        return self._core is not None and self._core.role is ReplicaRole.LEADER
-
     def _known_commit(self) -> LogIndex:
         """Return the last accepted entry known."""
-        return LogIndex(0) if self._core is None else self._core.commit
+        return LogIndex(0) if self.core is None else self.core.commit
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         """Run a coroutine for the life of the component at most."""
--- a/tests/replication/test_raft_log.py
+++ b/tests/replication/test_raft_log.py
@@ -4,10 +4,11 @@
 
 import errno
 import os
+import threading
 from pathlib import Path
 
 import pytest
-from replication_cluster import Cluster, async_until
+from replication_cluster import WAIT_S, Cluster, async_until
 
 from lagoonwing_core.ids import HostId
 from lagoonwing_core.result_codes import ResultCode
@@ -132,6 +133,34 @@
     await cluster.async_stop()
 
 
+async def test_nothing_is_accepted_before_a_majority_has_synced(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A change isn't answered, nor handed to any state machine, while two of three syncs wait."""
+    cluster = Cluster(tmp_path, voters=3)
+    await cluster.async_start()
+    await cluster.async_propose(b"one")
+    leader = await cluster.async_leader()
+    await cluster.async_until_equal()
+    may_sync = threading.Event()
+    sync = os.fdatasync
+
+    def wait_and_sync(descriptor: int) -> None:
+        if str(leader.settings.folder) not in os.readlink(f"/proc/self/fd/{descriptor}"):
+            assert may_sync.wait(WAIT_S)
+        sync(descriptor)
+
+    monkeypatch.setattr(os, "fdatasync", wait_and_sync)
+    refusal = (await leader.log.async_propose(b"two", 0.2)).error
+    assert refusal.code is ResultCode.NO_QUORUM
+    assert all(host.machine.commands == [b"one"] for host in cluster.host_by_id.values())
+    may_sync.set()
+    assert (await cluster.async_until_equal())[0] == b"one"
+    await cluster.async_propose(b"three")
+    assert await cluster.async_until_equal() in ([b"one", b"two", b"three"], [b"one", b"three"])
+    await cluster.async_stop()
+
+
 async def test_formation_goes_on_after_a_crash(tmp_path: Path) -> None:
     """A founder that crashed after binding the disks, before the first entry, forms the log."""
     cluster = Cluster(tmp_path, voters=3)
