--- a/bench/consensus_bench.py
+++ b/bench/consensus_bench.py
@@ -1,6 +1,6 @@
 """Measures the replicated log: changes, failover, replay, and what an idle replica costs.
 
-    .venv/bin/python -m bench.consensus_bench [--kills N] [--seconds S]
+    python -m bench.consensus_bench --commit $(git rev-parse --short HEAD)
 
 Replicas are processes of their own with their own folders on this machine's disk, on loopback.
 The table is written to bench/results/consensus.md.
@@ -175,7 +175,11 @@
 
 
 async def async_measure_failover(site: Site, rounds: int, stop: signal.Signals) -> list[float]:
-    """Return the seconds from the leader's end to the next accepted change, per round."""
+    """Return the seconds from the leader's end to the next accepted change, per round.
+
+    Raises:
+        RuntimeError: A leader that was stopped still believed to lead as it went on.
+    """
     times: list[float] = []
     for _ in range(rounds):
         leader = await site.async_leader()
@@ -189,6 +193,9 @@
             site.start(leader)
         else:
             os.kill(site.process_by_host[leader].pid, signal.SIGCONT)
+            report = await site.async_report(leader)
+            if report is not None and report.leads:
+                raise RuntimeError("two leaders at one moment")
         await site.async_until_equal()
     return times
 
@@ -261,47 +268,54 @@
     )
 
 
-async def async_main(kills: int, stops: int, seconds: float) -> list[str]:
+async def async_main(kills: int, stops: int, seconds: float, parent: Path | None) -> list[str]:
     """Run every measurement and return the rows."""
     rows: list[str] = []
-    with tempfile.TemporaryDirectory(dir=ROOT) as name:
+    with tempfile.TemporaryDirectory(dir=parent) as name:
         folder = Path(name)
         for count in (500, 50_000):
             rows.append(measure_replay(folder / f"replay-{count}", count))
         site = Site(folder / "changes", voters=3, learners=0)
-        await site.async_start()
-        await site.async_leader()
-        rows += await async_measure_changes(site, seconds)
-        await site.async_stop()
+        try:
+            await site.async_start()
+            rows += await async_measure_changes(site, seconds)
+        finally:
+            await site.async_stop()
         site = Site(folder / "failover", voters=3, learners=1)
-        await site.async_start()
-        await site.async_leader()
-        await asyncio.sleep(SETTLE_S)
-        rows += await async_measure_cost(site, seconds, 0.0)
-        rows += await async_measure_cost(site, seconds, 1.0)
-        times = await async_measure_failover(site, kills, signal.SIGKILL)
-        rows.append(_failover_row("leader killed", times))
-        times = await async_measure_failover(site, stops, signal.SIGSTOP)
-        rows.append(_failover_row("leader stopped by SIGSTOP", times))
-        await site.async_stop()
+        try:
+            await site.async_start()
+            await site.async_leader()
+            await asyncio.sleep(SETTLE_S)
+            for changes_per_s in (0.0, 1.0):
+                rows += await async_measure_cost(site, seconds, changes_per_s)
+            for name, rounds, stop in (
+                ("leader killed", kills, signal.SIGKILL),
+                ("leader stopped by SIGSTOP", stops, signal.SIGSTOP),
+            ):
+                times = await async_measure_failover(site, rounds, stop)
+                rows.append(_failover_row(name, times))
+        finally:
+            await site.async_stop()
     return rows
 
 
 def main() -> None:
     """Measure and write the table."""
     parser = argparse.ArgumentParser()
+    parser.add_argument("--commit", required=True, help="commit that is measured")
     parser.add_argument("--kills", type=int, default=40)
     parser.add_argument("--stops", type=int, default=10)
     parser.add_argument("--seconds", type=float, default=8.0)
+    parser.add_argument("--folder", type=Path, help="where the replicas' folders are made")
     arguments = parser.parse_args()
-    rows = asyncio.run(async_main(arguments.kills, arguments.stops, arguments.seconds))
-    git = ["git", "rev-parse", "--short", "HEAD"]
-    commit = subprocess.run(git, cwd=ROOT, capture_output=True, text=True, check=True).stdout
+    rows = asyncio.run(
+        async_main(arguments.kills, arguments.stops, arguments.seconds, arguments.folder)
+    )
     load = os.getloadavg()[0]
     lines = [
         "# Replicated log",
         "",
-        f"Commit {commit.strip()}; replicas as processes on one machine of {os.cpu_count()} cores",
+        f"Commit {arguments.commit}; replicas as processes on a machine of {os.cpu_count()} cores",
         f"whose load was {load:.1f} at the end; loopback; default settings; a sync before each",
         "acknowledgement; three voters, and one learner in the failover and cost rows.",
         "",
