Move parts of the capacity gradually and note the design

Cause: requests run for seconds while parts of the pools followed each arrival, so that two hosts could use one slot. Parts now move with a time constant of 0.4 s, shared by all hosts.

--- /dev/null
+++ b/packages/policy/src/lagoonwing_policy/sharing/_spans.py
@@ -0,0 +1,66 @@
+"""Spans of the pools by entry host, which follow the divisions with a delay."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping, Sequence
+
+from lagoonwing_core.ids import HostId
+from lagoonwing_policy.sharing._division import Division
+from lagoonwing_policy.sharing.const import PART_SMOOTHING_S
+from lagoonwing_policy.sharing.models import CapacityPart
+
+
+class SpanTable:
+    """Share of each pool by entry host, smoothed over time.
+
+    Hosts with the same news come to the same shares, for the delay forgets where it started.
+    """
+
+    def __init__(self) -> None:
+        self._hosts: tuple[HostId, ...] = ()
+        self._share_by_host_by_pool: dict[str, dict[HostId, float]] = {}
+        self._advanced = -math.inf
+
+    def advance(
+        self, hosts: Sequence[HostId], division_by_pool: Mapping[str, Division], now: float
+    ) -> None:
+        """Move every share towards its division.
+
+        Args:
+            hosts: Entry hosts that are alive, in order; another set starts afresh.
+            division_by_pool: Divisions of the pools in which anybody has work.
+            now: Time in seconds.
+        """
+        weight = 1.0 - math.exp(-max(0.0, now - self._advanced) / PART_SMOOTHING_S)
+        if self._hosts != tuple(hosts):
+            self._hosts = tuple(hosts)
+            weight = 1.0
+        self._advanced = now
+        known = self._share_by_host_by_pool
+        even = dict.fromkeys(self._hosts, 1.0 / len(self._hosts))
+        self._share_by_host_by_pool = {
+            pool: _moved(even if weight == 1.0 else known.get(pool, even), division, weight)
+            for pool, division in division_by_pool.items()
+        }
+
+    def part(self, pool: str, host_id: HostId) -> CapacityPart:
+        """Return one host's span of a pool."""
+        start = 0.0
+        for other in self._hosts:
+            end = start + self._share_by_host_by_pool[pool][other]
+            if other == host_id:
+                return CapacityPart(start, min(1.0, end))
+            start = end
+        raise KeyError(host_id)
+
+
+def _moved(
+    share_by_host: Mapping[HostId, float], division: Division, weight: float
+) -> dict[HostId, float]:
+    """Return shares moved towards a division by a weight."""
+    total = sum(division.slots_by_host.values())
+    return {
+        host_id: share + weight * (division.slots_by_host[host_id] / total - share)
+        for host_id, share in share_by_host.items()
+    }
--- a/packages/policy/src/lagoonwing_policy/sharing/_system.py
+++ b/packages/policy/src/lagoonwing_policy/sharing/_system.py
@@ -8,6 +8,7 @@
 from lagoonwing_core.ids import HostId, MemberId
 from lagoonwing_policy.fairness.models import MemberShare
 from lagoonwing_policy.sharing._division import Division, divide_pool
+from lagoonwing_policy.sharing._spans import SpanTable
 from lagoonwing_policy.sharing.const import MAX_NEWS_ROWS, NEWS_LIFE_S
 from lagoonwing_policy.sharing.models import CapacityPart, MemberWork, Shares, WorkNews
 
@@ -29,6 +30,7 @@
     def __init__(self, host_id: HostId) -> None:
         self._host_id = host_id
         self._heard_by_host: dict[HostId, _Heard] = {}
+        self._spans = SpanTable()
 
     def news(self, rows: Iterable[MemberWork]) -> WorkNews:
         """Return what to tell the other entry hosts, the largest work first if it is cut."""
@@ -65,7 +67,8 @@
         }
         position = alive.index(self._host_id)
         even = CapacityPart(position / len(alive), (position + 1) / len(alive))
-        parts = {pool: self._part(alive, division) for pool, division in division_by_pool.items()}
+        self._spans.advance(alive, division_by_pool, now)
+        parts = {pool: self._spans.part(pool, self._host_id) for pool in division_by_pool}
         expires = now + NEWS_LIFE_S
         return Shares(parts, even, self._member_shares(division_by_pool.values(), expires))
 
@@ -84,17 +87,6 @@
         }
         return rows_by_host
 
-    def _part(self, alive: list[HostId], division: Division) -> CapacityPart:
-        """Return this host's span of a pool."""
-        total = sum(division.slots_by_host.values())
-        start = 0.0
-        for host_id in alive:
-            end = start + division.slots_by_host[host_id] / total
-            if host_id == self._host_id:
-                return CapacityPart(start, min(1.0, end))
-            start = end
-        raise KeyError(self._host_id)
-
     def _member_shares(
         self, divisions: Iterable[Division], expires: float
     ) -> tuple[MemberShare, ...]:
--- a/packages/policy/src/lagoonwing_policy/sharing/const.py
+++ b/packages/policy/src/lagoonwing_policy/sharing/const.py
@@ -7,3 +7,6 @@
 NEWS_LIFE_S = 1.0
 NEWS_PERIOD_S = 0.1
 MAX_NEWS_ROWS = 4096
+# Time constant with which a host's part follows the work. Requests run on for longer than news
+# takes, so parts that followed each arrival would let two hosts use the same slot.
+PART_SMOOTHING_S = 0.4
