Write down durable state, leases and cut-off hosts; test on real logs

Three replicas with their logs on disk: loss of the leader, 500 changes and a restart of all, a leader without a majority, caps over a change of leader. An operator's declaration that a host is lost now renews lapsed leases, for nothing else can tell a loss of power from a partition.

--- a/packages/follower/src/lagoonwing_follower/_coordinator.py
+++ b/packages/follower/src/lagoonwing_follower/_coordinator.py
@@ -28,7 +28,7 @@
 from lagoonwing_core.result_codes import ResultCode
 from lagoonwing_follower._holder import AllotmentHolder
 from lagoonwing_follower._leader_link import LeaderLink
-from lagoonwing_follower._lease import ConfigurationLease, proof_time
+from lagoonwing_follower._lease import ConfigurationLease, is_vouched, proof_time
 from lagoonwing_follower._probes import Prober
 from lagoonwing_follower._revision_store import RevisionStore
 from lagoonwing_follower._watch import Watcher
@@ -387,8 +387,9 @@
             proved = self._proof()
             if proved is not None and not self.has_leader():
                 now = self._clock.now()
-                self._lease.extend(proved, now)
-                self._holder.extend(proved, now)
+                vouched = is_vouched(self._voters, self._prober.evidence_by_voter, now)
+                self._lease.extend(proved, now, vouched=vouched)
+                self._holder.extend(proved, now, vouched=vouched)
 
     def _proof(self) -> float | None:
         """Return until when it is proved that no leader acts out of sight."""
--- a/packages/follower/src/lagoonwing_follower/_holder.py
+++ b/packages/follower/src/lagoonwing_follower/_holder.py
@@ -30,6 +30,7 @@
         self._sequence = 0
         self._lease_s = 0.0
         self._grant_by_cap: dict[CapKey, AllotmentGrant] = {}
+        self._lapsed_by_cap: dict[CapKey, AllotmentGrant] = {}
 
     def term_seen(self, term: Term) -> None:
         """Note a leader's term; replies of lower terms are ignored from now on."""
@@ -59,6 +60,7 @@
         if statement.message.term != reply.term:
             return False
         self._lease_s = reply.lease_s
+        self._lapsed_by_cap.clear()
         expires = statement.sent + reply.lease_s
         for grant in reply.grants:
             self._grant_by_cap[(grant.member_id, grant.dimension)] = AllotmentGrant(
@@ -66,9 +68,18 @@
             )
         return True
 
-    def extend(self, proved: float, now: float) -> None:
-        """Keep what is held up to a proof that no leader acts out of sight."""
+    def extend(self, proved: float, now: float, *, vouched: bool = False) -> None:
+        """Keep what is held up to a proof that no leader acts out of sight.
+
+        Args:
+            proved: Time that the proof speaks of.
+            now: Time of the runtime's clock.
+            vouched: Whether an operator declared a voter lost; only then are lapsed grants of
+                the last leader held again.
+        """
         self._drop_lapsed(now)
+        if vouched:
+            self._grant_by_cap = {**self._lapsed_by_cap, **self._grant_by_cap}
         for cap_key, grant in self._grant_by_cap.items():
             expires = max(grant.expires, proved + self._lease_s)
             self._grant_by_cap[cap_key] = replace(grant, expires=expires)
@@ -94,4 +105,4 @@
         """Forget the grants whose lease has ended."""
         lapsed = [key for key, grant in self._grant_by_cap.items() if grant.expires <= now]
         for cap_key in lapsed:
-            del self._grant_by_cap[cap_key]
+            self._lapsed_by_cap[cap_key] = self._grant_by_cap.pop(cap_key)
--- a/packages/follower/src/lagoonwing_follower/_lease.py
+++ b/packages/follower/src/lagoonwing_follower/_lease.py
@@ -96,6 +96,17 @@
     return sorted(times, reverse=True)[needed - 1]
 
 
+def is_vouched(
+    voters: tuple[HostId, ...], evidence_by_voter: Mapping[HostId, VoterEvidence], now: float
+) -> bool:
+    """Return whether an operator's word that a voter is lost is part of the evidence."""
+    return any(
+        isinstance(evidence, DeclaredLost) and now - evidence.sent <= EVIDENCE_MAX_AGE_S
+        for voter in voters
+        if (evidence := evidence_by_voter.get(voter)) is not None
+    )
+
+
 def _seen_at(evidence: VoterEvidence | None, applied: Revision, now: float) -> float | None:
     """Return the time at which a voter was provably no part of a majority out of sight."""
     match evidence:
@@ -129,9 +140,16 @@
         self._applied = max(self._applied, revision)
         self._settle()
 
-    def extend(self, proved: float, now: float) -> None:
-        """Go on up to a proof that no leader acts out of sight; a lapsed lease stays lapsed."""
-        if self._fresh is not None and self.in_force(now):
+    def extend(self, proved: float, now: float, *, vouched: bool = False) -> None:
+        """Go on up to a proof that no leader acts out of sight.
+
+        Args:
+            proved: Time that the proof speaks of.
+            now: Time of the runtime's clock.
+            vouched: Whether an operator declared a voter lost; only then is a lapsed lease
+                renewed, for nothing else tells that no leader acted since.
+        """
+        if self._fresh is not None and (vouched or self.in_force(now)):
             self._fresh = max(self._fresh, proved)
 
     def in_force(self, now: float) -> bool:
--- /dev/null
+++ b/tests/control/test_durable_replicas.py
@@ -0,0 +1,180 @@
+"""Three replicas with the log on disk: loss of the leader, restarts, cut-off leader."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from pathlib import Path
+
+import pytest
+from control_support import (
+    Replica,
+    async_start_replica,
+    async_until,
+    make_follower,
+    make_settings,
+    running,
+)
+
+from lagoonwing_control.models import ChangeAccepted, OperatorChange, SetConfiguration
+from lagoonwing_core.ids import (
+    ChangeId,
+    Fingerprint,
+    IdempotencyKey,
+    MemberId,
+    RequestId,
+    Revision,
+)
+from lagoonwing_core.models import CapDimension
+from lagoonwing_core.result_codes import Outcome, ResultCode
+from lagoonwing_policy.models import MemberDemand
+from lagoonwing_wire.control_messages import (
+    ClaimGranted,
+    ClaimReplay,
+    StoredAnswer,
+    TakeClaim,
+)
+
+ANSWER = StoredAnswer(200, (), b"done", Outcome.DONE, ResultCode.OK)
+
+
+class Site:
+    """Three replicas, each with a folder."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.settings = make_settings(3)
+        self.replicas: dict[str, Replica] = {}
+
+    async def async_start(self, *numbers: int) -> None:
+        """Start replicas by number."""
+        for number in numbers:
+            settings = self.settings[number]
+            self.replicas[settings.host_id] = await async_start_replica(
+                settings, folder=self.folder
+            )
+
+    async def async_stop(self, *host_ids: str) -> None:
+        """Stop replicas."""
+        for host_id in host_ids:
+            await self.replicas.pop(host_id).async_unload()
+
+    async def async_leader(self) -> Replica:
+        """Return the replica that leads, once one does."""
+        await async_until(lambda: self._leader() is not None, 20.0)
+        leader = self._leader()
+        assert leader is not None
+        return leader
+
+    def _leader(self) -> Replica | None:
+        leading = [item for item in self.replicas.values() if item.service.leader.term()]
+        return leading[0] if leading else None
+
+    async def async_change(self, change: OperatorChange) -> ChangeAccepted:
+        """Send a change to any replica, and resend it to others until it is answered."""
+        async with asyncio.timeout(30.0):
+            while True:
+                for replica in list(self.replicas.values()):
+                    result = await replica.service.proposer.async_submit(change)
+                    if result.is_ok():
+                        return result.ok
+                await asyncio.sleep(0.1)
+
+
+def setting(key: str, value: str, expected: int = 0) -> OperatorChange:
+    """Return a change of a configuration key."""
+    change_id = ChangeId(f"{time.time_ns() // 1_000_000}-{key}-{value}")
+    return OperatorChange("ana", change_id, Revision(expected), SetConfiguration(key, value))
+
+
+@pytest.fixture
+async def site(tmp_path):
+    """Three running replicas."""
+    running_site = Site(tmp_path)
+    await running_site.async_start(0, 1, 2)
+    await running_site.async_leader()
+    yield running_site
+    await running_site.async_stop(*list(running_site.replicas))
+
+
+async def test_leader_is_lost_and_everyone_goes_on(site) -> None:
+    """Changes, claims, allotments and followers survive the leader."""
+    follower = make_follower(site.settings[0].replicas)
+    async with running(follower):
+        first = setting("a", "1")
+        accepted = await site.async_change(first)
+        claim = TakeClaim(MemberId("m"), IdempotencyKey("k"), Fingerprint("f"), RequestId("r1"))
+        assert (await follower.async_claim(claim, 10.0)).ok == ClaimGranted()
+        leader = await site.async_leader()
+        await site.async_stop(leader.settings.host_id)
+        again = await site.async_change(first)
+        assert (again.revision, again.replayed) == (accepted.revision, True)
+        await site.async_change(setting("b", "2"))
+        await async_until(lambda: "b" in follower.view.configuration_by_key)
+        await async_until(follower.may_take_work)
+        stored = await follower.async_store_outcome(
+            claim.member_id, claim.key, claim.request_id, ANSWER, 10.0
+        )
+        assert stored.is_ok()
+        other = TakeClaim(MemberId("m"), claim.key, claim.fingerprint, RequestId("r2"))
+        assert (await follower.async_claim(other, 10.0)).ok == ClaimReplay(ANSWER)
+
+
+async def test_all_restart_after_hundreds_of_changes(site) -> None:
+    """Each comes back to the current state, and the first change is still known."""
+    first = setting("k0", "0")
+    await site.async_change(first)
+    for start in range(1, 500, 50):
+        changes = [setting(f"k{number}", "1") for number in range(start, min(500, start + 50))]
+        await asyncio.gather(*(site.async_change(change) for change in changes))
+    await site.async_stop(*list(site.replicas))
+    await site.async_start(0, 1, 2)
+    await site.async_leader()
+    assert (await site.async_change(first)).replayed
+    assert (await site.async_change(setting("k0", "2", 1))).revision == 501
+    await async_until(
+        lambda: all(
+            replica.service.state_machine.state.revision == 501
+            for replica in site.replicas.values()
+        )
+    )
+    snapshots = {replica.service.state_machine.snapshot() for replica in site.replicas.values()}
+    assert len(snapshots) == 1
+
+
+async def test_leader_without_a_majority_accepts_and_renews_nothing(site) -> None:
+    """It believes that it leads until its lease lapses, and then does nothing as leader."""
+    leader = await site.async_leader()
+    others = [host_id for host_id in site.replicas if host_id != leader.settings.host_id]
+    await site.async_stop(*others)
+    await async_until(lambda: leader.service.leader.term() is None)
+    result = await leader.service.proposer.async_submit(setting("a", "1"))
+    assert result.error.code in (ResultCode.NOT_LEADER, ResultCode.NO_QUORUM)
+    assert (await leader.service.reads.async_barrier()).is_error()
+
+
+async def test_conserved_allotments_over_a_change_of_leader(site) -> None:
+    """Two entries never hold more than the cap, before and after."""
+    first = make_follower(site.settings[0].replicas, "entry-1")
+    second = make_follower(site.settings[0].replicas, "entry-2")
+    demand = MemberDemand(MemberId("m"), CapDimension.CONCURRENCY, 0.0, 9.0)
+    async with running(first), running(second):
+        for _ in range(2):
+            leader = await site.async_leader()
+            leader.service.leader._ledger.set_caps({("m", CapDimension.CONCURRENCY): 8.0})
+            leader.service.leader._caps_revision = leader.service.state_machine.state.revision
+            amounts: list[float] = []
+            for _ in range(100):
+                results = [
+                    await follower.async_request_allotments([demand], 2.0)
+                    for follower in (first, second)
+                ]
+                grants = [result.ok if result.is_ok() else () for result in results]
+                amounts = [sum(grant.amount for grant in held) for held in grants]
+                assert sum(amounts) <= 8
+                if amounts == [4.0, 4.0]:
+                    break
+                await asyncio.sleep(0.05)
+            assert amounts == [4.0, 4.0]
+            if len(site.replicas) == 3:
+                await site.async_stop(leader.settings.host_id)
--- a/tests/follower/test_lease.py
+++ b/tests/follower/test_lease.py
@@ -4,15 +4,19 @@
 
 import pytest
 
-from lagoonwing_core.ids import HostId, Revision
+from lagoonwing_core.ids import HostId, Incarnation, MemberId, Revision, Term
+from lagoonwing_core.models import CapDimension
+from lagoonwing_follower._holder import AllotmentHolder
 from lagoonwing_follower._lease import (
     Answered,
     ConfigurationLease,
     DeclaredLost,
     Refusing,
     blocking_count,
+    is_vouched,
     proof_time,
 )
+from lagoonwing_wire.control_messages import Allotments, Grant
 
 A, B, C, D = (HostId(name) for name in "abcd")
 NOW = 100.0
@@ -110,3 +114,31 @@
     assert lease.in_force(14.4)
     lease.extend(14.6, 14.6)
     assert not lease.in_force(14.7)
+
+
+def test_operators_word_renews_a_lapsed_lease() -> None:
+    """Hosts that lost their power don't refuse connections; only an operator can tell."""
+    lease = ConfigurationLease(3.0)
+    lease.extend(9.0, 9.0, vouched=True)
+    assert not lease.in_force(9.1)
+    lease.applied(Revision(1))
+    lease.contact(10.0, Revision(1))
+    lease.extend(20.0, 20.0, vouched=True)
+    assert lease.in_force(22.9)
+    assert is_vouched((A, B, C), {A: FREE, B: LOST}, NOW)
+    assert not is_vouched((A, B, C), {A: FREE, B: DOWN, D: LOST}, NOW)
+
+
+def test_lapsed_grants_come_back_on_an_operators_word_only() -> None:
+    """A leader's answer ends what the former one granted."""
+    holder = AllotmentHolder(Incarnation(1))
+    holder.term_seen(Term(1))
+    grant = Grant(MemberId("m"), CapDimension.CONCURRENCY, 4.0)
+    holder.accept(holder.statement([], 10.0), Allotments(Term(1), 2.5, (grant,)), 10.1)
+    holder.extend(20.0, 20.0)
+    assert holder.grants(20.0) == ()
+    holder.extend(20.0, 20.0, vouched=True)
+    assert [item.amount for item in holder.grants(22.4)] == [4.0]
+    holder.accept(holder.statement([], 30.0), Allotments(Term(1), 2.5, ()), 30.1)
+    holder.extend(30.2, 30.2, vouched=True)
+    assert holder.grants(30.3) == ()
--- a/tests/support/control_support.py
+++ b/tests/support/control_support.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import hashlib
+import itertools
+import os
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -11,7 +13,6 @@
 
 import grpc
 from shared_log import SharedLog, SharedLogReplica
-from tornado.testing import bind_unused_port
 
 from lagoonwing_control import (
     ControlService,
@@ -24,7 +25,13 @@
 from lagoonwing_core.models import HostAddress
 from lagoonwing_core.runtime import Component
 from lagoonwing_follower import ControlCoordinator, FollowerSettings
-from lagoonwing_replication import LocalLog
+from lagoonwing_replication import (
+    LocalLog,
+    LogSettings,
+    RaftLog,
+    ReplicaHost,
+    ReplicatedLog,
+)
 from lagoonwing_rpc import operator_pb2_grpc
 from lagoonwing_wire import ChannelServer, Identity
 
@@ -34,11 +41,18 @@
 AUTHORIZED = (("authorization", f"Bearer {TOKEN}"),)
 
 
-def unused_port() -> int:
-    """Return a port on which nothing listens now."""
-    sock, port = bind_unused_port()
-    sock.close()
-    return port
+# Below the range from which the kernel takes ports of outgoing connections.
+PEER_PORT = 7402
+OPERATOR_PORT = 7400
+
+_numbers = itertools.count(1)
+
+
+def unused_address() -> str:
+    """Return a loopback address that no other test of this machine listens on."""
+    number = next(_numbers)
+    process = os.getpid()
+    return f"127.{64 + process // 256 % 128}.{process % 256}.{1 + number % 250}"
 
 
 @dataclass
@@ -46,7 +60,7 @@
     """A running control replica."""
 
     service: ControlService
-    log: LocalLog | SharedLogReplica
+    log: ReplicatedLog
     server: ChannelServer
     settings: ControlSettings
 
@@ -66,6 +80,7 @@
     settings: ControlSettings | None = None,
     state_machine: ControlStateMachine | None = None,
     shared: SharedLog | None = None,
+    folder: Path | None = None,
 ) -> Replica:
     """Start one replica on free ports."""
     settings = settings or make_settings()[0]
@@ -73,11 +88,13 @@
     own = next(item for item in settings.replicas if item.host_id == settings.host_id)
     server = ChannelServer(identity, own.address, own.port)
     state_machine = state_machine or ControlStateMachine()
-    log = (
-        LocalLog(state_machine, settings.host_id)
-        if shared is None
-        else SharedLogReplica(shared, settings.host_id, state_machine)
-    )
+    log: ReplicatedLog
+    if shared is not None:
+        log = SharedLogReplica(shared, settings.host_id, state_machine)
+    elif folder is not None:
+        log = RaftLog(_log_settings(settings, folder), state_machine, identity, server)
+    else:
+        log = LocalLog(state_machine, settings.host_id)
     service = ControlService(settings, identity, state_machine, log, server)
     await server.async_setup()
     await service.async_setup()
@@ -85,13 +102,22 @@
     return Replica(service, log, server, settings)
 
 
+def _log_settings(settings: ControlSettings, folder: Path) -> LogSettings:
+    """Return the settings of a replica on disk; every replica votes."""
+    hosts = tuple(
+        ReplicaHost(item.host_id, item.address, item.port, is_voter=True)
+        for item in settings.replicas
+    )
+    return LogSettings(settings.host_id, folder / settings.host_id, hosts)
+
+
 def make_settings(count: int = 1, max_request_s: float = 900.0) -> list[ControlSettings]:
     """Return settings of replicas on free ports, each in a failure domain of its own."""
     addresses = tuple(
         HostAddress(
             host_id=HostId(f"control-{number + 1}"),
-            address="127.0.0.1",
-            port=unused_port(),
+            address=unused_address(),
+            port=PEER_PORT,
             failure_domain=FailureDomainId("abc"[number % 3]),
         )
         for number in range(count)
@@ -100,8 +126,8 @@
         ControlSettings(
             host_id=address.host_id,
             replicas=addresses,
-            grpc_address="127.0.0.1",
-            grpc_port=unused_port(),
+            grpc_address=address.address,
+            grpc_port=OPERATOR_PORT,
             operators=OPERATORS,
             max_request_s=max_request_s,
         )
