Test the reader of token streams on its own

Two mutations survived the tests of the whole path, for the head's echo was checked before: ids of single events unchecked, and an end mark without a finish reason taken for the end. Any split of the bytes gives the same tokens (hypothesis).

--- /dev/null
+++ b/tests/entry/test_token_stream.py
@@ -0,0 +1,89 @@
+"""Events of a completion: any split of the bytes, and what is not the request's own."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lagoonwing_core.ids import Attempt, RequestId
+from lagoonwing_entry._token_stream import MAX_EVENT_BYTES, TokenStreamReader
+from lagoonwing_entry.models import DispatchId
+
+DISPATCH_ID = DispatchId(RequestId("r1"), Attempt(256))
+DONE = b"data: [DONE]\n\n"
+
+
+def _event(token: int | None, finish: str | None = None, **fields: Any) -> bytes:
+    """Return one event."""
+    delta = {} if token is None else {"content": f"t{token}é"}
+    choice = {"index": 0, "delta": delta, "finish_reason": finish}
+    chunk = {"id": "r1", "attempt": 256, "token": token, "choices": [choice], **fields}
+    return b"data: " + json.dumps(chunk, ensure_ascii=False).encode() + b"\n\n"
+
+
+WHOLE = b"".join(_event(n) for n in range(5)) + _event(None, "stop") + DONE
+
+
+@given(st.lists(st.integers(1, len(WHOLE) - 1), max_size=30))
+def test_any_split_gives_the_same_tokens(cuts: list[int]) -> None:
+    """Tokens come once, in order, wherever the network cut the bytes."""
+    reader = TokenStreamReader(DISPATCH_ID, 0)
+    positions = [0, *sorted(set(cuts)), len(WHOLE)]
+    texts: list[str] = []
+    reasons: list[str | None] = []
+    for begin, end in zip(positions, positions[1:], strict=False):
+        batch = reader.feed(WHOLE[begin:end])
+        if batch is not None:
+            texts += [token.text for token in batch.tokens]
+            reasons.append(batch.finish_reason)
+    assert texts == [f"t{n}é" for n in range(5)]
+    assert reader.complete
+    assert reasons[-1] == "stop"
+    assert reasons[:-1] == [None] * (len(reasons) - 1)
+
+
+@given(st.lists(st.integers(0, 6), max_size=40))
+def test_doubled_and_missing_tokens(indexes: list[int]) -> None:
+    """A token seen before is dropped; a gap is never passed over."""
+    reader = TokenStreamReader(DISPATCH_ID, 0)
+    passed: list[int] = []
+    for index in indexes:
+        if index > len(passed):
+            with pytest.raises(ValueError):
+                reader.feed(_event(index))
+            break
+        batch = reader.feed(_event(index))
+        passed += [token.index for token in batch.tokens] if batch else []
+    assert passed == list(range(len(passed)))
+
+
+@pytest.mark.parametrize(
+    "event",
+    [
+        _event(0, id="r2"),
+        _event(0, attempt=512),
+        _event(0, attempt=1),
+        DONE,
+        b"data: {\n\n",
+        b"data: []\n\n",
+        b"data: " + b"[" * 5000 + b"\n\n",
+        b"data: " + b"x" * (MAX_EVENT_BYTES + 1),
+    ],
+)
+def test_events_that_are_not_the_requests_own(event: bytes) -> None:
+    """Other ids, malformed or oversize events, and an end without a reason are refused."""
+    reader = TokenStreamReader(DISPATCH_ID, 0)
+    with pytest.raises(ValueError):
+        reader.feed(event)
+
+
+def test_nothing_counts_after_the_end() -> None:
+    """What follows the end mark is no token."""
+    reader = TokenStreamReader(DISPATCH_ID, 0)
+    batch = reader.feed(_event(0) + _event(None, "stop") + DONE + _event(1))
+    assert batch is not None
+    assert [token.index for token in batch.tokens] == [0]
