--- a/packages/entry/src/lagoonwing_entry/_endpoint_messages.py
+++ b/packages/entry/src/lagoonwing_entry/_endpoint_messages.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from lagoonwing_entry.models import CacheEvent
+
 
 class Delta(msgspec.Struct):
     """Text of one chunk of a chat."""
@@ -47,6 +49,12 @@
     kv: msgspec.Raw
 
 
+class CacheEventsAnswer(msgspec.Struct):
+    """Answer of `/cache-events`."""
+
+    events: tuple[CacheEvent, ...]
+
+
 class StepRequest(msgspec.Struct):
     """Body of `/stage/step`."""
 
--- a/packages/entry/src/lagoonwing_entry/_entry_host.py
+++ b/packages/entry/src/lagoonwing_entry/_entry_host.py
@@ -18,6 +18,7 @@
 from lagoonwing_entry._claimed_calls import ServiceCaller
 from lagoonwing_entry._control_shell import ControlShell
 from lagoonwing_entry._directory import EndpointDirectory
+from lagoonwing_entry._endpoint_reports import EndpointReports
 from lagoonwing_entry._host_state import HostStateTable
 from lagoonwing_entry._http_adapter import HttpEndpointAdapter
 from lagoonwing_entry._membership_shell import MembershipShell
@@ -115,7 +116,16 @@
         )
         self.runner.refresh_records = self.membership.refresh_if_stale
         self.control = ControlShell(settings, control, scheduler, self.runner, self.state, clock)
-        components: list[Component] = [adapter, self.runner, self.membership, self.control]
+        reports = EndpointReports(
+            adapter, scheduler, self.directory, clock, settings.report_period_s
+        )
+        components: list[Component] = [
+            adapter,
+            self.runner,
+            self.membership,
+            reports,
+            self.control,
+        ]
         if sharing is not None:
             components.append(
                 SharingShell(sharing, scheduler, membership, self.runner, identity, channels, clock)
--- a/packages/entry/src/lagoonwing_entry/_http_adapter.py
+++ b/packages/entry/src/lagoonwing_entry/_http_adapter.py
@@ -13,10 +13,12 @@
 from lagoonwing_core.clock import Clock
 from lagoonwing_core.errors import Refusal
 from lagoonwing_core.events import EventCode, log_event
+from lagoonwing_core.ids import Attempt, RequestId
 from lagoonwing_core.result_codes import ResultCode
 from lagoonwing_entry._connection_pool import ConnectionPool
 from lagoonwing_entry._dispatch import OpenDispatch, OutgoingRequest
 from lagoonwing_entry._endpoint_messages import (
+    CacheEventsAnswer,
     ExportAnswer,
     ExportRequest,
     ImportRequest,
@@ -36,10 +38,12 @@
 from lagoonwing_entry.errors import DispatchError
 from lagoonwing_entry.models import (
     AdapterSettings,
+    CacheEvent,
     CompletionCall,
     CompletionKind,
     DispatchFailure,
     DispatchId,
+    LoadReport,
     ServiceAnswer,
     ServiceCallBody,
     StageReplay,
@@ -55,6 +59,7 @@
 
 _ENCODER = msgspec.json.Encoder()
 _TRUE = msgspec.Raw(b"true")
+_REPORT_ID = DispatchId(RequestId("report"), Attempt(0))
 _NO_STATE = msgspec.Raw(b"{}")
 _PATH_BY_KIND = {
     CompletionKind.CHAT: "/v1/chat/completions",
@@ -205,6 +210,25 @@
         timeout = self._settings.step_timeout_s
         await self._async_exchange(target, "/stage/step", body, dispatch_id, msgspec.Raw, timeout)
 
+    async def async_load(self, target: Target) -> LoadReport:
+        """Ask for an endpoint's load."""
+        return await self._async_report(target, "/load", LoadReport)
+
+    async def async_cache_events(self, target: Target, after: int) -> tuple[CacheEvent, ...]:
+        """Ask for the changes of an endpoint's prefix cache after a number."""
+        path = f"/cache-events?after={after}"
+        return (await self._async_report(target, path, CacheEventsAnswer)).events
+
+    async def _async_report(self, target: Target, path: str, kind: type[AnswerT]) -> AnswerT:
+        """Get a report."""
+        request = OutgoingRequest("GET", path, HTTPHeaders(), b"", _REPORT_ID, strict=False)
+        timeout = self._settings.report_timeout_s
+        async with OpenDispatch(self._pool, target.record, request) as dispatch:
+            head = await dispatch.async_head(timeout)
+            self._check_status(target, head.status)
+            data = await dispatch.async_body(timeout, self._settings.max_answer_bytes)
+        return _decoded(dispatch, data, kind)
+
     async def async_call_service(
         self, target: Target, dispatch_id: DispatchId, call: ServiceCallBody, fresh: bool
     ) -> ServiceAnswer:
@@ -248,10 +272,7 @@
             head = await dispatch.async_head(timeout)
             self._check_status(target, head.status)
             data = await dispatch.async_body(timeout, self._settings.max_answer_bytes)
-        try:
-            return msgspec.json.decode(data, type=kind), dispatch
-        except (msgspec.MsgspecError, RecursionError) as error:
-            raise dispatch.discarded(f"malformed answer: {error}") from error
+        return _decoded(dispatch, data, kind), dispatch
 
     def _json_request(
         self, path: str, body: Any, dispatch_id: DispatchId, headers: HTTPHeaders
@@ -274,6 +295,18 @@
             self._pool.prune()
 
 
+def _decoded(dispatch: OpenDispatch, data: bytes, kind: type[AnswerT]) -> AnswerT:
+    """Return a decoded answer.
+
+    Raises:
+        DispatchError: It is malformed.
+    """
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError) as error:
+        raise dispatch.discarded(f"malformed answer: {error}") from error
+
+
 def _check_resumed(dispatch: OpenDispatch, headers: HTTPHeaders, first_token: int) -> None:
     """Raise unless the endpoint goes on from the token asked for."""
     if headers.get(HEADER_RESUMED_FROM) != str(first_token):
--- a/packages/entry/src/lagoonwing_entry/_membership_shell.py
+++ b/packages/entry/src/lagoonwing_entry/_membership_shell.py
@@ -63,6 +63,7 @@
         self._link_by_address: dict[tuple[str, int], Link] = {}
         self._record_by_id: dict[EndpointId, EndpointRecord] = {}
         self._refreshed = 0.0
+        self._host_count = 0
         self._task: asyncio.Task[None] | None = None
         if channels is not None:
             channels.register(PROTOCOL, self._handlers)
@@ -105,9 +106,18 @@
             await asyncio.sleep(self._tick_s)
             await self._async_send(self._membership.tick(self._clock.now()))
             self.refresh()
+            self._count_hosts()
             for event in self._membership.events():
                 _log(event)
 
+    def _count_hosts(self) -> None:
+        """Tell the scheduler how many hosts share the endpoints."""
+        hosts = self._membership.hosts(self._clock.now())
+        count = sum(host.state is not HostState.LOST for host in hosts)
+        if count != self._host_count:
+            self._host_count = count
+            self._scheduler.set_entry_hosts(max(1, count))
+
     async def _async_send(self, sends: Sequence[SendPort]) -> None:
         """Push messages, opening links as they are needed."""
         for send in sends:
--- a/packages/entry/src/lagoonwing_entry/_parsing.py
+++ b/packages/entry/src/lagoonwing_entry/_parsing.py
@@ -5,7 +5,6 @@
 import hashlib
 
 import msgspec
-import xxhash
 from expression import Error, Ok, Result
 
 from lagoonwing_core.errors import Refusal
@@ -137,12 +136,12 @@
 
 
 def _prefix_hashes(prompt: str) -> tuple[str, ...]:
-    """Return digests of growing prefixes."""
-    hasher = xxhash.xxh64()
+    """Return digests of growing prefixes, as endpoints name them in their cache events."""
+    digest = hashlib.blake2b(digest_size=8)
     hashes: list[str] = []
     for end in range(PREFIX_CHARACTERS, len(prompt) + 1, PREFIX_CHARACTERS):
-        hasher.update(prompt[end - PREFIX_CHARACTERS : end].encode())
-        hashes.append(hasher.hexdigest())
+        digest.update(prompt[end - PREFIX_CHARACTERS : end].encode())
+        hashes.append(digest.hexdigest())
         if len(hashes) == MAX_PREFIX_HASHES:
             break
     return tuple(hashes)
--- a/packages/entry/src/lagoonwing_entry/adapter.py
+++ b/packages/entry/src/lagoonwing_entry/adapter.py
@@ -8,8 +8,10 @@
 import msgspec
 
 from lagoonwing_entry.models import (
+    CacheEvent,
     CompletionCall,
     DispatchId,
+    LoadReport,
     ServiceAnswer,
     ServiceCallBody,
     StageReplay,
@@ -56,6 +58,12 @@
     async def async_close_stage(self, target: Target, dispatch_id: DispatchId, token: int) -> None:
         """Let a stage drop the KV cache of a request that has ended."""
 
+    async def async_load(self, target: Target) -> LoadReport:
+        """Ask for an endpoint's load."""
+
+    async def async_cache_events(self, target: Target, after: int) -> tuple[CacheEvent, ...]:
+        """Ask for the changes of an endpoint's prefix cache after a number."""
+
     async def async_call_service(
         self, target: Target, dispatch_id: DispatchId, call: ServiceCallBody, fresh: bool
     ) -> ServiceAnswer:
--- a/packages/entry/src/lagoonwing_entry/models.py
+++ b/packages/entry/src/lagoonwing_entry/models.py
@@ -87,6 +87,7 @@
     step_timeout_s: float = 20.0
     max_answer_bytes: int = 8 * 1024 * 1024
     max_idle_connections: int = 64
+    report_timeout_s: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,6 +100,7 @@
         membership_tick_s: Period of membership's tick.
         allotment_period_s: Period in which shares of caps are asked for.
         stop_report_period_s: Period in which in-flight counts of planned stops are reported.
+        report_period_s: Shortest period in which an endpoint's load and cache are asked for.
         claim_timeout_s: Longest wait for an answer on a claim.
     """
 
@@ -112,6 +114,7 @@
     membership_tick_s: float = 0.05
     allotment_period_s: float = 0.2
     stop_report_period_s: float = 0.5
+    report_period_s: float = 1.0
     claim_timeout_s: float = 5.0
     control_timeout_s: float = 2.0
 
@@ -236,6 +239,22 @@
     tokens: tuple[str, ...]
 
 
+class LoadReport(msgspec.Struct, frozen=True):
+    """Load as an endpoint reports it."""
+
+    running: int
+    queued: int
+    kv_tokens_used: int
+
+
+class CacheEvent(msgspec.Struct, frozen=True):
+    """Change of an endpoint's prefix cache; numbers rise by one, but some never come."""
+
+    number: int
+    prefix: str
+    held: bool
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceAnswer:
     """Whole answer of a plain service."""
--- a/packages/entry/src/lagoonwing_entry/ports.py
+++ b/packages/entry/src/lagoonwing_entry/ports.py
@@ -33,6 +33,7 @@
 from lagoonwing_policy.models import (
     AllotmentGrant,
     AttemptResult,
+    EndpointLoad,
     MemberDemand,
     RequestProfile,
     RouteStage,
@@ -107,6 +108,18 @@
     def in_flight(self, endpoint_id: EndpointId) -> int:
         """Return the number of attempts in flight on an endpoint."""
 
+    def report_load(self, load: EndpointLoad) -> None:
+        """Take a load report."""
+
+    def report_prefix(self, endpoint_id: EndpointId, prefix_hash: str, held: bool) -> None:
+        """Take a cache event."""
+
+    def report_cache_gap(self, endpoint_id: EndpointId) -> None:
+        """Take note that cache events were lost."""
+
+    def set_entry_hosts(self, count: int) -> None:
+        """Set the number of entry hosts that share the endpoints, this one included."""
+
 
 class SendPort(Protocol):
     """Command of membership: push a message to a host."""
@@ -136,7 +149,7 @@
         """Return records that may get new work."""
 
     def hosts(self, now: float) -> Sequence[HostView]:
-        """Return what is believed of every host of the cell."""
+        """Return what is believed of every host of the cell, this one included."""
 
     def events(self) -> Sequence[Any]:
         """Return and drop what happened."""
--- a/packages/fakes/src/lagoonwing_fakes/_engine.py
+++ b/packages/fakes/src/lagoonwing_fakes/_engine.py
@@ -9,8 +9,14 @@
 from collections import deque
 
 from lagoonwing_fakes._truth_log import TruthLog
-from lagoonwing_fakes.const import CACHE_EVENTS_KEPT, CRASH_EXIT_CODE
+from lagoonwing_fakes.const import (
+    CACHE_EVENT_GAP,
+    CACHE_EVENTS_KEPT,
+    CRASH_EXIT_CODE,
+    REPORT_LAG_S,
+)
 from lagoonwing_fakes.models import FakeSettings, Fault, FaultPlan
+from lagoonwing_fakes.tokens import prefix_digests
 
 _RANK_BY_PRIORITY = {"short": 0, "normal": 1, "long": 2}
 # Pauses below the event loop's resolution are saved up and slept together.
@@ -29,7 +35,8 @@
         self.log = log
         self.plan = plan
         self.running = 0
-        self.cache_events: deque[tuple[int, str]] = deque(maxlen=CACHE_EVENTS_KEPT)
+        self._cache_events: deque[tuple[int, float, str]] = deque(maxlen=CACHE_EVENTS_KEPT)
+        self._cached = 0
         self.last_request_id = "none"
         self._random = random.Random(settings.seed)
         self._waiting: list[tuple[int, int, asyncio.Future[None]]] = []
@@ -111,6 +118,22 @@
         self._thawed.clear()
         await self._thawed.wait()
 
+    def note_cached(self, prompt: str) -> None:
+        """Note that the cache holds a prompt's prefixes."""
+        now = asyncio.get_running_loop().time()
+        for digest in prefix_digests(prompt):
+            self._cached += 1
+            self._cache_events.append((self._cached, now, digest))
+
+    def cache_events(self, after: int) -> list[tuple[int, str]]:
+        """Return cache events after a number: late ones only, and some never."""
+        latest = asyncio.get_running_loop().time() - REPORT_LAG_S
+        return [
+            (number, digest)
+            for number, noted, digest in self._cache_events
+            if number > after and noted <= latest and number % CACHE_EVENT_GAP
+        ]
+
     def crossed_id(self, request_id: str) -> str:
         """Return the id of another request."""
         other = self.last_request_id
--- a/packages/fakes/src/lagoonwing_fakes/_handlers.py
+++ b/packages/fakes/src/lagoonwing_fakes/_handlers.py
@@ -101,14 +101,13 @@
 
 
 class CacheEventsHandler(FakeHandler):
-    """`GET /cache-events?after=N` tells cached prefixes, every fifth event missing."""
+    """`GET /cache-events?after=N` tells cached prefixes, late and with gaps."""
 
     def get(self) -> None:
         """Answer the events after a number."""
         after = int(self.get_query_argument("after", "0"))
         events = [
             {"number": number, "prefix": prefix, "held": True}
-            for number, prefix in self.engine.cache_events
-            if number > after and number % 5
+            for number, prefix in self.engine.cache_events(after)
         ]
         self.finish_json({"events": events})
--- a/packages/fakes/src/lagoonwing_fakes/_model_handlers.py
+++ b/packages/fakes/src/lagoonwing_fakes/_model_handlers.py
@@ -63,7 +63,7 @@
         if texts is None:
             return
         self._log_truth("end", tokens=start + len(texts))
-        self.engine.cache_events.append((len(self.engine.cache_events) + 1, seed_of(prompt)))
+        self.engine.note_cached(prompt)
         if body.stream:
             self._write_event(self._chunk(answer_id, None, "", "stop"))
             self.write(b"data: [DONE]\n\n")
--- a/packages/fakes/src/lagoonwing_fakes/tokens.py
+++ b/packages/fakes/src/lagoonwing_fakes/tokens.py
@@ -6,7 +6,7 @@
 import re
 from typing import Any
 
-from lagoonwing_fakes.const import DEFAULT_TOKENS
+from lagoonwing_fakes.const import DEFAULT_TOKENS, MAX_PREFIXES, PREFIX_CHARACTERS
 
 _WANTED = re.compile(r"\[tokens=(\d+)\]")
 
@@ -21,6 +21,16 @@
     return hashlib.sha256(prompt.encode()).hexdigest()
 
 
+def prefix_digests(prompt: str) -> list[str]:
+    """Return digests of growing prefixes, as entry hosts compute them too."""
+    digest = hashlib.blake2b(digest_size=8)
+    digests = []
+    for end in range(PREFIX_CHARACTERS, len(prompt) + 1, PREFIX_CHARACTERS):
+        digest.update(prompt[end - PREFIX_CHARACTERS : end].encode())
+        digests.append(digest.hexdigest())
+    return digests[:MAX_PREFIXES]
+
+
 def token_text(seed: str, index: int) -> str:
     """Return the text of one token."""
     digest = hashlib.sha256(f"{seed}:{index}".encode()).hexdigest()
--- a/tests/entry/test_entry_pipeline.py
+++ b/tests/entry/test_entry_pipeline.py
@@ -60,6 +60,10 @@
     _check_each_layer_once(cell, lost_runs=1)
     replays = [(line["endpoint"], line["tokens"]) for line in cell.truth("replay")]
     assert replays == [("s2b", 4)]
+    before = {line["attempt"] for line in cell.truth("token") if line["token"] < 4}
+    after = {line["attempt"] for line in cell.truth("token") if line["token"] > 4}
+    # Every stage hears the higher number, so none takes a step of the old one any more.
+    assert max(before) < min(after)
 
 
 async def test_a_replaced_stage_that_answers_later_is_ignored(cell: Cell) -> None:
--- /dev/null
+++ b/tests/entry/test_entry_reports.py
@@ -0,0 +1,84 @@
+"""Load and cache events reach the scheduler; silence and gaps do no harm."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from entry_cell import Cell, async_until, chat_prompt
+
+from lagoonwing_core.clock import ManualClock
+from lagoonwing_entry._endpoint_reports import EndpointReports
+from lagoonwing_entry._parsing import model_work, parse_completion
+from lagoonwing_entry.models import CacheEvent, CompletionKind, LoadReport
+from lagoonwing_fakes import FakeKind
+from lagoonwing_fakes.tokens import prefix_digests
+from lagoonwing_policy.models import EndpointLoad
+
+
+@dataclass
+class RecordingScheduler:
+    """Notes what is reported."""
+
+    loads: list[EndpointLoad] = field(default_factory=list)
+    reports: list[Any] = field(default_factory=list)
+
+    def report_load(self, load: EndpointLoad) -> None:
+        """Note a load."""
+        self.loads.append(load)
+
+    def report_prefix(self, endpoint_id: Any, prefix_hash: str, held: bool) -> None:
+        """Note a cache event."""
+        self.reports.append(prefix_hash)
+
+    def report_cache_gap(self, endpoint_id: Any) -> None:
+        """Note a gap."""
+        self.reports.append("gap")
+
+
+class EventAdapter:
+    """Answers given events after the number asked for."""
+
+    def __init__(self, numbers: list[int]) -> None:
+        self.numbers = numbers
+
+    async def async_load(self, target: Any) -> LoadReport:
+        """Answer a load."""
+        return LoadReport(1, 2, 3)
+
+    async def async_cache_events(self, target: Any, after: int) -> tuple[CacheEvent, ...]:
+        """Answer the events."""
+        return tuple(CacheEvent(n, f"p{n}", True) for n in self.numbers if n > after)
+
+
+async def test_gaps_are_noticed_and_events_taken_once(cell: Cell) -> None:
+    """A missing number is reported as a gap before what follows it."""
+    fake = await cell.async_add_fake(FakeKind.WHOLE_MODEL, "w1")
+    host = await cell.async_add_host()
+    await cell.async_announce(fake)
+    scheduler = RecordingScheduler()
+    adapter: Any = EventAdapter([1, 2, 4])
+    port: Any = scheduler
+    reports = EndpointReports(adapter, port, host.entry.directory, ManualClock(), 1.0)
+    records = list(host.entry.directory.records())
+    await reports.async_poll_once(records)
+    await reports.async_poll_once(records)
+    adapter.numbers.append(5)
+    await reports.async_poll_once(records)
+    assert scheduler.reports == ["p1", "p2", "gap", "p4", "p5"]
+    assert [load.queued for load in scheduler.loads] == [2, 2, 2]
+
+
+async def test_stand_ins_name_prefixes_as_the_entry_does(cell: Cell) -> None:
+    """Cache events after a long prompt carry the digests that the scheduler looks for."""
+    prompt = "long shared preamble " * 60
+    body = f'{{"model": "m1", "messages": [{{"role": "user", "content": "{prompt}"}}]}}'
+    call = parse_completion(CompletionKind.CHAT, body.encode()).ok
+    hashes = model_work(call).prefix_hashes
+    assert len(hashes) >= 4
+    assert list(hashes) == prefix_digests(chat_prompt(prompt))
+    host = await cell.async_add_host()
+    fake = await cell.async_add_fake(FakeKind.WHOLE_MODEL, "w1")
+    await host.async_chat(prompt)
+    await async_until(lambda: fake.engine.cache_events(0))
+    assert [digest for _, digest in fake.engine.cache_events(0)] == list(hashes)
