Hold a part of every cap in advance

They had had no work before, so held no allotment, and without a quorum none can be granted. Ruled out: the configuration lease (it was in force by the rule of hidden voters) and the router.

--- a/packages/policy/src/lagoonwing_policy/allotments/_demand.py
+++ b/packages/policy/src/lagoonwing_policy/allotments/_demand.py
@@ -82,13 +82,22 @@
         return (activity.queued, activity.queued_tokens) if activity else (0, 0.0)
 
     def demand(self, now: float) -> list[MemberDemand]:
-        """Return the demand of every member that uses, wants or still holds something."""
+        """Return the demand of every member that uses, wants or still holds something.
+
+        Up to a number of members, those without work are named too: what nobody wants is spread
+        over the hosts that ask, and a host that holds a part can start at once, also while
+        nobody can grant anything.
+        """
         demands: list[MemberDemand] = []
+        standing = self._table.active_members()
+        is_standing = len(standing) <= self._policy.max_standing_members
+        for member_id in standing if is_standing else ():
+            self._activity_by_member.setdefault(member_id, MemberActivity(updated=now))
         for member_id, activity in list(self._activity_by_member.items()):
             limits = self._table.get(member_id)
             activity.decay(now, self._policy.demand_decay_s)
             self._raise_concurrency(activity, member_id, 0)
-            found = self._of_member(member_id, activity, limits, now) if limits else []
+            found = self._of_member(member_id, activity, limits, is_standing, now) if limits else []
             demands.extend(found)
             if not found and not activity.queued:
                 del self._activity_by_member[member_id]
@@ -103,7 +112,12 @@
         activity.concurrency = max(activity.concurrency, running + activity.queued + arriving)
 
     def _of_member(
-        self, member_id: MemberId, activity: MemberActivity, limits: MemberLimits, now: float
+        self,
+        member_id: MemberId,
+        activity: MemberActivity,
+        limits: MemberLimits,
+        is_standing: bool,
+        now: float,
     ) -> list[MemberDemand]:
         """Return one member's demand in each capped dimension."""
         demands: list[MemberDemand] = []
@@ -113,7 +127,7 @@
                 continue
             used = limits.used(dimension, now)
             wanted = max(used, min(cap, self._wanted(dimension, activity)))
-            if wanted > 0.0 or limits.held(dimension, now) > 0.0:
+            if is_standing or wanted > 0.0 or limits.held(dimension, now) > 0.0:
                 demands.append(MemberDemand(member_id, dimension, used, wanted))
         return demands
 
--- a/packages/policy/src/lagoonwing_policy/allotments/_table.py
+++ b/packages/policy/src/lagoonwing_policy/allotments/_table.py
@@ -30,6 +30,10 @@
         limits = self._limits_by_member.get(member_id)
         return limits if limits is not None and limits.active else None
 
+    def active_members(self) -> list[MemberId]:
+        """Return the members whose agreement is in force."""
+        return [member_id for member_id, limits in self._limits_by_member.items() if limits.active]
+
     def is_capped(self, member_id: MemberId) -> bool:
         """Return whether any cap of the member is enforced."""
         limits = self.get(member_id)
--- a/proof/control/recovery.py
+++ b/proof/control/recovery.py
@@ -11,6 +11,7 @@
 
 from lagoonctl.errors import CommandError
 from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_fakes.deployment import host_id
 from lagoonwing_rpc import operator_pb2 as pb
 from proof.report import Proof, Run
 from proof.site import Site, async_site
@@ -105,7 +106,7 @@
         site.deployment.kill(f"control-{leader}")
         site.deployment.kill(f"entry-{leader}")
         started = time.monotonic()
-        await _async_wait_margin(site, skip={leader}, margin=1)
+        await _async_wait_margin(site, skip={leader}, margin=1, lost=leader)
         run.figures["repair_s"] = f"{time.monotonic() - started:.1f}"
         second = await _async_other_leader(site, leader)
         site.deployment.kill(f"control-{second}")
@@ -126,15 +127,16 @@
         await asyncio.sleep(0.1)
 
 
-async def _async_wait_margin(site: Site, skip: set[int], margin: int) -> None:
-    """Wait until the live voters can lose some more."""
+async def _async_wait_margin(site: Site, skip: set[int], margin: int, lost: int = 0) -> None:
+    """Wait until the live voters can lose some more and a lost host votes no longer."""
     end = time.monotonic() + REPAIR_S
     while time.monotonic() < end:
         for number in range(1, site.deployment.plan.replicas + 1):
             status = None if number in skip else await site.async_status(number)
             if status is None or status.role != "leader":
                 continue
-            if status.margin >= margin:
+            voters = {replica.host_id for replica in status.replicas if replica.voter}
+            if status.margin >= margin and host_id(lost) not in voters:
                 return
         await asyncio.sleep(0.1)
     site.run.violations.append(f"margin {margin} not back within {REPAIR_S} s")
--- a/tests/policy/test_sharing.py
+++ b/tests/policy/test_sharing.py
@@ -6,7 +6,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lagoonwing_core.ids import EndpointId, HostId, MemberId
+from lagoonwing_core.ids import AgreementId, EndpointId, HostId, MemberId, Revision
+from lagoonwing_core.models import Agreement, EntityState, Member
+from lagoonwing_policy import Scheduler, SchedulerSettings
+from lagoonwing_policy.models import CapDimension, MemberDemand
 from lagoonwing_policy.routing._parts import PartTable
 from lagoonwing_policy.sharing import MemberWork, SharingSystem, divide_pool, fill_by_weight
 
@@ -126,3 +129,29 @@
     assert sizes == sorted(sizes)
     assert sizes[0] < 0.62
     assert sizes[-1] > 0.85
+
+
+def test_a_part_of_every_cap_is_asked_for_in_advance() -> None:
+    """A host without work holds a part of each cap, for nobody may be there to grant one later."""
+    scheduler = Scheduler(SchedulerSettings(), seed=1)
+    member = Member(
+        member_id=MemberId("a"),
+        name="a",
+        key_hashes=(),
+        state=EntityState.ACTIVE,
+        revision=Revision(1),
+    )
+    agreement = Agreement(
+        agreement_id=AgreementId("a-1"),
+        member_id=member.member_id,
+        weight=1.0,
+        max_concurrency=8,
+        max_requests_per_s=None,
+        max_tokens_per_s=None,
+        state=EntityState.ACTIVE,
+        revision=Revision(2),
+    )
+    scheduler.set_agreements([agreement], [member], [], [], [], 0.0)
+    assert scheduler.demand(0.1) == [
+        MemberDemand(member.member_id, CapDimension.CONCURRENCY, used=0.0, wanted=0.0)
+    ]
