Charge long work as it generates and let no work queue beside idle slots

Caps still reserve the whole estimate. The bound of long work is divided by the entry hosts, with random rounding.

--- a/packages/policy/src/lagoonwing_policy/_accounts.py
+++ b/packages/policy/src/lagoonwing_policy/_accounts.py
@@ -6,13 +6,17 @@
 
 from lagoonwing_policy._requests import RequestEntity
 from lagoonwing_policy._tables import SchedulerTables
-from lagoonwing_policy.const import OVERRUN_CHUNK_TOKENS
+from lagoonwing_policy.const import CHARGE_CHUNK_TOKENS
+from lagoonwing_policy.fairness import WorkQueue
 from lagoonwing_policy.fairness.models import BoundedLongWork
 from lagoonwing_policy.models import Priority
 
 
 class AccountSystem:
-    """Charges estimates at the start, overruns while they happen, and settles at the end."""
+    """Charges at the start and as tokens are generated, and settles at the end.
+
+    The queue is charged for long work as it goes on; a cap reserves the whole estimate.
+    """
 
     def __init__(self, tables: SchedulerTables) -> None:
         self._tables = tables
@@ -20,18 +24,20 @@
     def first_start(self, entity: RequestEntity) -> None:
         """Count a request towards its member's caps."""
         entity.counted = True
-        entity.output_charged = entity.output_expected
         self._tables.limits.count_start(entity.profile.member_id, entity.tokens_reserved)
 
     def tokens_relayed(self, entity: RequestEntity, count: int) -> None:
-        """Count generated tokens; what goes beyond the estimate is charged at once."""
+        """Count generated tokens, and charge what goes beyond the charges so far."""
         entity.tokens += count
-        if entity.tokens <= entity.output_charged:
-            return
-        extra = entity.tokens - entity.output_charged + OVERRUN_CHUNK_TOKENS
-        entity.output_charged += extra
-        self._charge(entity, extra, extra)
-        self._reclassify(entity)
+        if entity.tokens > entity.output_charged:
+            extra = entity.tokens - entity.output_charged + CHARGE_CHUNK_TOKENS
+            entity.output_charged += extra
+            self._queue_of(entity).charge(entity.profile.member_id, extra)
+            self._reclassify(entity)
+        if entity.tokens > entity.output_reserved:
+            extra = entity.tokens - entity.output_reserved + CHARGE_CHUNK_TOKENS
+            entity.output_reserved += extra
+            self._tables.limits.spend_tokens(entity.profile.member_id, extra)
 
     def finish(self, entity: RequestEntity, tokens: int) -> None:
         """Settle what was charged to what was used, and stop counting the request.
@@ -43,8 +49,8 @@
         if not entity.counted:
             return
         member_id = entity.profile.member_id
-        unused = entity.output_charged - tokens
-        self._charge(entity, -unused, -unused)
+        self._queue_of(entity).charge(member_id, tokens - entity.output_charged)
+        self._tables.limits.spend_tokens(member_id, tokens - entity.output_reserved)
         self._tables.limits.finish(member_id)
         self._tables.cap_blocks.unblock(member_id)
 
@@ -57,11 +63,9 @@
         pool.classifier.observe(actual.cost)
         pool.meter.finished(actual.cost, now - entity.started)
 
-    def _charge(self, entity: RequestEntity, cost: float, tokens: float) -> None:
-        """Charge a member; negative amounts are given back."""
-        member_id = entity.profile.member_id
-        self._tables.limits.spend_tokens(member_id, tokens)
-        self._tables.pools.get(entity.pool).queue.charge(member_id, cost)
+    def _queue_of(self, entity: RequestEntity) -> WorkQueue:
+        """Return the queue that a request went through."""
+        return self._tables.pools.get(entity.pool).queue
 
     def _reclassify(self, entity: RequestEntity) -> None:
         """Count running work as long once it has generated far more than expected."""
--- a/packages/policy/src/lagoonwing_policy/_admission.py
+++ b/packages/policy/src/lagoonwing_policy/_admission.py
@@ -145,11 +145,15 @@
     profile: RequestProfile, pool: Pool, estimate: CostEstimate, now: float
 ) -> RequestEntity:
     """Return the entity of a new request."""
+    output_charged = min(estimate.output_tokens, pool.classifier.short_bound)
     return RequestEntity(
         profile,
         pool=pool.key,
         priority=pool.classifier.classify(estimate.cost),
         cost=estimate.cost,
+        start_charge=estimate.cost - estimate.output_tokens + output_charged,
+        output_charged=output_charged,
+        output_reserved=estimate.output_tokens,
         tokens_reserved=estimate.tokens,
         output_expected=estimate.output_tokens,
         enqueued=now,
--- a/packages/policy/src/lagoonwing_policy/_dispatch.py
+++ b/packages/policy/src/lagoonwing_policy/_dispatch.py
@@ -124,7 +124,7 @@
         """Return whether one more long request may start in a pool."""
         if pool.long_blocked:
             return False
-        return pool.long_running < self._tables.slots.long_work.limit(pool.slots)
+        return pool.long_running < self._tables.slots.long_work.pool_limit(pool.slots)
 
     def _try_head(self, pool: Pool, entity: RequestEntity, now: float) -> SchedulerCommand | None:
         """Start the head of a queue, refuse it, or note what it waits for."""
--- a/packages/policy/src/lagoonwing_policy/_requests.py
+++ b/packages/policy/src/lagoonwing_policy/_requests.py
@@ -28,7 +28,9 @@
     Attributes:
         pool: Key of the endpoints that can run the request.
         priority: Class of the request, by its cost.
-        cost: Work that its member has been or will be charged for at the start.
+        cost: Work expected, in generated tokens.
+        start_charge: Part of it that its member is charged at the start; the rest follows as
+            it is generated.
         tokens_reserved: Tokens that count towards its member's cap from the start.
         output_expected: Tokens expected to be generated.
         enqueued: Time of submission.
@@ -39,13 +41,15 @@
         route: Route of the running attempt.
         excluded: Endpoints that failed this request.
         tokens: Tokens relayed to the caller so far.
-        output_charged: Generated tokens that its member has been charged for.
+        output_charged: Generated tokens of which the queue has charged its member.
+        output_reserved: Generated tokens that count towards its member's cap so far.
     """
 
     profile: RequestProfile
     pool: str = ""
     priority: Priority = Priority.NORMAL
     cost: float = 0.0
+    start_charge: float = 0.0
     tokens_reserved: float = 0.0
     output_expected: float = 0.0
     enqueued: float = 0.0
@@ -58,6 +62,7 @@
     excluded: frozenset[EndpointId] = field(default_factory=frozenset)
     tokens: int = 0
     output_charged: float = 0.0
+    output_reserved: float = 0.0
 
 
 class RequestTable:
--- a/packages/policy/src/lagoonwing_policy/_scheduler.py
+++ b/packages/policy/src/lagoonwing_policy/_scheduler.py
@@ -261,6 +261,7 @@
     def set_entry_hosts(self, count: int) -> None:
         """Set the number of entry hosts that share the endpoints, this one included."""
         self._router.set_entry_hosts(count)
+        self._tables.slots.long_work.set_entry_hosts(count)
 
     def in_flight(self, endpoint_id: EndpointId) -> int:
         """Return the number of attempts in flight on an endpoint."""
--- a/packages/policy/src/lagoonwing_policy/_tables.py
+++ b/packages/policy/src/lagoonwing_policy/_tables.py
@@ -24,7 +24,7 @@
         self.rng = random.Random(seed)
         self.requests = RequestTable()
         self.pools = PoolTable(settings)
-        self.slots = SlotTable(LongWorkBounds(settings.long_work))
+        self.slots = SlotTable(LongWorkBounds(settings.long_work, self.rng))
         self.limits = AllotmentTable(settings.limits)
         self.cap_blocks = CapBlocks(self.pools)
         self.demand = DemandTracker(_demand_policy(settings), self.limits)
--- a/packages/policy/src/lagoonwing_policy/const.py
+++ b/packages/policy/src/lagoonwing_policy/const.py
@@ -12,5 +12,5 @@
 SWEEP_S = 0.05
 # Time for which requests are kept while no route exists, so that a restart refuses nothing.
 NO_ROUTE_WAIT_S = 2.0
-# Generated tokens charged ahead at once when work overruns its estimate.
-OVERRUN_CHUNK_TOKENS = 32
+# Generated tokens charged ahead at once, so that not each token costs a change of the queue.
+CHARGE_CHUNK_TOKENS = 32
--- a/packages/policy/src/lagoonwing_policy/cost/_classes.py
+++ b/packages/policy/src/lagoonwing_policy/cost/_classes.py
@@ -21,6 +21,11 @@
         """Return the running median of the costs seen."""
         return self._median
 
+    @property
+    def short_bound(self) -> float:
+        """Return the highest cost of short work."""
+        return self._settings.short_factor * self._median
+
     def observe(self, cost: float) -> None:
         """Move the median one step towards a cost; one outlier moves it no more than that."""
         if cost > self._median:
@@ -30,7 +35,7 @@
 
     def classify(self, cost: float) -> Priority:
         """Return the class of work of this cost."""
-        if cost <= self._settings.short_factor * self._median:
+        if cost <= self.short_bound:
             return Priority.SHORT
         if cost <= self._settings.long_factor * self._median:
             return Priority.NORMAL
--- a/packages/policy/src/lagoonwing_policy/fairness/_long_work.py
+++ b/packages/policy/src/lagoonwing_policy/fairness/_long_work.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Iterable
 from typing import assert_never
 
@@ -13,8 +14,11 @@
 class LongWorkBounds:
     """Keeps the set of endpoints that run as much long work as they may."""
 
-    def __init__(self, policy: LongWorkPolicy) -> None:
+    def __init__(self, policy: LongWorkPolicy, rng: random.Random) -> None:
         self._policy = policy
+        self._rng = rng
+        self._entry_hosts = 1
+        self._slots_by_id: dict[EndpointId, int] = {}
         self._limit_by_id: dict[EndpointId, int] = {}
         self._running_by_id: dict[EndpointId, int] = {}
         self._full: frozenset[EndpointId] = frozenset()
@@ -24,22 +28,57 @@
         """Return the endpoints on which no more long work may start."""
         return self._full
 
+    def set_entry_hosts(self, count: int) -> None:
+        """Set the number of entry hosts that share the endpoints, this one included."""
+        if count != self._entry_hosts:
+            self._entry_hosts = max(1, count)
+            self._set_limits({})
+
     def set_endpoints(self, records: Iterable[EndpointRecord]) -> None:
-        """Replace the bounds of the endpoints."""
+        """Replace the bounds of the endpoints; those whose slots stay the same stay too."""
+        former_slots, former_limits = self._slots_by_id, self._limit_by_id
+        self._slots_by_id = {record.endpoint_id: record.slots for record in records}
+        kept = {
+            endpoint_id: former_limits[endpoint_id]
+            for endpoint_id, slots in self._slots_by_id.items()
+            if former_slots.get(endpoint_id) == slots
+        }
+        self._set_limits(kept)
+
+    def pool_limit(self, slots: float) -> int:
+        """Return how many long requests this host may run in a pool; one at least."""
+        match self._policy:
+            case MixedWork():
+                return max(1, int(slots))
+            case BoundedLongWork(slot_share=slot_share):
+                return max(1, int(slots * slot_share / self._entry_hosts))
+            case _:
+                assert_never(self._policy)
+
+    def _set_limits(self, kept: dict[EndpointId, int]) -> None:
+        """Set the limits of the endpoints that have none yet."""
         self._limit_by_id = {
-            record.endpoint_id: self.limit(float(record.slots)) for record in records
+            endpoint_id: kept.get(endpoint_id) or self._endpoint_limit(slots)
+            for endpoint_id, slots in self._slots_by_id.items()
         }
         self._full = frozenset(
             endpoint_id for endpoint_id in self._running_by_id if self._is_full(endpoint_id)
         )
 
-    def limit(self, slots: float) -> int:
-        """Return how many of some slots long work may take; one at least."""
+    def _endpoint_limit(self, slots: int) -> int:
+        """Return how much long work this host may run on an endpoint; one at least.
+
+        The part of the bound that falls to one host is rounded at random, up or down, so that
+        the hosts together keep the bound on average.
+        """
         match self._policy:
             case MixedWork():
-                return max(1, int(slots))
+                return max(1, slots)
             case BoundedLongWork(slot_share=slot_share):
-                return max(1, int(slots * slot_share))
+                if self._entry_hosts == 1:
+                    return max(1, int(slots * slot_share))
+                part = slots * slot_share / self._entry_hosts
+                return max(1, int(part + self._rng.random()))
             case _:
                 assert_never(self._policy)
 
--- a/packages/policy/src/lagoonwing_policy/fairness/_weighted_fair.py
+++ b/packages/policy/src/lagoonwing_policy/fairness/_weighted_fair.py
@@ -63,13 +63,17 @@
         return self._pick_class(self._member_by_id[best[1]], allow_long, now)
 
     def take(self, entity: RequestEntity) -> None:
-        """Remove a request that starts and charge its member its cost."""
+        """Remove a request that starts and charge its member.
+
+        Long work is charged as it generates: charged whole at the start it would keep its
+        member's short work waiting for what it only uses later.
+        """
         member = self._member_by_id[entity.profile.member_id]
         self._virtual = max(self._virtual, member.start)
         priority = entity.priority
         member.class_virtual = max(member.class_virtual, member.class_start[priority])
         member.class_start[priority] += entity.cost / self._weight_by_class[priority]
-        member.start += entity.cost / member.weight
+        member.start += entity.start_charge / member.weight
         self._remove(member, entity)
 
     def discard(self, entity: RequestEntity) -> None:
--- a/packages/policy/src/lagoonwing_policy/routing/_load.py
+++ b/packages/policy/src/lagoonwing_policy/routing/_load.py
@@ -85,7 +85,7 @@
             return not exclusive or not self._is_used_by_others(candidate, now)
         if exclusive or use.exclusive:
             return False
-        if use.running < math.ceil(candidate.limit / self._entry_hosts):
+        if self.is_within_share(candidate, loads):
             return True
         report = self._report_by_id.get(candidate.endpoint_id)
         if self._entry_hosts == 1 or report is None:
@@ -94,6 +94,12 @@
             return False
         return self._may_borrow(candidate, report, use.running)
 
+    def is_within_share(self, candidate: Candidate, loads: LoadsByEndpoint) -> bool:
+        """Return whether one more attempt stays within this host's share of an endpoint."""
+        use = loads.get(candidate.endpoint_id)
+        own = use.running if use is not None else 0
+        return own < math.ceil(candidate.limit / self._entry_hosts)
+
     def _may_borrow(self, candidate: Candidate, report: _Report, own: int) -> bool:
         """Return whether this host's part of the room that a report showed is left.
 
--- a/packages/policy/src/lagoonwing_policy/routing/_whole.py
+++ b/packages/policy/src/lagoonwing_policy/routing/_whole.py
@@ -38,6 +38,7 @@
             usable = [item for item in candidates if self._rules.may_use(item, choice)]
         if not usable:
             return None
+        usable = self._with_free_slot(usable, choice)
         completion_by_id = {item.endpoint_id: self._completion_s(item, choice) for item in usable}
         best = min(usable, key=lambda item: (completion_by_id[item.endpoint_id], item.endpoint_id))
         longest = completion_by_id[best.endpoint_id] * const.AFFINITY_SLACK
@@ -50,6 +51,17 @@
                 return item
         return best
 
+    def _with_free_slot(self, usable: list[Candidate], choice: Choice) -> list[Candidate]:
+        """Return the endpoints where the work need not wait, as far as any are known.
+
+        Work that queues in an engine gets its first token late, however fast the engine is.
+        Slots within this host's share are surer than those that others may borrow too.
+        """
+        free = [item for item in usable if self._use_share(item, choice) <= 1.0]
+        loads = self._rules.loads
+        own = [item for item in free if loads.is_within_share(item, choice.loads)]
+        return own or free or usable
+
     def _compared(
         self, candidates: Sequence[Candidate], preferred: Sequence[Candidate]
     ) -> Sequence[Candidate]:
--- a/tests/policy/test_load_hints.py
+++ b/tests/policy/test_load_hints.py
@@ -37,3 +37,16 @@
         cell.scheduler.report_load(EndpointLoad(EndpointId("e1"), running, 0, 0, cell.now))
         cell.run_for(0.2)
     assert cell.scheduler.in_flight(EndpointId("e1")) == 16
+
+
+def test_idle_endpoint_goes_before_a_full_one(make_cell) -> None:
+    """Work does not queue in an engine that is known to be full while another one is idle."""
+    cell = make_cell()
+    cell.scheduler.set_entry_hosts(4)
+    cell.add_endpoints(e1=8, e2=8)
+    cell.add_member("acme")
+    cell.scheduler.report_load(EndpointLoad(EndpointId("e1"), 8, 2, 0, reported=0.0))
+    for number in range(2):
+        cell.submit(f"r{number}")
+    cell.tick()
+    assert cell.scheduler.in_flight(EndpointId("e2")) == 2
