Keep a few slots free of members with a lasting backlog

At the crest every slot that comes free went to the member that surges unless another request already waited, so each of the others' waited for one.

--- a/packages/policy/src/lagoonwing_policy/_attempts.py
+++ b/packages/policy/src/lagoonwing_policy/_attempts.py
@@ -127,6 +127,7 @@
         entity.route = None
         self._tables.slots.release(entity.profile.request_id, route)
         pool = self._tables.pools.get(entity.pool)
+        pool.running -= 1
         pool.long_running -= route.priority is Priority.LONG
         self._tables.pools.reopen(pool)
         for stage in route.stages:
--- a/packages/policy/src/lagoonwing_policy/_dispatch.py
+++ b/packages/policy/src/lagoonwing_policy/_dispatch.py
@@ -22,6 +22,7 @@
 from lagoonwing_policy._tables import SchedulerTables
 from lagoonwing_policy.allotments import StartAllowed, StartBlocked
 from lagoonwing_policy.const import MAX_ASIDE_EXCLUSIVE, MAX_ASIDE_TRIES
+from lagoonwing_policy.fairness import Opening
 from lagoonwing_policy.models import (
     Priority,
     RefuseRequest,
@@ -112,7 +113,7 @@
                 # A surge of refusals goes on in the next tick.
                 self._tables.pools.mark_ready(pool)
                 break
-            entity = pool.queue.head(self._allows_long(pool), now)
+            entity = pool.queue.head(self._opening(pool, now), now)
             if entity is None:
                 break
             command = self._try_head(pool, entity, now)
@@ -120,11 +121,12 @@
                 commands.append(command)
         return commands
 
-    def _allows_long(self, pool: Pool) -> bool:
-        """Return whether one more long request may start in a pool."""
-        if pool.long_blocked:
-            return False
-        return pool.long_running < self._tables.slots.long_work.pool_limit(pool.slots)
+    def _opening(self, pool: Pool, now: float) -> Opening:
+        """Return what a pool has room for, as far as is known."""
+        limit = self._tables.slots.long_work.pool_limit(pool.slots)
+        allows_long = not pool.long_blocked and pool.long_running < limit
+        allows_backlogged = pool.headroom.allows_backlogged(pool.running, now)
+        return Opening(long=allows_long, backlogged=allows_backlogged)
 
     def _try_head(self, pool: Pool, entity: RequestEntity, now: float) -> SchedulerCommand | None:
         """Start the head of a queue, refuse it, or note what it waits for."""
@@ -159,12 +161,18 @@
             return self._start(pool, entity, chosen.ok, now)
         match chosen.error:
             case NoFreeSlot():
-                pool.long_blocked = True
-                pool.blocked = entity.priority is not Priority.LONG
+                self._note_no_slot(pool, entity, now)
             case Refusal() as refusal:
                 self._note_no_route(pool, refusal, now)
         return None
 
+    def _note_no_slot(self, pool: Pool, entity: RequestEntity, now: float) -> None:
+        """Close a pool to work like a request that found no slot."""
+        pool.long_blocked = True
+        if entity.priority is not Priority.LONG:
+            pool.blocked = True
+            pool.headroom.no_slot_found(pool.running, now)
+
     def _move_aside(self, pool: Pool, entity: RequestEntity, now: float) -> SchedulerCommand | None:
         """Let a request that must run alone wait apart from the queue."""
         if len(pool.aside) >= MAX_ASIDE_EXCLUSIVE:
@@ -259,6 +267,7 @@
         entity.route = replace(route, priority=entity.priority)
         self._tables.requests.unwatch(entity)
         self._tables.slots.acquire(request_id, entity.route)
+        pool.running += 1
         pool.long_running += entity.priority is Priority.LONG
         pool.no_route = None
         log_event(
--- a/packages/policy/src/lagoonwing_policy/_ordered_set.py
+++ b/packages/policy/src/lagoonwing_policy/_ordered_set.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from typing import Generic, TypeVar
 
 from sortedcontainers import SortedList
@@ -19,6 +20,10 @@
         """Return the number of items."""
         return len(self._items)
 
+    def __iter__(self) -> Iterator[ItemT]:
+        """Iterate in ascending order."""
+        return iter(self._items)
+
     def first(self) -> ItemT | None:
         """Return the lowest item."""
         if not self._items:
--- a/packages/policy/src/lagoonwing_policy/_pools.py
+++ b/packages/policy/src/lagoonwing_policy/_pools.py
@@ -13,7 +13,8 @@
 from lagoonwing_policy._settings import SchedulerSettings
 from lagoonwing_policy.admission import DrainMeter
 from lagoonwing_policy.cost import CostClassifier
-from lagoonwing_policy.fairness import WorkQueue, make_queue
+from lagoonwing_policy.fairness import WorkQueue, make_headroom, make_queue
+from lagoonwing_policy.fairness._headroom import Headroom
 
 
 @dataclass(slots=True)
@@ -26,6 +27,7 @@
         long_running: Long requests that run.
         blocked: Whether nothing can start until a slot comes free.
         long_blocked: Whether no long work can start until then.
+        running: Requests that run.
         no_route: Why no route exists, whatever is free.
         no_route_since: Time since when.
     """
@@ -33,12 +35,14 @@
     key: str
     queue: WorkQueue
     classifier: CostClassifier
+    headroom: Headroom
     meter: DrainMeter = field(default_factory=DrainMeter)
     aside: OrderedDict[RequestId, RequestEntity] = field(default_factory=OrderedDict)
     slots: float = 0.0
     long_running: int = 0
     blocked: bool = False
     long_blocked: bool = False
+    running: int = 0
     no_route: Refusal | None = None
     no_route_since: float = 0.0
 
@@ -71,7 +75,8 @@
         pool = self._pool_by_key.get(key)
         if pool is None:
             queue = make_queue(self._settings.queue)
-            pool = Pool(key, queue, CostClassifier(self._settings.cost))
+            classifier = CostClassifier(self._settings.cost)
+            pool = Pool(key, queue, classifier, make_headroom(self._settings.queue))
             self._pool_by_key[key] = pool
         return pool
 
@@ -84,6 +89,7 @@
         for pool in self:
             pool.slots = 0.0
             pool.no_route = None
+            pool.headroom.reset()
         self._pools_by_endpoint = {}
         for record in records:
             pools = tuple(self.get(key) for key in _served_keys(record))
--- a/packages/policy/src/lagoonwing_policy/_waits.py
+++ b/packages/policy/src/lagoonwing_policy/_waits.py
@@ -11,6 +11,7 @@
 from lagoonwing_policy.admission import jittered_retry_after
 from lagoonwing_policy.allotments import Allotments
 from lagoonwing_policy.const import MAX_REFUSALS_PER_TICK, NO_ROUTE_WAIT_S, SWEEP_S
+from lagoonwing_policy.fairness import ANYTHING
 from lagoonwing_policy.models import SchedulerCommand
 
 
@@ -81,7 +82,7 @@
         """Refuse the requests of a pool that had no route for too long."""
         commands: list[SchedulerCommand] = []
         while pool.no_route is not None and now > pool.no_route_since + NO_ROUTE_WAIT_S:
-            entity = pool.queue.head(True, now) or next(iter(pool.aside.values()), None)
+            entity = pool.queue.head(ANYTHING, now) or next(iter(pool.aside.values()), None)
             if entity is None or self._tables.refusals_left <= 0:
                 break
             commands.append(self._dispatch.refuse(entity, pool.no_route))
--- a/packages/policy/src/lagoonwing_policy/fairness/__init__.py
+++ b/packages/policy/src/lagoonwing_policy/fairness/__init__.py
@@ -5,22 +5,38 @@
 from typing import assert_never
 
 from lagoonwing_policy.fairness._first_come import FirstComeQueue
+from lagoonwing_policy.fairness._headroom import Headroom
 from lagoonwing_policy.fairness._long_work import LongWorkBounds
-from lagoonwing_policy.fairness._queue import WorkQueue
+from lagoonwing_policy.fairness._queue import ANYTHING, Opening, WorkQueue
 from lagoonwing_policy.fairness._weighted_fair import WeightedFairQueue
 from lagoonwing_policy.fairness._weights import MemberWeights
 from lagoonwing_policy.fairness.models import FirstComeFirstServed, QueuePolicy, WeightedFair
 
 __all__ = [
+    "ANYTHING",
     "FirstComeQueue",
+    "Headroom",
     "LongWorkBounds",
     "MemberWeights",
+    "Opening",
     "WeightedFairQueue",
     "WorkQueue",
+    "make_headroom",
     "make_queue",
 ]
 
 
+def make_headroom(policy: QueuePolicy) -> Headroom:
+    """Return the headroom that a policy keeps."""
+    match policy:
+        case FirstComeFirstServed():
+            return Headroom(0.0)
+        case WeightedFair(headroom_share=share):
+            return Headroom(share)
+        case _:
+            assert_never(policy)
+
+
 def make_queue(policy: QueuePolicy) -> WorkQueue:
     """Return an empty queue with the order of a policy."""
     match policy:
--- a/packages/policy/src/lagoonwing_policy/fairness/_first_come.py
+++ b/packages/policy/src/lagoonwing_policy/fairness/_first_come.py
@@ -7,6 +7,7 @@
 from lagoonwing_core.ids import MemberId, RequestId
 from lagoonwing_policy._ordered_set import OrderedSet
 from lagoonwing_policy._requests import RequestEntity
+from lagoonwing_policy.fairness._queue import Opening
 from lagoonwing_policy.models import Priority
 
 MemberEntries = OrderedDict[RequestId, tuple[int, RequestEntity]]
@@ -39,13 +40,13 @@
         if len(entries) == 1 and member_id not in self._blocked:
             self._ready.add((self._arrivals, member_id))
 
-    def head(self, allow_long: bool, now: float) -> RequestEntity | None:
+    def head(self, opening: Opening, now: float) -> RequestEntity | None:
         """Return the request that arrived first; nothing overtakes it if it may not start."""
         first = self._ready.first()
         if first is None:
             return None
         entity = next(iter(self._entries_by_member[first[1]].values()))[1]
-        return entity if allow_long or entity.priority is not Priority.LONG else None
+        return entity if opening.long or entity.priority is not Priority.LONG else None
 
     def take(self, entity: RequestEntity) -> None:
         """Remove a request that starts."""
--- a/packages/policy/src/lagoonwing_policy/fairness/_members.py
+++ b/packages/policy/src/lagoonwing_policy/fairness/_members.py
@@ -30,8 +30,10 @@
         start: Virtual time at which the member's next request starts.
         class_start: The same within the member, by class.
         class_virtual: Virtual time within the member.
+        backlogged_since: Time since when something has waited without a break.
         blocked: Whether the member is passed over.
-        listed: Virtual time under which the member stands in the ready lists, by list.
+        listed_quick: Virtual time under which it stands in the list of work that is not long.
+        listed_long: Virtual time under which it stands in the list of long work.
     """
 
     member_id: MemberId
@@ -41,6 +43,7 @@
     class_start: dict[Priority, float] = field(default_factory=_zero_by_class)
     waiting: dict[Priority, ClassQueue] = field(default_factory=_class_queues)
     cost: dict[Priority, float] = field(default_factory=_zero_by_class)
+    backlogged_since: float = 0.0
     blocked: bool = False
     listed_quick: float | None = None
     listed_long: float | None = None
--- a/packages/policy/src/lagoonwing_policy/fairness/_queue.py
+++ b/packages/policy/src/lagoonwing_policy/fairness/_queue.py
@@ -2,12 +2,29 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import Protocol
 
 from lagoonwing_core.ids import MemberId
 from lagoonwing_policy._requests import RequestEntity
 
 
+@dataclass(frozen=True, slots=True)
+class Opening:
+    """What a pool has room for.
+
+    Attributes:
+        long: Whether long work may start.
+        backlogged: Whether members with a lasting backlog may start work.
+    """
+
+    long: bool
+    backlogged: bool
+
+
+ANYTHING = Opening(long=True, backlogged=True)
+
+
 class WorkQueue(Protocol):
     """Requests of one pool that wait for a slot."""
 
@@ -17,11 +34,11 @@
     def push(self, entity: RequestEntity) -> None:
         """Add a request behind the others of its member and class."""
 
-    def head(self, allow_long: bool, now: float) -> RequestEntity | None:
+    def head(self, opening: Opening, now: float) -> RequestEntity | None:
         """Return the next request to start, without removing it.
 
         Args:
-            allow_long: Whether long work may start now.
+            opening: What may start now.
             now: Time in seconds.
         """
 
--- a/packages/policy/src/lagoonwing_policy/fairness/_weighted_fair.py
+++ b/packages/policy/src/lagoonwing_policy/fairness/_weighted_fair.py
@@ -2,17 +2,23 @@
 
 from __future__ import annotations
 
+import itertools
+
 from lagoonwing_core.ids import MemberId
 from lagoonwing_policy._ordered_set import OrderedSet
 from lagoonwing_policy._requests import RequestEntity
 from lagoonwing_policy.fairness._members import MemberQueue
+from lagoonwing_policy.fairness._queue import Opening
 from lagoonwing_policy.fairness.models import WeightedFair
 from lagoonwing_policy.models import Priority
 
 MIN_WEIGHT = 1e-6
+# Members looked at for one without a lasting backlog.
+MAX_MEMBERS_TRIED = 8
 
 # Virtual start time and id of each member that waits.
-ReadyList = OrderedSet[tuple[float, MemberId]]
+Place = tuple[float, MemberId]
+ReadyList = OrderedSet[Place]
 
 
 class WeightedFairQueue:
@@ -20,6 +26,7 @@
 
     def __init__(self, policy: WeightedFair) -> None:
         self._ageing_s = policy.ageing_s
+        self._lasting_backlog_s = policy.lasting_backlog_s
         self._weight_by_class = {
             Priority.SHORT: policy.short_weight,
             Priority.NORMAL: policy.normal_weight,
@@ -44,6 +51,7 @@
             # A member that was idle has no claim on the time that passed.
             member.start = max(member.start, self._virtual)
             self._active_weight += member.weight
+            member.backlogged_since = entity.enqueued
         if not member.waiting[entity.priority]:
             start = member.class_start[entity.priority]
             member.class_start[entity.priority] = max(start, member.class_virtual)
@@ -52,15 +60,24 @@
         self._cost += entity.cost
         self._relist(member)
 
-    def head(self, allow_long: bool, now: float) -> RequestEntity | None:
+    def head(self, opening: Opening, now: float) -> RequestEntity | None:
         """Return the next request to start, without removing it."""
-        best = self._quick.first()
-        if allow_long:
-            best_long = self._long.first()
-            best = min((place for place in (best, best_long) if place is not None), default=None)
-        if best is None:
+        ready = [self._quick, self._long] if opening.long else [self._quick]
+        if opening.backlogged:
+            places = [place for places in ready if (place := places.first()) is not None]
+        else:
+            places = [place for places in ready if (place := self._first_calm(places, now))]
+        if not places:
             return None
-        return self._pick_class(self._member_by_id[best[1]], allow_long, now)
+        return self._pick_class(self._member_by_id[min(places)[1]], opening.long, now)
+
+    def _first_calm(self, ready: ReadyList, now: float) -> Place | None:
+        """Return the first member without a lasting backlog, looking at a few."""
+        for place in itertools.islice(ready, MAX_MEMBERS_TRIED):
+            member = self._member_by_id[place[1]]
+            if member.backlogged_since + self._lasting_backlog_s > now:
+                return place
+        return None
 
     def take(self, entity: RequestEntity) -> None:
         """Remove a request that starts and charge its member.
--- a/packages/policy/src/lagoonwing_policy/routing/_load.py
+++ b/packages/policy/src/lagoonwing_policy/routing/_load.py
@@ -103,9 +103,10 @@
     def _may_borrow(self, candidate: Candidate, report: _Report, own: int) -> bool:
         """Return whether this host's part of the room that a report showed is left.
 
-        Every entry host saw the same room; if each took all of it, the engine would queue.
+        Every entry host saw the same room; if each took all of it, the engine would queue. The
+        last slot is never borrowed: a host whose own share it is would queue behind.
         """
-        room = candidate.limit - report.others - report.own
+        room = candidate.limit - report.others - report.own - 1
         taken = max(0, own - report.own)
         return taken + self._rng.random() < room / self._entry_hosts
 
