--- a/tests/policy/test_fairness.py
+++ b/tests/policy/test_fairness.py
@@ -261,3 +261,22 @@
             cell.finish(name)
             served[name.split("-")[0]] += 1
     return served
+
+
+def test_lasting_backlog_leaves_a_few_slots_to_others(make_cell) -> None:
+    """While one member takes all it can, a request of another one starts without waiting."""
+    cell = make_cell(SchedulerSettings(admission=ROOMY))
+    cell.add_endpoints(e1=40)
+    for name in ("surge", "calm"):
+        cell.add_member(name)
+    _fill(cell, "surge", 500)
+    cell.run_for(1.0)
+    # The first request of the other member finds no slot, which tells the capacity.
+    cell.submit("calm-1", "calm")
+    cell.tick()
+    for name in list(cell.running)[:10]:
+        cell.finish(name)
+    assert "calm-1" in cell.running
+    assert len(cell.running) == 38
+    cell.submit("calm-2", "calm")
+    assert cell.tick() == ["calm-2"]
