--- a/packages/policy/src/lagoonwing_policy/routing/_load.py
+++ b/packages/policy/src/lagoonwing_policy/routing/_load.py
@@ -85,7 +85,7 @@
             return not exclusive or not self._is_used_by_others(candidate, now)
         if exclusive or use.exclusive:
             return False
-        if use.running < self._parts.quota(candidate.endpoint_id, candidate.limit):
+        if self.is_within_share(candidate, loads):
             return True
         report = self._report_by_id.get(candidate.endpoint_id)
         if self._parts.part(candidate.endpoint_id).size >= 1.0 or report is None:
@@ -94,12 +94,19 @@
             return False
         return self._may_borrow(candidate, report, use.running)
 
+    def is_within_share(self, candidate: Candidate, loads: LoadsByEndpoint) -> bool:
+        """Return whether one more attempt stays within this host's share of an endpoint."""
+        use = loads.get(candidate.endpoint_id)
+        own = use.running if use is not None else 0
+        return own < self._parts.quota(candidate.endpoint_id, candidate.limit)
+
     def _may_borrow(self, candidate: Candidate, report: _Report, own: int) -> bool:
         """Return whether this host's part of the room that a report showed is left.
 
-        Every entry host saw the same room; if each took all of it, the engine would queue.
+        Every entry host saw the same room; if each took all of it, the engine would queue. The
+        last slot is never borrowed: a host whose own share it is would queue behind.
         """
-        room = candidate.limit - report.others - report.own
+        room = candidate.limit - report.others - report.own - 1
         taken = max(0, own - report.own)
         size = self._parts.part(candidate.endpoint_id).size
         return taken + self._rng.random() < room * size
