--- /dev/null
+++ b/bench/membership_bench.py
@@ -0,0 +1,200 @@
+"""Measures membership's traffic and processor time against endpoints and hosts.
+
+Run `python -m bench.membership_bench`; it writes bench/results/membership.md.
+"""
+
+from __future__ import annotations
+
+import statistics
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+from bench.membership_network import Network, record_of
+from lagoonwing_core.models import EndpointState
+from lagoonwing_membership import HostState
+
+RESULTS = Path(__file__).parent / "results" / "membership.md"
+BUDGET_BYTES_PER_S = 13_000
+ENDPOINT_COUNTS = (0, 10, 30, 68, 136, 272)
+HOST_COUNTS = (2, 3, 4, 6, 8)
+TODAY_HOSTS = 4
+# Servers of the planned size for each node, times the nodes of a cell.
+CELL_ENDPOINTS = 68
+RENEW_S = 0.8
+WARM_UP_S = 5.0
+MEASURED_S = 20.0
+# Envelope and frame of a message on a stream, and the packet that carries a small one.
+STREAM_OVERHEAD_BYTES = 8
+PACKET_OVERHEAD_BYTES = 52
+SEEDS = (1, 2, 3)
+
+
+@dataclass(frozen=True, slots=True)
+class Traffic:
+    """What one host sends and works, per second."""
+
+    messages: float
+    payload_bytes: float
+    wire_bytes: float
+    cpu_share: float
+    largest: int
+
+
+def main() -> None:
+    """Measure everything and write the table."""
+    lines = [
+        "# Membership\n\nMade by `python -m bench.membership_bench`: hosts on a paused clock, each"
+        f" endpoint renews every {RENEW_S} s to one host in turn. Sent by one host, of the"
+        " busiest; it receives as much. On the wire: each message"
+        f" {STREAM_OVERHEAD_BYTES} bytes of frame and {PACKET_OVERHEAD_BYTES} of packet more."
+        f" Budget: {BUDGET_BYTES_PER_S} bytes a second for all control traffic of a node.\n",
+        f"## Endpoints of a cell of {TODAY_HOSTS} hosts\n",
+        *_table("endpoints", [(count, TODAY_HOSTS, count) for count in ENDPOINT_COUNTS]),
+        f"## Hosts of a cell with {CELL_ENDPOINTS} endpoints\n",
+        *_table("hosts", [(count, count, CELL_ENDPOINTS) for count in HOST_COUNTS]),
+        "## Recovery\n",
+        *_recovery(),
+    ]
+    RESULTS.parent.mkdir(exist_ok=True)
+    RESULTS.write_text("\n".join(lines) + "\n")
+    print(RESULTS.read_text())
+
+
+def _table(label: str, plans: list[tuple[int, int, int]]) -> list[str]:
+    """Return a table and the slope between its ends."""
+    lines = [
+        f"| {label} | messages/s | payload, bytes/s | on the wire, bytes/s | share of budget"
+        " | core, % | largest message, bytes |",
+        "| --- | --- | --- | --- | --- | --- | --- |",
+    ]
+    points: list[tuple[int, float]] = []
+    for value, hosts, endpoints in plans:
+        traffic = _traffic(hosts, endpoints)
+        points.append((value, traffic.wire_bytes))
+        lines.append(
+            f"| {value} | {traffic.messages:.1f} | {traffic.payload_bytes:.0f}"
+            f" | {traffic.wire_bytes:.0f} | {traffic.wire_bytes / BUDGET_BYTES_PER_S:.2f}"
+            f" | {traffic.cpu_share * 100:.2f} | {traffic.largest} |"
+        )
+    slope = statistics.linear_regression(*zip(*points, strict=True))
+    lines.append(
+        f"\nLeast squares: {slope.intercept:.0f} bytes/s and {slope.slope:.1f} more for each.\n"
+    )
+    return lines
+
+
+def _traffic(hosts: int, endpoints: int) -> Traffic:
+    """Return the traffic of the busiest host."""
+    network = Network(hosts, seed=1)
+    sequences = [1] * endpoints
+    due = [network.now + RENEW_S * number / max(1, endpoints) for number in range(endpoints)]
+
+    def run(seconds: float) -> None:
+        end = network.now + seconds
+        while network.now < end:
+            for number in range(endpoints):
+                if network.now < due[number]:
+                    continue
+                due[number] += RENEW_S
+                sequences[number] += 1
+                record = record_of(f"endpoint-{number:05}", sequence=sequences[number])
+                network.announce((number + sequences[number]) % hosts, record)
+            network.step()
+
+    run(WARM_UP_S)
+    network.sent_bytes.clear()
+    network.sent_messages.clear()
+    start = time.process_time()
+    run(MEASURED_S)
+    cpu = (time.process_time() - start) / MEASURED_S / hosts
+    busiest = max(network.sent_bytes, key=lambda host_id: network.sent_bytes[host_id])
+    payload = network.sent_bytes[busiest] / MEASURED_S
+    messages = network.sent_messages[busiest] / MEASURED_S
+    overhead = messages * (STREAM_OVERHEAD_BYTES + PACKET_OVERHEAD_BYTES)
+    return Traffic(messages, payload, payload + overhead, cpu, network.largest)
+
+
+def _recovery() -> list[str]:
+    """Return times on the paused clock until news is everywhere."""
+    rows = {
+        "new endpoint known by all hosts": [_spread_s(seed) for seed in SEEDS],
+        "leave known by all hosts": [_leave_s(seed) for seed in SEEDS],
+        "silent endpoint off all hosts, from its last announcement": [
+            _silence_s(seed) for seed in SEEDS
+        ],
+        "stopped host held for lost by all others": [_loss_s(seed) for seed in SEEDS],
+    }
+    lines = ["| what | seconds, by seed |", "| --- | --- |"]
+    for name, times in rows.items():
+        lines.append(f"| {name} | {', '.join(f'{seconds:.2f}' for seconds in times)} |")
+    return lines
+
+
+def _joined(seed: int) -> Network:
+    """Return hosts that know each other, and an endpoint."""
+    network = Network(TODAY_HOSTS, seed=seed)
+    network.run(2.0)
+    return network
+
+
+def _until(network: Network, holds: Callable[[], bool]) -> float:
+    """Return the seconds until a condition holds."""
+    start = network.now
+    while not holds():
+        network.step()
+    return network.now - start
+
+
+def _everywhere(network: Network, names: set[str]) -> bool:
+    """Return whether every host would give work to exactly these endpoints."""
+    return all(network.names(number) == names for number in range(network.size))
+
+
+def _spread_s(seed: int) -> float:
+    """Return the time of a first announcement to all hosts."""
+    network = _joined(seed)
+    network.announce(0, record_of("a"))
+    return _until(network, lambda: _everywhere(network, {"a"}))
+
+
+def _leave_s(seed: int) -> float:
+    """Return the time of a leave to all hosts."""
+    network = _joined(seed)
+    network.announce(0, record_of("a"))
+    network.run(1.0)
+    network.announce(1, record_of("a", sequence=2, state=EndpointState.LEAVING))
+    return _until(network, lambda: _everywhere(network, set()))
+
+
+def _silence_s(seed: int) -> float:
+    """Return the time after which a silent endpoint is off all hosts."""
+    network = _joined(seed)
+    network.announce(0, record_of("a"))
+    start = network.now
+    network.run(0.5)
+    _until(network, lambda: _everywhere(network, set()))
+    return network.now - start
+
+
+def _loss_s(seed: int) -> float:
+    """Return the time after which a stopped host is held for lost."""
+    network = _joined(seed)
+    network.pause(3)
+    lost = network.addresses[3].host_id
+
+    def is_lost() -> bool:
+        views = [network.host(number).hosts(network.now) for number in range(3)]
+        return all(
+            view.state is HostState.LOST
+            for hosts in views
+            for view in hosts
+            if view.address.host_id == lost
+        )
+
+    return _until(network, is_lost)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/membership/membership_network.py
+++ b/bench/membership_network.py
@@ -1,9 +1,10 @@
-"""Paused-clock network that loses, doubles, delays and cuts messages between memberships."""
+"""Paused-clock network that loses, doubles, delays and cuts messages between hosts."""
 
 from __future__ import annotations
 
 import heapq
 import random
+from collections import Counter
 from dataclasses import dataclass, field
 
 import msgspec
@@ -80,7 +81,8 @@
         self._waiting: dict[HostId, list[tuple[HostId, bytes]]] = {}
         self._announced: dict[HostId, list[EndpointRecord]] = {}
         self._order = 0
-        self.sent_bytes: dict[HostId, int] = {}
+        self.sent_bytes: Counter[HostId] = Counter()
+        self.sent_messages: Counter[HostId] = Counter()
         for number in range(self.size):
             self.start(number, incarnation=1000)
 
@@ -162,7 +164,8 @@
         for send in sends:
             body = msgspec.msgpack.encode(send.message)
             self.largest = max(self.largest, len(body))
-            self.sent_bytes[sender] = self.sent_bytes.get(sender, 0) + len(body)
+            self.sent_bytes[sender] += len(body)
+            self.sent_messages[sender] += 1
             if (sender, send.to.host_id) in self.cut or self.rng.random() < self.loss:
                 continue
             copies = 2 if self.rng.random() < self.double else 1
--- a/packages/membership/src/lagoonwing_membership/_coordinator.py
+++ b/packages/membership/src/lagoonwing_membership/_coordinator.py
@@ -34,6 +34,7 @@
     Pull,
     Push,
     Send,
+    Summary,
 )
 
 
@@ -156,6 +157,8 @@
             case Digest(renewals=renewals, last=last):
                 self._synced = self._synced or (last and math.isfinite(transit))
                 return self._spread.receive_renewals(from_host, renewals, transit, now)
+            case Summary():
+                return self._spread.answer_summary(from_host, message, now)
             case Pull():
                 return self._spread.answer_pull(from_host, message, now)
 
--- a/packages/membership/src/lagoonwing_membership/_endpoints.py
+++ b/packages/membership/src/lagoonwing_membership/_endpoints.py
@@ -91,6 +91,18 @@
         """Yield the endpoints that may get new work."""
         return (entry for entry in self.endpoint_by_id.values() if self.is_live(entry, now))
 
+    def checksum(self, now: float) -> int:
+        """Return a checksum of what is known, in which renewals make no difference."""
+        total = 0
+        for entry in self.endpoint_by_id.values():
+            if now - entry.heard >= const.FLOOR_SPREAD_S:
+                continue
+            is_live = self.is_live(entry, now)
+            sequence = 0 if is_live or entry.left else entry.sequence
+            key = f"{entry.endpoint_id}|{entry.incarnation}|{sequence}|{entry.content}|{is_live}"
+            total ^= zlib.crc32(key.encode())
+        return total
+
     def announce(self, record: EndpointRecord, age: float, now: float) -> Result[News, Refusal]:
         """Take in what an endpoint says itself.
 
--- a/packages/membership/src/lagoonwing_membership/_spread.py
+++ b/packages/membership/src/lagoonwing_membership/_spread.py
@@ -19,6 +19,7 @@
     Pull,
     Push,
     Renewal,
+    Summary,
 )
 
 ItemT = TypeVar("ItemT")
@@ -45,7 +46,8 @@
         self._changed: set[EndpointId] = set()
         self._renewed: set[EndpointId] = set()
         self._joined: set[HostId] = set()
-        self._next_digest = 0.0
+        self._next_summary = 0.0
+        self._next_renewals = 0.0
         self._digest_order: list[HostId] = []
         self._pulled_at_by_id: dict[EndpointId, float] = {}
 
@@ -72,11 +74,12 @@
         peers = [entry.address.host_id for entry in self._hosts.reachable()]
         sends = self._push_news(peers, now)
         sends.extend(self._pull_ageing(peers, now))
-        if now >= self._next_digest:
-            self._next_digest = now + self._settings.digest_period_s
+        if now >= self._next_summary:
+            self._next_summary = now + self._settings.digest_period_s
             peer = self._next_peer()
             if peer is not None:
-                sends.extend(self._digest(peer, const.FLOOR_SPREAD_S, now))
+                checksum = self._endpoints.checksum(now)
+                sends.append((peer, Summary(self._header_for(peer, now), checksum)))
         for host_id in sorted(self._joined):
             sends.extend(self._digest(host_id, const.FLOOR_LIFE_S, now))
         self._joined.clear()
@@ -98,13 +101,8 @@
         """Tell every peer what has changed since the last tick."""
         entry_by_id = self._endpoints.endpoint_by_id
         changed = [entry_by_id[item] for item in sorted(self._changed) if item in entry_by_id]
-        renewed = [
-            entry_by_id[item]
-            for item in sorted(self._renewed - self._changed)
-            if item in entry_by_id
-        ]
+        renewed = self._due_renewals(now)
         self._changed.clear()
-        self._renewed.clear()
         left = [entry for entry in changed if entry.record is None]
         records = [entry for entry in changed if entry.record is not None]
         sends: list[Outgoing] = []
@@ -115,6 +113,16 @@
                 sends.append((host_id, Push(self._header_for(host_id, now), renewals)))
         return sends
 
+    def _due_renewals(self, now: float) -> list[EndpointEntry]:
+        """Return the endpoints whose renewals are to be told now."""
+        if now < self._next_renewals:
+            return []
+        self._next_renewals = now + const.RENEWAL_BATCH_S
+        entry_by_id = self._endpoints.endpoint_by_id
+        due = sorted(self._renewed - self._changed)
+        self._renewed.clear()
+        return [entry_by_id[item] for item in due if item in entry_by_id]
+
     def _record_pushes(
         self, host_id: HostId, entries: Sequence[EndpointEntry], now: float
     ) -> Iterator[Outgoing]:
@@ -169,6 +177,12 @@
         for part in _parts(endpoint_ids, const.MAX_PULLS_PER_MESSAGE):
             yield host_id, Pull(self._header_for(host_id, now), tuple(part))
 
+    def answer_summary(self, host_id: HostId, summary: Summary, now: float) -> list[Outgoing]:
+        """Answer a host that knows other endpoints with what is known here."""
+        if summary.checksum == self._endpoints.checksum(now):
+            return []
+        return list(self._digest(host_id, const.FLOOR_SPREAD_S, now))
+
     def answer_pull(self, host_id: HostId, pull: Pull, now: float) -> list[Outgoing]:
         """Answer with records of live endpoints and the ends of those that left."""
         entry_by_id = self._endpoints.endpoint_by_id
--- a/packages/membership/src/lagoonwing_membership/const.py
+++ b/packages/membership/src/lagoonwing_membership/const.py
@@ -7,7 +7,9 @@
 
 # An endpoint that falls silent gets no new work 3 s later; the rest covers the dispatch itself.
 RECORD_LIFE_S = 2.8
-PULL_AFTER_S = 1.2
+# Renewals are told together; with the time between them this stays below the pull.
+RENEWAL_BATCH_S = 0.4
+PULL_AFTER_S = 1.6
 PULL_INTERVAL_S = 0.3
 DIGEST_PERIOD_S = 1.0
 FLOOR_SPREAD_S = 30.0
--- a/packages/membership/src/lagoonwing_membership/models.py
+++ b/packages/membership/src/lagoonwing_membership/models.py
@@ -139,6 +139,13 @@
     last: bool
 
 
+class Summary(msgspec.Struct, frozen=True, array_like=True, tag="summary"):
+    """Checksum of what the sender knows; a receiver that differs answers with a digest."""
+
+    header: Header
+    checksum: int
+
+
 class Pull(msgspec.Struct, frozen=True, array_like=True, tag="pull"):
     """Asks for the records of endpoints."""
 
@@ -146,7 +153,7 @@
     endpoint_ids: tuple[EndpointId, ...]
 
 
-MembershipMessage = Ping | PingRequest | Ack | Push | Digest | Pull
+MembershipMessage = Ping | PingRequest | Ack | Push | Digest | Summary | Pull
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/membership/conftest.py
+++ /dev/null
@@ -1,8 +0,0 @@
-"""Lets the tests of this folder import its paused-clock network."""
-
-from __future__ import annotations
-
-import sys
-from pathlib import Path
-
-sys.path.insert(0, str(Path(__file__).parent))
--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -4,8 +4,8 @@
 
 import msgspec
 import pytest
-from membership_network import DECODER, Network, record_of
 
+from bench.membership_network import DECODER, Network, record_of
 from lagoonwing_core.ids import HostId, Incarnation
 from lagoonwing_core.models import EndpointState
 from lagoonwing_core.result_codes import ResultCode
--- a/tests/membership/test_membership_schedules.py
+++ b/tests/membership/test_membership_schedules.py
@@ -8,8 +8,8 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from membership_network import Network, record_of
 
+from bench.membership_network import Network, record_of
 from lagoonwing_core.ids import EndpointId, HostId, Incarnation
 from lagoonwing_core.models import EndpointRecord, EndpointState
 from lagoonwing_membership import HostState
