--- a/packages/policy/src/lagoonwing_policy/_scheduler.py
+++ b/packages/policy/src/lagoonwing_policy/_scheduler.py
@@ -248,7 +248,7 @@
 
     def report_load(self, load: EndpointLoad) -> None:
         """Take a load report, which is late and so no more than a hint."""
-        self._router.report_load(load)
+        self._router.report_load(load, self.in_flight(load.endpoint_id))
 
     def report_prefix(self, endpoint_id: EndpointId, prefix_hash: str, held: bool) -> None:
         """Take a cache event, which is late and so no more than a hint."""
@@ -261,6 +261,7 @@
     def set_entry_hosts(self, count: int) -> None:
         """Set the number of entry hosts that share the endpoints, this one included."""
         self._router.set_entry_hosts(count)
+        self._tables.slots.long_work.set_entry_hosts(count)
 
     def in_flight(self, endpoint_id: EndpointId) -> int:
         """Return the number of attempts in flight on an endpoint."""
