Read a stage's load report as steps, not as sequences

Cause: a stage reports the steps that it runs, while most of its sequences are at other stages; hosts took the difference for room and each borrowed it. The new test in tests/policy/test_flow.py failed before.

--- a/packages/policy/src/lagoonwing_policy/routing/_load.py
+++ b/packages/policy/src/lagoonwing_policy/routing/_load.py
@@ -21,14 +21,20 @@
     """Load report, with what this host had in flight when it came.
 
     Attributes:
-        others: Attempts of other entry hosts, running and queued.
         own: Attempts of this entry host.
     """
 
     load: EndpointLoad
-    others: int
     own: int
 
+    def others(self, candidate: Candidate) -> float:
+        """Return the attempts of other entry hosts, running and queued.
+
+        A stage reports the steps that it runs now; most of its sequences are at other stages.
+        """
+        steps = self.load.running + self.load.queued
+        return max(0.0, steps * candidate.limit / candidate.slots - self.own)
+
 
 class LoadEstimator:
     """Estimates what all entry hosts have in flight on an endpoint."""
@@ -46,8 +52,7 @@
         """Keep the latest report of an endpoint, and what this host has in flight there now."""
         known = self._report_by_id.get(load.endpoint_id)
         if known is None or load.reported >= known.load.reported:
-            others = max(0, load.running + load.queued - own)
-            self._report_by_id[load.endpoint_id] = _Report(load, others, own)
+            self._report_by_id[load.endpoint_id] = _Report(load, own)
 
     def keep_only(self, endpoint_ids: set[EndpointId]) -> None:
         """Drop reports of endpoints that are gone."""
@@ -70,7 +75,7 @@
         if report is None:
             return own + alike
         weight = max(0.0, 1.0 - (now - report.load.reported) / const.HINT_LIFE_S)
-        return own + weight * report.others + (1.0 - weight) * alike
+        return own + weight * report.others(candidate) + (1.0 - weight) * alike
 
     def has_room(
         self, candidate: Candidate, loads: LoadsByEndpoint, exclusive: bool, now: float
@@ -105,7 +110,7 @@
 
         Every entry host saw the same room; if each took all of it, the engine would queue.
         """
-        room = candidate.limit - report.others - report.own
+        room = candidate.limit - report.others(candidate) - report.own
         taken = max(0, own - report.own)
         return taken + self._rng.random() < room / self._entry_hosts
 
--- a/tests/policy/test_flow.py
+++ b/tests/policy/test_flow.py
@@ -14,6 +14,7 @@
 from lagoonwing_core.models import LayerRange
 from lagoonwing_core.result_codes import ResultCode
 from lagoonwing_policy._router_protocol import EndpointUse, NoFreeSlot
+from lagoonwing_policy.models import EndpointLoad
 from lagoonwing_policy.routing import FlowRouter, FlowRoutes, LinkCost, RouterSettings
 from lagoonwing_policy.routing._flow import plan_flow
 from lagoonwing_policy.routing._links import LinkTable
@@ -140,3 +141,17 @@
     fields = {name: getattr(record, name) for name in record.__struct_fields__}
     fields["sequence"] = sequence
     return type(record)(**fields)
+
+
+def test_steps_that_a_stage_reports_are_not_taken_for_its_sequences() -> None:
+    """With every slot busy there is no room to borrow, though few sequences are there now."""
+    records = _stages((FIRST, 100.0), (SECOND, 100.0))
+    router = FlowRouter(RouterSettings(entry_hosts=4), random.Random(1))
+    router.set_endpoints(records, 0.0)
+    _, loads = _fill(router)
+    for record in records:
+        own = loads[record.endpoint_id].running
+        busy = EndpointLoad(record.endpoint_id, record.slots, 0, 0, reported=0.0)
+        router.report_load(busy, own)
+    chosen = router.choose(profile_of(999, 20), loads, frozenset(), False, 0.0)
+    assert isinstance(chosen.error, NoFreeSlot)
