--- a/bench/membership_bench.py
+++ b/bench/membership_bench.py
@@ -5,12 +5,14 @@
 
 from __future__ import annotations
 
+import random
 import statistics
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 
+from bench.cell_network import PACKET_OVERHEAD_BYTES, STREAM_OVERHEAD_BYTES, CellNetwork
 from bench.membership_network import Network, record_of
 from lagoonwing_core.models import EndpointState
 from lagoonwing_membership import HostState
@@ -25,10 +27,12 @@
 RENEW_S = 0.8
 WARM_UP_S = 5.0
 MEASURED_S = 20.0
-# Envelope and frame of a message on a stream, and the packet that carries a small one.
-STREAM_OVERHEAD_BYTES = 8
-PACKET_OVERHEAD_BYTES = 52
 SEEDS = (1, 2, 3)
+CELL_COUNTS = (4, 8, 16, 32, 64)
+CELL_MODELS = 4
+CELL_ROUNDS = 12
+# 700 nodes in cells of 4.
+PLANNED_CELLS = 175
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +58,8 @@
         *_table("endpoints", [(count, TODAY_HOSTS, count) for count in ENDPOINT_COUNTS]),
         f"## Hosts of a cell with {CELL_ENDPOINTS} endpoints\n",
         *_table("hosts", [(count, count, CELL_ENDPOINTS) for count in HOST_COUNTS]),
+        "## Cells\n",
+        *_cell_table(),
         "## Recovery\n",
         *_recovery(),
     ]
@@ -116,6 +122,51 @@
     return Traffic(messages, payload, payload + overhead, cpu, network.largest)
 
 
+def _cell_table() -> list[str]:
+    """Return the traffic between cells, and the slope."""
+    lines = [
+        f"Cells of two hosts, both representatives, {CELL_MODELS} models; every free slot count"
+        " changes every 10 s. Sent and received by the busiest host for summaries alone, on the"
+        " wire. Known: least share of the other cells that any host knows at the end.\n",
+        "| cells | bytes/s | share of budget | known | oldest summary, s |",
+        "| --- | --- | --- | --- | --- |",
+    ]
+    points: list[tuple[int, float]] = []
+    for count in CELL_COUNTS:
+        network = CellNetwork(count, 2, CELL_MODELS, CELL_MODELS)
+        rng = random.Random(1)
+        for number in range(CELL_ROUNDS):
+            if number == CELL_ROUNDS // 2:
+                network.cell_bytes.clear()
+            _change_use(network, rng)
+            network.run(10.0)
+        busiest = max(network.cell_bytes.values()) / (10.0 * CELL_ROUNDS / 2)
+        known = min(len(network.others(cell, 0)) for cell in range(count)) / (count - 1)
+        oldest = max(
+            summary.age_ms / 1000 for cell in range(count) for summary in network.others(cell, 0)
+        )
+        points.append((count, busiest))
+        share = busiest / BUDGET_BYTES_PER_S
+        lines.append(f"| {count} | {busiest:.0f} | {share:.2f} | {known:.2f} | {oldest:.0f} |")
+    slope = statistics.linear_regression(*zip(*points, strict=True))
+    at_size = slope.intercept + slope.slope * PLANNED_CELLS
+    lines.append(
+        f"\nLeast squares: {slope.intercept:.0f} bytes/s and {slope.slope:.1f} more for each;"
+        f" at {PLANNED_CELLS} cells, by that slope, {at_size:.0f}.\n"
+    )
+    return lines
+
+
+def _change_use(network: CellNetwork, rng: random.Random) -> None:
+    """Change what runs on every endpoint."""
+    for members in network.members:
+        for member in members:
+            records = member.endpoints(network.now)
+            member.set_running(
+                {record.endpoint_id: rng.randrange(record.slots) for record in records}
+            )
+
+
 def _recovery() -> list[str]:
     """Return times on the paused clock until news is everywhere."""
     rows = {
