--- a/packages/membership/src/lagoonwing_membership/_coordinator.py
+++ b/packages/membership/src/lagoonwing_membership/_coordinator.py
@@ -4,25 +4,33 @@
 
 import math
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from expression import Error, Ok, Result
 
 from lagoonwing_core.callback import callback
 from lagoonwing_core.errors import Refusal
-from lagoonwing_core.ids import HostId, Incarnation
+from lagoonwing_core.ids import EndpointId, HostId, Incarnation
 from lagoonwing_core.models import EndpointRecord, HostAddress
 from lagoonwing_membership import const
+from lagoonwing_membership._capacity import capacity_rows
+from lagoonwing_membership._cells import CellSystem
 from lagoonwing_membership._endpoints import EndpointTable
 from lagoonwing_membership._freshness import MessageAges, PauseDetector
-from lagoonwing_membership._hosts import HostEntry, HostTable
+from lagoonwing_membership._host_news import HostNewsSystem
+from lagoonwing_membership._hosts import HostTable
 from lagoonwing_membership._prober import ProbeDirectly, ProbeSystem, ProbeThrough
 from lagoonwing_membership._spread import Outgoing, SpreadSystem
 from lagoonwing_membership.models import (
     Ack,
+    CapacityRow,
+    CellDigest,
+    CellId,
+    CellSettings,
+    CellSummaries,
+    CellSummary,
     Digest,
-    HostChanged,
     HostNews,
     HostState,
     HostView,
@@ -34,6 +42,7 @@
     Pull,
     Push,
     Send,
+    Summary,
 )
 
 
@@ -60,6 +69,7 @@
         seeds: Iterable[HostAddress],
         settings: MembershipSettings | None = None,
         seed: int = 0,
+        cells: CellSettings | None = None,
     ) -> None:
         """Create the tables.
 
@@ -69,6 +79,7 @@
             seeds: Hosts to ask first; may name this host.
             settings: Periods and timeouts.
             seed: Seed of every random choice.
+            cells: Place of this host's cell among others; by default there are no others.
         """
         self._settings = settings or MembershipSettings()
         rng = random.Random(seed)
@@ -76,12 +87,18 @@
         self._pauses = PauseDetector()
         self._hosts = HostTable(self_address, incarnation)
         self._endpoints = EndpointTable(self._settings.record_life_s)
-        self._prober = ProbeSystem(self._hosts, self._settings, rng, self._host_changed)
         self._spread = SpreadSystem(
             self._endpoints, self._hosts, self._settings, rng, self._ages.header_for
         )
+        self._host_news = HostNewsSystem(
+            self._hosts, self._ages, self._endpoints.events.append, self._spread.request_digest
+        )
+        self._prober = ProbeSystem(self._hosts, self._settings, rng, self._host_news.changed)
+        self._cells = CellSystem(
+            cells or CellSettings(CellId("")), self._hosts, rng, self._ages.header_for
+        )
+        self._running_by_id: Mapping[EndpointId, int] = {}
         self._relay_by_number: dict[int, _Relay] = {}
-        self._host_news_due: set[HostId] = set()
         self._started: float | None = None
         self._synced = False
         self._seed_ids = self._add_seeds(seeds)
@@ -131,7 +148,7 @@
         if self._ages.is_outdated(from_host, header):
             return self._address([self._tell_outdated(from_host, now)])
         transit = self._ages.observe(from_host, header, now)
-        self._note_restart(from_host, header.incarnation, now)
+        self._host_news.note_restart(from_host, header.incarnation, now)
         return self._address(self._dispatch(from_host, message, transit, now))
 
     def _dispatch(
@@ -140,24 +157,31 @@
         """Hand a message to the system that it concerns."""
         match message:
             case Ping(number=number, hosts=hosts):
-                self._merge_hosts(hosts, now)
+                self._host_news.merge(hosts, now)
                 own_id = self._hosts.own.address.host_id
                 return [(from_host, self._ack(from_host, number, own_id, now))]
             case PingRequest(number=number, target=target, hosts=hosts):
-                self._merge_hosts(hosts, now)
+                self._host_news.merge(hosts, now)
                 return self._relay_probe(from_host, number, target, now)
             case Ack(number=number, target=target, hosts=hosts):
-                self._merge_hosts(hosts, now)
+                self._host_news.merge(hosts, now)
                 return self._take_ack(from_host, number, target, now)
             case Push(renewals=renewals, records=records, hosts=hosts):
-                self._merge_hosts(hosts, now)
+                self._host_news.merge(hosts, now)
                 self._spread.receive_records(records, transit, now)
                 return self._spread.receive_renewals(from_host, renewals, transit, now)
             case Digest(renewals=renewals, last=last):
                 self._synced = self._synced or (last and math.isfinite(transit))
                 return self._spread.receive_renewals(from_host, renewals, transit, now)
+            case Summary():
+                return self._spread.answer_summary(from_host, message, now)
             case Pull():
                 return self._spread.answer_pull(from_host, message, now)
+            case CellDigest():
+                return self._cells.receive_digest(from_host, message, now)
+            case CellSummaries():
+                self._cells.receive_summaries(message, transit, now)
+                return []
 
     @callback
     def tick(self, now: float) -> list[Send]:
@@ -180,10 +204,11 @@
                     sends.append((target, self._ping(target, number, now)))
                 case ProbeThrough(helper=helper, target=target, number=number):
                     header = self._ages.header_for(helper, now)
-                    rumours = self._rumours(helper)
+                    rumours = self._host_news.rumours(helper)
                     sends.append((helper, PingRequest(header, number, target, rumours)))
-        sends.extend(self._push_host_news(now))
+        sends.extend(self._host_news.tick(now))
         sends.extend(self._spread.tick(now))
+        sends.extend(self._cells.tick(lambda: self._capacity(now), now))
         return self._address(sends)
 
     @callback
@@ -204,6 +229,27 @@
             return True
         return self._started is not None and now - self._started >= self._settings.join_grace_s
 
+    @callback
+    def set_running(self, running_by_id: Mapping[EndpointId, int]) -> None:
+        """Set the attempts known to run on endpoints, for the cell's summary.
+
+        Args:
+            running_by_id: Attempts by endpoint; one that is missing is idle.
+        """
+        self._running_by_id = running_by_id
+
+    @callback
+    def other_cells(self, now: float) -> list[CellSummary]:
+        """Return what is known of other cells.
+
+        A cell's representatives know every row, its other hosts those with most free slots.
+        """
+        return self._cells.summaries(now)
+
+    def _capacity(self, now: float) -> tuple[CapacityRow, ...]:
+        """Return what this cell has."""
+        return capacity_rows(self.endpoints(now), self._running_by_id)
+
     @callback
     def hosts(self, now: float) -> tuple[HostView, ...]:
         """Return what is believed of every host of the cell, this one included."""
@@ -229,71 +275,19 @@
         if self._pauses.observe(now):
             self._prober.restart(now)
 
-    def _merge_hosts(self, hosts: Iterable[HostNews], now: float) -> None:
-        """Take news of hosts in and refute what is wrong of this one."""
-        for news in hosts:
-            if news.address.host_id == self._hosts.own.address.host_id:
-                self._refute(news)
-                continue
-            known = self._hosts.host_by_id.get(news.address.host_id)
-            was_alive = known is not None and known.state is HostState.ALIVE
-            old_incarnation = known.incarnation if known is not None else None
-            if not self._hosts.merge(news, now):
-                continue
-            entry = self._hosts.host_by_id[news.address.host_id]
-            rejoined = entry.incarnation != old_incarnation or not was_alive
-            if entry.state is HostState.ALIVE and rejoined:
-                self._spread.request_digest(news.address.host_id)
-            self._host_changed(entry)
-
-    def _note_restart(self, host_id: HostId, incarnation: Incarnation, now: float) -> None:
-        """Hold a known host for alive that is heard with a new incarnation."""
-        known = self._hosts.host_by_id.get(host_id)
-        if known is not None and incarnation > known.incarnation:
-            self._merge_hosts([HostNews(known.address, incarnation, 0, HostState.ALIVE)], now)
-
-    def _refute(self, news: HostNews) -> None:
-        """Tell everyone at once where this host is wrongly held for suspect or lost."""
-        if self._hosts.refute(news):
-            self._ages.incarnation = self._hosts.own.incarnation
-            self._host_news_due.add(self._hosts.own.address.host_id)
-
-    def _push_host_news(self, now: float) -> list[Outgoing]:
-        """Tell every host of changed beliefs, the host concerned included, which may refute."""
-        known = [self._hosts.own, *self._hosts.host_by_id.values()]
-        news = tuple(
-            entry.news() for entry in known if entry.address.host_id in self._host_news_due
-        )[: const.MAX_HOST_NEWS_PER_MESSAGE]
-        self._host_news_due.clear()
-        if not news:
-            return []
-        return [
-            (host_id, Push(self._ages.header_for(host_id, now), hosts=news))
-            for host_id in self._hosts.host_by_id
-        ]
-
-    def _host_changed(self, entry: HostEntry) -> None:
-        """Note a change of belief for the log and for the other hosts."""
-        self._host_news_due.add(entry.address.host_id)
-        self._endpoints.events.append(
-            HostChanged(entry.address.host_id, entry.incarnation, entry.state)
-        )
-
     def _ping(self, target: HostId, number: int, now: float) -> Ping:
         """Return a probe of a host."""
-        return Ping(self._ages.header_for(target, now), number, self._rumours(target))
+        return Ping(self._ages.header_for(target, now), number, self._host_news.rumours(target))
 
     def _ack(self, to: HostId, number: int, target: HostId, now: float) -> Ack:
         """Return the answer to a probe."""
-        return Ack(self._ages.header_for(to, now), number, target, self._rumours(to))
-
-    def _rumours(self, host_id: HostId) -> tuple[HostNews, ...]:
-        """Return the host news to add to a message."""
-        return self._hosts.rumours_for(host_id, introduce=not self._ages.knows_us(host_id))
+        return Ack(self._ages.header_for(to, now), number, target, self._host_news.rumours(to))
 
     def _tell_outdated(self, host_id: HostId, now: float) -> Outgoing:
         """Tell a process with too low an incarnation what is known of it."""
-        return host_id, Push(self._ages.header_for(host_id, now), hosts=self._rumours(host_id))
+        return host_id, Push(
+            self._ages.header_for(host_id, now), hosts=self._host_news.rumours(host_id)
+        )
 
     def _relay_probe(
         self, origin: HostId, origin_number: int, target: HostId, now: float
@@ -333,8 +327,14 @@
 
     def _address(self, sends: Iterable[Outgoing]) -> list[Send]:
         """Add the addresses of hosts that are still known."""
-        return [
-            Send(self._hosts.host_by_id[host_id].address, message)
-            for host_id, message in sends
-            if host_id in self._hosts.host_by_id
-        ]
+        addressed: list[Send] = []
+        for host_id, message in sends:
+            address = self._address_of(host_id)
+            if address is not None:
+                addressed.append(Send(address, message))
+        return addressed
+
+    def _address_of(self, host_id: HostId) -> HostAddress | None:
+        """Return where a host of this cell or another listens."""
+        entry = self._hosts.host_by_id.get(host_id)
+        return entry.address if entry is not None else self._cells.address_of(host_id)
