--- a/packages/entry/src/lagoonwing_entry/_answers.py
+++ b/packages/entry/src/lagoonwing_entry/_answers.py
@@ -17,7 +17,7 @@
 from lagoonwing_entry.models import CompletionKind, Finished, ModelCall, TokenBatch
 
 if TYPE_CHECKING:
-    from lagoonwing_entry._caller_handlers import CompletionHandler
+    from lagoonwing_entry._completion_handlers import CompletionHandler
 
 _ENCODER = msgspec.json.Encoder()
 _EVENT_END = b"\n\n"
--- a/packages/entry/src/lagoonwing_entry/_caller_handlers.py
+++ b/packages/entry/src/lagoonwing_entry/_caller_handlers.py
@@ -7,19 +7,16 @@
 import itertools
 from dataclasses import dataclass, field
 from typing import Any
-from urllib.parse import unquote
 
 import msgspec
 from expression import Error, Ok, Result
-from tornado.iostream import StreamClosedError
 
 from lagoonwing_core.clock import Clock
 from lagoonwing_core.errors import Refusal
 from lagoonwing_core.events import EventCode, log_event
-from lagoonwing_core.ids import IdempotencyKey, RequestId, ServiceId
+from lagoonwing_core.ids import RequestId
 from lagoonwing_core.models import EntityState, Member
 from lagoonwing_core.result_codes import Outcome, ResultCode
-from lagoonwing_entry._answers import StreamSink, WholeSink
 from lagoonwing_entry._bounded_handler import BodyBudget, BodyLimits, BoundedHandler
 from lagoonwing_entry._claimed_calls import ServiceCaller
 from lagoonwing_entry._directory import EndpointDirectory
@@ -27,20 +24,15 @@
 from lagoonwing_entry._parsing import (
     model_fingerprint,
     model_work,
-    parse_completion,
     service_fingerprint,
 )
 from lagoonwing_entry._request_runner import RequestRunner
 from lagoonwing_entry.const import (
     HEADER_DEADLINE_MS,
-    HEADER_IDEMPOTENCY_KEY,
-    HEADER_REQUEST_ID,
-    MAX_IDEMPOTENCY_KEY_BYTES,
     MAX_KEY_BYTES,
 )
 from lagoonwing_entry.diagnostics import EntryMetrics
 from lagoonwing_entry.models import (
-    CompletionKind,
     EntrySettings,
     Finished,
     ModelCall,
@@ -50,28 +42,6 @@
 from lagoonwing_policy.models import ModelWork, RequestProfile, ServiceWork
 
 _BEARER = "Bearer "
-_SERVICES_PREFIX = "/services/"
-# Headers that belong to one connection, or that this host sets itself.
-_DROPPED_REQUEST_HEADERS = frozenset(
-    {
-        "authorization",
-        "connection",
-        "content-length",
-        "expect",
-        "host",
-        "idempotency-key",
-        "keep-alive",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "x-attempt",
-        "x-deadline-ms",
-        "x-outcome",
-        "x-priority",
-        "x-request-id",
-    }
-)
 
 
 @dataclass(slots=True)
@@ -218,197 +188,6 @@
         return Ok(member)
 
 
-class CompletionHandler(CallerHandler):
-    """`POST /v1/completions` and `POST /v1/chat/completions`."""
-
-    def initialize(self, context: CallerContext, **kwargs: Any) -> None:
-        """Take which of the two calls this is."""
-        super().initialize(context)
-        self.kind: CompletionKind = kwargs["kind"]
-
-    async def post(self) -> None:
-        """Run a completion."""
-        body = self.take_body()
-        if body is None:
-            return
-        match self._checked(body):
-            case Result(tag="ok", ok=checked):
-                await self._async_run(*checked)
-            case Result(error=refusal):
-                self.refuse(refusal)
-
-    def start_stream(self) -> None:
-        """Write the headers of a streamed answer; the outcome follows as its last event."""
-        self.context.metrics.first_token(self.context.clock.now() - self.arrived)
-        self.set_header(HEADER_REQUEST_ID, self.request_id)
-        self.set_header("Content-Type", "text/event-stream")
-        self.set_header("Cache-Control", "no-store")
-
-    def _checked(self, body: bytes) -> Result[tuple[ModelCall, float], Refusal]:
-        """Return the call and its deadline, or why it is refused."""
-        parsed = parse_completion(self.kind, body)
-        if parsed.is_error():
-            return Error(parsed.error)
-        if not self.context.directory.knows_model(parsed.ok.model_id):
-            return Error(Refusal(ResultCode.UNKNOWN_MODEL, "no endpoint holds this model"))
-        deadline = self.deadline()
-        if deadline.is_error():
-            return Error(deadline.error)
-        refusal = self.host_refusal()
-        if refusal is not None:
-            return Error(refusal)
-        return Ok((parsed.ok, deadline.ok))
-
-    async def _async_run(self, call: ModelCall, deadline: float) -> None:
-        """Run a checked completion and answer it."""
-        profile = self.profile(call, deadline, idempotent=True)
-        sink: StreamSink | WholeSink
-        if call.stream:
-            timeout_s = self.context.settings.caller.write_timeout_s
-            sink = StreamSink(self, self.request_id, call, timeout_s)
-        else:
-            sink = WholeSink(self.request_id, call)
-        self.running = asyncio.ensure_future(self.context.runner.async_run(profile, call, sink))
-        try:
-            finished = await self.running
-        except asyncio.CancelledError:
-            finished = Finished(Outcome.UNKNOWN, ResultCode.CALLER_GONE)
-        self.log_finished(finished)
-        try:
-            await self._async_answer(finished, sink)
-        except StreamClosedError:
-            return
-
-    async def _async_answer(self, finished: Finished, sink: StreamSink | WholeSink) -> None:
-        """Tell the caller how the request ended."""
-        if finished.outcome is not Outcome.DONE and not sink.started:
-            self.answer_failure(finished)
-            return
-        match sink:
-            case StreamSink():
-                if not sink.started:
-                    self.start_stream()
-                await sink.async_end(finished)
-            case WholeSink():
-                self.set_outcome(finished.outcome, finished.code)
-                self.set_header("Content-Type", "application/json")
-                self.finish(sink.body(finished.finish_reason))
-
-
-class ServiceHandler(CallerHandler):
-    """`/services/{service}/...` with any method."""
-
-    async def get(self) -> None:
-        """Run a plain call."""
-        await self._async_handle()
-
-    async def post(self) -> None:
-        """Run a plain call."""
-        await self._async_handle()
-
-    async def put(self) -> None:
-        """Run a plain call."""
-        await self._async_handle()
-
-    async def patch(self) -> None:
-        """Run a plain call."""
-        await self._async_handle()
-
-    async def delete(self) -> None:
-        """Run a plain call."""
-        await self._async_handle()
-
-    async def _async_handle(self) -> None:
-        """Check and run a plain call."""
-        body = self.take_body()
-        if body is None:
-            return
-        match self._checked(body):
-            case Result(tag="ok", ok=(call, deadline, idempotent)):
-                await self._async_run(call, deadline, idempotent)
-            case Result(error=refusal):
-                self.refuse(refusal)
-
-    def _checked(self, body: bytes) -> Result[tuple[ServiceCallBody, float, bool], Refusal]:
-        """Return the call, its deadline and whether it may be repeated, or a refusal."""
-        service, _, path = self.request.path[len(_SERVICES_PREFIX) :].partition("/")
-        service_id = ServiceId(unquote(service))
-        if not self.context.directory.knows_service(service_id):
-            return Error(Refusal(ResultCode.UNKNOWN_SERVICE, "no endpoint offers this service"))
-        deadline = self.deadline()
-        if deadline.is_error():
-            return Error(deadline.error)
-        key = self._idempotency_key()
-        if key.is_error():
-            return Error(key.error)
-        method = self.request.method or "GET"
-        path = f"/{path}"
-        idempotent = self.context.directory.is_idempotent(service_id, method, path)
-        query = f"?{self.request.query}" if self.request.query else ""
-        call = ServiceCallBody(
-            service_id=service_id,
-            method=method,
-            path=path + query,
-            headers=self._passed_headers(),
-            body=body,
-            key=None if idempotent else key.ok,
-        )
-        return Ok((call, deadline.ok, idempotent))
-
-    async def _async_run(self, call: ServiceCallBody, deadline: float, idempotent: bool) -> None:
-        """Run a checked call and answer it."""
-        refusal = self.host_refusal()
-        if refusal is not None:
-            # An earlier call with this key may have run; only its claim could tell.
-            self.refuse(refusal, Outcome.NOT_RUN if call.key is None else Outcome.UNKNOWN)
-            return
-        profile = self.profile(call, deadline, idempotent)
-        self.running = asyncio.ensure_future(self.context.services.async_call(profile, call))
-        try:
-            finished = await self.running
-        except asyncio.CancelledError:
-            finished = Finished(Outcome.UNKNOWN, ResultCode.CALLER_GONE)
-        self.log_finished(finished)
-        try:
-            self._answer(finished)
-        except StreamClosedError:
-            return
-
-    def _answer(self, finished: Finished) -> None:
-        """Pass the service's answer on."""
-        answer = finished.answer
-        if answer is None:
-            self.answer_failure(finished)
-            return
-        self.set_status(answer.status)
-        self.clear_header("Content-Type")
-        for name, value in answer.headers:
-            self.add_header(name, value)
-        self.set_outcome(finished.outcome, finished.code)
-        if answer.status in (204, 304):
-            self.finish()
-            return
-        self.finish(answer.body)
-
-    def _idempotency_key(self) -> Result[IdempotencyKey | None, Refusal]:
-        """Return the idempotency key, if there is one."""
-        text = self.request.headers.get(HEADER_IDEMPOTENCY_KEY)
-        if text is None:
-            return Ok(None)
-        if not text or len(text) > MAX_IDEMPOTENCY_KEY_BYTES or not text.isprintable():
-            detail = f"{HEADER_IDEMPOTENCY_KEY} must be 1 to {MAX_IDEMPOTENCY_KEY_BYTES} characters"
-            return Error(Refusal(ResultCode.HEADER_INVALID, detail))
-        return Ok(IdempotencyKey(text))
-
-    def _passed_headers(self) -> tuple[tuple[str, str], ...]:
-        """Return the headers that the service gets."""
-        return tuple(
-            (name, value)
-            for name, value in self.request.headers.get_all()
-            if name.lower() not in _DROPPED_REQUEST_HEADERS
-        )
-
-
 class ModelCard(msgspec.Struct):
     """One model in the list."""
 
--- a/packages/entry/src/lagoonwing_entry/_caller_server.py
+++ b/packages/entry/src/lagoonwing_entry/_caller_server.py
@@ -10,11 +10,11 @@
 from lagoonwing_entry._bounded_server import BoundedHTTPServer, bounded_server
 from lagoonwing_entry._caller_handlers import (
     CallerContext,
-    CompletionHandler,
     ModelsHandler,
     NotFoundHandler,
-    ServiceHandler,
 )
+from lagoonwing_entry._completion_handlers import CompletionHandler
+from lagoonwing_entry._service_handlers import ServiceHandler
 from lagoonwing_entry._status_handlers import HealthHandler, MetricsHandler, ReadinessHandler
 from lagoonwing_entry.models import CallerServerSettings, CompletionKind
 
--- /dev/null
+++ b/packages/entry/src/lagoonwing_entry/_completion_handlers.py
@@ -0,0 +1,94 @@
+"""Handlers of completions."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from expression import Error, Ok, Result
+from tornado.iostream import StreamClosedError
+
+from lagoonwing_core.errors import Refusal
+from lagoonwing_core.result_codes import Outcome, ResultCode
+from lagoonwing_entry._answers import StreamSink, WholeSink
+from lagoonwing_entry._caller_handlers import CallerContext, CallerHandler
+from lagoonwing_entry._parsing import parse_completion
+from lagoonwing_entry.const import HEADER_REQUEST_ID
+from lagoonwing_entry.models import CompletionKind, Finished, ModelCall
+
+
+class CompletionHandler(CallerHandler):
+    """`POST /v1/completions` and `POST /v1/chat/completions`."""
+
+    def initialize(self, context: CallerContext, **kwargs: Any) -> None:
+        """Take which of the two calls this is."""
+        super().initialize(context)
+        self.kind: CompletionKind = kwargs["kind"]
+
+    async def post(self) -> None:
+        """Run a completion."""
+        body = self.take_body()
+        if body is None:
+            return
+        match self._checked(body):
+            case Result(tag="ok", ok=checked):
+                await self._async_run(*checked)
+            case Result(error=refusal):
+                self.refuse(refusal)
+
+    def start_stream(self) -> None:
+        """Write the headers of a streamed answer; the outcome follows as its last event."""
+        self.context.metrics.first_token(self.context.clock.now() - self.arrived)
+        self.set_header(HEADER_REQUEST_ID, self.request_id)
+        self.set_header("Content-Type", "text/event-stream")
+        self.set_header("Cache-Control", "no-store")
+
+    def _checked(self, body: bytes) -> Result[tuple[ModelCall, float], Refusal]:
+        """Return the call and its deadline, or why it is refused."""
+        parsed = parse_completion(self.kind, body)
+        if parsed.is_error():
+            return Error(parsed.error)
+        if not self.context.directory.knows_model(parsed.ok.model_id):
+            return Error(Refusal(ResultCode.UNKNOWN_MODEL, "no endpoint holds this model"))
+        deadline = self.deadline()
+        if deadline.is_error():
+            return Error(deadline.error)
+        refusal = self.host_refusal()
+        if refusal is not None:
+            return Error(refusal)
+        return Ok((parsed.ok, deadline.ok))
+
+    async def _async_run(self, call: ModelCall, deadline: float) -> None:
+        """Run a checked completion and answer it."""
+        profile = self.profile(call, deadline, idempotent=True)
+        sink: StreamSink | WholeSink
+        if call.stream:
+            timeout_s = self.context.settings.caller.write_timeout_s
+            sink = StreamSink(self, self.request_id, call, timeout_s)
+        else:
+            sink = WholeSink(self.request_id, call)
+        self.running = asyncio.ensure_future(self.context.runner.async_run(profile, call, sink))
+        try:
+            finished = await self.running
+        except asyncio.CancelledError:
+            finished = Finished(Outcome.UNKNOWN, ResultCode.CALLER_GONE)
+        self.log_finished(finished)
+        try:
+            await self._async_answer(finished, sink)
+        except StreamClosedError:
+            return
+
+    async def _async_answer(self, finished: Finished, sink: StreamSink | WholeSink) -> None:
+        """Tell the caller how the request ended."""
+        if finished.outcome is not Outcome.DONE and not sink.started:
+            self.answer_failure(finished)
+            return
+        match sink:
+            case StreamSink():
+                if not sink.started:
+                    self.start_stream()
+                await sink.async_end(finished)
+            case WholeSink():
+                self.set_outcome(finished.outcome, finished.code)
+                self.set_header("Content-Type", "application/json")
+                self.finish(sink.body(finished.finish_reason))
--- a/packages/entry/src/lagoonwing_entry/_dispatch.py
+++ b/packages/entry/src/lagoonwing_entry/_dispatch.py
@@ -12,7 +12,8 @@
 from lagoonwing_core.models import EndpointRecord
 from lagoonwing_core.result_codes import Outcome, ResultCode
 from lagoonwing_entry._connection_pool import ConnectionPool
-from lagoonwing_entry._http_client import AnswerHead, ClientConnection, Exchange
+from lagoonwing_entry._exchange import AnswerHead, Exchange
+from lagoonwing_entry._http_client import ClientConnection
 from lagoonwing_entry.const import (
     HEADER_ATTEMPT,
     HEADER_OUTCOME,
--- a/packages/entry/src/lagoonwing_entry/_request_runner.py
+++ b/packages/entry/src/lagoonwing_entry/_request_runner.py
@@ -16,6 +16,12 @@
 from lagoonwing_entry._attempts import AttemptRunner
 from lagoonwing_entry._directory import EndpointDirectory
 from lagoonwing_entry._host_state import HostStateTable
+from lagoonwing_entry._request_log import (
+    log_admission_refused,
+    log_attempt_failed,
+    log_refused,
+    log_route,
+)
 from lagoonwing_entry._suspects import SuspectReporter
 from lagoonwing_entry.const import IDLE_TICK_S
 from lagoonwing_entry.diagnostics import EntryMetrics
@@ -31,7 +37,6 @@
     RefuseRequest,
     ReportSuspects,
     RequestProfile,
-    Route,
     SchedulerCommand,
     StartAttempt,
 )
@@ -117,14 +122,7 @@
         submitted = self._scheduler.submit(profile, self._clock.now())
         if submitted.is_error():
             refusal = submitted.error
-            log_event(
-                EventCode.ADMISSION_DECIDED,
-                request=profile.request_id,
-                member=profile.member_id,
-                decision="refused",
-                code=refusal.code.value,
-                reason=refusal.detail,
-            )
+            log_admission_refused(profile, refusal)
             return Finished(Outcome.NOT_RUN, refusal.code, refusal)
         finished: asyncio.Future[Finished] = asyncio.get_running_loop().create_future()
         active = ActiveRequest(profile, work, sink, finished)
@@ -215,15 +213,7 @@
             self._end(command, AttemptCancelled(0))
             self._refuse(command.request_id, lapsed)
             return
-        log_event(
-            EventCode.ROUTE_CHOSEN,
-            request=command.request_id,
-            attempt=command.attempt,
-            member=active.profile.member_id,
-            route=_names(command.route),
-            priority=command.route.priority.value,
-            exclusive=command.route.exclusive,
-        )
+        log_route(active.profile, command)
         self.refresh_records()
         records = [self._directory.record_of(stage) for stage in command.route.stages]
         known = tuple(record for record in records if record is not None)
@@ -277,16 +267,7 @@
                 active.may_have_run |= result.dispatch is Dispatch.MAY_HAVE_RUN
                 active.last_refusal = result.refusal
                 self._metrics.attempt_failed(result)
-                log_event(
-                    EventCode.ATTEMPT_FAILED,
-                    request=active.profile.request_id,
-                    attempt=active.attempt,
-                    endpoint=result.stage.endpoint_id,
-                    dispatch=result.dispatch.value,
-                    died=result.endpoint_died,
-                    code=result.refusal.code.value,
-                    reason=result.refusal.detail,
-                )
+                log_attempt_failed(active.profile, active.attempt, result)
 
     @callback
     def _end(self, command: StartAttempt, result: AttemptResult) -> None:
@@ -304,14 +285,7 @@
         if active is None:
             return
         outcome = Outcome.UNKNOWN if active.may_have_run else Outcome.NOT_RUN
-        log_event(
-            EventCode.ROUTE_REFUSED,
-            request=request_id,
-            member=active.profile.member_id,
-            outcome=outcome.value,
-            code=refusal.code.value,
-            reason=refusal.detail,
-        )
+        log_refused(active.profile, outcome, refusal)
         self._finish(active, Finished(outcome, refusal.code, refusal))
 
     @callback
@@ -368,8 +342,3 @@
         resumable_tokens=len(active.texts),
         refusal=refusal,
     )
-
-
-def _names(route: Route) -> str:
-    """Return the endpoints of a route for the log."""
-    return ",".join(stage.endpoint_id for stage in route.stages)
