Keep the ledger by entry host; tell quorum and margin truly at followers

Cause: a replica that doesn't lead hears nobody but the leader, so its status showed no quorum and a negative margin. Quorum now means that a leader under its lease is known; the margin is the leader's to tell. The ledger went over all hosts' amounts at each request and each commit; it now keeps them by host and notes what differs from the log.

--- a/packages/control/src/lagoonwing_control/_allotments.py
+++ b/packages/control/src/lagoonwing_control/_allotments.py
@@ -79,14 +79,18 @@
         self._settings = settings
         self._term = Term(0)
         self._cap_by_key: dict[CapKey, float] = {}
-        self._bound_by_key: dict[AllotmentKey, float] = {}
+        self._bound_by_cap_by_host: dict[HostId, dict[CapKey, float]] = {}
         self._logged_by_key: dict[AllotmentKey, float] = {}
+        # Amounts that may differ from the log.
+        self._touched: set[AllotmentKey] = set()
         self._entry_by_host: dict[HostId, _EntryRecord] = {}
 
     def start_term(self, term: Term, amounts: Mapping[AllotmentKey, float], now: float) -> None:
         """Lead from the amounts in the durable state; every lease counts as just given."""
         self._term = term
-        self._bound_by_key = dict(amounts)
+        self._bound_by_cap_by_host = {}
+        for (host_id, member_id, dimension), amount in amounts.items():
+            self._raise_bound(host_id, (member_id, dimension), amount)
         self._logged_by_key = dict(amounts)
         self._entry_by_host = {host_id: _EntryRecord(now) for host_id, _, _ in amounts}
 
@@ -125,23 +129,22 @@
 
     def expire(self, now: float) -> None:
         """Reclaim what entry hosts held that are silent past their leases."""
-        for key in list(self._bound_by_key):
-            host_id, _, dimension = key
+        for host_id, bound_by_cap in self._bound_by_cap_by_host.items():
             silence = now - self._entry_by_host[host_id].heard
-            if silence > self._hold_s(dimension):
-                del self._bound_by_key[key]
+            for cap_key in list(bound_by_cap):
+                if silence > self._hold_s(cap_key[1]):
+                    del bound_by_cap[cap_key]
+                    self._touched.add((host_id, *cap_key))
         for host_id, record in list(self._entry_by_host.items()):
             if now - record.heard > self._settings.running_hold_s:
                 del self._entry_by_host[host_id]
+                self._bound_by_cap_by_host.pop(host_id, None)
 
     def pending(self) -> tuple[Allotment, ...]:
         """Return the amounts that differ from the log."""
-        keys = self._bound_by_key.keys() | self._logged_by_key.keys()
-        changed = [
-            key for key in keys if self._bound_by_key.get(key) != self._logged_by_key.get(key)
-        ]
-        changed.sort(key=lambda key: (key[0], key[1], key[2].value))
-        return tuple(Allotment(*key, self._bound_by_key.get(key, 0.0)) for key in changed)
+        self._touched = {key for key in self._touched if self._differs_from_log(key)}
+        changed = sorted(self._touched, key=lambda key: (key[0], key[1], key[2].value))
+        return tuple(Allotment(*key, self._bound(key)) for key in changed)
 
     def logged(self, allotments: Iterable[Allotment]) -> None:
         """Note that amounts are in the log; call in the order of the log."""
@@ -154,29 +157,31 @@
 
     def held(self, cap_key: CapKey) -> float:
         """Return the sum of the bounds of one cap over all entry hosts."""
-        return math.fsum(amount for key, amount in self._bound_by_key.items() if key[1:] == cap_key)
+        return math.fsum(
+            bound_by_cap.get(cap_key, 0.0) for bound_by_cap in self._bound_by_cap_by_host.values()
+        )
 
     def _lower_to_statement(self, host_id: HostId, holdings: tuple[Holding, ...]) -> None:
         """Replace the bounds of one entry host by what it says that it may be using."""
-        for key in [key for key in self._bound_by_key if key[0] == host_id]:
-            del self._bound_by_key[key]
+        former = self._bound_by_cap_by_host.get(host_id, {})
+        self._touched.update((host_id, *cap_key) for cap_key in former)
+        self._bound_by_cap_by_host[host_id] = {}
         for item in holdings:
-            self._raise_bound((host_id, item.member_id, item.dimension), item.held)
+            self._raise_bound(host_id, (item.member_id, item.dimension), item.held)
 
     def _grant(self, host_id: HostId, holding: Holding, now: float) -> Grant:
         """Grant a share of one cap and raise the bound to it."""
         cap_key = (holding.member_id, holding.dimension)
-        key = (host_id, holding.member_id, holding.dimension)
         cap = self._cap_by_key.get(cap_key, 0.0)
         total = self.held(cap_key)
-        own = self._bound_by_key.get(key, 0.0)
+        own = self._bound_by_cap_by_host[host_id].get(cap_key, 0.0)
         share = self._share(host_id, cap_key, now)
         keeps = total <= cap and abs(share - own) <= HYSTERESIS_SHARE * cap
         room = max(0.0, cap - (total - own))
         amount = min(own if keeps else share, room)
         if holding.dimension is CapDimension.CONCURRENCY:
             amount = float(math.floor(amount + 1e-9))
-        self._raise_bound(key, amount)
+        self._raise_bound(host_id, cap_key, amount)
         return Grant(holding.member_id, holding.dimension, amount)
 
     def _share(self, host_id: HostId, cap_key: CapKey, now: float) -> float:
@@ -190,10 +195,21 @@
         cap = self._cap_by_key.get(cap_key, 0.0)
         return divide(cap, live, integral, int(now / TURN_S))[host_id]
 
-    def _raise_bound(self, key: AllotmentKey, amount: float) -> None:
+    def _raise_bound(self, host_id: HostId, cap_key: CapKey, amount: float) -> None:
         """Raise a bound to an amount."""
-        if amount > self._bound_by_key.get(key, 0.0):
-            self._bound_by_key[key] = amount
+        bound_by_cap = self._bound_by_cap_by_host.setdefault(host_id, {})
+        if amount > bound_by_cap.get(cap_key, 0.0):
+            bound_by_cap[cap_key] = amount
+            self._touched.add((host_id, *cap_key))
+
+    def _bound(self, key: AllotmentKey) -> float:
+        """Return what an entry host may believe it holds of one cap."""
+        host_id, member_id, dimension = key
+        return self._bound_by_cap_by_host.get(host_id, {}).get((member_id, dimension), 0.0)
+
+    def _differs_from_log(self, key: AllotmentKey) -> bool:
+        """Return whether a bound is not as the log has it."""
+        return self._bound(key) != self._logged_by_key.get(key, 0.0)
 
     def _outruns_log(self, host_id: HostId, grants: tuple[Grant, ...]) -> bool:
         """Return whether a grant passes what the log holds for it."""
--- a/packages/control/src/lagoonwing_control/_peers.py
+++ b/packages/control/src/lagoonwing_control/_peers.py
@@ -11,8 +11,9 @@
 from lagoonwing_control._paging import page_of_all
 from lagoonwing_control._proposer import Proposer, refused
 from lagoonwing_control._state_machine import ControlStateMachine
+from lagoonwing_control._status import knows_leader
 from lagoonwing_control._watchers import Watchers
-from lagoonwing_control.const import BARRIER_TIMEOUT_S, LEADER_SILENCE_S, PAGE_ENTITIES
+from lagoonwing_control.const import BARRIER_TIMEOUT_S, PAGE_ENTITIES
 from lagoonwing_control.models import Claim, Command
 from lagoonwing_core.callback import callback
 from lagoonwing_core.errors import Refusal
@@ -141,22 +142,12 @@
         status = self._log.status()
         return ProbeReply(
             term=status.term,
-            knows_leader=self._knows_leader(),
+            knows_leader=knows_leader(status, self._host_id),
             leader=status.leader or HostId(""),
             applied=self._state_machine.state.revision,
             lost_hosts=tuple(sorted(self._lost_hosts)),
         )
 
-    def _knows_leader(self) -> bool:
-        """Return whether a leader may be acting as far as this replica can tell."""
-        status = self._log.status()
-        if self._log.lease_term() is not None:
-            return True
-        if status.leader is None or status.leader == self._host_id:
-            return False
-        age = status.contact_age_by_host.get(status.leader, float("inf"))
-        return age < LEADER_SILENCE_S
-
     async def _async_read_barrier(self) -> BarrierPassed | Refused:
         """Tell another replica how far it must have applied to read."""
         result = await self._log.async_read_barrier(BARRIER_TIMEOUT_S)
--- a/packages/control/src/lagoonwing_control/_status.py
+++ b/packages/control/src/lagoonwing_control/_status.py
@@ -20,7 +20,8 @@
 ) -> pb.StatusReply:
     """Return roles, lag, quorum and margin as this replica knows them."""
     status = service.log.status()
-    margin = voter_margin(status, settings.host_id, service.lost_hosts)
+    leads = status.lease_valid
+    margin = voter_margin(status, settings.host_id, service.lost_hosts) if leads else None
     return pb.StatusReply(
         replica_id=settings.host_id,
         role=status.role.value,
@@ -29,13 +30,22 @@
         revision=service.state_machine.state.revision,
         commit_index=status.commit,
         applied_index=status.applied,
-        quorum=status.lease_valid or margin >= 0,
+        quorum=knows_leader(status, settings.host_id),
         margin=margin,
         replicas=_replicas(status, service.lost_hosts),
         entries=_entries(service, now) if service.leader.term() is not None else [],
     )
 
 
+def knows_leader(status: LogStatus, self_id: HostId) -> bool:
+    """Return whether a leader may be acting as far as a replica can tell."""
+    if status.lease_valid:
+        return True
+    if status.leader is None or status.leader == self_id:
+        return False
+    return status.contact_age_by_host.get(status.leader, math.inf) < LEADER_SILENCE_S
+
+
 def voter_margin(status: LogStatus, self_id: HostId, lost_hosts: set[HostId]) -> int:
     """Return how many more voters may be lost with a majority left; below 0 there is none."""
     ages = status.contact_age_by_host
