Give control replicas probes and metrics; stop a leader in a test

Metrics show revision, lag, watchers, claims and, at the leader, the margin of voters and entry hosts' contacts. A test with processes stops the leader for 3 s while two entry hosts hold shares and a claim: others accept changes meanwhile, and what the former leader is asked when it goes on has one winner.

--- a/packages/control/src/lagoonwing_control/_coordinator.py
+++ b/packages/control/src/lagoonwing_control/_coordinator.py
@@ -13,6 +13,7 @@
 from lagoonwing_control._state_machine import ControlStateMachine
 from lagoonwing_control._watchers import Watchers
 from lagoonwing_control.const import TICK_S
+from lagoonwing_control.diagnostics import ControlMetrics, DiagnosticsServer
 from lagoonwing_control.settings import ControlSettings
 from lagoonwing_core.callback import callback
 from lagoonwing_core.clock import Clock, LoopClock
@@ -66,6 +67,12 @@
         )
         server.register(PROTOCOL, peers.handlers())
         self._operators = OperatorServer(settings, self, self._clock)
+        self._diagnostics: DiagnosticsServer | None = None
+        if settings.metrics_port is not None:
+            metrics = ControlMetrics(settings, self, self._clock)
+            self._diagnostics = DiagnosticsServer(
+                settings.grpc_address, settings.metrics_port, metrics
+            )
         self._ticker: asyncio.Task[None] | None = None
         state_machine.on_applied = self.watchers.schedule
         log.on_leadership = self._on_leadership
@@ -76,9 +83,13 @@
             await link.async_setup()
         self._ticker = asyncio.get_running_loop().create_task(self._async_tick())
         await self._operators.async_setup()
+        if self._diagnostics is not None:
+            await self._diagnostics.async_setup()
 
     async def async_unload(self) -> None:
         """Stop to serve."""
+        if self._diagnostics is not None:
+            await self._diagnostics.async_unload()
         await self._operators.async_unload()
         if self._ticker is not None:
             self._ticker.cancel()
--- a/packages/control/src/lagoonwing_control/settings.py
+++ b/packages/control/src/lagoonwing_control/settings.py
@@ -26,6 +26,7 @@
     Attributes:
         replicas: Every control replica, this one included, with its port for peers.
         grpc_address: IP number on which operators are served.
+        metrics_port: Port for probes and metrics on the same IP number; `None` for none.
         max_request_s: Longest that a request may run; entry hosts hold to it.
         configuration_lease_s: How long an entry host takes new work after a contact.
         allotment_lease_s: How long a grant of a share of a cap holds.
@@ -36,6 +37,7 @@
     grpc_address: str
     grpc_port: int
     operators: tuple[OperatorToken, ...]
+    metrics_port: int | None = None
     max_request_s: float = DEFAULT_MAX_REQUEST_S
     configuration_lease_s: float = CONFIGURATION_LEASE_S
     allotment_lease_s: float = ALLOTMENT_LEASE_S
--- a/tests/support/control_support.py
+++ b/tests/support/control_support.py
@@ -112,15 +112,20 @@
 
 
 def make_settings(count: int = 1, max_request_s: float = 900.0) -> list[ControlSettings]:
-    """Return settings of replicas on free ports, each in a failure domain of its own."""
+    """Return settings of replicas on addresses of their own, spread over failure domains."""
+    return settings_at([unused_address() for _ in range(count)], max_request_s)
+
+
+def settings_at(ip_numbers: list[str], max_request_s: float = 900.0) -> list[ControlSettings]:
+    """Return settings of replicas at IP numbers."""
     addresses = tuple(
         HostAddress(
             host_id=HostId(f"control-{number + 1}"),
-            address=unused_address(),
+            address=ip_number,
             port=PEER_PORT,
             failure_domain=FailureDomainId("abc"[number % 3]),
         )
-        for number in range(count)
+        for number, ip_number in enumerate(ip_numbers)
     )
     return [
         ControlSettings(
