Keep a failed write at the end of the log, and form a log after a full disk

Cause: after a write that failed half-way, a second write through the same folder would have stood behind a broken frame and read as damage; only the founder's first entry was ever written again without opening the folder anew. And a founder without room gave up for the life of its process. The folder now takes nothing more until it is opened again, and the founder comes back as any replica with a full disk.

--- a/packages/replication/src/lagoonwing_replication/_formation.py
+++ b/packages/replication/src/lagoonwing_replication/_formation.py
@@ -10,6 +10,7 @@
 from expression import Result
 
 from lagoonwing_consensus import Replica, ReplicaSet
+from lagoonwing_core.events import EventCode, log_event
 from lagoonwing_core.ids import HostId, ReplicaId
 from lagoonwing_replication._binding import Binding
 from lagoonwing_replication._peers import Peers
@@ -20,6 +21,7 @@
     JOIN_INTERVAL_S,
     PACKET_VERSION,
 )
+from lagoonwing_replication.errors import StorageError
 from lagoonwing_replication.messages import FormReply, FormRequest, JoinRequest, ShellMessage
 from lagoonwing_replication.settings import LogSettings
 from lagoonwing_wire import Channel
@@ -62,13 +64,20 @@
             if standing is None or standing.is_member:
                 await asyncio.sleep(JOIN_INTERVAL_S)
                 continue
-            if self._may_found(standing) and await self._async_try_to_found(peers, standing):
-                continue
-            request = JoinRequest(PACKET_VERSION, standing.identity.cluster_id, standing.replica)
-            for host_id in peers.host_ids:
-                peers.push(host_id, request)
+            try:
+                await self._async_become_member(peers, standing)
+            except StorageError as error:
+                log_event(EventCode.STORAGE_FAILED, folder=self._settings.folder.name, error=error)
             await asyncio.sleep(FORM_INTERVAL_S)
 
+    async def _async_become_member(self, peers: Peers, standing: Standing) -> None:
+        """Form a new log, or ask every host to be taken in."""
+        if self._may_found(standing) and await self._async_try_to_found(peers, standing):
+            return
+        request = JoinRequest(PACKET_VERSION, standing.identity.cluster_id, standing.replica)
+        for host_id in peers.host_ids:
+            peers.push(host_id, request)
+
     async def async_answer(self, channel: Channel[Any], message: ShellMessage) -> FormReply:
         """Tell a founder which replica this is, and bind it to the founder's log if asked to."""
         standing = self._standing()
--- a/packages/replication/src/lagoonwing_replication/_raft_log.py
+++ b/packages/replication/src/lagoonwing_replication/_raft_log.py
@@ -332,7 +332,11 @@
     async def _async_found(self, replica_set: ReplicaSet) -> None:
         """Begin a new log with this replica set."""
         await self._binding.async_bind(self._binding.known().replica_id)
-        state = await self._writer.async_run(self._storage.found, replica_set)
+        try:
+            state = await self._writer.async_run(self._storage.found, replica_set)
+        except StorageError as error:
+            self._take_storage_failure(error)
+            return
         self._replace_core(state)
 
     @callback
@@ -376,4 +380,12 @@
         """Run a coroutine for the life of the component at most."""
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._finish_task)
+
+    @callback
+    def _finish_task(self, task: asyncio.Task[None]) -> None:
+        """Forget a task and log its failure."""
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            error = repr(task.exception())
+            log_event(EventCode.COMPONENT_FAILED, component=self.name, error=error)
--- a/packages/replication/src/lagoonwing_replication/_segments.py
+++ b/packages/replication/src/lagoonwing_replication/_segments.py
@@ -119,8 +119,13 @@
         if self._descriptor is None:
             raise StorageError("no segment is open")
         content = encode_frame(self._next_sequence, payload)
-        write_all(self._descriptor, content)
-        sync_file(self._descriptor)
+        try:
+            write_all(self._descriptor, content)
+            sync_file(self._descriptor)
+        except StorageError:
+            # What follows a part of a frame would look like damage.
+            self.close()
+            raise
         self._next_sequence += 1
         self._size += len(content)
 
--- a/tests/replication/test_raft_log.py
+++ b/tests/replication/test_raft_log.py
@@ -10,9 +10,10 @@
 import pytest
 from replication_cluster import WAIT_S, Cluster, async_open_channel, async_until
 
-from lagoonwing_consensus import AppendRequest
+from lagoonwing_consensus import AppendRequest, ReplicaSet, RestoredState
 from lagoonwing_core.ids import HostId, LogIndex, ReplicaId, Term
 from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_replication import StorageError
 from lagoonwing_replication._storage import Storage
 from lagoonwing_replication.const import PACKET_VERSION
 from lagoonwing_replication.messages import FormRequest, Packet
@@ -204,6 +205,27 @@
     await cluster.async_stop()
 
 
+async def test_formation_outlives_a_full_disk(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A founder without room for the first entry tries again."""
+    failures = iter([StorageError("full", is_full=True)] * 2)
+    found = Storage.found
+
+    def fail_twice(storage: Storage, replica_set: ReplicaSet) -> RestoredState:
+        error = next(failures, None)
+        if error is not None:
+            raise error
+        return found(storage, replica_set)
+
+    monkeypatch.setattr(Storage, "found", fail_twice)
+    cluster = Cluster(tmp_path, voters=3)
+    await cluster.async_start()
+    await cluster.async_propose(b"one")
+    assert await cluster.async_until_equal() == [b"one"]
+    await cluster.async_stop()
+
+
 @pytest.mark.parametrize("error_number", [errno.ENOSPC, errno.EIO])
 async def test_full_disk_stops_the_leader_alive(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, error_number: int
--- a/tests/replication/test_storage.py
+++ b/tests/replication/test_storage.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import errno
+import os
 from pathlib import Path
 
 import pytest
@@ -99,6 +101,26 @@
         replay.restored(Snapshot())
 
 
+def test_nothing_is_written_behind_a_failed_write(
+    storage: Storage, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """After a write that failed half-way the folder takes no more until it is opened again."""
+    write = os.write
+
+    def write_half(descriptor: int, content: memoryview) -> int:
+        write(descriptor, content[: len(content) // 2])
+        raise OSError(errno.ENOSPC, "injected")
+
+    with monkeypatch.context() as patch, pytest.raises(StorageError):
+        patch.setattr(os, "write", write_half)
+        storage.append([Output(entries=[_entry(7)])], LogIndex(6))
+    with pytest.raises(StorageError):
+        storage.append([Output(entries=[_entry(7)])], LogIndex(6))
+    assert len(storage.open().state.entries) == 6
+    storage.append([Output(entries=[_entry(7, 2)])], LogIndex(6))
+    assert storage.open().state.entries[-1] == _entry(7, 2)
+
+
 @pytest.mark.parametrize("pattern", ["identity.bin", "log-*.bin"])
 def test_missing_files_are_refused(storage: Storage, pattern: str) -> None:
     """A folder from which a part is gone is neither new nor usable."""
