--- a/tests/replication/test_raft_log.py
+++ b/tests/replication/test_raft_log.py
@@ -8,11 +8,15 @@
 from pathlib import Path
 
 import pytest
-from replication_cluster import WAIT_S, Cluster, async_until
+from replication_cluster import WAIT_S, Cluster, async_open_channel, async_until
 
-from lagoonwing_core.ids import HostId
+from lagoonwing_consensus import AppendRequest, ReplicaSet, RestoredState
+from lagoonwing_core.ids import HostId, LogIndex, ReplicaId, Term
 from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_replication import StorageError
 from lagoonwing_replication._storage import Storage
+from lagoonwing_replication.const import PACKET_VERSION
+from lagoonwing_replication.messages import FormRequest, Packet
 
 
 async def test_every_replica_gets_every_change(tmp_path: Path) -> None:
@@ -161,6 +165,31 @@
     await cluster.async_stop()
 
 
+async def test_messages_of_another_log_are_ignored(tmp_path: Path) -> None:
+    """A leader of another log can't take a replica over, whatever its term."""
+    cluster = Cluster(tmp_path, voters=1)
+    await cluster.async_start()
+    await cluster.async_propose(b"one")
+    host = await cluster.async_leader()
+    status = host.log.status()
+    request = AppendRequest(
+        sender=ReplicaId("stranger"),
+        receiver=status.voters[0].replica_id,
+        term=Term(99),
+        previous_index=LogIndex(0),
+        previous_term=Term(0),
+        commit=LogIndex(0),
+        sent_at=0.0,
+    )
+    async with async_open_channel(host) as channel:
+        channel.push(Packet(PACKET_VERSION, "another log", request))
+        question = FormRequest(PACKET_VERSION, ReplicaId("stranger"), binds=True)
+        reply = (await channel.async_call(question, 5.0)).ok
+    assert reply.cluster_id == status.voters[0].replica_id
+    assert host.log.status().term == status.term
+    await cluster.async_stop()
+
+
 async def test_formation_goes_on_after_a_crash(tmp_path: Path) -> None:
     """A founder that crashed after binding the disks, before the first entry, forms the log."""
     cluster = Cluster(tmp_path, voters=3)
@@ -176,6 +205,27 @@
     await cluster.async_stop()
 
 
+async def test_formation_outlives_a_full_disk(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A founder without room for the first entry tries again."""
+    failures = iter([StorageError("full", is_full=True)] * 2)
+    found = Storage.found
+
+    def fail_twice(storage: Storage, replica_set: ReplicaSet) -> RestoredState:
+        error = next(failures, None)
+        if error is not None:
+            raise error
+        return found(storage, replica_set)
+
+    monkeypatch.setattr(Storage, "found", fail_twice)
+    cluster = Cluster(tmp_path, voters=3)
+    await cluster.async_start()
+    await cluster.async_propose(b"one")
+    assert await cluster.async_until_equal() == [b"one"]
+    await cluster.async_stop()
+
+
 @pytest.mark.parametrize("error_number", [errno.ENOSPC, errno.EIO])
 async def test_full_disk_stops_the_leader_alive(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, error_number: int
--- a/tests/replication/test_storage.py
+++ b/tests/replication/test_storage.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import errno
+import os
 from pathlib import Path
 
 import pytest
@@ -9,6 +11,9 @@
 from lagoonwing_consensus import Entry, EntryKind, HardState, Output, ReplicaSet, Snapshot
 from lagoonwing_core.ids import HostId, LogIndex, ReplicaId, Term
 from lagoonwing_replication import CorruptStorageError, StorageError, _segments
+from lagoonwing_replication._files import decode_frame
+from lagoonwing_replication._records import LogChange, LogFrame
+from lagoonwing_replication._replay import Replay
 from lagoonwing_replication._storage import Storage
 
 HOST = HostId("host")
@@ -77,19 +82,45 @@
         storage.open()
 
 
-def test_accepted_entries_that_are_missing_are_refused(storage: Storage) -> None:
-    """A torn tail doesn't explain the loss of entries that were known as accepted."""
-    storage.append([Output(entries=[_entry(7)])], LogIndex(6))
+def test_missing_frame_is_refused(storage: Storage) -> None:
+    """A log without the frame of its vote is refused, though its entries are whole."""
     segment = _segment(storage)
     content = segment.read_bytes()
-    storage.append([Output(hard_state=HardState(Term(2), None, LogIndex(7)))], LogIndex(7))
-    state_only = segment.read_bytes()[len(content) :]
-    frame_of_seven = content.rindex(b"\xf4LW1")
-    segment.write_bytes(content[:frame_of_seven] + state_only)
+    header = decode_frame(content, 0)
+    vote = decode_frame(content, header.end)
+    segment.write_bytes(content[: header.end] + content[vote.end :])
     with pytest.raises(CorruptStorageError):
         storage.open()
 
 
+def test_accepted_entries_that_are_missing_are_refused() -> None:
+    """A log that ends before an entry that it knows to be accepted is refused."""
+    replay = Replay()
+    replay.take_frame(LogFrame((LogChange(entries=(_entry(1), _entry(2))),), LogIndex(3)))
+    with pytest.raises(CorruptStorageError):
+        replay.restored(Snapshot())
+
+
+def test_nothing_is_written_behind_a_failed_write(
+    storage: Storage, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """After a write that failed half-way the folder takes no more until it is opened again."""
+    write = os.write
+
+    def write_half(descriptor: int, content: memoryview) -> int:
+        write(descriptor, content[: len(content) // 2])
+        raise OSError(errno.ENOSPC, "injected")
+
+    with monkeypatch.context() as patch, pytest.raises(StorageError):
+        patch.setattr(os, "write", write_half)
+        storage.append([Output(entries=[_entry(7)])], LogIndex(6))
+    with pytest.raises(StorageError):
+        storage.append([Output(entries=[_entry(7)])], LogIndex(6))
+    assert len(storage.open().state.entries) == 6
+    storage.append([Output(entries=[_entry(7, 2)])], LogIndex(6))
+    assert storage.open().state.entries[-1] == _entry(7, 2)
+
+
 @pytest.mark.parametrize("pattern", ["identity.bin", "log-*.bin"])
 def test_missing_files_are_refused(storage: Storage, pattern: str) -> None:
     """A folder from which a part is gone is neither new nor usable."""
