Stop an entry host with a claim for longer than its lease

A real process stopped right after its claim and continued 3.5 s later dispatches nothing, tells its caller not_run and gives the claim back; a resend through another host meanwhile is told unknown, and afterwards runs once.

--- a/tests/entry/killable_entry.py
+++ b/tests/entry/killable_entry.py
@@ -1,6 +1,6 @@
-"""An entry host as a process of its own that kills itself at a given point.
+"""An entry host as a process of its own that kills or stops itself at a given point.
 
-Arguments: host id, control's port, and a fault point or `none`.
+Arguments: host id, control's port, a fault point or `none`, and the name of a signal.
 """
 
 from __future__ import annotations
@@ -19,19 +19,20 @@
 from lagoonwing_entry.faults import FaultPoint
 
 
-class KillAt:
-    """Hook that ends the process without any notice."""
+class SignalAt:
+    """Hook that sends the process a signal without any notice."""
 
-    def __init__(self, point: str) -> None:
+    def __init__(self, point: str, number: signal.Signals) -> None:
         self._point = point
+        self._number = number
 
     def reach(self, point: FaultPoint) -> None:
-        """Die at the point chosen."""
+        """Send the signal at the point chosen."""
         if point.value == self._point:
-            os.kill(os.getpid(), signal.SIGKILL)
+            os.kill(os.getpid(), self._number)
 
 
-async def async_main(host_id: str, control_port: int, point: str) -> None:
+async def async_main(host_id: str, control_port: int, hook: SignalAt) -> None:
     """Serve until killed."""
     replica = HostAddress(
         host_id=HostId("control-1"),
@@ -41,7 +42,7 @@
     )
     follower = make_follower((replica,), host_id)
     await follower.async_setup()
-    host = Host(host_id, ClaimTable(), faults=KillAt(point), follower=follower)
+    host = Host(host_id, ClaimTable(), faults=hook, follower=follower)
     await host.entry.async_setup()
     await async_until(lambda: follower.may_take_work() and follower.view.agreement_by_member)
     ports = {"caller": host.caller_port, "announce": host.announce_address}
@@ -50,4 +51,5 @@
 
 
 if __name__ == "__main__":
-    asyncio.run(async_main(sys.argv[1], int(sys.argv[2]), sys.argv[3]))
+    chosen = SignalAt(sys.argv[3], signal.Signals[sys.argv[4]])
+    asyncio.run(async_main(sys.argv[1], int(sys.argv[2]), chosen))
--- a/tests/entry/test_entry_kills.py
+++ b/tests/entry/test_entry_kills.py
@@ -26,7 +26,9 @@
 )
 from tornado.httpclient import HTTPError, HTTPResponse
 
+from lagoonwing_core.ids import Incarnation
 from lagoonwing_fakes import FakeEndpoint, Fault, FaultPlan
+from lagoonwing_follower import FollowerSettings
 from lagoonwing_rpc import operator_pb2
 
 _TESTS = Path(__file__).parents[1]
@@ -41,15 +43,15 @@
     processes: list[asyncio.subprocess.Process] = field(default_factory=list)
     ports: list[dict[str, Any]] = field(default_factory=list)
 
-    async def async_start(self, point: str) -> None:
-        """Start one more entry host that dies at a point."""
+    async def async_start(self, point: str, signal_name: str = "SIGKILL") -> None:
+        """Start one more entry host that dies, or stands still, at a point."""
         host_id = f"entry-{len(self.processes) + 1}"
         port = str(self.replica.settings.replicas[0].port)
         path = os.pathsep.join([str(_TESTS / "support"), str(_TESTS / "entry")])
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             str(_TESTS / "entry" / "killable_entry.py"),
-            *(host_id, port, point),
+            *(host_id, port, point, signal_name),
             stdout=asyncio.subprocess.PIPE,
             env={**os.environ, "PYTHONPATH": path},
         )
@@ -161,3 +163,27 @@
     assert site.effects() == 1
     assert (await site.async_reserve(1)).headers["X-Outcome"] == "unknown"
     assert site.effects() == 1
+
+
+async def test_stopped_with_a_claim_for_longer_than_the_lease(site: KillSite) -> None:
+    """A host that goes on after its lease lapsed dispatches nothing, and gives the claim back."""
+    fake = await site.cell.async_add_service("v1")
+    await site.async_start("after_claim", "SIGSTOP")
+    await site.async_start("none")
+    await site.async_announce(fake)
+    stopped = asyncio.create_task(site.async_reserve(0))
+    pid = site.processes[0].pid
+    await async_until(lambda: _state_of(pid) == "T")
+    assert (await site.async_reserve(1)).headers["X-Outcome"] == "unknown"
+    await asyncio.sleep(FollowerSettings((), Incarnation(1), None).configuration_lease_s + 0.5)
+    site.processes[0].send_signal(signal.SIGCONT)
+    answer = await stopped
+    assert answer.headers["X-Outcome"] == "not_run"
+    assert site.effects() == 0
+    assert (await site.async_reserve(1)).headers["X-Outcome"] == "done"
+    assert site.effects() == 1
+
+
+def _state_of(pid: int) -> str:
+    """Return the state of a process as the kernel names it."""
+    return Path(f"/proc/{pid}/stat").read_text().rsplit(") ", 1)[1].split()[0]
