--- a/tests/entry/killable_entry.py
+++ b/tests/entry/killable_entry.py
@@ -12,7 +12,7 @@
 import sys
 
 from control_support import make_follower
-from entry_cell import ADDRESS, ClaimTable, Host, async_until
+from entry_cell import ClaimTable, Host, async_until
 
 from lagoonwing_core.ids import FailureDomainId, HostId
 from lagoonwing_core.models import HostAddress
@@ -32,11 +32,11 @@
             os.kill(os.getpid(), self._number)
 
 
-async def async_main(host_id: str, control_port: int, hook: SignalAt) -> None:
+async def async_main(host_id: str, control_address: str, control_port: int, hook: SignalAt) -> None:
     """Serve until killed."""
     replica = HostAddress(
         host_id=HostId("control-1"),
-        address=ADDRESS,
+        address=control_address,
         port=control_port,
         failure_domain=FailureDomainId("a"),
     )
@@ -51,5 +51,6 @@
 
 
 if __name__ == "__main__":
-    chosen = SignalAt(sys.argv[3], signal.Signals[sys.argv[4]])
-    asyncio.run(async_main(sys.argv[1], int(sys.argv[2]), chosen))
+    own_id, ip_number, port, point, number = sys.argv[1:]
+    chosen = SignalAt(point, signal.Signals[number])
+    asyncio.run(async_main(own_id, ip_number, int(port), chosen))
--- a/tests/entry/test_entry_cell.py
+++ b/tests/entry/test_entry_cell.py
@@ -7,20 +7,27 @@
 from pathlib import Path
 
 import pytest
-from control_support import unused_port
 from entry_cell import ADDRESS, Cell, Host, PeerPlan, async_announce, async_until, chat_prompt
 from tornado.iostream import StreamClosedError
 from tornado.tcpclient import TCPClient
+from tornado.testing import bind_unused_port
 
 from lagoonwing_core.ids import ModelId
 from lagoonwing_fakes import FakeEndpoint, FakeKind, expected_text
 
 
+def _unused_port() -> int:
+    """Return a port that nothing listens on."""
+    sock, port = bind_unused_port()
+    sock.close()
+    return port
+
+
 @pytest.fixture
 async def pair(tmp_path: Path) -> AsyncIterator[tuple[Cell, Host, Host, PeerPlan]]:
     """Two hosts that know each other."""
     cell = Cell(tmp_path)
-    ports = (unused_port(), unused_port())
+    ports = (_unused_port(), _unused_port())
     plan = PeerPlan({"e1": ports[0], "e2": ports[1]})
     first = await cell.async_add_host(peers=plan)
     second = await cell.async_add_host(peers=plan)
--- a/tests/entry/test_entry_kills.py
+++ b/tests/entry/test_entry_kills.py
@@ -46,12 +46,12 @@
     async def async_start(self, point: str, signal_name: str = "SIGKILL") -> None:
         """Start one more entry host that dies, or stands still, at a point."""
         host_id = f"entry-{len(self.processes) + 1}"
-        port = str(self.replica.settings.replicas[0].port)
+        control = self.replica.settings.replicas[0]
         path = os.pathsep.join([str(_TESTS / "support"), str(_TESTS / "entry")])
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             str(_TESTS / "entry" / "killable_entry.py"),
-            *(host_id, port, point, signal_name),
+            *(host_id, control.address, str(control.port), point, signal_name),
             stdout=asyncio.subprocess.PIPE,
             env={**os.environ, "PYTHONPATH": path},
         )
