Prove outcomes of keyed calls and answers under kills and freezes

Entry hosts are killed at random moments or frozen for 5 s, the control leader is killed, endpoints answer late, crossed, doubled and cut, while 60 callers resend through other hosts; the services' own logs tell what ran.

--- /dev/null
+++ b/proof/decisions/caps.py
@@ -0,0 +1,109 @@
+"""A member's cap holds over all entry hosts together, through partitions and leader changes."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from lagoonwing_core.result_codes import ResultCode
+from proof.report import Proof, Run
+from proof.site import Site, async_site
+
+CAP = 8
+SURGE_REQUESTS = 160
+SURGE_S = 8.0
+POLL_S = 0.02
+
+
+async def async_cap_in_surge(run: Run) -> None:
+    """Surge from all entry hosts while the leader is killed: never more runs than the cap."""
+    async with async_site(run) as site:
+        await site.async_create_member(max_concurrency=CAP)
+        for number in range(4):
+            site.add_whole(number, tokens_per_s=160.0)
+        await site.async_wait_endpoints(4)
+        stop = asyncio.Event()
+        load = [asyncio.create_task(_async_ask(site, n, stop)) for n in range(SURGE_REQUESTS)]
+        watch = asyncio.create_task(_async_watch_running(site, stop))
+        await asyncio.sleep(SURGE_S / 4)
+        leader = await site.async_leader()
+        site.deployment.kill(f"control-{leader}")
+        await asyncio.sleep(SURGE_S / 4)
+        site.deployment.restart_stopped()
+        victim = 1 + run.seed % 4
+        site.deployment.freeze(f"entry-{victim}")
+        await asyncio.sleep(SURGE_S / 4)
+        site.deployment.thaw(f"entry-{victim}")
+        await asyncio.sleep(SURGE_S / 4)
+        stop.set()
+        outcomes = await asyncio.gather(*load)
+        highest = await watch
+        run.expect(highest <= CAP, f"{highest} ran at once, the cap is {CAP}")
+        run.expect(sum(outcomes) > 0, "nothing was served")
+        run.figures["highest"] = str(highest)
+        run.figures["done"] = str(sum(outcomes))
+
+
+async def _async_ask(site: Site, worker: int, stop: asyncio.Event) -> int:
+    """Ask as fast as refusals allow; returns the answers."""
+    done = 0
+    number = 0
+    while not stop.is_set():
+        answer = await site.async_chat(1 + worker % 4, f"surge {worker} {number} [tokens=16]")
+        number += 1
+        done += answer.outcome == "done"
+        if answer.outcome != "done":
+            await asyncio.sleep(0.2)
+    return done
+
+
+async def _async_watch_running(site: Site, stop: asyncio.Event) -> int:
+    """Follow the endpoints' logs and return the most requests that ran at once."""
+    highest = 0
+    while not stop.is_set():
+        highest = max(highest, await asyncio.to_thread(_running, site))
+        await asyncio.sleep(POLL_S)
+    return highest
+
+
+def _running(site: Site) -> int:
+    """Return the requests that endpoints run now, by their own logs."""
+    running = 0
+    for line in site.deployment.all_effects():
+        if line["event"] == "start":
+            running += 1
+        elif line["event"] in ("end", "cancelled"):
+            running -= 1
+    return running
+
+
+async def async_lowered(run: Run) -> None:
+    """A lowered cap and a retired member are in force everywhere within 4 s."""
+    async with async_site(run) as site:
+        await site.async_create_member(max_concurrency=CAP)
+        site.add_whole(0)
+        await site.async_wait_endpoints(1)
+        done = site.deployment.operate("member", "retire", "member", check=False)
+        run.expect(done.returncode == 0, f"retire: {done.stdout} {done.stderr}")
+        retired = time.monotonic()
+        for entry in range(1, 5):
+            while True:
+                answer = await site.async_chat(entry, f"late {entry}")
+                if answer.outcome == "not_run":
+                    break
+                if time.monotonic() - retired > 4.0:
+                    run.violations.append(f"entry {entry} serves a retired member after 4 s")
+                    break
+            codes = (ResultCode.MEMBER_RETIRED.value, ResultCode.BAD_KEY.value)
+            run.expect(answer.code in codes, f"entry {entry}: code {answer.code}")
+        run.figures["in_force_s"] = f"{time.monotonic() - retired:.2f}"
+
+
+PROOFS = (
+    Proof(
+        "cap-surge",
+        "a cap holds over all entry hosts through kills and freezes",
+        async_cap_in_surge,
+    ),
+    Proof("retired", "a retired member is refused everywhere within 4 s", async_lowered),
+)
--- /dev/null
+++ b/proof/decisions/outcomes.py
@@ -0,0 +1,179 @@
+"""Calls that may run only once, and answers that are their own, under kills and freezes."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_fakes.models import Fault, FaultPlan
+from lagoonwing_fakes.tokens import expected_text
+from proof.report import Proof, Run
+from proof.site import Answer, Site, async_site, chat_text
+
+CALLS = 60
+SERVICE_DELAY_S = 0.1
+KILLS = 3
+KILL_PAUSE_S = 0.8
+FREEZE_S = 5.0
+CHATS = 60
+
+
+async def _async_keyed_site(site: Site) -> None:
+    """Create the member and three services that answer late."""
+    await site.async_create_member()
+    for number in range(3):
+        site.add_service(number, FaultPlan(fault=Fault.LATE, delay_s=SERVICE_DELAY_S))
+    await site.async_wait_endpoints(3)
+
+
+async def _async_call_until_told(
+    site: Site, key: str, generator: random.Random, answers: dict[str, list[Answer]]
+) -> None:
+    """Make one call, and send it again to other entry hosts as an anxious caller would."""
+    for _ in range(4):
+        await asyncio.sleep(generator.random() * KILL_PAUSE_S)
+        entry = generator.randrange(1, site.deployment.plan.entries + 1)
+        answer = await site.async_reserve(entry, key, f"name-{key}")
+        answers[key].append(answer)
+        if answer.outcome == "done":
+            return
+
+
+def _check_calls(run: Run, site: Site, answers: dict[str, list[Answer]]) -> None:
+    """Compare what callers were told with what ran."""
+    effects = site.reservations()
+    for key, told in answers.items():
+        ran = effects.get(key, 0)
+        outcomes = [answer.outcome for answer in told]
+        run.expect(ran <= 1, f"{key} ran {ran} times: {outcomes}")
+        run.expect("done" not in outcomes or ran == 1, f"{key} told done, ran {ran} times")
+        bodies = {answer.body for answer in told if answer.outcome == "done"}
+        run.expect(len(bodies) <= 1, f"{key} got different answers")
+        told_all = all(outcome == "not_run" for outcome in outcomes)
+        run.expect(not (told_all and ran), f"{key} told not_run by all, but ran")
+    done = sum(any(answer.outcome == "done" for answer in told) for told in answers.values())
+    unknown = sum(told[-1].outcome == "unknown" for told in answers.values())
+    run.figures["calls"] = str(len(answers))
+    run.figures["done"] = str(done)
+    run.figures["unknown"] = str(unknown)
+    run.figures["effects"] = str(sum(effects.values()))
+
+
+async def async_kill_entries(run: Run) -> None:
+    """Kill entry hosts at random moments while callers resend through others."""
+    async with async_site(run) as site:
+        await _async_keyed_site(site)
+        answers = await _async_calls_during(site, _async_kill_some)
+        _check_calls(run, site, answers)
+
+
+async def async_freeze_entry(run: Run) -> None:
+    """Freeze an entry host that holds claims, let callers resend, then thaw it."""
+    async with async_site(run) as site:
+        await _async_keyed_site(site)
+        answers = await _async_calls_during(site, _async_freeze_one)
+        await asyncio.sleep(1.0)
+        _check_calls(run, site, answers)
+
+
+async def async_kill_control(run: Run) -> None:
+    """Kill the control leader while claims are made."""
+
+    async def async_fault(site: Site) -> None:
+        leader = await site.async_leader()
+        site.deployment.kill(f"control-{leader}")
+        await asyncio.sleep(2.0)
+        site.deployment.restart_stopped()
+
+    async with async_site(run) as site:
+        await _async_keyed_site(site)
+        answers = await _async_calls_during(site, async_fault)
+        _check_calls(run, site, answers)
+
+
+async def _async_calls_during(site: Site, async_fault) -> dict[str, list[Answer]]:  # type: ignore[no-untyped-def]
+    """Make calls with keys while a fault is made."""
+    generator = random.Random(site.run.seed)
+    answers: dict[str, list[Answer]] = {f"key-{number}": [] for number in range(CALLS)}
+    await asyncio.gather(
+        async_fault(site),
+        *(
+            _async_call_until_told(site, key, random.Random(generator.random()), answers)
+            for key in answers
+        ),
+    )
+    return answers
+
+
+async def _async_kill_some(site: Site) -> None:
+    """Kill entry hosts one after the other, each started again."""
+    generator = random.Random(site.run.seed)
+    for _ in range(KILLS):
+        await asyncio.sleep(generator.random() * KILL_PAUSE_S)
+        victim = generator.randrange(1, site.deployment.plan.entries + 1)
+        site.deployment.kill(f"entry-{victim}")
+        await asyncio.sleep(0.2)
+        site.deployment.restart_stopped()
+
+
+async def _async_freeze_one(site: Site) -> None:
+    """Freeze one entry host for longer than any lease."""
+    victim = 1 + site.run.seed % site.deployment.plan.entries
+    await asyncio.sleep(KILL_PAUSE_S / 2)
+    site.deployment.freeze(f"entry-{victim}")
+    await asyncio.sleep(FREEZE_S)
+    site.deployment.thaw(f"entry-{victim}")
+
+
+async def async_answers(run: Run) -> None:
+    """Answers late, crossed, doubled and cut by some endpoints reach nobody as theirs."""
+    async with async_site(run) as site:
+        await site.async_create_member()
+        faults = (Fault.NONE, Fault.NONE, Fault.CROSSED, Fault.DOUBLED, Fault.TRUNCATED, Fault.LATE)
+        for number, fault in enumerate(faults):
+            after = 0 if fault in (Fault.CROSSED, Fault.LATE) else 3
+            site.add_whole(number, FaultPlan(fault=fault, count=20, after_tokens=after))
+        await site.async_wait_endpoints(len(faults))
+        await asyncio.gather(*(_async_check_chat(site, number) for number in range(CHATS)))
+
+
+async def _async_check_chat(site: Site, number: int) -> None:
+    """Ask for one answer and compare it with the prompt's own."""
+    prompt = f"prompt {number} of seed {site.run.seed} [tokens=20]"
+    answer = await site.async_chat(1 + number % 4, prompt, stream=number % 2 == 0)
+    text = chat_text(answer)
+    expected = expected_text(f"user: {prompt}")
+    if not text:
+        key = "not whole"
+        site.run.figures[key] = str(int(site.run.figures.get(key, "0")) + 1)
+        return
+    site.run.expect(text == expected, f"chat {number}: {text!r} is not {expected!r}")
+    site.run.figures["whole"] = str(int(site.run.figures.get("whole", "0")) + 1)
+
+
+async def async_not_run(run: Run) -> None:
+    """Refusals of endpoints and of the entry host say not_run, and nothing ran."""
+    async with async_site(run, entries=2) as site:
+        await site.async_create_member()
+        for number in range(2):
+            site.add_service(number, FaultPlan(fault=Fault.REFUSE))
+        await site.async_wait_endpoints(2)
+        for number in range(20):
+            answer = await site.async_reserve(1 + number % 2, f"refused-{number}", "x")
+            run.expect(answer.outcome == "not_run", f"refused call told {answer.outcome}")
+            run.expect(answer.code != ResultCode.OK.value, "refused call got code OK")
+        run.expect(not site.reservations(), f"refused calls ran: {site.reservations()}")
+
+
+PROOFS = (
+    Proof(
+        "kill-entries", "a keyed call runs at most once though entry hosts die", async_kill_entries
+    ),
+    Proof("freeze-entry", "the same with an entry host frozen past its leases", async_freeze_entry),
+    Proof("kill-control", "the same while the control leader dies", async_kill_control),
+    Proof(
+        "answers", "late, crossed, doubled and cut answers reach nobody as theirs", async_answers
+    ),
+    Proof("not-run", "not_run is said only where nothing ran", async_not_run),
+)
