--- a/packages/entry/src/lagoonwing_entry/_entry_host.py
+++ b/packages/entry/src/lagoonwing_entry/_entry_host.py
@@ -12,6 +12,7 @@
 from lagoonwing_core.runtime import Component, Runtime
 from lagoonwing_entry._announce_server import AnnounceServer
 from lagoonwing_entry._attempts import AttemptRunner
+from lagoonwing_entry._bounded_handler import BodyBudget
 from lagoonwing_entry._caller_handlers import CallerContext
 from lagoonwing_entry._caller_server import CallerServer
 from lagoonwing_entry._claimed_calls import ServiceCaller
@@ -21,12 +22,14 @@
 from lagoonwing_entry._http_adapter import HttpEndpointAdapter
 from lagoonwing_entry._membership_shell import MembershipShell
 from lagoonwing_entry._request_runner import RequestRunner
+from lagoonwing_entry._sharing_shell import SharingShell
 from lagoonwing_entry._suspects import SuspectReporter
 from lagoonwing_entry.adapter import EndpointAdapter
 from lagoonwing_entry.diagnostics import EntryMetrics
 from lagoonwing_entry.faults import FaultHook, NoFaults
 from lagoonwing_entry.models import EntrySettings
 from lagoonwing_entry.ports import ControlPort, MembershipPort, SchedulerPort
+from lagoonwing_policy.sharing import SharingSystem
 from lagoonwing_wire import ChannelServer, Identity
 
 
@@ -45,6 +48,7 @@
         membership_decoder: Decoder of membership's messages.
         control: The follower.
         channels: Server on which other entry hosts push membership's messages.
+        sharing: Division of capacity among entry hosts; without it each uses all of it.
         adapter: Calls to endpoints, if not by HTTP as the stand-ins speak it.
         faults: Hook for tests.
     """
@@ -61,6 +65,7 @@
         membership_decoder: msgspec.msgpack.Decoder[Any],
         control: ControlPort,
         channels: ChannelServer | None = None,
+        sharing: SharingSystem | None = None,
         adapter: EndpointAdapter | None = None,
         faults: FaultHook | None = None,
     ) -> None:
@@ -70,12 +75,19 @@
         self.state = HostStateTable(control)
         adapter = adapter or HttpEndpointAdapter(settings.adapter, clock)
         suspects = SuspectReporter(control, settings.control_timeout_s)
-        attempts = AttemptRunner(adapter, scheduler, self.directory, suspects, clock)
+        attempts = AttemptRunner(adapter, scheduler, self.directory, suspects, self.metrics, clock)
         self.runner = RequestRunner(
-            scheduler, attempts, self.directory, suspects, self.metrics, clock, settings.tick_s
+            scheduler,
+            attempts,
+            self.directory,
+            suspects,
+            self.metrics,
+            self.state,
+            clock,
+            settings.tick_s,
         )
         self._services = ServiceCaller(
-            self.runner, control, faults or NoFaults(), settings.claim_timeout_s
+            self.runner, control, faults or NoFaults(), clock, settings.claim_timeout_s
         )
         context = CallerContext(
             settings=settings,
@@ -86,6 +98,7 @@
             state=self.state,
             metrics=self.metrics,
             clock=clock,
+            budget=BodyBudget(settings.caller.max_held_bytes),
         )
         self.callers = CallerServer(settings.caller, context)
         self.announcements = AnnounceServer(settings.announce, membership, clock)
@@ -100,15 +113,14 @@
             clock,
             settings.membership_tick_s,
         )
+        self.runner.refresh_records = self.membership.refresh_if_stale
         self.control = ControlShell(settings, control, scheduler, self.runner, self.state, clock)
-        components: tuple[Component, ...] = (
-            adapter,
-            self.runner,
-            self.membership,
-            self.control,
-            self.announcements,
-            self.callers,
-        )
+        components: list[Component] = [adapter, self.runner, self.membership, self.control]
+        if sharing is not None:
+            components.append(
+                SharingShell(sharing, scheduler, membership, self.runner, identity, channels, clock)
+            )
+        components += [self.announcements, self.callers]
         self._runtime = Runtime(clock)
         for component in components:
             self._runtime.register(component)
--- /dev/null
+++ b/packages/replication/src/lagoonwing_replication/_raft_log.py
@@ -0,0 +1,379 @@
+"""The replicated log's shell: carries out what the core decides."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any
+
+import msgspec
+from expression import Error, Ok, Result
+
+from lagoonwing_consensus import (
+    InvariantError,
+    Message,
+    Output,
+    Replica,
+    ReplicaCore,
+    ReplicaRole,
+    ReplicaSet,
+    RestoredState,
+)
+from lagoonwing_core.callback import callback
+from lagoonwing_core.clock import Clock
+from lagoonwing_core.errors import Refusal
+from lagoonwing_core.events import EventCode, log_event
+from lagoonwing_core.ids import HostId, LogIndex, Term
+from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_replication._applier import Applier
+from lagoonwing_replication._binding import Binding
+from lagoonwing_replication._changes import ChangeSignal
+from lagoonwing_replication._clock import BootClock
+from lagoonwing_replication._directory import (
+    Directory,
+    standing_of,
+    status_of,
+    status_without_disk,
+)
+from lagoonwing_replication._formation import Formation, Standing
+from lagoonwing_replication._leadership import Leadership
+from lagoonwing_replication._peers import Peers
+from lagoonwing_replication._proposals import Proposals
+from lagoonwing_replication._proposer import Proposer
+from lagoonwing_replication._snapshotter import Snapshotter
+from lagoonwing_replication._storage import Recovered, Storage
+from lagoonwing_replication._writer import Writer
+from lagoonwing_replication.const import (
+    PACKET_VERSION,
+    STORAGE_RETRY_S,
+    TICK_S,
+)
+from lagoonwing_replication.errors import CorruptStorageError, StorageError
+from lagoonwing_replication.messages import JoinRequest, Packet, ShellMessage
+from lagoonwing_replication.models import LogStatus, StateMachine
+from lagoonwing_replication.settings import LogSettings
+from lagoonwing_wire import ChannelServer, Identity
+
+
+class RaftLog:
+    """One replica of the log on disk and network.
+
+    Register it before the channel server is set up. The state machine is called on the loop.
+
+    Attributes:
+        core: The core, while the disk can be used.
+    """
+
+    name = "raft_log"
+
+    def __init__(
+        self,
+        settings: LogSettings,
+        state_machine: StateMachine,
+        identity: Identity,
+        server: ChannelServer,
+        clock: Clock | None = None,
+        on_leadership: Callable[[Term | None], None] = lambda term: None,
+    ) -> None:
+        self.on_leadership = on_leadership
+        self._settings = settings
+        self._clock = clock or BootClock()
+        self.core: ReplicaCore | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._changes = ChangeSignal()
+        self._directory = Directory()
+        self._proposals = Proposals()
+        self._proposer = Proposer(self, self._proposals, self._changes)
+        self._leadership = Leadership(self._take_leadership)
+        self._storage = Storage(settings.folder, settings.host_id)
+        self._writer = Writer(
+            self._storage, self._take_synced, self._take_storage_failure, self._known_commit
+        )
+        self._binding = Binding(self._storage, self._writer)
+        self._applier = Applier(state_machine, self._proposals, self._keep_link)
+        self._snapshotter = Snapshotter(
+            settings, self._storage, self._writer, self._applier, self._spawn
+        )
+        self._formation = Formation(settings, self._binding, self._standing, self._async_found)
+        self._peers = Peers(identity, server, self._take_push, self._formation.async_answer)
+
+    async def async_setup(self) -> None:
+        """Recover the log and take part.
+
+        Raises:
+            CorruptStorageError: Something that was synced is damaged or gone. The folder must
+                be emptied, so that the replica comes back under a new identity.
+            StorageError: The folder can't be used.
+        """
+        try:
+            recovered = await self._writer.async_run(self._storage.open)
+        except StorageError as error:
+            log_event(EventCode.STORAGE_FAILED, folder=self._settings.folder.name, error=error)
+            raise
+        self._start_core(recovered)
+        for host in self._settings.hosts:
+            await self._peers.async_add(host.host_id, host.address, host.port)
+        self._spawn(self._async_tick())
+        self._spawn(self._formation.async_run(self._peers))
+
+    async def async_unload(self) -> None:
+        """Stop to take part; what is under way is refused."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._stop_core()
+        await self._peers.async_unload()
+        await self._writer.async_unload()
+
+    async def async_propose(self, command: bytes, timeout: float) -> Result[bytes, Refusal]:
+        """Append a command and wait until it is accepted and applied.
+
+        Args:
+            command: Command for the state machine.
+            timeout: Seconds to wait.
+
+        Returns:
+            The state machine's answer; or a refusal `MESSAGE_TOO_LARGE` or `NOT_LEADER` (not
+            appended; the detail is the leader's host id or empty), or `NO_QUORUM` (not known
+            whether it was or will be accepted).
+        """
+        return await self._proposer.async_propose(command, timeout)
+
+    async def async_read_barrier(self, timeout: float) -> Result[None, Refusal]:
+        """Wait until the local state holds every change accepted before the call.
+
+        Returns:
+            Nothing, while the leader's lease is valid; or a refusal `NOT_LEADER` or `NO_QUORUM`.
+        """
+        deadline = asyncio.get_running_loop().time() + timeout
+        while True:
+            core = self.core
+            if core is None or core.role is not ReplicaRole.LEADER:
+                return Error(self.not_leader())
+            index = core.read_index(self._clock.now())
+            if index is not None and self._applier.applied >= index:
+                return Ok(None)
+            if not await self._changes.async_wait(deadline):
+                return Error(Refusal(ResultCode.NO_QUORUM, "the lease has lapsed"))
+
+    def lease_term(self) -> Term | None:
+        """Return the term in which this replica may act as leader at this moment."""
+        core = self.core
+        if core is None or self._leadership.term != core.term:
+            return None
+        return core.term if core.is_lease_valid(self._clock.now()) else None
+
+    @property
+    def syncs(self) -> int:
+        """Syncs of the log's files so far, each for all that had gathered."""
+        return self._writer.syncs
+
+    def status(self) -> LogStatus:
+        """Return what this replica knows of the log."""
+        core = self.core
+        applied = self._applier.applied
+        if core is None:
+            return status_without_disk(self._applier.accepted_set, applied)
+        leader = self._directory.leader_host(core)
+        lease_valid = self.lease_term() is not None
+        return status_of(core, leader, applied, self._clock.now(), lease_valid=lease_valid)
+
+    @callback
+    def _start_core(self, recovered: Recovered) -> None:
+        """Take part with what the disk holds."""
+        self._binding.identity = recovered.identity
+        state = recovered.state
+        log_event(
+            EventCode.LOG_RECOVERED,
+            replica=recovered.identity.replica_id,
+            cluster=recovered.identity.cluster_id,
+            is_new=recovered.is_new,
+            term=state.hard_state.term,
+            snapshot=state.snapshot.index,
+            entries=len(state.entries),
+            torn_bytes=recovered.torn_bytes,
+        )
+        self._applier.restore(state.snapshot)
+        self._replace_core(state)
+
+    @callback
+    def _replace_core(self, state: RestoredState) -> None:
+        """Start a core from a state on disk."""
+        core = ReplicaCore(
+            self._binding.known().replica_id,
+            self._settings.core,
+            msgspec.structs.replace(state, applied=self._applier.applied),
+            secrets.randbits(32),
+            self._clock.now(),
+        )
+        self.core = core
+        self._carry_out(core.start())
+
+    @callback
+    def _stop_core(self) -> None:
+        """Take no part any more; nothing is acknowledged from now on."""
+        self.core = None
+        self._writer.discard()
+        self._proposals.refuse_all("")
+        self._leadership.update(None, None)
+        self._changes.notify()
+
+    @callback
+    def step(self, call: Callable[[ReplicaCore, float], Output]) -> None:
+        """Call the core and do what it asks for.
+
+        A core that contradicts itself, or a state machine that fails, is stopped for good: a
+        state that has missed a change would differ from the others without notice.
+        """
+        core = self.core
+        if core is None:
+            return
+        try:
+            output = call(core, self._clock.now())
+        except InvariantError as error:
+            log_event(EventCode.COMPONENT_FAILED, component=self.name, error=error)
+            self._stop_core()
+            return
+        self._carry_out(output)
+
+    @callback
+    def _carry_out(self, output: Output) -> None:
+        """Do what the core asks for."""
+        for message in output.early_messages:
+            self._send(message)
+        try:
+            self._applier.take(output)
+        except Exception as error:
+            log_event(EventCode.COMPONENT_FAILED, component=self.name, error=repr(error))
+            self._stop_core()
+            return
+        if output.is_durable or not self._writer.is_idle:
+            self._writer.enqueue(output)
+        else:
+            for message in output.messages:
+                self._send(message)
+        self._leadership.update(self.core, self._directory.leader_host(self.core))
+        self._changes.notify()
+        if output.committed and self.core is not None:
+            self._snapshotter.take_if_due(self.core)
+            self._proposer.schedule()
+
+    @callback
+    def _take_synced(self, outputs: Sequence[Output]) -> None:
+        """Release what waited for a sync."""
+        if self.core is None:
+            return
+        for output in outputs:
+            for message in output.messages:
+                self._send(message)
+        last = next((output.entries[-1] for output in reversed(outputs) if output.entries), None)
+        if last is not None:
+            self.step(lambda core, now: core.persisted(last.index, last.term, now))
+
+    @callback
+    def _take_storage_failure(self, error: StorageError) -> None:
+        """Stop to acknowledge and to lead; a full disk is tried again later."""
+        log_event(EventCode.STORAGE_FAILED, folder=self._settings.folder.name, error=error)
+        self._stop_core()
+        if error.is_full:
+            self._spawn(self._async_reopen())
+
+    async def _async_reopen(self) -> None:
+        """Come back as after a restart once the disk takes writes again."""
+        while True:
+            await asyncio.sleep(STORAGE_RETRY_S)
+            try:
+                recovered = await self._writer.async_run(self._storage.open)
+                await self._writer.async_run(self._storage.probe)
+            except CorruptStorageError as error:
+                log_event(EventCode.STORAGE_FAILED, folder=self._settings.folder.name, error=error)
+                return
+            except StorageError:
+                continue
+            self._start_core(recovered)
+            return
+
+    async def _async_tick(self) -> None:
+        """Let the core notice the time."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.step(lambda core, now: core.tick(now))
+
+    @callback
+    def _take_push(self, host_id: HostId, message: ShellMessage) -> None:
+        """Take a message of another host."""
+        if self.core is None or message.version != PACKET_VERSION:
+            return
+        match message:
+            case Packet():
+                self._take_packet(host_id, message)
+            case JoinRequest(cluster_id=cluster_id, replica=replica):
+                own_id = self._binding.cluster_id
+                if own_id and cluster_id in ("", own_id) and replica.host_id == host_id:
+                    self._directory.learn(replica.replica_id, host_id)
+                    self.step(lambda core, now: core.add_learner(replica, now))
+            case _:
+                pass
+
+    @callback
+    def _take_packet(self, host_id: HostId, packet: Packet) -> None:
+        """Take a message for the core; the first one binds a replica that was taken in."""
+        message = packet.message
+        if packet.cluster_id == self._binding.cluster_id:
+            self._directory.learn(message.sender, host_id)
+            self.step(lambda core, now: core.step(message, now))
+            return
+        is_unbound = self._binding.cluster_id == ""
+        if is_unbound and message.receiver == self._binding.known().replica_id:
+            self._spawn(self._binding.async_bind(packet.cluster_id))
+
+    async def _async_found(self, replica_set: ReplicaSet) -> None:
+        """Begin a new log with this replica set."""
+        await self._binding.async_bind(self._binding.known().replica_id)
+        state = await self._writer.async_run(self._storage.found, replica_set)
+        self._replace_core(state)
+
+    @callback
+    def _standing(self) -> Standing | None:
+        """Return where this replica stands, unless its disk has failed."""
+        if self.core is None or self._binding.identity is None:
+            return None
+        return standing_of(self._settings, self._binding.identity, self.core)
+
+    @callback
+    def _send(self, message: Message) -> None:
+        """Send one message of the core."""
+        host_id = self._directory.host_of(self.core, message.receiver)
+        if host_id is not None:
+            packet = Packet(PACKET_VERSION, self._binding.cluster_id, message)
+            self._peers.push(host_id, packet)
+
+    @callback
+    def _keep_link(self, replica: Replica) -> None:
+        """Keep a link to the host of a replica."""
+        if replica.host_id not in self._peers.host_ids:
+            self._spawn(self._peers.async_add(replica.host_id, replica.address, replica.port))
+
+    @callback
+    def _take_leadership(self, term: Term | None) -> None:
+        """Pass a change of leadership on."""
+        if term is None:
+            self._proposals.refuse_all(self.not_leader().detail)
+        self.on_leadership(term)
+
+    def not_leader(self) -> Refusal:
+        """Return the refusal that names the leader, if known."""
+        leader = self._directory.leader_host(self.core)
+        return Refusal(ResultCode.NOT_LEADER, leader or "")
+
+    def _known_commit(self) -> LogIndex:
+        """Return the last accepted entry known."""
+        return LogIndex(0) if self.core is None else self.core.commit
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Run a coroutine for the life of the component at most."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
