--- a/bench/limits_bench.py
+++ b/bench/limits_bench.py
@@ -41,6 +41,7 @@
 RESULTS = Path(__file__).parent / "results" / "limits.md"
 POLICIES = {
     "product": SchedulerSettings(),
+    "even split": SchedulerSettings(),
     "baseline": SchedulerSettings(
         queue=FirstComeFirstServed(),
         limits=NoLimits(),
@@ -73,7 +74,10 @@
     members = make_members(case.cap)
     endpoints = make_endpoints(ENDPOINTS)
     capacity = sum(record.tokens_per_s for record in endpoints)
-    simulation = Simulation(POLICIES[case.policy], ENTRIES, endpoints, members, case.seed)
+    shares_work = case.policy == "product"
+    simulation = Simulation(
+        POLICIES[case.policy], ENTRIES, endpoints, members, case.seed, shares_work
+    )
     jobs = make_jobs(case.workload, members, capacity, ENTRIES, case.seed)
     simulation.run(jobs, case.workload.seconds)
     return simulation
@@ -277,10 +281,11 @@
         f"`python -m bench.limits_bench`: {ENTRIES} schedulers on a paused clock, {ENDPOINTS}"
         f" endpoints of three speeds with 8 slots, 10 members (3 large), seeds"
         f" {', '.join(map(str, seeds))}. Median (lowest to highest). No network and no"
-        " processes: the decisions alone.",
+        " processes: the decisions alone. Even split: the product, each entry host keeping an even"
+        " part of every endpoint instead of telling the others its work.",
     ]
     for title in titles:
-        lines += ["", f"## {title}", "", "| | product | baseline |", "|---|---|---|"]
+        lines += ["", f"## {title}", "", "| | " + " | ".join(POLICIES) + " |", "|---" * 4 + "|"]
         for name in results[title, "product", seeds[0]]:
             cells = [
                 format_value([results[title, policy, seed][name] for seed in seeds])
--- a/bench/limits_driver.py
+++ b/bench/limits_driver.py
@@ -14,6 +14,7 @@
     EndpointId,
     FailureDomainId,
     Fingerprint,
+    HostId,
     Incarnation,
     MemberId,
     ModelId,
@@ -41,6 +42,8 @@
     SchedulerCommand,
     StartAttempt,
 )
+from lagoonwing_policy.sharing import SharingSystem
+from lagoonwing_policy.sharing.const import NEWS_PERIOD_S
 
 MODEL = ModelId("m")
 TICK_S = 0.01
@@ -170,7 +173,11 @@
         endpoints: list[EndpointRecord],
         members: list[MemberPlan],
         seed: int,
+        shares_work: bool = True,
     ) -> None:
+        self._shares_work = shares_work
+        self._hosts = [HostId(f"host-{number}") for number in range(entries)]
+        self._sharing = [SharingSystem(host_id) for host_id in self._hosts]
         self.now = 0.0
         self.jobs: list[Job] = []
         self.cap_excess: Counter[str] = Counter()
@@ -205,6 +212,8 @@
         self._every(LOAD_REPORT_S, 0.0, self._report_load)
         self._every(PROGRESS_S, 0.0, self._report_progress)
         self._every(ALLOTMENT_S, 0.0, self._allot)
+        if self._shares_work:
+            self._every(NEWS_PERIOD_S, 0.0, self._share)
         while self._events and self._events[0][0] <= until:
             self.now, _, action = heapq.heappop(self._events)
             action()
@@ -339,6 +348,16 @@
 
         self._at(self.now + LOAD_REPORT_S / 2, deliver)
 
+    def _share(self) -> None:
+        """Tell every entry host of the others' work, and divide the capacity by it."""
+        rows = [scheduler.work(self.now) for scheduler in self._schedulers]
+        for sharing, scheduler, own in zip(self._sharing, self._schedulers, rows, strict=True):
+            shares = sharing.shares(own, self._hosts, scheduler.slots_by_pool(), self.now)
+            scheduler.set_shares(shares, self.now)
+        for host_id, system, own in zip(self._hosts, self._sharing, rows, strict=True):
+            for other in self._sharing:
+                other.receive(host_id, system.news(own), self.now)
+
     def _allot(self) -> None:
         """Divide each cap by demand; what an entry host uses or holds in lease stays its own."""
         demands = [
--- a/packages/policy/src/lagoonwing_policy/_scheduler.py
+++ b/packages/policy/src/lagoonwing_policy/_scheduler.py
@@ -293,6 +293,7 @@
         """
         self._router.set_capacity_parts(shares.part_by_pool, shares.even_part)
         self._tables.weights.set_shares(shares.member_shares)
+        self._tables.slots.long_work.set_entry_hosts(round(1.0 / shares.even_part.size))
         for pool in self._tables.pools:
             self._tables.pools.reopen(pool)
 
