--- a/packages/membership/src/lagoonwing_membership/__init__.py
+++ b/packages/membership/src/lagoonwing_membership/__init__.py
@@ -6,6 +6,10 @@
 from lagoonwing_membership.const import RENEW_AFTER_S, TICK_S
 from lagoonwing_membership.diagnostics import get_diagnostics
 from lagoonwing_membership.models import (
+    CapacityRow,
+    CellId,
+    CellSettings,
+    CellSummary,
     EndpointConflict,
     EndpointExpired,
     EndpointJoined,
@@ -16,12 +20,17 @@
     MembershipEvent,
     MembershipMessage,
     MembershipSettings,
+    RemoteCell,
     Send,
 )
 
 __all__ = [
     "RENEW_AFTER_S",
     "TICK_S",
+    "CapacityRow",
+    "CellId",
+    "CellSettings",
+    "CellSummary",
     "EndpointConflict",
     "EndpointExpired",
     "EndpointJoined",
@@ -33,6 +42,7 @@
     "MembershipEvent",
     "MembershipMessage",
     "MembershipSettings",
+    "RemoteCell",
     "Send",
     "get_diagnostics",
 ]
--- a/packages/membership/src/lagoonwing_membership/models.py
+++ b/packages/membership/src/lagoonwing_membership/models.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
-from typing import Annotated
+from typing import Annotated, NewType
 
 import msgspec
 
@@ -12,6 +12,8 @@
 from lagoonwing_core.models import EndpointRecord, HostAddress
 from lagoonwing_membership import const
 
+# Cell of entry hosts that know the same endpoints.
+CellId = NewType("CellId", str)
 # Times and ages; a negative age would keep a record beyond its life.
 Milliseconds = Annotated[int, msgspec.Meta(ge=0)]
 
@@ -37,6 +39,26 @@
     join_grace_s: float = const.JOIN_GRACE_S
 
 
+@dataclass(frozen=True, slots=True)
+class RemoteCell:
+    """Hosts of another cell to ask first."""
+
+    cell_id: CellId
+    hosts: tuple[HostAddress, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CellSettings:
+    """Place of this host's cell among others.
+
+    Attributes:
+        remotes: Some other cells; the rest is learned from their summaries.
+    """
+
+    cell_id: CellId
+    remotes: tuple[RemoteCell, ...] = ()
+
+
 class Header(msgspec.Struct, frozen=True, array_like=True):
     """Times that let the receiver bound a message's age without a common clock.
 
@@ -139,6 +161,13 @@
     last: bool
 
 
+class Summary(msgspec.Struct, frozen=True, array_like=True, tag="summary"):
+    """Checksum of what the sender knows; a receiver that differs answers with a digest."""
+
+    header: Header
+    checksum: int
+
+
 class Pull(msgspec.Struct, frozen=True, array_like=True, tag="pull"):
     """Asks for the records of endpoints."""
 
@@ -146,7 +175,86 @@
     endpoint_ids: tuple[EndpointId, ...]
 
 
-MembershipMessage = Ping | PingRequest | Ack | Push | Digest | Pull
+class CapacityRow(msgspec.Struct, frozen=True, array_like=True):
+    """What a cell has for one kind of work.
+
+    Attributes:
+        key: `model/` and the model's id, or `service/` and the service's.
+        first: First layer, for stages.
+        end: Layer after the last, for stages; 0 otherwise.
+        endpoints: Endpoints that may get work.
+        free_slots: Slots that nothing is known to use.
+    """
+
+    key: str
+    first: int
+    end: int
+    endpoints: int
+    slots: int
+    free_slots: int
+    tokens_per_s: int
+
+
+class Representative(msgspec.Struct, frozen=True, array_like=True):
+    """A host that speaks for its cell."""
+
+    host_id: HostId
+    address: str
+    port: int
+
+
+class CellSummary(msgspec.Struct, frozen=True, array_like=True):
+    """What one cell has, told to others in place of its endpoints.
+
+    Attributes:
+        number: Number of the summary; a higher one replaces a lower one.
+        age_ms: Upper bound of the time since it was made.
+    """
+
+    cell_id: CellId
+    number: int
+    representatives: tuple[Representative, ...]
+    rows: tuple[CapacityRow, ...]
+    age_ms: Milliseconds
+
+
+class CellVersion(msgspec.Struct, frozen=True, array_like=True):
+    """Number of the summary of a cell that a host knows."""
+
+    cell_id: CellId
+    number: int
+
+
+class CellDigest(msgspec.Struct, frozen=True, array_like=True, tag="cell_digest"):
+    """Summaries that the sender knows; the receiver sends the later ones that it has.
+
+    Attributes:
+        sender: Where to answer.
+        is_answer: Whether it answers a digest, and is not to be answered by another.
+    """
+
+    header: Header
+    cell_id: CellId
+    sender: Representative
+    versions: tuple[CellVersion, ...]
+    is_answer: bool
+
+
+class CellSummaries(msgspec.Struct, frozen=True, array_like=True, tag="cells"):
+    """Summaries of cells.
+
+    Attributes:
+        is_advice: Whether rows were left out, for hosts that don't represent their cell.
+    """
+
+    header: Header
+    summaries: tuple[CellSummary, ...]
+    is_advice: bool = False
+
+
+MembershipMessage = (
+    Ping | PingRequest | Ack | Push | Digest | Summary | Pull | CellDigest | CellSummaries
+)
 
 
 @dataclass(frozen=True, slots=True)
