--- a/packages/lagoonctl/src/lagoonctl/const.py
+++ b/packages/lagoonctl/src/lagoonctl/const.py
@@ -18,7 +18,7 @@
     CONFLICT = 4
 
 
-DEFAULT_ADDRESS = "127.0.0.1:7400"
+DEFAULT_ADDRESS = "127.0.0.1:7500"
 DEFAULT_TIMEOUT_S = 10.0
 # One replica gets this long before the next one is asked.
 ATTEMPT_TIMEOUT_S = 4.0
--- a/packages/lagoonwing/src/lagoonwing/_control_role.py
+++ b/packages/lagoonwing/src/lagoonwing/_control_role.py
@@ -85,4 +85,5 @@
         operators=tuple(
             OperatorToken(operator.name, operator.key_hash) for operator in section.operators
         ),
+        metrics_port=section.metrics_port,
     )
--- a/tests/control/test_operators.py
+++ b/tests/control/test_operators.py
@@ -20,8 +20,16 @@
 from shared_log import SharedLog
 
 from lagoonwing_control._operator_service import RESULT_CODE_METADATA
-from lagoonwing_core.ids import EndpointId, FailureDomainId, ModelId, StopId
-from lagoonwing_core.models import LayerRange, StopState
+from lagoonwing_control.models import OperatorChange, OrderStop
+from lagoonwing_core.ids import (
+    ChangeId,
+    EndpointId,
+    FailureDomainId,
+    ModelId,
+    Revision,
+    StopId,
+)
+from lagoonwing_core.models import LayerRange, StopState, StopTarget
 from lagoonwing_core.result_codes import ResultCode
 from lagoonwing_rpc import operator_pb2 as pb
 from lagoonwing_wire.control_messages import EndpointSummary
@@ -192,6 +200,24 @@
     )
 
 
+async def test_stops_ordered_in_one_turn_are_checked_one_after_another(three) -> None:
+    """Two orders that reach the leader together don't each see the other's voter as left."""
+    _, replicas = three
+    orders = [
+        OperatorChange(
+            "ana",
+            ChangeId(header(f"s{number}").change_id),
+            Revision(0),
+            OrderStop(StopId(f"s{number}"), StopTarget.HOST, f"control-{number}"),
+        )
+        for number in (1, 2)
+    ]
+    proposer = replicas[0].service.proposer
+    results = await asyncio.gather(*(proposer.async_submit(order) for order in orders))
+    assert [result.is_ok() for result in results] == [True, False]
+    assert results[1].error.code is ResultCode.STOP_REFUSED
+
+
 def _state(shared: SharedLog, stop_id: str) -> StopState:
     """Return the state of a stop at the leader."""
     machine = shared.log_by_host[shared.leader]._state_machine
--- a/tests/control/test_state_machine.py
+++ b/tests/control/test_state_machine.py
@@ -170,6 +170,16 @@
     assert code(replica.copy().set("b", "1", 0, change_id)) is ResultCode.CHANGE_ID_EXPIRED
 
 
+def test_bound_by_count_outlives_a_snapshot(replica, monkeypatch) -> None:
+    """What was forgotten for want of room stays refused after a restore."""
+    monkeypatch.setattr(_change_ids, "MAX_CHANGE_IDS", 2)
+    for number in range(5):
+        replica.set(f"k{number}", "1", 0, f"{START_MS + number}-x")
+    monkeypatch.setattr(_change_ids, "MAX_CHANGE_IDS", 100)
+    other = replica.copy()
+    assert code(other.set("new", "1", 0, f"{START_MS}-x")) is ResultCode.CHANGE_ID_EXPIRED
+
+
 def test_change_ids_past_their_count_are_refused_as_expired(replica, monkeypatch) -> None:
     """The bound by count raises the bound by time, so that no id is forgotten in silence."""
     monkeypatch.setattr(_change_ids, "MAX_CHANGE_IDS", 3)
--- a/tests/follower/test_following.py
+++ b/tests/follower/test_following.py
@@ -121,6 +121,19 @@
         await async_until(lambda: again.may_take_work() and again.view.revision == 2)
 
 
+async def test_running_follower_is_not_renewed_by_a_leader_that_went_back(three) -> None:
+    """Its lease lapses, for the durable state no longer holds what it serves from."""
+    follower, clock = await async_following(three)
+    await async_set(three[1][0], "a", "1")
+    await async_until(lambda: follower.view.revision == 1)
+    for replica in three[1]:
+        replica.service.state_machine.restore(type(replica.service.state_machine)().snapshot())
+    await async_pass(clock, 4.0)
+    assert not follower.may_take_work()
+    assert follower.view.revision == 1
+    await follower.async_unload()
+
+
 async def test_claims_of_two_entries(three) -> None:
     """One is granted, the other waits for the outcome; a new leader knows both."""
     shared, replicas = three
--- a/tests/support/control_support.py
+++ b/tests/support/control_support.py
@@ -6,6 +6,8 @@
 import hashlib
 import itertools
 import os
+import random
+import socket
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -45,7 +47,20 @@
 PEER_PORT = 7402
 OPERATOR_PORT = 7400
 
+FREE_PORTS = range(10_000, 30_000)
+
 _numbers = itertools.count(1)
+# Each test process draws its own ports.
+_port_draw = random.Random(os.getpid())
+
+
+def unused_port() -> int:
+    """Return a port of 127.0.0.1 on which nothing listens now."""
+    for port in _port_draw.sample(FREE_PORTS, len(FREE_PORTS)):
+        with socket.socket() as probe:
+            if probe.connect_ex(("127.0.0.1", port)) != 0:
+                return port
+    raise OSError("no port is free")
 
 
 def unused_address() -> str:
@@ -112,34 +127,48 @@
 
 
 def make_settings(count: int = 1, max_request_s: float = 900.0) -> list[ControlSettings]:
-    """Return settings of replicas on addresses of their own, spread over failure domains."""
-    return settings_at([unused_address() for _ in range(count)], max_request_s)
-
-
-def settings_at(ip_numbers: list[str], max_request_s: float = 900.0) -> list[ControlSettings]:
-    """Return settings of replicas at IP numbers."""
-    addresses = tuple(
-        HostAddress(
-            host_id=HostId(f"control-{number + 1}"),
-            address=ip_number,
-            port=PEER_PORT,
-            failure_domain=FailureDomainId("abc"[number % 3]),
-        )
-        for number, ip_number in enumerate(ip_numbers)
-    )
+    """Return settings of replicas on one address, spread over failure domains."""
+    addresses = [_host_address(number, "127.0.0.1", unused_port()) for number in range(count)]
     return [
-        ControlSettings(
-            host_id=address.host_id,
-            replicas=addresses,
-            grpc_address=address.address,
-            grpc_port=OPERATOR_PORT,
-            operators=OPERATORS,
-            max_request_s=max_request_s,
-        )
+        _control_settings(address, tuple(addresses), unused_port(), max_request_s)
         for address in addresses
     ]
 
 
+def settings_at(ip_numbers: list[str]) -> list[ControlSettings]:
+    """Return settings of replicas at IP numbers of their own, with the same ports."""
+    addresses = [
+        _host_address(number, ip_number, PEER_PORT) for number, ip_number in enumerate(ip_numbers)
+    ]
+    return [
+        _control_settings(address, tuple(addresses), OPERATOR_PORT, 900.0) for address in addresses
+    ]
+
+
+def _host_address(number: int, address: str, port: int) -> HostAddress:
+    """Return the address of one replica."""
+    return HostAddress(
+        host_id=HostId(f"control-{number + 1}"),
+        address=address,
+        port=port,
+        failure_domain=FailureDomainId("abc"[number % 3]),
+    )
+
+
+def _control_settings(
+    own: HostAddress, replicas: tuple[HostAddress, ...], operator_port: int, max_request_s: float
+) -> ControlSettings:
+    """Return the settings of one replica."""
+    return ControlSettings(
+        host_id=own.host_id,
+        replicas=replicas,
+        grpc_address=own.address,
+        grpc_port=operator_port,
+        operators=OPERATORS,
+        max_request_s=max_request_s,
+    )
+
+
 @asynccontextmanager
 async def running_replicas(
     count: int, max_request_s: float = 900.0
