Reach the leader through another replica where its link is down

Cause: an entry host that reached two of three replicas, but not the leader, took no new work after 3 s though nothing was lost but a link. A replica now passes such an entry host's calls on under its name, and serves its watch. Safe as before: leases count from the entry host's sending and hold only what the leader answered.

--- a/packages/control/src/lagoonwing_control/_coordinator.py
+++ b/packages/control/src/lagoonwing_control/_coordinator.py
@@ -64,6 +64,7 @@
             self.proposer,
             self.watchers,
             self.lost_hosts,
+            self._link_by_host,
         )
         server.register(PROTOCOL, peers.handlers())
         self._operators = OperatorServer(settings, self, self._clock)
--- a/packages/control/src/lagoonwing_control/_peers.py
+++ b/packages/control/src/lagoonwing_control/_peers.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import Any
-
 import msgspec
 from expression import Result
 
@@ -13,7 +11,7 @@
 from lagoonwing_control._state_machine import ControlStateMachine
 from lagoonwing_control._status import knows_leader
 from lagoonwing_control._watchers import Watchers
-from lagoonwing_control.const import BARRIER_TIMEOUT_S, PAGE_ENTITIES
+from lagoonwing_control.const import BARRIER_TIMEOUT_S, FORWARD_TIMEOUT_S, PAGE_ENTITIES
 from lagoonwing_control.models import Claim, Command
 from lagoonwing_core.callback import callback
 from lagoonwing_core.errors import Refusal
@@ -21,7 +19,7 @@
 from lagoonwing_core.ids import HostId
 from lagoonwing_core.result_codes import ResultCode
 from lagoonwing_replication import ReplicatedLog
-from lagoonwing_wire import Channel, Handlers
+from lagoonwing_wire import Channel, Handlers, Link
 from lagoonwing_wire.control_messages import (
     CONTROL_DECODER,
     BarrierPassed,
@@ -35,6 +33,9 @@
     ProbeReply,
     ReadBarrier,
     Refused,
+    Relay,
+    Relayed,
+    RelayReply,
     ReleaseClaim,
     ReportSuspects,
     RequestAllotments,
@@ -43,6 +44,8 @@
     Watch,
 )
 
+_ENCODER = msgspec.msgpack.Encoder()
+
 
 class PeerProtocol:
     """Answers entry hosts and other replicas."""
@@ -56,7 +59,9 @@
         proposer: Proposer,
         watchers: Watchers,
         lost_hosts: set[HostId],
+        link_by_host: dict[HostId, Link],
     ) -> None:
+        self._link_by_host = link_by_host
         self._host_id = host_id
         self._state_machine = state_machine
         self._log = log
@@ -79,16 +84,6 @@
     ) -> msgspec.Struct:
         """Answer one call."""
         match message:
-            case Contact():
-                return await self._leader.async_contact(self._proposer, channel.peer_id, message)
-            case RequestAllotments():
-                return await self._leader.async_request_allotments(
-                    self._proposer, channel.peer_id, message
-                )
-            case TakeClaim():
-                return await self._async_claim(channel, message)
-            case StoreOutcome() | ReleaseClaim() | ReportSuspects() | ClearSuspect():
-                return await self._async_command(message)
             case Watch():
                 return self._watchers.add(channel, message)
             case ListPage():
@@ -99,18 +94,53 @@
                 return await self._proposer.async_answer_forward(message)
             case ReadBarrier():
                 return await self._async_read_barrier()
+            case Relay():
+                return await self._async_relay(channel.peer_id, message)
+            case Relayed() if channel.peer_id in self._link_by_host:
+                inner = CONTROL_DECODER.decode(message.message)
+                reply = await self._async_answer_entry(message.host_id, inner)
+                return RelayReply(_ENCODER.encode(reply))
+            case _:
+                return await self._async_answer_entry(channel.peer_id, message)
+
+    async def _async_answer_entry(self, host_id: HostId, message: ControlMessage) -> msgspec.Struct:
+        """Answer a call that only a leader can answer."""
+        match message:
+            case Contact():
+                return await self._leader.async_contact(self._proposer, host_id, message)
+            case RequestAllotments():
+                return await self._leader.async_request_allotments(self._proposer, host_id, message)
+            case TakeClaim():
+                return await self._async_claim(host_id, message)
+            case StoreOutcome() | ReleaseClaim() | ReportSuspects() | ClearSuspect():
+                return await self._async_command(message)
             case _:
                 return Refused(ResultCode.MESSAGE_INVALID, "the message is no call")
 
-    async def _async_claim(self, channel: Channel[Any], message: TakeClaim) -> msgspec.Struct:
+    async def _async_relay(self, host_id: HostId, message: Relay) -> msgspec.Struct:
+        """Pass an entry host's call on to the leader."""
+        link = self._link_by_host.get(self._log.status().leader or HostId(""))
+        if link is None:
+            return self._leader.not_leader()
+        reply = await link.async_call(Relayed(host_id, message.message), FORWARD_TIMEOUT_S)
+        match reply:
+            case Result(tag="ok", ok=RelayReply() as answer):
+                return answer
+            case Result(tag="ok", ok=_):
+                return self._leader.not_leader()
+            case Result(error=refusal):
+                # Not known whether the leader acted; every relayed call may be sent again.
+                return Refused(ResultCode.NO_QUORUM, refusal.detail)
+
+    async def _async_claim(self, host_id: HostId, message: TakeClaim) -> msgspec.Struct:
         """Decide a claim in the log."""
-        reply = await self._async_command(Claim(channel.peer_id, message))
+        reply = await self._async_command(Claim(host_id, message))
         log_event(
             EventCode.CLAIM_DECIDED,
             request=message.request_id,
             member=message.member_id,
             key=message.key,
-            host=channel.peer_id,
+            host=host_id,
             decision=type(reply).__name__,
         )
         return reply
--- a/packages/follower/src/lagoonwing_follower/_coordinator.py
+++ b/packages/follower/src/lagoonwing_follower/_coordinator.py
@@ -255,7 +255,10 @@
     def _source(self) -> Channel[Any] | None:
         """Return the channel to watch: the leader's, or the furthest voter's without one."""
         host_id = self._leader_host or self._prober.newest_voter()
-        return None if host_id is None else self._links.channel(host_id)
+        if host_id is None:
+            return None
+        # A replica that the leader reaches is as good where the leader can't be reached.
+        return self._links.answering_channel(host_id) or self._links.any_answering_channel()
 
     @callback
     def _tables_changed(self) -> None:
--- a/packages/follower/src/lagoonwing_follower/_leader_link.py
+++ b/packages/follower/src/lagoonwing_follower/_leader_link.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
 from expression import Error, Ok, Result
 
 from lagoonwing_core.callback import callback
@@ -13,15 +14,18 @@
 from lagoonwing_core.ids import HostId
 from lagoonwing_core.models import HostAddress
 from lagoonwing_core.result_codes import ResultCode
-from lagoonwing_follower.const import RETRY_INTERVAL_S
+from lagoonwing_follower.const import RETRY_INTERVAL_S, SILENT_S
 from lagoonwing_wire import Channel, Handlers, Identity, Link
 from lagoonwing_wire.control_messages import (
     CONTROL_DECODER,
     PROTOCOL,
     ControlMessage,
     Refused,
+    Relay,
+    RelayReply,
 )
 
+_ENCODER = msgspec.msgpack.Encoder()
 _RETRIED = (ResultCode.NOT_LEADER, ResultCode.NO_QUORUM)
 
 
@@ -48,6 +52,9 @@
         }
         self._order = [replica.host_id for replica in replicas]
         self._position = 0
+        # Leader that another replica named, to be reached through that one if need be.
+        self._named_leader: HostId | None = None
+        self._silent_since_by_host: dict[HostId, float] = {}
 
     @property
     def target(self) -> HostId:
@@ -70,14 +77,60 @@
         link = self._link_by_host.get(host_id)
         return None if link is None else link.channel
 
+    @callback
+    def answering_channel(self, host_id: HostId) -> Channel[Any] | None:
+        """Return the open channel to a replica unless it lately gave no answer."""
+        silent_since = self._silent_since_by_host.get(host_id)
+        now = asyncio.get_running_loop().time()
+        if silent_since is not None and now - silent_since < SILENT_S:
+            return None
+        return self.channel(host_id)
+
+    @callback
+    def any_answering_channel(self) -> Channel[Any] | None:
+        """Return the first open channel to a replica that answers."""
+        channels = (self.answering_channel(host_id) for host_id in self._order)
+        return next((channel for channel in channels if channel is not None), None)
+
     @callback
     def follow(self, refused: Refused) -> None:
         """Turn to the leader that a replica names, or else to the next replica."""
         if refused.leader in self._link_by_host and refused.leader != self.target:
             self._position = self._order.index(refused.leader)
+            self._named_leader = refused.leader
             return
         self.turn()
 
+    def _relay_to(self, target: HostId) -> Channel[Any] | None:
+        """Return a replica's channel through which to reach the leader, if it needs one."""
+        if target != self._named_leader:
+            return None
+        if self.answering_channel(target) is not None:
+            return None
+        others = (self.answering_channel(host_id) for host_id in self._order if host_id != target)
+        return next((channel for channel in others if channel is not None), None)
+
+    async def _async_call_through(
+        self, relay: Channel[Any], message: ControlMessage, timeout: float
+    ) -> Result[Any, Refusal]:
+        """Call the leader through another replica."""
+        reply = await relay.async_call(Relay(_ENCODER.encode(message)), timeout)
+        match reply:
+            case Result(tag="ok", ok=RelayReply(message=inner)):
+                return Ok(CONTROL_DECODER.decode(inner))
+            case _:
+                self._named_leader = None
+                return reply
+
+    @callback
+    def _note_answer(self, host_id: HostId, reply: Result[Any, Refusal]) -> None:
+        """Note whether a replica answers at all on its open channel."""
+        match reply:
+            case Result(tag="error", error=Refusal(code=ResultCode.PEER_TIMEOUT)):
+                self._silent_since_by_host[host_id] = asyncio.get_running_loop().time()
+            case _:
+                self._silent_since_by_host.pop(host_id, None)
+
     @callback
     def turn(self) -> None:
         """Turn to the next replica."""
@@ -89,10 +142,15 @@
         """Ask the replica that is thought to lead, and turn to another if it does not."""
         target = self.target
         channel = self.channel(target)
-        if channel is None:
+        relay = self._relay_to(target)
+        if relay is not None:
+            reply = await self._async_call_through(relay, message, timeout)
+        elif channel is None:
             self.turn()
             return Error(Refusal(ResultCode.PEER_UNREACHABLE, f"no channel to {target}"))
-        reply = await channel.async_call(message, timeout)
+        else:
+            reply = await channel.async_call(message, timeout)
+            self._note_answer(target, reply)
         match reply:
             case Result(tag="ok", ok=Refused(code=ResultCode.NOT_LEADER) as refused):
                 if self.target == target:
--- a/packages/follower/src/lagoonwing_follower/const.py
+++ b/packages/follower/src/lagoonwing_follower/const.py
@@ -8,6 +8,9 @@
 CONTACT_TIMEOUT_S = 1.0
 RETRY_INTERVAL_S = 0.1
 
+# A replica whose open channel gave no answer is reached through others for this long.
+SILENT_S = 5.0
+
 # Replicas are probed once the leader has been silent for this long.
 PROBE_AFTER_S = 0.8
 PROBE_INTERVAL_S = 0.25
--- a/packages/wire/src/lagoonwing_wire/control_messages.py
+++ b/packages/wire/src/lagoonwing_wire/control_messages.py
@@ -263,6 +263,25 @@
     answer: bytes
 
 
+class Relay(msgspec.Struct, frozen=True, tag="relay"):
+    """Call of an entry host that can't reach the leader: pass an encoded call on to it."""
+
+    message: bytes
+
+
+class Relayed(msgspec.Struct, frozen=True, tag="relayed"):
+    """Call between replicas: an entry host's encoded call."""
+
+    host_id: HostId
+    message: bytes
+
+
+class RelayReply(msgspec.Struct, frozen=True, tag="relay_reply"):
+    """Reply: the leader's encoded reply to the call passed on."""
+
+    message: bytes
+
+
 class ReadBarrier(msgspec.Struct, frozen=True, tag="read_barrier"):
     """Call between replicas: tell the revision of every change accepted until now."""
 
@@ -300,6 +319,9 @@
     | ClearSuspect
     | Forward
     | Forwarded
+    | Relay
+    | Relayed
+    | RelayReply
     | ReadBarrier
     | BarrierPassed
 )
--- a/tests/follower/test_following.py
+++ b/tests/follower/test_following.py
@@ -232,6 +232,42 @@
     return follower, clock
 
 
+async def test_leader_is_reached_through_another_replica(three) -> None:
+    """A link to the leader that is down doesn't cut the entry host off."""
+    _, replicas = three
+    for replica in replicas:
+        links = replica.service._link_by_host.values()
+        await async_until(lambda links=links: all(link.channel for link in links))
+    follower, clock = await async_following(three)
+    await follower._links._link_by_host["control-1"].async_unload()
+    await async_pass(clock, 4.0)
+    assert follower.may_take_work()
+    await async_set(replicas[0], "a", "1")
+    await async_until(lambda: follower.view.revision == 1)
+    assert (await follower.async_claim(claim("r1"), 5.0)).ok == ClaimGranted()
+    holder = next(iter(replicas[0].service.state_machine.state.claim_by_key.values()))
+    assert holder.host_id == "entry-1"
+    await follower.async_unload()
+
+
+async def test_leader_that_is_silent_to_one_entry_is_reached_through_another(three) -> None:
+    """Packets to the leader vanish, and its channel stays open."""
+    _, replicas = three
+    for replica in replicas:
+        links = replica.service._link_by_host.values()
+        await async_until(lambda links=links: all(link.channel for link in links))
+    follower, clock = await async_following(three)
+    channel = follower._links.channel(HostId("control-1"))
+    replicas[0].service.watchers.remove(channel)
+    channel._write = lambda *parts: True
+    for server_channel in replicas[0].service.watchers._pushed_by_channel:
+        server_channel.push = lambda message: True
+    await async_until(lambda: "control-1" in follower._links._silent_since_by_host)
+    await async_set(replicas[0], "a", "1")
+    await async_until(lambda: follower.view.revision == 1 and follower.has_leader())
+    await follower.async_unload()
+
+
 async def test_two_of_three_voters_die_at_once(three) -> None:
     """What is left goes on with the configuration in force, without claims."""
     shared, replicas = three
