--- a/packages/policy/src/lagoonwing_policy/fairness/_members.py
+++ b/packages/policy/src/lagoonwing_policy/fairness/_members.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
@@ -22,6 +23,11 @@
     return dict.fromkeys(Priority, 0.0)
 
 
+def _never_by_class() -> dict[Priority, float]:
+    """Return a time before all others for each class."""
+    return dict.fromkeys(Priority, -math.inf)
+
+
 @dataclass(slots=True)
 class MemberQueue:
     """Queues of one member, and the virtual times of the member and of its classes.
@@ -30,6 +36,7 @@
         start: Virtual time at which the member's next request starts.
         class_start: The same within the member, by class.
         class_virtual: Virtual time within the member.
+        taken: Time at which a class last had a request taken, by class.
         backlogged_since: Time since when something has waited without a break.
         blocked: Whether the member is passed over.
         listed_quick: Virtual time under which it stands in the list of work that is not long.
@@ -43,6 +50,7 @@
     class_start: dict[Priority, float] = field(default_factory=_zero_by_class)
     waiting: dict[Priority, ClassQueue] = field(default_factory=_class_queues)
     cost: dict[Priority, float] = field(default_factory=_zero_by_class)
+    taken: dict[Priority, float] = field(default_factory=_never_by_class)
     backlogged_since: float = 0.0
     blocked: bool = False
     listed_quick: float | None = None
--- a/packages/policy/src/lagoonwing_policy/fairness/_weighted_fair.py
+++ b/packages/policy/src/lagoonwing_policy/fairness/_weighted_fair.py
@@ -35,6 +35,7 @@
         self._member_by_id: dict[MemberId, MemberQueue] = {}
         self._quick: ReadyList = OrderedSet()
         self._long: ReadyList = OrderedSet()
+        self._now = 0.0
         self._virtual = 0.0
         self._length = 0
         self._cost = 0.0
@@ -62,6 +63,7 @@
 
     def head(self, opening: Opening, now: float) -> RequestEntity | None:
         """Return the next request to start, without removing it."""
+        self._now = now
         ready = [self._quick, self._long] if opening.long else [self._quick]
         if opening.backlogged:
             places = [place for places in ready if (place := places.first()) is not None]
@@ -88,6 +90,7 @@
         member = self._member_by_id[entity.profile.member_id]
         self._virtual = max(self._virtual, member.start)
         priority = entity.priority
+        member.taken[priority] = self._now
         member.class_virtual = max(member.class_virtual, member.class_start[priority])
         member.class_start[priority] += entity.cost / self._weight_by_class[priority]
         member.start += entity.start_charge / member.weight
@@ -162,7 +165,13 @@
             if (allow_long or priority is not Priority.LONG)
             and (head := member.head_of(priority)) is not None
         ]
-        aged = [head for head in heads if head.enqueued + self._ageing_s <= now]
+        since = now - self._ageing_s
+        # One per ageing time: in a lasting overload all heads are old, and the weights count.
+        aged = [
+            head
+            for head in heads
+            if head.enqueued <= since and member.taken[head.priority] <= since
+        ]
         if aged:
             return min(aged, key=lambda head: head.enqueued)
         return min(heads, key=lambda head: member.class_start[head.priority], default=None)
--- a/packages/policy/src/lagoonwing_policy/fairness/models.py
+++ b/packages/policy/src/lagoonwing_policy/fairness/models.py
@@ -20,7 +20,8 @@
         short_weight: Weight of short work within its member.
         normal_weight: Weight of the work between short and long.
         long_weight: Weight of long work.
-        ageing_s: Wait after which the head of a class goes before the member's other classes.
+        ageing_s: Wait after which the head of a class goes before the member's other classes,
+            once in as long a time.
         headroom_share: Share of the slots that is kept free of members with a lasting backlog.
         lasting_backlog_s: Time after which a member's backlog counts as lasting.
     """
--- a/tests/policy/test_fairness.py
+++ b/tests/policy/test_fairness.py
@@ -280,3 +280,18 @@
     assert len(cell.running) == 38
     cell.submit("calm-2", "calm")
     assert cell.tick() == ["calm-2"]
+
+
+def test_overload_that_lasts_leaves_the_weights_of_classes_in_force(make_cell) -> None:
+    """Once every head is old, short work still goes before long by weight."""
+    settings = SchedulerSettings(admission=ROOMY, queue=WeightedFair(ageing_s=1.0))
+    cell = make_cell(settings)
+    cell.add_endpoints(e1=2)
+    cell.add_member("a")
+    for number in range(20):
+        cell.submit(f"long-{number}", "a", max_tokens=2000)
+    cell.clock.advance(0.1)
+    _fill(cell, "a", 400)
+    cell.clock.advance(10.0)
+    served = _serve(cell, 3.0)
+    assert served["a"] >= 5 * served["long"]
