Send pulled records with the sequence of the last renewal

A pulled record carried the sequence of the first announcement, so it was old to whoever asked, and an endpoint heard only beyond a cut link expired every 2.8 s there. Pulls go to peers in turn now, not at random.

--- a/packages/membership/src/lagoonwing_membership/_endpoints.py
+++ b/packages/membership/src/lagoonwing_membership/_endpoints.py
@@ -57,6 +57,12 @@
     left: bool = False
     joined: bool = False
 
+    def latest_record(self) -> EndpointRecord | None:
+        """Return the record with the sequence of the last renewal, which came without it."""
+        if self.record is None:
+            return None
+        return msgspec.structs.replace(self.record, sequence=self.sequence)
+
     def renewal(self, now: float) -> Renewal:
         """Return the short form that is told to other hosts."""
         age_ms = max(0, int((now - self.heard) * 1000) + 1)
--- a/packages/membership/src/lagoonwing_membership/_spread.py
+++ b/packages/membership/src/lagoonwing_membership/_spread.py
@@ -46,6 +46,7 @@
         self._changed: set[EndpointId] = set()
         self._renewed: set[EndpointId] = set()
         self._joined: set[HostId] = set()
+        self._pull_turn = 0
         self._next_summary = 0.0
         self._next_renewals = 0.0
         self._digest_order: list[HostId] = []
@@ -129,9 +130,9 @@
         """Yield whole records in messages of bounded size."""
         for part in _parts(entries, const.MAX_RECORDS_PER_MESSAGE):
             records = tuple(
-                AgedRecord(entry.record, entry.renewal(now).age_ms)
+                AgedRecord(record, entry.renewal(now).age_ms)
                 for entry in part
-                if entry.record is not None
+                if (record := entry.latest_record()) is not None
             )
             yield host_id, Push(self._header_for(host_id, now), (), records)
 
@@ -161,7 +162,9 @@
         ]
         if not overdue:
             return
-        yield from self.pull(self._rng.choice(peers), overdue, now)
+        # In turn, for a peer that can't be reached must not be asked twice running.
+        self._pull_turn += 1
+        yield from self.pull(peers[self._pull_turn % len(peers)], overdue, now)
 
     def _may_pull(self, endpoint_id: EndpointId, now: float) -> bool:
         """Return whether the last pull of an endpoint is long enough ago."""
--- a/tests/membership/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -10,6 +10,7 @@
 from lagoonwing_core.models import EndpointState
 from lagoonwing_core.result_codes import ResultCode
 from lagoonwing_membership import EndpointConflict, HostState
+from lagoonwing_membership._endpoints import EndpointTable
 from lagoonwing_membership.models import AgedRecord, Header, Push
 
 
@@ -214,7 +215,7 @@
         assert {view.state for view in views} == {HostState.ALIVE}
 
 
-def test_host_that_one_link_cannot_reach_is_not_lost() -> None:
+def test_host_that_one_link_cannot_reach_is_not_suspected() -> None:
     """Indirect probes spare a host that only one other can't reach."""
     network = _joined()
     ends = [network.addresses[0].host_id, network.addresses[3].host_id]
@@ -223,7 +224,7 @@
         network.step()
         for number in range(4):
             states = {view.state for view in network.host(number).hosts(network.now)}
-            assert HostState.LOST not in states
+            assert states == {HostState.ALIVE}
 
 
 def test_messages_and_tables_are_bounded() -> None:
@@ -256,3 +257,38 @@
     body = msgspec.msgpack.encode(Push(header, (), (AgedRecord(record_of("a"), -1),)))
     with pytest.raises(msgspec.ValidationError):
         DECODER.decode(body)
+
+
+def test_host_that_joins_learns_of_leaves_of_long_ago() -> None:
+    """What left minutes ago is told to a host that starts, before it gives anyone work."""
+    network = _joined()
+    _renew(network, "a", [0], 2.4)
+    network.host(0).announce(record_of("a", 1, 20, EndpointState.LEAVING), network.now)
+    network.run(120.0)
+    network.start(2, incarnation=2000)
+    network.run(2.0)
+    late = network.host(2).announce(record_of("a", sequence=15), network.now)
+    assert late.error.code is ResultCode.ENDPOINT_REFUSED
+
+
+def test_two_addresses_settle_on_the_lower_one_in_either_order() -> None:
+    """Which of two equal incarnations is kept doesn't depend on the order of the news."""
+    for ports in ((9000, 9001), (9001, 9000)):
+        table = EndpointTable(2.8)
+        for port in ports:
+            table.merge_record(record_of("a", sequence=port, port=port), 10.0, 10.0)
+        (entry,) = table.live(10.0)
+        assert entry.record is not None
+        assert entry.record.port == 9000
+
+
+def test_endpoint_heard_beyond_a_cut_link_stays_known() -> None:
+    """A host that the hearing host can't reach asks a third one for renewals."""
+    network = _joined()
+    _renew(network, "a", [0], 1.6)
+    ends = [network.addresses[0].host_id, network.addresses[3].host_id]
+    network.cut |= {(ends[0], ends[1]), (ends[1], ends[0])}
+    sequence = 10
+    for _ in range(20):
+        sequence = _renew(network, "a", [0], 0.8, sequence)
+        assert network.names(3) == {"a"}
--- a/tests/policy/test_routing.py
+++ b/tests/policy/test_routing.py
@@ -396,3 +396,39 @@
     restarted = msgspec.structs.replace(records[0], incarnation=Incarnation(2))
     router.set_endpoints([restarted], 5.0)
     assert _chosen(router, profile_of(0, 20), exclusive=True, now=5.0) == "endpoint-0000"
+
+
+def test_suspects_of_one_preference_get_an_endpoint_each() -> None:
+    """Two suspects that hash to the same endpoint are given two, and need not take turns."""
+    records = whole_cluster(7, 12)
+    number_by_name: dict[str, int] = {}
+    for number in range(50):
+        view = _Suspects()
+        view.recorded = (Fingerprint(f"f{number}"),)
+        router = _router(records)
+        router.set_suspect_view(view)
+        name = _chosen(router, profile_of(number, 20), exclusive=True)
+        if name in number_by_name:
+            break
+        number_by_name[name] = number
+    pair = (number_by_name[name], number)
+    view.recorded = tuple(Fingerprint(f"f{item}") for item in pair)
+    router = _router(records)
+    router.set_suspect_view(view)
+    names = {_chosen(router, profile_of(item, 20), exclusive=True) for item in pair}
+    assert len(names) == 2
+
+
+def test_suspect_is_not_placed_by_what_one_host_knows_of_health() -> None:
+    """A host that ejected the suspect's endpoint waits, where others know nothing of it."""
+    records = whole_cluster(7, 12)
+    view = _Suspects()
+    view.recorded = (Fingerprint("f0"),)
+    other = _router(records)
+    other.set_suspect_view(view)
+    name = _chosen(other, profile_of(0, 20), exclusive=True)
+    router = _router(records)
+    router.set_suspect_view(view)
+    _fail(router, profile_of(1, 20), name, 0.0, died=True)
+    waiting = router.choose(profile_of(0, 20), {}, NONE, True, 0.1)
+    assert isinstance(waiting.error, NoFreeSlot)
