--- a/packages/policy/src/lagoonwing_policy/_scheduler.py
+++ b/packages/policy/src/lagoonwing_policy/_scheduler.py
@@ -266,6 +266,7 @@
             count: Entry hosts that are alive, this one included.
         """
         self._router.set_entry_hosts(count)
+        self._tables.slots.long_work.set_entry_hosts(count)
 
     def work(self, now: float) -> tuple[MemberWork, ...]:
         """Return the work of each member in each pool at this entry host.
--- a/packages/policy/src/lagoonwing_policy/routing/_load.py
+++ b/packages/policy/src/lagoonwing_policy/routing/_load.py
@@ -24,14 +24,20 @@
     """Load report, with what this host had in flight when it came.
 
     Attributes:
-        others: Attempts of other entry hosts, running and queued.
         own: Attempts of this entry host.
     """
 
     load: EndpointLoad
-    others: int
     own: int
 
+    def others(self, candidate: Candidate) -> float:
+        """Return the attempts of other entry hosts, running and queued.
+
+        A stage reports the steps that it runs now; most of its sequences are at other stages.
+        """
+        steps = self.load.running + self.load.queued
+        return max(0.0, steps * candidate.limit / candidate.slots - self.own)
+
 
 class LoadEstimator:
     """Estimates what all entry hosts have in flight on an endpoint."""
@@ -45,8 +51,7 @@
         """Keep the latest report of an endpoint, and what this host has in flight there now."""
         known = self._report_by_id.get(load.endpoint_id)
         if known is None or load.reported >= known.load.reported:
-            others = max(0, load.running + load.queued - own)
-            self._report_by_id[load.endpoint_id] = _Report(load, others, own)
+            self._report_by_id[load.endpoint_id] = _Report(load, own)
 
     def keep_only(self, endpoint_ids: set[EndpointId]) -> None:
         """Drop reports of endpoints that are gone."""
@@ -70,7 +75,7 @@
         if report is None:
             return own + alike
         weight = max(0.0, 1.0 - (now - report.load.reported) / const.HINT_LIFE_S)
-        return own + weight * report.others + (1.0 - weight) * alike
+        return own + weight * report.others(candidate) + (1.0 - weight) * alike
 
     def has_room(
         self, candidate: Candidate, loads: LoadsByEndpoint, exclusive: bool, now: float
@@ -85,7 +90,7 @@
             return not exclusive or not self._is_used_by_others(candidate, now)
         if exclusive or use.exclusive:
             return False
-        if use.running < self._parts.quota(candidate.endpoint_id, candidate.limit):
+        if self.is_within_share(candidate, loads):
             return True
         report = self._report_by_id.get(candidate.endpoint_id)
         if self._parts.part(candidate.endpoint_id).size >= 1.0 or report is None:
@@ -94,12 +99,19 @@
             return False
         return self._may_borrow(candidate, report, use.running)
 
+    def is_within_share(self, candidate: Candidate, loads: LoadsByEndpoint) -> bool:
+        """Return whether one more attempt stays within this host's share of an endpoint."""
+        use = loads.get(candidate.endpoint_id)
+        own = use.running if use is not None else 0
+        return own < self._parts.quota(candidate.endpoint_id, candidate.limit)
+
     def _may_borrow(self, candidate: Candidate, report: _Report, own: int) -> bool:
         """Return whether this host's part of the room that a report showed is left.
 
-        Every entry host saw the same room; if each took all of it, the engine would queue.
+        Every entry host saw the same room; if each took all of it, the engine would queue. The
+        last slot is never borrowed: a host whose own share it is would queue behind.
         """
-        room = candidate.limit - report.others - report.own
+        room = candidate.limit - report.others(candidate) - report.own - 1
         taken = max(0, own - report.own)
         size = self._parts.part(candidate.endpoint_id).size
         return taken + self._rng.random() < room * size
