Unload a follower also if a wait loses its cancellation

Cause: in Python 3.11 asyncio.wait_for swallows a cancellation that comes in the turn in which its future ends. A follower whose contact was answered just as it was unloaded then ran on, and async_unload waited for ever. Channels and the follower's waits use asyncio.timeout, and unload cancels again until every task has ended; a test loses a cancellation on purpose.

--- a/packages/follower/src/lagoonwing_follower/_coordinator.py
+++ b/packages/follower/src/lagoonwing_follower/_coordinator.py
@@ -33,6 +33,7 @@
 from lagoonwing_follower._revision_store import RevisionStore
 from lagoonwing_follower._watch import Watcher
 from lagoonwing_follower.const import (
+    CANCEL_AGAIN_S,
     CONTACT_INTERVAL_S,
     CONTACT_TIMEOUT_S,
     MAX_WAITING_RELEASES,
@@ -109,9 +110,12 @@
 
     async def async_unload(self) -> None:
         """Stop to follow."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        pending = set(self._tasks)
+        while pending:
+            # A wait that ends in the same turn as it is cancelled loses the cancellation.
+            for task in pending:
+                task.cancel()
+            _, pending = await asyncio.wait(pending, timeout=CANCEL_AGAIN_S)
         await self._links.async_unload()
 
     @callback
@@ -297,7 +301,8 @@
                 await self._async_send_releases()
             delay = CONTACT_INTERVAL_S if answered else RETRY_INTERVAL_S
             try:
-                await asyncio.wait_for(self._contact_now.wait(), delay)
+                async with asyncio.timeout(delay):
+                    await self._contact_now.wait()
             except TimeoutError:
                 continue
             if not answered:
--- a/packages/follower/src/lagoonwing_follower/_watch.py
+++ b/packages/follower/src/lagoonwing_follower/_watch.py
@@ -93,7 +93,8 @@
     async def _async_pause(self) -> None:
         """Wait until something may have changed."""
         try:
-            await asyncio.wait_for(self._wake.wait(), RETRY_INTERVAL_S)
+            async with asyncio.timeout(RETRY_INTERVAL_S):
+                await self._wake.wait()
         except TimeoutError:
             return
         self._wake.clear()
--- a/packages/follower/src/lagoonwing_follower/const.py
+++ b/packages/follower/src/lagoonwing_follower/const.py
@@ -7,6 +7,7 @@
 CONTACT_INTERVAL_S = 0.5
 CONTACT_TIMEOUT_S = 1.0
 RETRY_INTERVAL_S = 0.1
+CANCEL_AGAIN_S = 0.2
 
 # A replica whose open channel gave no answer is reached through others for this long.
 SILENT_S = 5.0
--- a/packages/wire/src/lagoonwing_wire/_channel.py
+++ b/packages/wire/src/lagoonwing_wire/_channel.py
@@ -90,7 +90,9 @@
         try:
             if not self._write(EnvelopeKind.CALL, correlation, message):
                 return Error(Refusal(ResultCode.STREAM_CLOSED, "the stream is closed"))
-            return Ok(await asyncio.wait_for(reply, timeout))
+            # Unlike `wait_for`, this never loses a cancellation that comes with the reply.
+            async with asyncio.timeout(timeout):
+                return Ok(await reply)
         except TimeoutError:
             return Error(Refusal(ResultCode.PEER_TIMEOUT, f"no reply within {timeout} s"))
         except StreamClosedError:
--- a/tests/follower/test_following.py
+++ b/tests/follower/test_following.py
@@ -268,6 +268,25 @@
     await follower.async_unload()
 
 
+async def test_unload_ends_also_if_a_wait_loses_its_cancellation(three) -> None:
+    """Seen with many followers: a reply that came in the same turn kept a task alive."""
+    follower, _ = await async_following(three)
+    lost = asyncio.Event()
+
+    async def async_lose_one() -> None:
+        try:
+            await asyncio.Event().wait()
+        except asyncio.CancelledError:
+            lost.set()
+        await asyncio.Event().wait()
+
+    follower._tasks.append(asyncio.create_task(async_lose_one()))
+    await asyncio.sleep(0)
+    async with asyncio.timeout(10.0):
+        await follower.async_unload()
+    assert lost.is_set()
+
+
 async def test_two_of_three_voters_die_at_once(three) -> None:
     """What is left goes on with the configuration in force, without claims."""
     shared, replicas = three
