Log candidates and reason of each route, and every event of the catalogue

The scheduler's line has both now and the shell's is gone. Planned stops and peers are logged; two events that no code logs are gone (SETTINGS_REFUSED: faults are printed before logging starts; ORDER_DECIDED: orders to engines are not built). Requests are bound to 900 s, the time after which control frees what a lost entry host held. The division of capacity goes on after a round that failed.

--- /dev/null
+++ b/bench/capacity/const.py
@@ -0,0 +1,33 @@
+"""The size to design for, from the users' letter, and the shape that carries it."""
+
+from __future__ import annotations
+
+NODES = 700
+SERVERS = 12_000
+ACCELERATORS = 48_000
+REQUESTS_PER_S = 45_000
+TOKENS_PER_S = 12_000_000
+MEMBERS = 870
+MODELS = 4
+REGIONS = 9
+FAILURE_DOMAINS = 19
+CHANGES_PER_DAY = 61_000
+HOSTS_SET_ASIDE = 34
+
+SECONDS_PER_DAY = 86_400
+
+LIMIT_CORE_SHARE = 0.02
+LIMIT_BYTES_PER_S = 13_000
+LIMIT_MEMORY_MB = 256
+LIMIT_IN_FORCE_S = 4.0
+LIMIT_FIRST_TOKEN_S = 0.81
+LIMIT_BETWEEN_TOKENS_S = 0.047
+
+CELL_NODES = 4
+REPRESENTATIVES_PER_CELL = 2
+ROOT_VOTERS = 5
+SHARD_VOTERS = 3
+
+# Share of requests that are calls which may run only once.
+CLAIMED_SHARE = 0.02
+RELAY_HOST_CORES = 4
--- a/packages/control/src/lagoonwing_control/_state_machine.py
+++ b/packages/control/src/lagoonwing_control/_state_machine.py
@@ -163,6 +163,7 @@
             kind=kind_of(entity).name.lower(),
             id=id_of(entity),
         )
+        _log_stop(entity)
 
     def _set_allotments(self, command: SetAllotments) -> Done | Refused:
         """Replace amounts, unless a later leader has already done so."""
@@ -207,3 +208,19 @@
         number = self.state.fencing_by_scope.get(command.scope, 0) + 1
         self.state.fencing_by_scope[command.scope] = number
         return FencingTaken(number)
+
+
+def _log_stop(entity: Entity) -> None:
+    """Log that a planned stop was ordered or cancelled."""
+    match entity:
+        case PlannedStop(state=StopState.DRAINING):
+            log_event(
+                EventCode.STOP_ORDERED,
+                stop=entity.stop_id,
+                target=entity.target.value,
+                target_id=entity.target_id,
+            )
+        case PlannedStop(state=StopState.CANCELLED):
+            log_event(EventCode.STOP_CANCELLED, stop=entity.stop_id)
+        case _:
+            pass
--- a/packages/core/src/lagoonwing_core/events.py
+++ b/packages/core/src/lagoonwing_core/events.py
@@ -17,7 +17,6 @@
     PROCESS_STARTED = 100
     PROCESS_STOPPING = 101
     PROCESS_STOPPED = 102
-    SETTINGS_REFUSED = 103
     COMPONENT_FAILED = 104
 
     REQUEST_RECEIVED = 200
@@ -61,7 +60,6 @@
     STOP_ORDERED = 800
     STOP_SAFE = 801
     STOP_CANCELLED = 802
-    ORDER_DECIDED = 803
 
 
 def log_event(code: EventCode, /, **fields: object) -> None:
--- a/packages/core/src/lagoonwing_core/settings/const.py
+++ b/packages/core/src/lagoonwing_core/settings/const.py
@@ -17,7 +17,8 @@
 MIN_BODY_BYTES = 1024
 MAX_BODY_BYTES = 256 * 1024 * 1024
 DEFAULT_REQUEST_TIMEOUT_S = 300.0
-MAX_REQUEST_TIMEOUT_S = 86_400.0
+# Control frees the concurrency of an entry host that is gone after this time.
+MAX_REQUEST_TIMEOUT_S = 900.0
 MIN_POSITIVE_S = 0.001
 
 KEY_HASH_PATTERN = "^[0-9a-f]{64}$"
--- a/packages/entry/src/lagoonwing_entry/_request_log.py
+++ b/packages/entry/src/lagoonwing_entry/_request_log.py
@@ -6,7 +6,7 @@
 from lagoonwing_core.events import EventCode, log_event
 from lagoonwing_core.ids import Attempt
 from lagoonwing_core.result_codes import Outcome
-from lagoonwing_policy.models import AttemptFailed, RequestProfile, StartAttempt
+from lagoonwing_policy.models import AttemptFailed, RequestProfile
 
 
 def log_admission_refused(profile: RequestProfile, refusal: Refusal) -> None:
@@ -21,19 +21,6 @@
     )
 
 
-def log_route(profile: RequestProfile, command: StartAttempt) -> None:
-    """Log where an attempt runs."""
-    log_event(
-        EventCode.ROUTE_CHOSEN,
-        request=command.request_id,
-        attempt=command.attempt,
-        member=profile.member_id,
-        route=",".join(stage.endpoint_id for stage in command.route.stages),
-        priority=command.route.priority.value,
-        exclusive=command.route.exclusive,
-    )
-
-
 def log_attempt_failed(profile: RequestProfile, attempt: Attempt, failed: AttemptFailed) -> None:
     """Log how far a failed attempt came."""
     log_event(
--- a/packages/entry/src/lagoonwing_entry/_request_runner.py
+++ b/packages/entry/src/lagoonwing_entry/_request_runner.py
@@ -20,7 +20,6 @@
     log_admission_refused,
     log_attempt_failed,
     log_refused,
-    log_route,
 )
 from lagoonwing_entry._suspects import SuspectReporter
 from lagoonwing_entry.const import IDLE_TICK_S
@@ -213,7 +212,6 @@
             self._end(command, AttemptCancelled(0))
             self._refuse(command.request_id, lapsed)
             return
-        log_route(active.profile, command)
         self.refresh_records()
         records = [self._directory.record_of(stage) for stage in command.route.stages]
         known = tuple(record for record in records if record is not None)
--- a/packages/entry/src/lagoonwing_entry/_sharing_shell.py
+++ b/packages/entry/src/lagoonwing_entry/_sharing_shell.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import Any
 
 import msgspec
@@ -11,6 +10,7 @@
 from lagoonwing_core.clock import Clock
 from lagoonwing_core.ids import HostId
 from lagoonwing_core.models import HostAddress
+from lagoonwing_entry._periodic import Periodic
 from lagoonwing_entry._request_runner import RequestRunner
 from lagoonwing_entry.ports import MembershipPort, SchedulerPort
 from lagoonwing_membership import HostState
@@ -49,27 +49,20 @@
             on_closed=lambda channel: None,
         )
         self._link_by_host: dict[HostId, Link] = {}
-        self._task: asyncio.Task[None] | None = None
+        self._rounds = Periodic(self.name, self._async_divide_once, NEWS_PERIOD_S)
         if channels is not None:
             channels.register(PROTOCOL, self._handlers)
 
     async def async_setup(self) -> None:
         """Start to divide."""
-        self._task = asyncio.get_running_loop().create_task(self._async_divide())
+        self._rounds.start()
 
     async def async_unload(self) -> None:
         """Stop to divide and close the links."""
-        if self._task is not None:
-            self._task.cancel()
+        self._rounds.stop()
         for link in self._link_by_host.values():
             await link.async_unload()
 
-    async def _async_divide(self) -> None:
-        """Exchange news and divide at a steady pace."""
-        while True:
-            await self._async_divide_once()
-            await asyncio.sleep(NEWS_PERIOD_S)
-
     async def _async_divide_once(self) -> None:
         """Tell the others of the work here, and take this host's share."""
         now = self._clock.now()
--- a/packages/policy/src/lagoonwing_policy/_dispatch.py
+++ b/packages/policy/src/lagoonwing_policy/_dispatch.py
@@ -284,7 +284,9 @@
             priority=entity.priority.value,
             cost=round(entity.cost),
             waited_ms=round((now - entity.enqueued) * 1000),
+            candidates=route.candidates,
             endpoints=",".join(stage.endpoint_id for stage in route.stages),
+            reason=route.reason.value,
         )
         return StartAttempt(request_id, entity.attempt, entity.route)
 
--- a/packages/policy/src/lagoonwing_policy/models.py
+++ b/packages/policy/src/lagoonwing_policy/models.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from lagoonwing_core.errors import Refusal
@@ -80,17 +80,29 @@
     incarnation: Incarnation
 
 
+class RouteReason(Enum):
+    """Why a route was chosen, for the log."""
+
+    POLICY = "policy"
+    SUSPECT_ALONE = "suspect_alone"
+    ONLY_EJECTED_LEFT = "only_ejected_left"
+
+
 @dataclass(frozen=True, slots=True)
 class Route:
     """Endpoints that run a request, in the order of their layers.
 
     Attributes:
         exclusive: Whether nothing else may run on these endpoints meanwhile.
+        candidates: Endpoints that the choice was made from.
+        reason: Rule that decided.
     """
 
     stages: tuple[RouteStage, ...]
     priority: Priority = Priority.NORMAL
     exclusive: bool = False
+    candidates: int = field(default=0, compare=False)
+    reason: RouteReason = field(default=RouteReason.POLICY, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/policy/src/lagoonwing_policy/routing/_router.py
+++ b/packages/policy/src/lagoonwing_policy/routing/_router.py
@@ -20,6 +20,7 @@
     EndpointLoad,
     RequestProfile,
     Route,
+    RouteReason,
     RouteStage,
 )
 from lagoonwing_policy.routing import const, errors
@@ -157,10 +158,12 @@
         if exclusive:
             return self._choose_alone(key, pool, choice)
         choice = replace(choice, excluded=excluded | self._reserved(key, pool, choice))
+        reason = RouteReason.POLICY
         chain = self._choose_chain(key, pool, choice)
         if not chain and self._rules.is_depleted(list(pool.candidate_by_id.values()), choice):
+            reason = RouteReason.ONLY_EJECTED_LEFT
             chain = self._choose_chain(key, pool, replace(choice, ignores_ejection=True))
-        return Ok(_route(chain, exclusive=False)) if chain else Error(NoFreeSlot())
+        return Ok(_route(chain, pool, reason)) if chain else Error(NoFreeSlot())
 
     def exclusive_route(self, profile: RequestProfile, now: float) -> Result[Route, RouteFailure]:
         """Return the route that a suspect has to run on, idle or not.
@@ -183,7 +186,7 @@
             return Error(errors.incomplete_pipeline())
         choice = Choice(profile, {}, frozenset(), True, now)
         chain = self._suspect_chain(key, pool, choice)
-        return Ok(_route(chain, exclusive=True)) if chain else Error(NoFreeSlot())
+        return Ok(_route(chain, pool, RouteReason.SUSPECT_ALONE)) if chain else Error(NoFreeSlot())
 
     def replace_stage(
         self,
@@ -326,7 +329,7 @@
         is_idle = all(self._loads.has_room(item, choice.loads, True, choice.now) for item in chain)
         if not chain or not is_idle:
             return Error(NoFreeSlot())
-        return Ok(_route(chain, exclusive=True))
+        return Ok(_route(chain, pool, RouteReason.SUSPECT_ALONE))
 
     def _suspect_chain(self, key: str, pool: RoutePool, choice: Choice) -> tuple[Candidate, ...]:
         """Return the endpoints that the request's fingerprint is given."""
@@ -375,6 +378,11 @@
         return self._ejection.may_use(candidate.stage, 0, self._now)
 
 
-def _route(chain: tuple[Candidate, ...], exclusive: bool) -> Route:
+def _route(chain: tuple[Candidate, ...], pool: RoutePool, reason: RouteReason) -> Route:
     """Return the route over a chain of endpoints."""
-    return Route(tuple(candidate.stage for candidate in chain), exclusive=exclusive)
+    return Route(
+        tuple(candidate.stage for candidate in chain),
+        exclusive=reason is RouteReason.SUSPECT_ALONE,
+        candidates=len(pool.candidate_by_id),
+        reason=reason,
+    )
--- a/packages/wire/src/lagoonwing_wire/_connections.py
+++ b/packages/wire/src/lagoonwing_wire/_connections.py
@@ -206,6 +206,12 @@
                 case Result(tag="ok", ok=channel):
                     delay = RECONNECT_MIN_S
                     self._channel = channel
+                    log_event(
+                        EventCode.PEER_CONNECTED,
+                        peer=channel.peer_id,
+                        protocol=self._protocol,
+                        address=f"{self._address}:{self._port}",
+                    )
                     self._on_open(channel)
                     await channel.async_run()
                 case _:
