Record a walk in which a cap is passed after an election

Cause: a whole run of the suite drew seed 539: right after an election a new leader grants 6.05 of a rate while another entry host still holds 9.05 of a cap of 10. It stays so with each of five hash seeds; hypothesis draws other seeds where other modules are loaded, so the parts' own runs had not met it. Ruled out: order of hashing. Suspected, not shown: an old statement delivered late lowers what the log holds of the first host.

--- a/tests/control/test_allotments.py
+++ b/tests/control/test_allotments.py
@@ -5,6 +5,7 @@
 import random
 from dataclasses import dataclass, field
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -291,6 +292,17 @@
 @given(st.integers(0, 2**32))
 def test_entries_together_never_pass_the_cap(seed: int) -> None:
     """At each instant the sum of what entries may use is within the cap."""
+    walk(seed)
+
+
+@pytest.mark.parametrize("seed", [539])
+def test_walks_that_failed(seed: int) -> None:
+    """Walks in which the cap was passed once."""
+    walk(seed)
+
+
+def walk(seed: int) -> None:
+    """Run one walk and check the cap after each step."""
     draw = random.Random(seed)
     world = World()
     for _ in range(WALK_STEPS):
