Take a proposal whose answer was lost as perhaps logged

The leader proposed a lower amount for an entry host; the log took it, but the answer was lost. The leader went on from its old view of the log, so that a later raise seemed to be covered and was granted without a commit. After the next election the log held 3.0 where the host held 9.05, and the difference was granted to another. Ruled out: order of hashing, old statements delivered late. Now the lowest amount that the log may hold counts until a later proposal is known to be logged.

--- a/packages/control/src/lagoonwing_control/_allotments.py
+++ b/packages/control/src/lagoonwing_control/_allotments.py
@@ -81,6 +81,8 @@
         self._cap_by_key: dict[CapKey, float] = {}
         self._bound_by_cap_by_host: dict[HostId, dict[CapKey, float]] = {}
         self._logged_by_key: dict[AllotmentKey, float] = {}
+        # Lowest amounts that the log may hold: proposed, and not known to be logged or lost.
+        self._floor_by_key: dict[AllotmentKey, float] = {}
         # Amounts that may differ from the log.
         self._touched: set[AllotmentKey] = set()
         self._entry_by_host: dict[HostId, _EntryRecord] = {}
@@ -92,6 +94,7 @@
         for (host_id, member_id, dimension), amount in amounts.items():
             self._raise_bound(host_id, (member_id, dimension), amount)
         self._logged_by_key = dict(amounts)
+        self._floor_by_key = {}
         self._entry_by_host = {host_id: _EntryRecord(now) for host_id, _, _ in amounts}
 
     def restart_timers(self, now: float) -> None:
@@ -144,12 +147,16 @@
         """Return the amounts that differ from the log."""
         self._touched = {key for key in self._touched if self._differs_from_log(key)}
         changed = sorted(self._touched, key=lambda key: (key[0], key[1], key[2].value))
+        for key in changed:
+            # The answer to a proposal may be lost although the log took it.
+            self._floor_by_key[key] = min(self._lowest_logged(key), self._bound(key))
         return tuple(Allotment(*key, self._bound(key)) for key in changed)
 
     def logged(self, allotments: Iterable[Allotment]) -> None:
         """Note that amounts are in the log; call in the order of the log."""
         for item in allotments:
             key = (item.host_id, item.member_id, item.dimension)
+            self._floor_by_key.pop(key, None)
             if item.amount > 0:
                 self._logged_by_key[key] = item.amount
             else:
@@ -208,13 +215,20 @@
         return self._bound_by_cap_by_host.get(host_id, {}).get((member_id, dimension), 0.0)
 
     def _differs_from_log(self, key: AllotmentKey) -> bool:
-        """Return whether a bound is not as the log has it."""
+        """Return whether a bound is not, or may not be, as the log has it."""
+        if key in self._floor_by_key:
+            return True
         return self._bound(key) != self._logged_by_key.get(key, 0.0)
 
+    def _lowest_logged(self, key: AllotmentKey) -> float:
+        """Return the lowest amount that the log may hold for an entry host."""
+        logged = self._logged_by_key.get(key, 0.0)
+        return min(logged, self._floor_by_key.get(key, logged))
+
     def _outruns_log(self, host_id: HostId, grants: tuple[Grant, ...]) -> bool:
-        """Return whether a grant passes what the log holds for it."""
+        """Return whether a grant passes what the log is certain to hold for it."""
         return any(
-            grant.amount > self._logged_by_key.get((host_id, grant.member_id, grant.dimension), 0.0)
+            grant.amount > self._lowest_logged((host_id, grant.member_id, grant.dimension))
             for grant in grants
         )
 
--- a/tests/control/test_allotments.py
+++ b/tests/control/test_allotments.py
@@ -240,6 +240,7 @@
     "drop": 0.5,
 }
 WALK_STEPS = 120
+WALKS = 200
 
 
 def draw_step(draw: random.Random) -> tuple:
@@ -288,17 +289,14 @@
             getattr(world, kind)()
 
 
-@settings(max_examples=1200, deadline=None, derandomize=True)
-@given(st.integers(0, 2**32))
-def test_entries_together_never_pass_the_cap(seed: int) -> None:
-    """At each instant the sum of what entries may use is within the cap."""
-    walk(seed)
+@pytest.mark.parametrize("chunk", range(6))
+def test_entries_together_never_pass_the_cap(chunk: int) -> None:
+    """At each instant the sum of what entries may use is within the cap.
 
-
-@pytest.mark.parametrize("seed", [539])
-def test_walks_that_failed(seed: int) -> None:
-    """Walks in which the cap was passed once."""
-    walk(seed)
+    Seeds are counted, not drawn: hypothesis draws others where other modules are loaded.
+    """
+    for seed in range(chunk * WALKS, (chunk + 1) * WALKS):
+        walk(seed)
 
 
 def walk(seed: int) -> None:
