Let an agreement come in force before two hosts are killed in the proof

Host 3 regained its lease 0.35 s before the kill and had not yet been granted a part of the agreement made just before. An agreement is promised to be in force within 4 s, so the proof waits for that bound first.

--- a/proof/control/recovery.py
+++ b/proof/control/recovery.py
@@ -229,6 +229,8 @@
         await site.async_create_member()
         site.add_whole(1)
         await site.async_wait_endpoints(1)
+        # A new agreement is promised to be in force within 4 s; its parts are granted by then.
+        await asyncio.sleep(IN_FORCE_S)
         for number in (1, 2):
             site.deployment.kill(f"control-{number}")
             site.deployment.kill(f"entry-{number}")
