--- a/packages/fakes/src/lagoonwing_fakes/deployment/_deployment.py
+++ b/packages/fakes/src/lagoonwing_fakes/deployment/_deployment.py
@@ -10,7 +10,7 @@
 import sys
 import urllib.error
 import urllib.request
-from dataclasses import fields
+from dataclasses import fields, replace
 from enum import Enum
 from pathlib import Path
 from typing import Any
@@ -115,7 +115,7 @@
         position = len(self._endpoint_plan_by_id)
         if settings.endpoint_id in self._endpoint_plan_by_id:
             position = list(self._endpoint_plan_by_id).index(settings.endpoint_id)
-        filled = _replace(
+        filled = replace(
             settings,
             address=f"127.{self.plan.network}.{FIRST_ENDPOINT_NUMBER + position}",
             port=ENDPOINT_PORT,
@@ -244,12 +244,6 @@
         return done
 
 
-def _replace(settings: FakeSettings, **values: Any) -> FakeSettings:
-    """Return settings with some values replaced, `endpoint_id` and the rest kept."""
-    kept = {field.name: getattr(settings, field.name) for field in fields(settings)}
-    return FakeSettings(**{**kept, **values})
-
-
 def _options(plan: EndpointPlan) -> list[str]:
     """Return the command line of a stand-in."""
     options: list[str] = []
