Move HTTP connections to endpoints below the entry host; let followers tell how current they are

The gateway and the orders to engines need the same client, which knows whether a byte has left; it now stands in a package of its own. An answer without framing that ends by a reset counts as broken. Append requests carry how long ago a quorum followed the leader, so that a follower can tell how current it is. Channels ping and end when silent for 1.8 s, for some connections fall silent without a reset. A replica that no list names can join, and followers pass its request on to the leader. Tests of wire, consensus, replication and entry pass.

--- a/packages/consensus/src/lagoonwing_consensus/_core.py
+++ b/packages/consensus/src/lagoonwing_consensus/_core.py
@@ -132,6 +132,10 @@
         """
         return _replication.read_index(self._state, now)
 
+    def current_at(self, now: float) -> float | None:
+        """Return the latest time at which all accepted entries were known here, if any."""
+        return _replication.current_at(self._state, now)
+
     def heard_at_by_id(self) -> Mapping[ReplicaId, float]:
         """Return when each peer was last heard: all of them on a leader, else the leader."""
         state = self._state
--- a/packages/consensus/src/lagoonwing_consensus/_replication.py
+++ b/packages/consensus/src/lagoonwing_consensus/_replication.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from lagoonwing_consensus import _election, _lease, _snapshots
 from lagoonwing_consensus._replica_sets import quorum_size
 from lagoonwing_consensus._state import Progress, ReplicaState
@@ -67,9 +69,26 @@
         take_entry(state, entry)
     last_new = LogIndex(request.previous_index + len(request.entries))
     state.advance_commit(commit_of_follower(state, request.commit, last_new))
+    _note_current(state, request, now)
     _reply(state, request, success=True, index=last_new)
 
 
+def current_at(state: ReplicaState, now: float) -> float | None:
+    """Return the latest time at which all accepted entries were known here, if there is one."""
+    if state.role is not ReplicaRole.LEADER:
+        return state.current_at
+    return _lease.quorum_confirmed_at(state, now) if is_term_ready(state) else None
+
+
+def _note_current(state: ReplicaState, request: AppendRequest, now: float) -> None:
+    """Note that every entry accepted before the leader's last quorum is known here."""
+    if state.commit < request.commit or math.isinf(request.quorum_age_s):
+        return
+    seen_at = now - request.quorum_age_s
+    if state.current_at is None or seen_at > state.current_at:
+        state.current_at = seen_at
+
+
 def follow_leader(state: ReplicaState, leader_id: ReplicaId, term: Term, now: float) -> bool:
     """Follow the sender of a leader's message, unless its term is over.
 
@@ -227,6 +246,7 @@
     previous = LogIndex(first - 1)
     progress.sent_at = now
     progress.told_commit = state.commit
+    confirmed_at = _lease.quorum_confirmed_at(state, now) if is_term_ready(state) else None
     state.output.early_messages.append(
         AppendRequest(
             sender=state.replica_id,
@@ -237,6 +257,7 @@
             commit=state.commit,
             sent_at=now,
             entries=entries,
+            quorum_age_s=math.inf if confirmed_at is None else now - confirmed_at,
         )
     )
 
--- a/packages/consensus/src/lagoonwing_consensus/_state.py
+++ b/packages/consensus/src/lagoonwing_consensus/_state.py
@@ -105,6 +105,8 @@
         persisted_index: Last own entry that is synced.
         contact_at: Time of the last message of a leader; the start counts as one, for the
             messages before it are forgotten.
+        current_at: Latest time at which the accepted entries known here were all that there
+            were, or nothing yet.
         is_needed_to_win: Whether a candidate with a shorter log has asked for this replica's
             vote since a leader was last heard.
         term_start_index: The leader's first entry in its term.
@@ -126,6 +128,7 @@
     election_deadline: float
     role: ReplicaRole = ReplicaRole.FOLLOWER
     leader_id: ReplicaId | None = None
+    current_at: float | None = None
     is_needed_to_win: bool = False
     granted_ids: set[ReplicaId] = field(default_factory=set)
     progress_by_id: dict[ReplicaId, Progress] = field(default_factory=dict)
--- a/packages/consensus/src/lagoonwing_consensus/messages.py
+++ b/packages/consensus/src/lagoonwing_consensus/messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
 from lagoonwing_consensus.models import Entry, ReplicaSet
@@ -43,6 +45,8 @@
 
     Attributes:
         sent_at: Time of sending on the leader's clock, which the reply repeats.
+        quorum_age_s: Seconds since a quorum is known to have followed the leader; infinite if
+            none has in this term.
     """
 
     sender: ReplicaId
@@ -53,6 +57,7 @@
     commit: LogIndex
     sent_at: float
     entries: tuple[Entry, ...] = ()
+    quorum_age_s: float = math.inf
 
 
 class AppendReply(msgspec.Struct, frozen=True, array_like=True, tag=4):
--- a/packages/entry/src/lagoonwing_entry/_connection_pool.py
+++ b/packages/entry/src/lagoonwing_entry/_connection_pool.py
@@ -8,9 +8,9 @@
 from lagoonwing_core.clock import Clock
 from lagoonwing_core.ids import EndpointId, Incarnation
 from lagoonwing_core.models import EndpointRecord
-from lagoonwing_entry._http_client import ClientConnection, async_open_connection
 from lagoonwing_entry.const import IDLE_CONNECTION_LIFE_S
 from lagoonwing_entry.models import AdapterSettings
+from lagoonwing_http import ClientConnection, async_open_connection
 
 # A restarted endpoint, or one at another address, never gets an old connection.
 PoolKey = tuple[EndpointId, Incarnation, str, int]
--- a/packages/entry/src/lagoonwing_entry/_dispatch.py
+++ b/packages/entry/src/lagoonwing_entry/_dispatch.py
@@ -12,8 +12,6 @@
 from lagoonwing_core.models import EndpointRecord
 from lagoonwing_core.result_codes import Outcome, ResultCode
 from lagoonwing_entry._connection_pool import ConnectionPool
-from lagoonwing_entry._exchange import AnswerHead, Exchange
-from lagoonwing_entry._http_client import ClientConnection
 from lagoonwing_entry.const import (
     HEADER_ATTEMPT,
     HEADER_OUTCOME,
@@ -21,13 +19,16 @@
     HEADER_RETRY_AFTER,
     MAX_SEND_DELAY_S,
 )
-from lagoonwing_entry.errors import (
+from lagoonwing_entry.errors import DispatchError
+from lagoonwing_entry.models import DispatchFailure, DispatchId
+from lagoonwing_http import (
     AnswerBrokenError,
+    AnswerHead,
+    ClientConnection,
     ConnectError,
-    DispatchError,
+    Exchange,
     ForeignAnswerError,
 )
-from lagoonwing_entry.models import DispatchFailure, DispatchId
 from lagoonwing_policy.models import Dispatch
 
 _BUSY_STATUSES = frozenset({409, 429, 503})
--- a/packages/entry/src/lagoonwing_entry/const.py
+++ b/packages/entry/src/lagoonwing_entry/const.py
@@ -29,9 +29,6 @@
 PREFIX_CHARACTERS = 256
 MAX_PREFIX_HASHES = 16
 
-# Bytes of an answer that may wait for a slow caller before the endpoint is no longer read.
-MAX_UNREAD_ANSWER_BYTES = 256 * 1024
-MAX_ANSWER_HEADER_BYTES = 16 * 1024
 IDLE_CONNECTION_LIFE_S = 30.0
 IDLE_TICK_S = 0.1
 # Longest time between the choice of an endpoint and the first byte of a dispatch.
--- /dev/null
+++ b/packages/http/src/lagoonwing_http/__init__.py
@@ -0,0 +1,17 @@
+"""HTTP connections to endpoints that know whether any byte may have left."""
+
+from __future__ import annotations
+
+from lagoonwing_http._client import ClientConnection, async_open_connection
+from lagoonwing_http._exchange import AnswerHead, Exchange
+from lagoonwing_http.errors import AnswerBrokenError, ConnectError, ForeignAnswerError
+
+__all__ = [
+    "AnswerBrokenError",
+    "AnswerHead",
+    "ClientConnection",
+    "ConnectError",
+    "Exchange",
+    "ForeignAnswerError",
+    "async_open_connection",
+]
--- a/packages/entry/src/lagoonwing_entry/_http_client.py
+++ b/packages/http/src/lagoonwing_http/_client.py
@@ -22,12 +22,12 @@
 
 from lagoonwing_core.callback import callback
 from lagoonwing_core.events import EventCode, log_event
-from lagoonwing_entry._exchange import AnswerHead, Exchange
-from lagoonwing_entry.const import (
+from lagoonwing_http._exchange import AnswerHead, Exchange
+from lagoonwing_http.const import (
     CONNECTION_READ_CHUNK_BYTES,
     MAX_ANSWER_HEADER_BYTES,
 )
-from lagoonwing_entry.errors import ConnectError
+from lagoonwing_http.errors import ConnectError
 
 # A stream of tokens has no end known in advance; readers bound what they keep.
 _MAX_STREAM_BYTES = 1 << 40
@@ -45,6 +45,7 @@
         self._on_idle = on_idle
         self._exchange: Exchange | None = None
         self._keep_alive = True
+        self._framed = True
         self._parameters = HTTP1ConnectionParameters(
             chunk_size=CONNECTION_READ_CHUNK_BYTES,
             max_header_size=MAX_ANSWER_HEADER_BYTES,
@@ -112,6 +113,7 @@
             return
         framed = "Content-Length" in headers or "Transfer-Encoding" in headers
         framed = framed or start_line.code in (204, 304)
+        self._framed = framed
         closes = headers.get("Connection", "").lower() == "close"
         self._keep_alive = framed and not closes and start_line.version == "HTTP/1.1"
         self._exchange.on_head(AnswerHead(start_line.code, headers, framed))
@@ -123,7 +125,10 @@
         return self._exchange.on_data(chunk)
 
     def finish(self) -> None:
-        """Take the proper end of the answer."""
+        """Take the proper end of the answer; without framing a reset is none."""
+        if not self._framed and self._stream.error is not None:
+            self._break()
+            return
         if self._exchange is not None:
             self._exchange.on_finish()
 
--- a/packages/entry/src/lagoonwing_entry/_exchange.py
+++ b/packages/http/src/lagoonwing_http/_exchange.py
@@ -10,8 +10,8 @@
 from tornado.httputil import HTTPHeaders
 
 from lagoonwing_core.callback import callback
-from lagoonwing_entry.const import MAX_UNREAD_ANSWER_BYTES
-from lagoonwing_entry.errors import AnswerBrokenError, ForeignAnswerError
+from lagoonwing_http.const import MAX_UNREAD_ANSWER_BYTES
+from lagoonwing_http.errors import AnswerBrokenError, ForeignAnswerError
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/replication/src/lagoonwing_replication/_formation.py
+++ b/packages/replication/src/lagoonwing_replication/_formation.py
@@ -96,7 +96,7 @@
 
     def _may_found(self, standing: Standing) -> bool:
         """Return whether this host forms new logs and belongs to none."""
-        if self._settings.host_id != self._settings.founder_id:
+        if not self._settings.may_found or self._settings.host_id != self._settings.founder_id:
             return False
         # Bound to itself but empty, it crashed just before it had begun the log.
         free = ("", standing.identity.replica_id)
--- a/packages/replication/src/lagoonwing_replication/_raft_log.py
+++ b/packages/replication/src/lagoonwing_replication/_raft_log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import secrets
 from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
@@ -165,6 +166,18 @@
             return None
         return core.term if core.is_lease_valid(self._clock.now()) else None
 
+    def current_age(self) -> float:
+        """Return the seconds since all accepted commands were known to be applied here.
+
+        Infinite where that has not been known since the start.
+        """
+        core = self.core
+        now = self._clock.now()
+        current_at = None if core is None else core.current_at(now)
+        if core is None or current_at is None or self._applier.applied < core.commit:
+            return math.inf
+        return max(0.0, now - current_at)
+
     @property
     def syncs(self) -> int:
         """Syncs of the log's files so far, each for all that had gathered."""
@@ -309,14 +322,27 @@
         match message:
             case Packet():
                 self._take_packet(host_id, message)
-            case JoinRequest(cluster_id=cluster_id, replica=replica):
-                own_id = self._binding.cluster_id
-                if own_id and cluster_id in ("", own_id) and replica.host_id == host_id:
-                    self._directory.learn(replica.replica_id, host_id)
-                    self.step(lambda core, now: core.add_learner(replica, now))
+            case JoinRequest():
+                self._take_join(host_id, message)
             case _:
                 pass
 
+    @callback
+    def _take_join(self, host_id: HostId, request: JoinRequest) -> None:
+        """Take a replica in, or pass its request on to the leader, whom it may not know."""
+        own_id = self._binding.cluster_id
+        if not own_id or request.cluster_id not in ("", own_id):
+            return
+        replica = request.replica
+        leader_host = self._directory.leader_host(self.core)
+        is_leader = self.core is not None and self.core.role is ReplicaRole.LEADER
+        if not is_leader and replica.host_id == host_id and leader_host is not None:
+            self._peers.push(leader_host, request)
+            return
+        self._directory.learn(replica.replica_id, replica.host_id)
+        self._keep_link(replica)
+        self.step(lambda core, now: core.add_learner(replica, now))
+
     @callback
     def _take_packet(self, host_id: HostId, packet: Packet) -> None:
         """Take a message for the core; the first one binds a replica that was taken in."""
--- a/packages/replication/src/lagoonwing_replication/settings.py
+++ b/packages/replication/src/lagoonwing_replication/settings.py
@@ -35,6 +35,8 @@
         folder: Folder that belongs to this replica alone.
         hosts: The same on every host. A new log is formed once all of them are up, each with
             an empty folder; later they only tell where to look for the log.
+        own: This host, where `hosts` doesn't name it: it can only join.
+        may_found: Whether a new log may be formed at all.
         snapshot_entries: Entries applied after which a snapshot is taken.
         keep_entries: Entries kept after a snapshot for replicas that lag a little.
         core: Timings and limits; the same on every host.
@@ -43,6 +45,8 @@
     host_id: HostId
     folder: Path
     hosts: tuple[ReplicaHost, ...]
+    own: ReplicaHost | None = None
+    may_found: bool = True
     snapshot_entries: int = SNAPSHOT_ENTRIES
     keep_entries: int = KEEP_ENTRIES
     core: CoreSettings = field(default_factory=CoreSettings)
@@ -57,6 +61,8 @@
         for host in self.hosts:
             if host.host_id == self.host_id:
                 return host
+        if self.own is not None:
+            return self.own
         raise ValueError(f"hosts doesn't name {self.host_id}")
 
     @property
--- a/packages/wire/src/lagoonwing_wire/_channel.py
+++ b/packages/wire/src/lagoonwing_wire/_channel.py
@@ -18,12 +18,14 @@
 from lagoonwing_core.result_codes import ResultCode
 from lagoonwing_wire._framing import FrameTooLargeError, async_read_frame, write_frame
 from lagoonwing_wire._handshake import Session
+from lagoonwing_wire.const import PING_INTERVAL_S, SILENCE_LIMIT_S
 from lagoonwing_wire.models import Envelope, EnvelopeKind
 
 MessageT = TypeVar("MessageT")
 
 _ENCODER = msgspec.msgpack.Encoder()
 _ENVELOPE_DECODER = msgspec.msgpack.Decoder(Envelope)
+_NO_MESSAGE = msgspec.Raw(_ENCODER.encode(None))
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +57,7 @@
         self._reply_by_correlation: dict[int, asyncio.Future[MessageT]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._closed = False
+        self._heard_at = 0.0
 
     @property
     def closed(self) -> bool:
@@ -102,17 +105,33 @@
 
     async def async_run(self) -> None:
         """Read messages until the stream ends, then tell the handlers."""
+        loop = asyncio.get_running_loop()
+        self._heard_at = loop.time()
+        pinger = loop.create_task(self._async_ping())
         try:
             while True:
                 frame = await async_read_frame(self._stream)
+                self._heard_at = loop.time()
                 self._dispatch(frame)
         except StreamClosedError:
             pass
         except (FrameTooLargeError, msgspec.MsgspecError) as error:
             log_event(EventCode.PEER_REFUSED, peer=self.peer_id, reason=error)
         finally:
+            pinger.cancel()
             self.close()
 
+    async def _async_ping(self) -> None:
+        """Let the peer hear of this side, and end a channel on which nothing is heard."""
+        loop = asyncio.get_running_loop()
+        while not self._closed:
+            if loop.time() > self._heard_at + SILENCE_LIMIT_S:
+                log_event(EventCode.PEER_LOST, peer=self.peer_id, reason="silent")
+                self.close()
+                return
+            self._write_envelope(Envelope(EnvelopeKind.PING, 0, _NO_MESSAGE))
+            await asyncio.sleep(PING_INTERVAL_S)
+
     @callback
     def close(self) -> None:
         """End the channel; every waiting call is refused."""
@@ -129,10 +148,15 @@
 
     @callback
     def _write(self, kind: EnvelopeKind, correlation: int, message: msgspec.Struct) -> bool:
+        """Queue one message in its envelope."""
+        return self._write_envelope(
+            Envelope(kind, correlation, msgspec.Raw(_ENCODER.encode(message)))
+        )
+
+    def _write_envelope(self, envelope: Envelope) -> bool:
         """Queue one envelope; close the channel if the peer reads too slowly."""
         if self._closed:
             return False
-        envelope = Envelope(kind, correlation, msgspec.Raw(_ENCODER.encode(message)))
         try:
             write_frame(self._stream, _ENCODER.encode(envelope))
         except StreamClosedError:
@@ -147,6 +171,8 @@
     def _dispatch(self, frame: bytes) -> None:
         """Hand one frame to whoever waits for it."""
         envelope = _ENVELOPE_DECODER.decode(frame)
+        if envelope.kind is EnvelopeKind.PING:
+            return
         message = self._handlers.decoder.decode(envelope.body)
         match envelope.kind:
             case EnvelopeKind.PUSH:
--- a/packages/wire/src/lagoonwing_wire/const.py
+++ b/packages/wire/src/lagoonwing_wire/const.py
@@ -15,3 +15,8 @@
 
 RECONNECT_MIN_S = 0.1
 RECONNECT_MAX_S = 2.0
+
+# A peer that lives is heard at least this often.
+PING_INTERVAL_S = 0.5
+# Some connections fall silent without a reset; only this limit shows it.
+SILENCE_LIMIT_S = 1.8
--- a/packages/wire/src/lagoonwing_wire/models.py
+++ b/packages/wire/src/lagoonwing_wire/models.py
@@ -15,6 +15,7 @@
     PUSH = 0
     CALL = 1
     REPLY = 2
+    PING = 3
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
