--- /dev/null
+++ b/packages/catalog/src/lagoonwing_catalog/_state_machine.py
@@ -0,0 +1,64 @@
+"""State machine of the replicated catalog: deterministic, without I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from lagoonwing_catalog._state import CatalogState, decode_snapshot, encode_snapshot
+from lagoonwing_catalog.messages import (
+    Applied,
+    Command,
+    LoseEndpoint,
+    PutDocument,
+    PutEndpoint,
+)
+from lagoonwing_core.ids import LogIndex
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Command)
+
+
+def encode_command(command: Command) -> bytes:
+    """Return one log entry's command."""
+    return _ENCODER.encode(command)
+
+
+class CatalogStateMachine:
+    """Applies commands to the tables.
+
+    Attributes:
+        state: Tables; only `apply` and `restore` change them.
+        on_applied: Called after each change and after a restore.
+    """
+
+    def __init__(self, on_applied: Callable[[], None] = lambda: None) -> None:
+        self.state = CatalogState()
+        self.on_applied = on_applied
+
+    def apply(self, index: LogIndex, command: bytes) -> bytes:
+        """Apply one command and return its encoded result."""
+        changed = self._apply(_DECODER.decode(command))
+        if changed:
+            self.on_applied()
+        return _ENCODER.encode(Applied(self.state.revision, changed))
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return encode_snapshot(self.state)
+
+    def restore(self, snapshot: bytes) -> None:
+        """Replace the whole state."""
+        self.state = decode_snapshot(snapshot) if snapshot else CatalogState()
+        self.on_applied()
+
+    def _apply(self, command: Command) -> bool:
+        """Apply one command and return whether anything changed."""
+        match command:
+            case PutDocument(stored=stored):
+                return self.state.put_document(stored)
+            case PutEndpoint(record=record):
+                return self.state.put_endpoint(record)
+            case LoseEndpoint(endpoint_id=endpoint_id, started_ms=started_ms, sequence=sequence):
+                return self.state.lose_endpoint(endpoint_id, started_ms, sequence)
--- a/packages/core/src/lagoonwing_core/ids.py
+++ b/packages/core/src/lagoonwing_core/ids.py
@@ -18,6 +18,8 @@
 StopId = NewType("StopId", str)
 OrderId = NewType("OrderId", str)
 ReplicaId = NewType("ReplicaId", str)
+RouteId = NewType("RouteId", str)
+AttemptId = NewType("AttemptId", str)
 
 # Number of the last accepted change of the durable state; never goes back.
 Revision = NewType("Revision", int)
@@ -33,3 +35,5 @@
 FencingNumber = NewType("FencingNumber", int)
 # Digest of the normalised body of a request.
 Fingerprint = NewType("Fingerprint", str)
+# Number that operators give a configuration document; the highest is in force.
+DocumentVersion = NewType("DocumentVersion", int)
--- a/packages/core/src/lagoonwing_core/settings/_load.py
+++ b/packages/core/src/lagoonwing_core/settings/_load.py
@@ -16,6 +16,9 @@
 from lagoonwing_core.settings.models import HostSettings, Role
 
 _MAX_FOUND_CHARACTERS = 60
+_ROLES_WITH_DISK = (Role.CONTROL.value, Role.REGISTRY.value)
+_ROLES_WITH_REPLICAS = (Role.ENTRY.value, Role.CONTROL.value)
+_ROLES_WITH_SEEDS = (Role.GATEWAY.value, Role.REGISTRY.value)
 
 
 def load_settings(file: str) -> Result[HostSettings, tuple[SettingsFault, ...]]:
@@ -136,24 +139,28 @@
     settings = parsed.value
     if not isinstance(settings, dict):
         return []
-    faults: list[SettingsFault] = []
     role = settings.get("role")
-    for name in (Role.ENTRY.value, Role.CONTROL.value):
-        if role == name and name not in settings:
-            line = _line(parsed, ("role",))
-            faults.append(
-                SettingsFault(parsed.file, line, name, "nothing", f'this section, role is "{name}"')
-            )
-    if role == Role.CONTROL.value and settings.get("data_folder") is None:
-        line = _line(parsed, ("role",))
-        faults.append(
-            SettingsFault(parsed.file, line, "data_folder", "nothing", "a folder on a disk")
-        )
+    faults: list[SettingsFault] = []
+    if role in (one.value for one in Role) and role not in settings:
+        faults.append(_missing(parsed, role, f'this section, role is "{role}"'))
+    if role in _ROLES_WITH_DISK and settings.get("data_folder") is None:
+        faults.append(_missing(parsed, "data_folder", "a folder on a disk"))
+    if settings.get("system_key_file") is None and settings.get("system_key") is None:
+        faults.append(_missing(parsed, "system_key_file", "this key, or system_key"))
+    if role in _ROLES_WITH_REPLICAS and not settings.get("replicas"):
+        faults.append(_missing(parsed, "replicas", "a list of 1 or more"))
+    if role in _ROLES_WITH_SEEDS and not settings.get("seeds"):
+        faults.append(_missing(parsed, "seeds", "a list of 1 or more"))
     if role == Role.CONTROL.value:
         faults.extend(_replica_faults(parsed, settings))
     return faults
 
 
+def _missing(parsed: ParsedSettings, key: str, allowed: str) -> SettingsFault:
+    """Return the fault of a key that the role needs."""
+    return SettingsFault(parsed.file, _line(parsed, ("role",)), key, "nothing", allowed)
+
+
 def _replica_faults(parsed: ParsedSettings, settings: dict[str, Any]) -> list[SettingsFault]:
     """Return a fault where a control replica is missing from the list of replicas."""
     replicas = settings.get("replicas")
--- a/packages/core/src/lagoonwing_core/settings/models.py
+++ b/packages/core/src/lagoonwing_core/settings/models.py
@@ -17,7 +17,10 @@
     DEFAULT_OPERATOR_PORT,
     DEFAULT_PEER_PORT,
     DEFAULT_REQUEST_TIMEOUT_S,
+    DEFAULT_LOG_LINES_PER_S,
     KEY_HASH_PATTERN,
+    LISTEN_PATTERN,
+    MAX_LOG_LINES_PER_S,
     MAX_BODY_BYTES,
     MAX_DRAIN_GRACE_S,
     MAX_PORT,
@@ -34,6 +37,8 @@
 
     ENTRY = "entry"
     CONTROL = "control"
+    GATEWAY = "gateway"
+    REGISTRY = "registry"
 
 
 class LogLevel(Enum):
@@ -75,6 +80,9 @@
 Name = Annotated[str, Meta(pattern=NAME_PATTERN)]
 Port = Annotated[int, Meta(ge=MIN_PORT, le=MAX_PORT, extra={"unit": "port"})]
 IpNumber = Annotated[str, Meta(extra={"unit": "IP number"})]
+ListenAddress = Annotated[
+    str, Meta(pattern=LISTEN_PATTERN, extra={"unit": "IP number and port"})
+]
 KeyHash = Annotated[str, Meta(pattern=KEY_HASH_PATTERN, extra={"unit": "SHA-256, hexadecimal"})]
 
 
@@ -177,6 +185,57 @@
     ] = DEFAULT_METRICS_PORT
 
 
+class GatewaySettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Settings of a gateway."""
+
+    caller_listen: Annotated[ListenAddress, Meta(description="Where callers connect.")]
+    ready_listen: Annotated[ListenAddress, Meta(description="Where readiness is asked for.")]
+    metrics_port: Annotated[Port, Meta(description="Port for metrics.")] = DEFAULT_METRICS_PORT
+    retry_ratio: Annotated[
+        float, Meta(ge=0.0, le=10.0, description="Second sends for each request of a service.")
+    ] = 0.2
+    retry_slack: Annotated[
+        float,
+        Meta(ge=0.0, description="Further second sends of all gateways together in a window."),
+    ] = 10.0
+    retry_window_s: Annotated[
+        float, Meta(ge=MIN_POSITIVE_S, extra={"unit": "s"}, description="Length of that window.")
+    ] = 10.0
+    drain_grace_s: Annotated[
+        float,
+        Meta(
+            ge=0.0,
+            le=MAX_DRAIN_GRACE_S,
+            extra={"unit": "s"},
+            description="Time after SIGTERM within which the process must end.",
+        ),
+    ] = DEFAULT_DRAIN_GRACE_S
+
+
+class RegistrySettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Settings of a registry process."""
+
+    control_listen: Annotated[
+        ListenAddress, Meta(description="Where endpoints and operators call.")
+    ]
+    metrics_port: Annotated[Port, Meta(description="Port for metrics.")] = DEFAULT_METRICS_PORT
+    announce_interval_ms: Annotated[
+        float,
+        Meta(
+            ge=1.0,
+            extra={"unit": "ms"},
+            description="Period in which endpoints announce themselves.",
+        ),
+    ] = 1_000.0
+    tolerated_losses: Annotated[
+        int,
+        Meta(ge=0, le=10, description="Replicas that may be lost at once; twice as many vote."),
+    ] = 1
+    may_found: Annotated[
+        bool, Meta(description="Whether a new log may be formed with empty folders.")
+    ] = True
+
+
 class HostSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Settings of one process of a host."""
 
@@ -185,12 +244,27 @@
     failure_domain: Annotated[Name, Meta(description="Failure domain of the host.")]
     address: Annotated[IpNumber, Meta(description="Address that the process listens on.")]
     system_key_file: Annotated[
-        str, Meta(min_length=1, description="File that holds the key shared by all processes.")
-    ]
+        str | None, Meta(description="File that holds the key shared by all processes.")
+    ] = None
+    system_key: Annotated[
+        str | None, Meta(description="That key itself, where hosts are given no files.")
+    ] = None
     replicas: Annotated[
         tuple[ReplicaSettings, ...],
-        Meta(min_length=1, description="Control replicas, the same list on every host."),
-    ]
+        Meta(description="Control replicas, the same list on every host; at least one."),
+    ] = ()
+    seeds: Annotated[
+        tuple[ListenAddress, ...],
+        Meta(description="Hosts on which a registry may be found; the port is not used."),
+    ] = ()
+    log_lines_per_s: Annotated[
+        float,
+        Meta(
+            ge=1.0,
+            le=MAX_LOG_LINES_PER_S,
+            description="Most log lines a second; what is left out is counted.",
+        ),
+    ] = DEFAULT_LOG_LINES_PER_S
     peer_port: Annotated[Port, Meta(description="Port of the stream server.")] = DEFAULT_PEER_PORT
     data_folder: Annotated[
         str | None, Meta(description="Folder of all files; none on a host without a disk.")
@@ -204,3 +278,9 @@
     control: Annotated[
         ControlSettings | None, Meta(description="Needed where the role is `control`.")
     ] = None
+    gateway: Annotated[
+        GatewaySettings | None, Meta(description="Needed where the role is `gateway`.")
+    ] = None
+    registry: Annotated[
+        RegistrySettings | None, Meta(description="Needed where the role is `registry`.")
+    ] = None
--- /dev/null
+++ b/packages/gateway/src/lagoonwing_gateway/__init__.py
@@ -0,0 +1,8 @@
+"""Relay between callers and endpoints by host and path."""
+
+from __future__ import annotations
+
+from lagoonwing_gateway._gateway import Gateway
+from lagoonwing_gateway.settings import GatewaySettings, RetryBudgetSettings
+
+__all__ = ["Gateway", "GatewaySettings", "RetryBudgetSettings"]
--- /dev/null
+++ b/packages/gateway/src/lagoonwing_gateway/_calls.py
@@ -0,0 +1,243 @@
+"""Plain calls: the whole answer or a truthful refusal.
+
+Answers the load of short calls on few endpoints: each goes to the one with the least work, and a
+repeatable one that fails or stays silent is tried once more elsewhere, within the shared budget.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Iterable
+
+from lagoonwing_catalog.messages import EndpointLoad
+from lagoonwing_catalog.models import EndpointRecord, RequestKind, Service
+from lagoonwing_core.clock import Clock
+from lagoonwing_core.ids import EndpointId, FailureDomainId
+from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_gateway._budget import RetryBudget
+from lagoonwing_gateway._directory import Directory
+from lagoonwing_gateway._exchanges import BROKEN_ERRORS, Exchanges, OpenExchange
+from lagoonwing_gateway._follower import CatalogFollower
+from lagoonwing_gateway._journal import log_attempt
+from lagoonwing_gateway._ledger import Ledger
+from lagoonwing_gateway._pace import Pace
+from lagoonwing_gateway._refusals import no_endpoint, not_run, unknown
+from lagoonwing_gateway._suspects import Suspects
+from lagoonwing_gateway.const import (
+    CALL_SILENCE_SHARE,
+    DEADLINE_SLACK_S,
+    MAX_CONNECT_TRIES,
+    MIN_CALL_SILENCE_S,
+    MIN_SEND_BUDGET_S,
+    PLAIN_CROSSING_COST,
+    PLAIN_FULL_FACTOR,
+)
+from lagoonwing_gateway.models import (
+    AttemptOutcome,
+    CallerGone,
+    Completed,
+    Failed,
+    GatewayRefusal,
+    NotRun,
+    Outgoing,
+    RequestContext,
+    WholeAnswer,
+)
+from lagoonwing_gateway.ports import Responder
+from lagoonwing_http import ConnectError
+
+_NO_LOAD = EndpointLoad(0, 0, 0)
+# Status of an endpoint's failure for which another endpoint may do better.
+_FIRST_FAILURE_STATUS = 500
+
+
+class Calls:
+    """Serves requests whose answers are sent on whole."""
+
+    def __init__(
+        self,
+        failure_domain: FailureDomainId,
+        follower: CatalogFollower,
+        directory: Directory,
+        suspects: Suspects,
+        pace: Pace,
+        ledger: Ledger,
+        budget: RetryBudget,
+        exchanges: Exchanges,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._failure_domain = failure_domain
+        self._follower = follower
+        self._directory = directory
+        self._suspects = suspects
+        self._pace = pace
+        self._ledger = ledger
+        self._budget = budget
+        self._exchanges = exchanges
+        self._clock = clock
+        self._rng = rng
+
+    async def async_serve(
+        self, context: RequestContext, service: Service, responder: Responder
+    ) -> GatewayRefusal | None:
+        """Serve one call; return what is to be refused, or nothing if it was answered."""
+        excluded: set[EndpointId] = set()
+        last: AttemptOutcome = NotRun("no endpoint has room", ())
+        sends = 0
+        tries = 0
+        while tries < MAX_CONNECT_TRIES + context.route.max_attempts:
+            record = self._choose(service, excluded)
+            if record is None or context.deadline - self._clock.now() < MIN_SEND_BUDGET_S:
+                break
+            if sends and not self._may_send_again(context, service, last):
+                break
+            tries += 1
+            opened = await self._async_open(context, service, record, is_first=sends == 0)
+            if opened is None:
+                excluded.add(record.endpoint_id)
+                continue
+            sends += 1
+            last = await self._async_attempt(context, record, opened, responder, sends)
+            log_attempt(context, record.endpoint_id, sends, last)
+            match last:
+                case Completed() | CallerGone():
+                    return None
+                case NotRun() | Failed():
+                    excluded.add(record.endpoint_id)
+            if sends >= context.route.max_attempts:
+                break
+        return self._give_up(context, last, sends, responder)
+
+    def _choose(
+        self, service: Service, excluded: Iterable[EndpointId]
+    ) -> EndpointRecord | None:
+        """Return the endpoint with the least work, unless all are full."""
+        loads = self._ledger.loads(self._follower.summary().load_by_id)
+
+        def cost(record: EndpointRecord) -> float:
+            load = loads.get(record.endpoint_id, _NO_LOAD)
+            busy = load.sequences / max(1, record.slots)
+            if record.failure_domain != self._failure_domain:
+                busy += PLAIN_CROSSING_COST
+            return (busy + 1 / record.slots) * self._pace.slowness(record.endpoint_id)
+
+        def has_room(record: EndpointRecord) -> bool:
+            load = loads.get(record.endpoint_id, _NO_LOAD)
+            return load.sequences < PLAIN_FULL_FACTOR * record.slots
+
+        records = [one for one in self._directory.plain(service.service_id, excluded)]
+        self._rng.shuffle(records)
+        return min(filter(has_room, records), key=cost, default=None)
+
+    def _may_send_again(
+        self, context: RequestContext, service: Service, last: AttemptOutcome
+    ) -> bool:
+        """Return whether a call may go to a second endpoint."""
+        if context.route.kind is RequestKind.UNSAFE and not isinstance(last, NotRun):
+            return False
+        return self._budget.take(service.service_id, self._follower.gateways)
+
+    async def _async_open(
+        self, context: RequestContext, service: Service, record: EndpointRecord, is_first: bool
+    ) -> OpenExchange | None:
+        """Send a call to an endpoint; return nothing if it can't be reached."""
+        budget_s = context.deadline - self._clock.now()
+        outgoing = Outgoing(
+            context.request, record, context.member, budget_s, context.route.priority
+        )
+        # A kept connection may end just as a request is written, and leave open whether it ran.
+        fresh = context.route.kind is RequestKind.UNSAFE
+        try:
+            opened = await self._exchanges.async_send(outgoing, fresh)
+        except ConnectError as error:
+            self._suspects.failed(record.endpoint_id, str(error))
+            return None
+        if is_first:
+            self._budget.first_sent(service.service_id)
+        return opened
+
+    async def _async_attempt(
+        self,
+        context: RequestContext,
+        record: EndpointRecord,
+        opened: OpenExchange,
+        responder: Responder,
+        send: int,
+    ) -> AttemptOutcome:
+        """Wait for the answer of one endpoint and send it on if it is good."""
+        endpoint_id = record.endpoint_id
+        self._ledger.begin_call(endpoint_id)
+        task = asyncio.ensure_future(
+            self._exchanges.async_whole(opened, self._patience_ends(context, send))
+        )
+        responder.set_on_gone(task.cancel)
+        try:
+            answer = await task
+        except asyncio.CancelledError:
+            if responder.is_gone:
+                return CallerGone()
+            raise
+        except BROKEN_ERRORS as error:
+            reason = str(error) or "no answer in time"
+            self._suspects.failed(endpoint_id, reason)
+            return Failed(reason, (endpoint_id,))
+        finally:
+            responder.set_on_gone(_nothing)
+            opened.close()
+            self._ledger.end_call(endpoint_id)
+        elapsed = self._clock.now() - opened.sent_at
+        self._pace.observe(endpoint_id, elapsed, context.route.objective_s / 2)
+        return self._judge(record, answer, responder)
+
+    def _judge(
+        self, record: EndpointRecord, answer: WholeAnswer, responder: Responder
+    ) -> AttemptOutcome:
+        """Send a good answer on; return what a bad one means."""
+        notes = answer.notes
+        blamed = (record.endpoint_id,)
+        if notes.not_executed or notes.status == 421:
+            self._suspects.avoid(record.endpoint_id)
+            return NotRun(f"the endpoint refused it with {notes.status}", blamed)
+        if notes.is_success and (not notes.is_signed or notes.is_encoded):
+            self._suspects.failed(record.endpoint_id, "an answer that is not the endpoint's")
+            return Failed("the answer is not the endpoint's own", blamed)
+        if notes.status >= _FIRST_FAILURE_STATUS:
+            return Failed(f"the endpoint answered {notes.status}", blamed, answer)
+        self._suspects.progressed(blamed)
+        responder.send_whole(notes.status, answer.headers, answer.body)
+        return Completed()
+
+    def _patience_ends(self, context: RequestContext, send: int) -> float:
+        """Return until when to wait for an endpoint."""
+        deadline = context.deadline - DEADLINE_SLACK_S
+        if context.route.kind is RequestKind.UNSAFE or send >= context.route.max_attempts:
+            return deadline
+        silence = max(MIN_CALL_SILENCE_S, context.route.objective_s * CALL_SILENCE_SHARE)
+        return min(deadline, self._clock.now() + silence)
+
+    def _give_up(
+        self,
+        context: RequestContext,
+        last: AttemptOutcome,
+        sends: int,
+        responder: Responder,
+    ) -> GatewayRefusal | None:
+        """Return what to tell the caller of a call that was not answered."""
+        match last:
+            case Failed(answer=WholeAnswer() as answer):
+                responder.send_whole(answer.notes.status, answer.headers, answer.body)
+                return None
+            case Failed(reason=reason):
+                is_late = self._clock.now() >= context.deadline - 2 * DEADLINE_SLACK_S
+                code = ResultCode.DEADLINE_EXCEEDED if is_late else ResultCode.ENDPOINT_LOST
+                return unknown(code, reason)
+            case NotRun(reason=reason) if sends:
+                return not_run(ResultCode.ENDPOINT_REFUSED, reason, self._rng)
+            case _:
+                return no_endpoint("no endpoint can take the call", self._rng)
+
+
+def _nothing() -> None:
+    """Do nothing when the caller goes."""
--- /dev/null
+++ b/packages/gateway/src/lagoonwing_gateway/_follower.py
@@ -0,0 +1,250 @@
+"""Copy of the catalog, followed at one replica at a time."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import zlib
+from collections.abc import Callable
+from typing import Any
+
+from expression import Result
+
+from lagoonwing_catalog import RouteTable
+from lagoonwing_catalog.const import PROTOCOL
+from lagoonwing_catalog.messages import (
+    CATALOG_DECODER,
+    DOCUMENT_DECODER,
+    CatalogMessage,
+    Current,
+    Delta,
+    LoadReport,
+    LoadSummary,
+    Refused,
+    ReplicaAddress,
+    Subscribe,
+    Subscribed,
+)
+from lagoonwing_catalog.models import EndpointRecord
+from lagoonwing_core.callback import callback
+from lagoonwing_core.clock import Clock
+from lagoonwing_core.events import EventCode, log_event
+from lagoonwing_core.ids import EndpointId, HostId, Revision
+from lagoonwing_gateway.const import (
+    FOLLOW_INTERVAL_S,
+    MAX_SOURCE_AGE_S,
+    REPORT_INTERVAL_S,
+    SOURCE_SILENCE_S,
+    SUBSCRIBE_TIMEOUT_S,
+    SUMMARY_LIFE_S,
+)
+from lagoonwing_gateway.settings import GatewaySettings
+from lagoonwing_wire import Channel, Handlers, Identity, Link
+
+_NO_SUMMARY = LoadSummary({})
+
+
+class CatalogFollower:
+    """Follows the catalog; its revision never goes back.
+
+    Attributes:
+        routes: Document in force, indexed; nothing before the first one.
+        endpoint_by_id: Records of all endpoints.
+        gateways: Gateways alive, as far as known.
+    """
+
+    name = "catalog_follower"
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        identity: Identity,
+        clock: Clock,
+        report: Callable[[], LoadReport],
+    ) -> None:
+        self.routes: RouteTable | None = None
+        self.endpoint_by_id: dict[EndpointId, EndpointRecord] = {}
+        self.gateways = 1
+        self._settings = settings
+        self._identity = identity
+        self._clock = clock
+        self._report = report
+        self._revision = Revision(0)
+        self._listeners: list[Callable[[], None]] = []
+        self._link_by_place: dict[tuple[str, int], Link] = {}
+        self._source: Channel[Any] | None = None
+        self._source_heard_at = -math.inf
+        self._source_age = math.inf
+        self._refused_at_by_peer: dict[HostId, float] = {}
+        self._summary = _NO_SUMMARY
+        self._summary_at = -math.inf
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def async_setup(self) -> None:
+        """Start to follow."""
+        await self._async_open_links(self._settings.seeds)
+        loop = asyncio.get_running_loop()
+        self._tasks = [
+            loop.create_task(self._async_follow()),
+            loop.create_task(self._async_report()),
+        ]
+
+    async def async_unload(self) -> None:
+        """Stop to follow."""
+        for task in self._tasks:
+            task.cancel()
+        for link in self._link_by_place.values():
+            await link.async_unload()
+
+    @callback
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        """Call a function after each change of routes or endpoints."""
+        self._listeners.append(listener)
+
+    @property
+    def revision(self) -> Revision:
+        """Last revision in force."""
+        return self._revision
+
+    def age(self) -> float:
+        """Return the seconds since the copy was known to be current."""
+        return self._source_age + self._clock.now() - self._source_heard_at
+
+    def summary(self) -> LoadSummary:
+        """Return what all other gateways have in flight, if that is known lately."""
+        if self._clock.now() > self._summary_at + SUMMARY_LIFE_S:
+            return _NO_SUMMARY
+        return self._summary
+
+    async def _async_open_links(self, replicas: tuple[ReplicaAddress, ...]) -> None:
+        """Keep links to the replicas named, and to no others."""
+        wanted = {(one.address, one.port) for one in replicas}
+        for place in list(self._link_by_place.keys() - wanted):
+            link = self._link_by_place.pop(place)
+            await link.async_unload()
+        for address, port in sorted(wanted - self._link_by_place.keys()):
+            link = Link(self._identity, address, port, PROTOCOL, self._handlers())
+            self._link_by_place[(address, port)] = link
+            await link.async_setup()
+
+    def _handlers(self) -> Handlers[CatalogMessage]:
+        """Return the handlers of every link."""
+
+        async def async_refuse(channel: Channel[Any], message: Any) -> Refused:
+            raise NotImplementedError("a gateway serves no calls")
+
+        return Handlers(
+            decoder=CATALOG_DECODER,
+            on_push=self._on_push,
+            async_on_call=async_refuse,
+            on_closed=self._on_closed,
+        )
+
+    @callback
+    def _on_push(self, channel: Channel[Any], message: CatalogMessage) -> None:
+        """Take what the followed replica pushes."""
+        if channel is not self._source:
+            return
+        match message:
+            case Current(age_s=age_s, gateways=gateways):
+                self._source_heard_at = self._clock.now()
+                self._source_age = age_s
+                self.gateways = max(1, gateways)
+            case Delta():
+                self._apply(message)
+            case LoadSummary():
+                self._summary = message
+                self._summary_at = self._clock.now()
+            case _:
+                log_event(EventCode.PEER_REFUSED, peer=channel.peer_id, reason="no such push")
+
+    @callback
+    def _on_closed(self, channel: Channel[Any]) -> None:
+        """Look for another source if the followed channel has ended."""
+        if channel is self._source:
+            self._source = None
+
+    @callback
+    def _apply(self, delta: Delta) -> None:
+        """Bring changes in force, all at once."""
+        if delta.revision <= self._revision:
+            return
+        if delta.is_whole:
+            self.endpoint_by_id.clear()
+        for record in delta.endpoints:
+            self.endpoint_by_id[record.endpoint_id] = record
+        if delta.document is not None:
+            document = DOCUMENT_DECODER.decode(zlib.decompress(delta.document))
+            self.routes = RouteTable(document)
+        self._revision = delta.revision
+        log_event(
+            EventCode.REVISION_APPLIED,
+            revision=delta.revision,
+            version=None if self.routes is None else self.routes.version,
+            endpoints=len(delta.endpoints),
+        )
+        for listener in self._listeners:
+            listener()
+
+    async def _async_follow(self) -> None:
+        """Follow a current replica, for ever."""
+        while True:
+            if not self._is_source_good():
+                await self._async_change_source()
+            await asyncio.sleep(FOLLOW_INTERVAL_S)
+
+    def _is_source_good(self) -> bool:
+        """Return whether the followed replica is current and heard."""
+        if self._source is None or self._source.closed:
+            return False
+        if self._clock.now() > self._source_heard_at + SOURCE_SILENCE_S:
+            return False
+        return self._source_age <= MAX_SOURCE_AGE_S
+
+    async def _async_change_source(self) -> None:
+        """Subscribe at another replica, the one that refused longest ago first."""
+        former = self._source
+        if former is not None:
+            self._source = None
+            self._refused_at_by_peer[former.peer_id] = self._clock.now()
+            log_event(
+                EventCode.PEER_LOST,
+                peer=former.peer_id,
+                reason="not current",
+                age_s=round(self._source_age, 3),
+                silent_s=round(self._clock.now() - self._source_heard_at, 3),
+            )
+            # Ends the former subscription; the link opens the channel again.
+            former.close()
+        channels = [link.channel for link in self._link_by_place.values()]
+        usable = [channel for channel in channels if channel is not None]
+        usable.sort(key=lambda one: self._refused_at_by_peer.get(one.peer_id, -math.inf))
+        for channel in usable:
+            if await self._async_subscribe(channel):
+                return
+
+    async def _async_subscribe(self, channel: Channel[Any]) -> bool:
+        """Subscribe at one replica; return whether it accepts."""
+        self._source = channel
+        self._source_heard_at = self._clock.now()
+        self._source_age = MAX_SOURCE_AGE_S
+        message = Subscribe(self._revision, self._settings.failure_domain)
+        reply = await channel.async_call(message, SUBSCRIBE_TIMEOUT_S)
+        match reply:
+            case Result(tag="ok", ok=Subscribed(replicas=replicas)):
+                log_event(EventCode.SOURCE_CHANGED, peer=channel.peer_id, after=message.after)
+                if replicas:
+                    await self._async_open_links(replicas)
+                return self._source is channel
+            case _:
+                self._refused_at_by_peer[channel.peer_id] = self._clock.now()
+                if self._source is channel:
+                    self._source = None
+                return False
+
+    async def _async_report(self) -> None:
+        """Tell what is in flight here at a steady pace."""
+        while True:
+            if self._source is not None:
+                self._source.push(self._report())
+            await asyncio.sleep(REPORT_INTERVAL_S)
--- /dev/null
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -0,0 +1,204 @@
+"""Component that serves callers: route, key, kind of request, drain."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from lagoonwing_catalog.messages import LoadReport
+from lagoonwing_catalog.models import RequestKind, Route, Service
+from lagoonwing_core.callback import callback
+from lagoonwing_core.clock import Clock
+from lagoonwing_core.events import EventCode, log_event
+from lagoonwing_core.ids import EndpointId
+from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_gateway._budget import RetryBudget
+from lagoonwing_gateway._calls import Calls
+from lagoonwing_gateway._connections import Connections
+from lagoonwing_gateway._directory import Directory
+from lagoonwing_gateway._exchanges import Exchanges
+from lagoonwing_gateway._follower import CatalogFollower
+from lagoonwing_gateway._journal import log_refusal
+from lagoonwing_gateway._ledger import Ledger
+from lagoonwing_gateway._pace import Pace
+from lagoonwing_gateway._refusals import final, not_run, unknown
+from lagoonwing_gateway._streams import Streams
+from lagoonwing_gateway._suspects import Suspects
+from lagoonwing_gateway.const import DRAIN_ACCEPT_S, DRAIN_SLACK_S
+from lagoonwing_gateway.diagnostics import GatewayMetrics
+from lagoonwing_gateway.models import CallerRequest, GatewayRefusal, RequestContext
+from lagoonwing_gateway.ports import Dialect, Responder
+from lagoonwing_gateway.settings import GatewaySettings
+from lagoonwing_wire import Identity
+
+_PRUNE_INTERVAL_S = 1.0
+_DRAIN_CHECK_S = 0.05
+
+
+class Gateway:
+    """Relay between callers and endpoints.
+
+    Attributes:
+        follower: Copy of the catalog.
+        is_draining: Whether the process has been asked to stop.
+    """
+
+    name = "gateway"
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        identity: Identity,
+        dialect: Dialect,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.is_draining = False
+        self.metrics = GatewayMetrics()
+        self._settings = settings
+        self._clock = clock
+        self._rng = rng
+        self._suspects = Suspects(clock)
+        self._ledger = Ledger()
+        self.follower = CatalogFollower(settings, identity, clock, self._report)
+        self._connections = Connections(clock)
+        pace = Pace()
+        directory = Directory(self.follower, self._suspects, pace)
+        budget = RetryBudget(settings.retry_budget, clock)
+        exchanges = Exchanges(dialect, self._connections, clock)
+        self._calls = Calls(
+            settings.failure_domain,
+            self.follower,
+            directory,
+            self._suspects,
+            pace,
+            self._ledger,
+            budget,
+            exchanges,
+            clock,
+            rng,
+        )
+        self._streams = Streams(
+            settings.failure_domain,
+            self.follower,
+            directory,
+            self._suspects,
+            self._ledger,
+            budget,
+            exchanges,
+            dialect,
+            clock,
+            rng,
+        )
+        self._active = 0
+        self._pruner: asyncio.Task[None] | None = None
+
+    async def async_setup(self) -> None:
+        """Start to serve."""
+        await self.follower.async_setup()
+        self._pruner = asyncio.get_running_loop().create_task(self._async_prune())
+
+    async def async_unload(self) -> None:
+        """Stop to serve."""
+        if self._pruner is not None:
+            self._pruner.cancel()
+        await self.follower.async_unload()
+        self._connections.close()
+
+    def is_ready(self) -> bool:
+        """Return whether new connections should come here."""
+        return self.follower.routes is not None and not self.is_draining
+
+    def endpoint_key(self, endpoint_id: str) -> str | None:
+        """Return address and port of an endpoint, if it is known."""
+        record = self.follower.endpoint_by_id.get(EndpointId(endpoint_id))
+        return None if record is None else record.key
+
+    async def async_drain(self) -> None:
+        """Turn callers away and let what runs come to its end, within the grace."""
+        self.is_draining = True
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        last = began + self._settings.drain_grace_s - DRAIN_SLACK_S
+        await asyncio.sleep(min(DRAIN_ACCEPT_S, last - began))
+        while self._active and loop.time() < last:
+            await asyncio.sleep(_DRAIN_CHECK_S)
+        log_event(EventCode.GATEWAY_DRAINED, active=self._active, seconds=loop.time() - began)
+
+    async def async_serve(self, request: CallerRequest, responder: Responder) -> None:
+        """Serve one request of a caller to its end."""
+        self._active += 1
+        route_id = None
+        try:
+            found = self._context(request)
+            match found:
+                case RequestContext() as context:
+                    route_id = context.route.route_id
+                    refusal = await self._async_serve(context, responder)
+                case GatewayRefusal() as refusal:
+                    pass
+        except Exception as error:
+            log_event(EventCode.COMPONENT_FAILED, component=self.name, error=repr(error))
+            refusal = unknown(ResultCode.OUTCOME_UNKNOWN, "internal error")
+        finally:
+            self._active -= 1
+        held_s = self._clock.now() - request.received_at
+        self.metrics.request_ended(route_id, refusal, held_s)
+        if refusal is not None and not responder.is_gone:
+            log_refusal(request.attempt_id, route_id, refusal, held_s)
+            responder.refuse(request, refusal)
+
+    def _context(self, request: CallerRequest) -> RequestContext | GatewayRefusal:
+        """Return the route and member of a request, or why it is refused."""
+        routes = self.follower.routes
+        if routes is None:
+            detail = "no configuration is known yet"
+            return not_run(ResultCode.CONFIGURATION_LEASE_LAPSED, detail, self._rng)
+        route = routes.match(request.host, request.path)
+        if route is None:
+            return final(ResultCode.NOT_FOUND, f"no route for {request.host}{request.path}")
+        member = None
+        if not route.is_public and routes.asks_for_keys:
+            member = routes.member_of(request.key) if request.key is not None else None
+            if member is None:
+                return final(ResultCode.BAD_KEY, "the key is not known")
+        if request.attempt_id is None:
+            return final(ResultCode.MALFORMED_REQUEST, "the request has no id")
+        budget_s = route.timeout_s
+        if request.budget_s is not None:
+            budget_s = min(budget_s, request.budget_s)
+        return RequestContext(request, route, member, request.received_at + budget_s)
+
+    async def _async_serve(
+        self, context: RequestContext, responder: Responder
+    ) -> GatewayRefusal | None:
+        """Serve a request by its kind."""
+        service = self._service(context.route)
+        if service is None:
+            return final(ResultCode.UNKNOWN_SERVICE, "the route's service is not known")
+        match context.route.kind:
+            case RequestKind.STREAM if service.engine is not None:
+                return await self._streams.async_serve(context, service, service.engine, responder)
+            case _:
+                return await self._calls.async_serve(context, service, responder)
+
+    def _service(self, route: Route) -> Service | None:
+        """Return a service of a route, drawn by the weights."""
+        routes = self.follower.routes
+        assert routes is not None
+        splits = [one for one in route.splits if one.weight > 0]
+        if len(splits) == 1:
+            return routes.service_by_id.get(splits[0].service_id)
+        drawn = self._rng.choices(splits, [one.weight for one in splits])[0]
+        return routes.service_by_id.get(drawn.service_id)
+
+    @callback
+    def _report(self) -> LoadReport:
+        """Return what is in flight here."""
+        return LoadReport(self._ledger.own_loads(), self._suspects.active())
+
+    async def _async_prune(self) -> None:
+        """Close idle connections at a steady pace."""
+        while True:
+            await asyncio.sleep(_PRUNE_INTERVAL_S)
+            self._connections.prune()
--- /dev/null
+++ b/packages/gateway/src/lagoonwing_gateway/_streams.py
@@ -0,0 +1,402 @@
+"""Streams over layers: a path, its events as they come, and another path if it breaks.
+
+Answers the load of long answers on paths of many endpoints: a stream whose path falls silent or
+breaks goes on elsewhere after its last event, within one answer to the caller.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from tornado.httputil import HTTPHeaders
+
+from lagoonwing_catalog.models import Engine, Service
+from lagoonwing_core.clock import Clock
+from lagoonwing_core.ids import EndpointId, FailureDomainId
+from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_gateway._budget import RetryBudget
+from lagoonwing_gateway._directory import Directory
+from lagoonwing_gateway._exchanges import BROKEN_ERRORS, Exchanges, OpenExchange
+from lagoonwing_gateway._follower import CatalogFollower
+from lagoonwing_gateway._journal import log_attempt, log_path
+from lagoonwing_gateway._ledger import Ledger, Reservation
+from lagoonwing_gateway._refusals import no_endpoint, not_run, unknown
+from lagoonwing_gateway._suspects import Suspects
+from lagoonwing_gateway.const import (
+    DEADLINE_SLACK_S,
+    MAX_CONNECT_TRIES,
+    MAX_WAITING_STREAMS,
+    MIN_SEND_BUDGET_S,
+    ROOM_CHECK_S,
+    ROOM_WAIT_SHARE,
+    STREAM_STALL_S,
+)
+from lagoonwing_gateway.models import (
+    AttemptOutcome,
+    CallerGone,
+    Completed,
+    Failed,
+    GatewayRefusal,
+    NotRun,
+    Outgoing,
+    RequestContext,
+    WholeAnswer,
+)
+from lagoonwing_gateway.ports import Dialect, Responder
+from lagoonwing_http import AnswerHead, ConnectError
+from lagoonwing_placement import Path, PathFinder, Work, read_ms
+
+_USUAL_STATUS = 200
+
+
+@dataclass(slots=True)
+class _Progress:
+    """How far a stream has come for its caller.
+
+    Attributes:
+        began: Whether the caller has got the head.
+        last_event: Last event that the caller has got.
+        sends: Times that the request was sent.
+        excluded: Endpoints not to be used again for it.
+    """
+
+    began: bool = False
+    last_event: str | None = None
+    events: int = 0
+    sends: int = 0
+    excluded: set[EndpointId] = field(default_factory=set)
+
+
+class Streams:
+    """Serves requests whose answers are streams of events."""
+
+    def __init__(
+        self,
+        failure_domain: FailureDomainId,
+        follower: CatalogFollower,
+        directory: Directory,
+        suspects: Suspects,
+        ledger: Ledger,
+        budget: RetryBudget,
+        exchanges: Exchanges,
+        dialect: Dialect,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._failure_domain = failure_domain
+        self._follower = follower
+        self._directory = directory
+        self._suspects = suspects
+        self._ledger = ledger
+        self._budget = budget
+        self._exchanges = exchanges
+        self._dialect = dialect
+        self._clock = clock
+        self._rng = rng
+        self._waiting = 0
+
+    async def async_serve(
+        self, context: RequestContext, service: Service, engine: Engine, responder: Responder
+    ) -> GatewayRefusal | None:
+        """Serve one stream; return what is to be refused, or nothing if it was answered."""
+        work = context.request.work or Work(
+            round(engine.usual_prompt_tokens), round(engine.usual_answer_tokens)
+        )
+        progress = _Progress(last_event=context.request.last_event)
+        last: AttemptOutcome = NotRun("no path has room", ())
+        for _ in range(MAX_CONNECT_TRIES + context.route.max_attempts):
+            if progress.sends and not self._may_send_again(context, service, progress, last):
+                break
+            path = await self._async_path(context, service, engine, work, progress, responder)
+            if responder.is_gone:
+                return None
+            if path is None:
+                break
+            last = await self._async_attempt(
+                context, service, engine, work, path, progress, responder
+            )
+            log_attempt(context, path.parts[0].endpoint_id, progress.sends, last)
+            match last:
+                case Completed() | CallerGone():
+                    return None
+                case NotRun(blamed=blamed) | Failed(blamed=blamed):
+                    progress.excluded.update(blamed)
+        return self._give_up(context, last, progress, responder)
+
+    async def _async_path(
+        self,
+        context: RequestContext,
+        service: Service,
+        engine: Engine,
+        work: Work,
+        progress: _Progress,
+        responder: Responder,
+    ) -> Path | None:
+        """Return a path, after a wait for room if need be."""
+        now = self._clock.now()
+        patience = context.route.objective_s * ROOM_WAIT_SHARE
+        give_up_at = min(context.deadline - MIN_SEND_BUDGET_S, now + patience)
+        path = self._find(context, service, engine, work, progress)
+        if path is not None or self._waiting >= MAX_WAITING_STREAMS:
+            return path
+        self._waiting += 1
+        try:
+            while path is None and self._clock.now() < give_up_at and not responder.is_gone:
+                await asyncio.sleep(ROOM_CHECK_S)
+                path = self._find(context, service, engine, work, progress)
+        finally:
+            self._waiting -= 1
+        return path
+
+    def _find(
+        self,
+        context: RequestContext,
+        service: Service,
+        engine: Engine,
+        work: Work,
+        progress: _Progress,
+    ) -> Path | None:
+        """Return the best path with room now."""
+        loads = self._ledger.loads(self._follower.summary().load_by_id)
+        holders = self._directory.holders(service, engine, progress.excluded)
+        finder = PathFinder(engine, loads, self._rng)
+        path = finder.find(holders, work)
+        if path is not None:
+            log_path(
+                context,
+                path,
+                progress.sends + 1,
+                len(holders),
+                self._follower.revision,
+                self._follower.age(),
+            )
+        return path
+
+    def _may_send_again(
+        self,
+        context: RequestContext,
+        service: Service,
+        progress: _Progress,
+        last: AttemptOutcome,
+    ) -> bool:
+        """Return whether a stream may be sent once more."""
+        ran = isinstance(last, Failed)
+        if ran and not context.route.is_resumable:
+            return False
+        if ran and progress.sends >= context.route.max_attempts:
+            return False
+        if context.deadline - self._clock.now() < MIN_SEND_BUDGET_S:
+            return False
+        return self._budget.take(service.service_id, self._follower.gateways)
+
+    async def _async_attempt(
+        self,
+        context: RequestContext,
+        service: Service,
+        engine: Engine,
+        work: Work,
+        path: Path,
+        progress: _Progress,
+        responder: Responder,
+    ) -> AttemptOutcome:
+        """Run a stream on one path."""
+        record = self._directory.record(path.parts[0].endpoint_id)
+        if record is None:
+            return NotRun("the first endpoint has left", (path.parts[0].endpoint_id,))
+        reservation = self._ledger.reserve(path, work, self._read_times(engine, path, work))
+        opened: OpenExchange | None = None
+        try:
+            outgoing = Outgoing(
+                context.request,
+                record,
+                context.member,
+                context.deadline - self._clock.now(),
+                context.route.priority,
+                path if engine.layer_count else None,
+                progress.last_event,
+            )
+            try:
+                opened = await self._exchanges.async_send(outgoing, fresh=progress.sends > 0)
+            except ConnectError as error:
+                self._suspects.failed(record.endpoint_id, str(error))
+                return NotRun(str(error), (record.endpoint_id,))
+            if progress.sends == 0:
+                self._budget.first_sent(service.service_id)
+            progress.sends += 1
+            return await self._async_relay(context, path, reservation, opened, progress, responder)
+        finally:
+            if opened is not None:
+                opened.close()
+            self._ledger.release(reservation)
+
+    def _read_times(
+        self, engine: Engine, path: Path, work: Work
+    ) -> dict[EndpointId, float]:
+        """Return how long each endpoint of a path reads the prompt, in milliseconds."""
+        if engine.layer_count == 0:
+            return {part.endpoint_id: 0.0 for part in path.parts}
+        times: dict[EndpointId, float] = {}
+        for part in path.parts:
+            record = self._directory.record(part.endpoint_id)
+            accelerator = None if record is None else engine.accelerator(record.kind)
+            times[part.endpoint_id] = (
+                0.0
+                if accelerator is None
+                else read_ms(engine, accelerator, work.prompt_tokens, part.layers.count)
+            )
+        return times
+
+    async def _async_relay(
+        self,
+        context: RequestContext,
+        path: Path,
+        reservation: Reservation,
+        opened: OpenExchange,
+        progress: _Progress,
+        responder: Responder,
+    ) -> AttemptOutcome:
+        """Relay the events of one exchange until it ends or the caller goes."""
+        task = asyncio.ensure_future(
+            self._async_events(context, path, reservation, opened, progress, responder)
+        )
+        responder.set_on_gone(task.cancel)
+        try:
+            return await task
+        except asyncio.CancelledError:
+            if responder.is_gone:
+                return CallerGone()
+            raise
+        finally:
+            responder.set_on_gone(_nothing)
+
+    async def _async_events(
+        self,
+        context: RequestContext,
+        path: Path,
+        reservation: Reservation,
+        opened: OpenExchange,
+        progress: _Progress,
+        responder: Responder,
+    ) -> AttemptOutcome:
+        """Relay the events of one exchange."""
+        ids = [part.endpoint_id for part in path.parts]
+        waited_since = self._clock.now()
+        try:
+            head, notes = await self._exchanges.async_head(
+                opened, self._patience(context, path, progress)
+            )
+            if not notes.is_success:
+                return await self._async_failure(context, opened, head, path)
+            if not notes.is_signed or notes.is_encoded:
+                self._suspects.failed(ids[0], "an answer that is not the endpoint's")
+                return Failed("the answer is not the endpoint's own", (ids[0],))
+            splitter = self._dialect.splitter()
+            while True:
+                waited_since = self._clock.now()
+                chunk = await opened.exchange.async_chunk(self._patience(context, path, progress))
+                if chunk is None:
+                    break
+                events = splitter.feed(chunk)
+                if not events:
+                    continue
+                self._ledger.prompt_read(reservation)
+                self._suspects.progressed(ids)
+                content = b"".join(event.content for event in events)
+                self._send(head, content, progress, responder)
+                progress.events += len(events)
+                progress.last_event = events[-1].event_id or progress.last_event
+        except BROKEN_ERRORS as error:
+            return self._broken(context, ids, waited_since, error)
+        if splitter.rest:
+            return Failed("the stream ended in the middle of an event", (ids[0],))
+        if not progress.began:
+            self._send(head, b"", progress, responder)
+        responder.finish()
+        return Completed()
+
+    def _send(
+        self, head: AnswerHead, content: bytes, progress: _Progress, responder: Responder
+    ) -> None:
+        """Send events on, with the head of the first endpoint before the first ones."""
+        if progress.began:
+            responder.write(content)
+            return
+        progress.began = True
+        headers: HTTPHeaders = self._dialect.caller_headers(head)
+        responder.begin(_USUAL_STATUS, headers, content)
+
+    def _patience(self, context: RequestContext, path: Path, progress: _Progress) -> float:
+        """Return how long to wait for the next event."""
+        left = context.deadline - self._clock.now() - DEADLINE_SLACK_S
+        if left <= 0:
+            raise TimeoutError
+        if not context.route.is_resumable or progress.sends >= context.route.max_attempts:
+            return left
+        expected = path.first_token_ms / 1_000 if progress.events == 0 else 0.0
+        return min(left, STREAM_STALL_S + expected)
+
+    def _broken(
+        self,
+        context: RequestContext,
+        ids: list[EndpointId],
+        since: float,
+        error: BaseException,
+    ) -> AttemptOutcome:
+        """Blame the endpoints of a path that fell silent or broke."""
+        if self._clock.now() >= context.deadline - 2 * DEADLINE_SLACK_S:
+            return Failed("the deadline has passed", ())
+        reason = str(error) or "the path fell silent"
+        is_silent = isinstance(error, TimeoutError)
+        blamed = self._suspects.stalled(ids, since) if is_silent else (ids[0],)
+        for endpoint_id in blamed:
+            self._suspects.failed(endpoint_id, reason)
+        return Failed(reason, blamed or tuple(ids))
+
+    async def _async_failure(
+        self,
+        context: RequestContext,
+        opened: OpenExchange,
+        head: AnswerHead,
+        path: Path,
+    ) -> AttemptOutcome:
+        """Read an answer that is no success; return what it means."""
+        notes = self._dialect.notes(head)
+        first = path.parts[0].endpoint_id
+        at_fault = self._directory.id_at(notes.at_fault) or first
+        body = await self._exchanges.async_body(opened, self._clock.now() + STREAM_STALL_S)
+        if notes.not_executed or notes.status == 421:
+            self._suspects.avoid(at_fault)
+            return NotRun(f"{at_fault} refused it with {notes.status}", (at_fault,))
+        answer = WholeAnswer(notes, self._dialect.caller_headers(head), body)
+        return Failed(f"the endpoint answered {notes.status}", (at_fault,), answer)
+
+    def _give_up(
+        self,
+        context: RequestContext,
+        last: AttemptOutcome,
+        progress: _Progress,
+        responder: Responder,
+    ) -> GatewayRefusal | None:
+        """Tell the caller of a stream that was not served to its end."""
+        if progress.began:
+            responder.abort()
+            return None
+        match last:
+            case Failed(answer=WholeAnswer() as answer):
+                responder.send_whole(answer.notes.status, answer.headers, answer.body)
+                return None
+            case Failed(reason=reason):
+                is_late = self._clock.now() >= context.deadline - 2 * DEADLINE_SLACK_S
+                code = ResultCode.DEADLINE_EXCEEDED if is_late else ResultCode.ENDPOINT_LOST
+                return unknown(code, reason)
+            case NotRun(reason=reason) if progress.sends:
+                return not_run(ResultCode.ENDPOINT_REFUSED, reason, self._rng)
+            case _:
+                return no_endpoint("no path over the layers has room", self._rng)
+
+
+def _nothing() -> None:
+    """Do nothing when the caller goes."""
--- /dev/null
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -0,0 +1,62 @@
+"""Periods, limits and weights of the gateway."""
+
+from __future__ import annotations
+
+# Age at which a replica no longer counts as current and another one is followed.
+MAX_SOURCE_AGE_S = 0.9
+# Silence of the followed replica after which another one is followed.
+SOURCE_SILENCE_S = 0.7
+SUBSCRIBE_TIMEOUT_S = 0.5
+FOLLOW_INTERVAL_S = 0.1
+REPORT_INTERVAL_S = 0.2
+# Loads that others have reported count for this long without news.
+SUMMARY_LIFE_S = 1.5
+
+CONNECT_TIMEOUT_S = 0.6
+# Endpoints close idle connections on their own; ours are not kept longer than this.
+IDLE_CONNECTION_LIFE_S = 4.0
+MAX_IDLE_CONNECTIONS = 32
+# Tries to connect to endpoints, none of which has been sent anything.
+MAX_CONNECT_TRIES = 4
+
+# First suspicion of an endpoint, and the longest, in seconds.
+SUSPECT_S = 1.5
+MAX_SUSPECT_S = 8.0
+# Suspicion is forgotten after this time without another failure.
+SUSPECT_MEMORY_S = 15.0
+# Suspicion of a holder that is short of memory or doesn't hold what it was said to.
+AVOID_S = 0.4
+
+# Silence of a stream after which it is taken up elsewhere.
+STREAM_STALL_S = 0.9
+# Silence after which a repeatable call is also tried elsewhere, as a share of its objective.
+CALL_SILENCE_SHARE = 0.9
+MIN_CALL_SILENCE_S = 0.2
+# Time kept back from a deadline so that the answer still reaches the caller.
+DEADLINE_SLACK_S = 0.03
+# Deadlines handed on end this long before the caller's own.
+MIN_SEND_BUDGET_S = 0.05
+
+# Time for which a stream may wait for room, as a share of its objective.
+ROOM_WAIT_SHARE = 0.7
+ROOM_CHECK_S = 0.02
+MAX_WAITING_STREAMS = 256
+# First delay that a refused caller is asked for, and its random part.
+RETRY_AFTER_S = 0.3
+RETRY_AFTER_JITTER_S = 0.6
+# Calls in flight at a plain endpoint, as a multiple of its slots, above which none is added.
+PLAIN_FULL_FACTOR = 2.0
+# Cost of leaving the failure domain for a plain call, in calls in flight per slot.
+PLAIN_CROSSING_COST = 0.15
+
+# Share of the retry budget that gateways spend together, so that lag can't break it.
+BUDGET_SHARE = 0.6
+# Bytes that may wait for a caller that reads slowly.
+MAX_CALLER_BUFFER_BYTES = 512 * 1024
+# Time after SIGTERM for which new connections are still taken.
+DRAIN_ACCEPT_S = 3.2
+# Time kept back from the grace, for a clean end.
+DRAIN_SLACK_S = 0.7
+# Share of the slowness estimate that a new sample replaces.
+SLOWNESS_GAIN = 0.2
+MAX_SLOWNESS = 12.0
--- /dev/null
+++ b/packages/gateway/src/lagoonwing_gateway/diagnostics.py
@@ -0,0 +1,47 @@
+"""Metrics of the gateway."""
+
+from __future__ import annotations
+
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+from lagoonwing_gateway.models import GatewayRefusal
+
+LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 6.0, 20.0)
+
+
+class GatewayMetrics:
+    """Counters and histograms, in a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self._requests = Counter(
+            "lagoonwing_gateway_requests_total",
+            "Requests by route and by the result code of the gateway's own answers.",
+            registry=self.registry,
+        )
+        self._seconds = Histogram(
+            "lagoonwing_gateway_request_seconds",
+            "Time from a request's arrival to the end of its answer.",
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
+        self._gauge = Gauge(
+            "lagoonwing_gateway", "State of the gateway by name.", registry=self.registry
+        )
+
+    def request_ended(
+        self, route_id: str | None, refusal: GatewayRefusal | None, seconds: float
+    ) -> None:
+        """Count the end of a request."""
+        code = "relayed" if refusal is None else str(refusal.code.value)
+        self._requests.inc({"route": route_id or "", "code": code})
+        self._seconds.observe({}, seconds)
+
+    def set_gauge(self, name: str, value: float) -> None:
+        """Set one value of the gateway's state."""
+        self._gauge.set({"name": name}, value)
+
+    def render(self, accepts: list[str]) -> tuple[bytes, dict[str, str]]:
+        """Return the exposition and its headers."""
+        return render(self.registry, accepts)
--- /dev/null
+++ b/packages/lagoonwing/src/lagoonwing/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the binary as a module."""
+
+from __future__ import annotations
+
+from lagoonwing.main import main
+
+main()
--- a/packages/lagoonwing/src/lagoonwing/_addresses.py
+++ b/packages/lagoonwing/src/lagoonwing/_addresses.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from lagoonwing_catalog.messages import ReplicaAddress
 from lagoonwing_core.ids import FailureDomainId, HostId
 from lagoonwing_core.models import HostAddress
 from lagoonwing_core.settings import HostSettings, PeerSettings, ReplicaSettings
@@ -30,3 +31,17 @@
 def replica_addresses(settings: HostSettings) -> tuple[HostAddress, ...]:
     """Return where each control replica listens."""
     return tuple(peer_address(replica) for replica in settings.replicas)
+
+
+def split_listen(text: str) -> tuple[str, int]:
+    """Return IP number and port of a checked listen address."""
+    address, _, port = text.rpartition(":")
+    return address, int(port)
+
+
+def seed_addresses(settings: HostSettings) -> tuple[ReplicaAddress, ...]:
+    """Return where registries may listen for their peers: on the same port on every host."""
+    addresses = sorted({split_listen(seed)[0] for seed in settings.seeds})
+    return tuple(
+        ReplicaAddress(HostId(address), address, settings.peer_port) for address in addresses
+    )
--- a/packages/lagoonwing/src/lagoonwing/_commands.py
+++ b/packages/lagoonwing/src/lagoonwing/_commands.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import sys
 
 import uvloop
@@ -11,16 +12,17 @@
 from cleo.io.inputs.argument import Argument
 from expression import Result
 
-from lagoonwing._keys import read_system_key
+from lagoonwing._keys import system_key
 from lagoonwing._logging import set_up_logging
 from lagoonwing._process import async_run_process
-from lagoonwing.const import EXIT_FAILED, EXIT_OK, EXIT_SETTINGS, VERSION
+from lagoonwing.const import EXIT_FAILED, EXIT_OK, EXIT_SETTINGS, SETTINGS_VARIABLE, VERSION
 from lagoonwing_core.settings import HostSettings, SettingsFault, load_settings
 
 
 def _file_argument() -> Argument:
     """Return the argument that names the settings file."""
-    return argument("file", "Settings file: JSON with comments.")
+    help_text = f"Settings file: JSON with comments; ${SETTINGS_VARIABLE} if it is not given."
+    return argument("file", help_text, optional=True)
 
 
 class RunCommand(Command):
@@ -32,10 +34,10 @@
 
     def handle(self) -> int:
         """Check the settings, then run until the process is told to stop."""
-        settings = _load_or_print(self.argument("file"))
+        settings = _load_or_print(_file_of(self))
         if settings is None:
             return EXIT_SETTINGS
-        match read_system_key(settings.system_key_file):
+        match system_key(settings):
             case Result(tag="ok", ok=key):
                 pass
             case Result(error=fault):
@@ -56,7 +58,7 @@
 
     def handle(self) -> int:
         """Print every fault of the file, or that there is none."""
-        file = self.argument("file")
+        file = _file_of(self)
         if _load_or_print(file) is None:
             return EXIT_SETTINGS
         self.line(f"{file}: no faults")
@@ -75,6 +77,12 @@
         return EXIT_OK
 
 
+def _file_of(command: Command) -> str:
+    """Return the path of the settings file, from the argument or the environment."""
+    file: str | None = command.argument("file")
+    return file or os.environ.get(SETTINGS_VARIABLE, "")
+
+
 def _load_or_print(file: str) -> HostSettings | None:
     """Return the settings, or print every fault and return nothing."""
     match load_settings(file):
--- /dev/null
+++ b/packages/lagoonwing/src/lagoonwing/_gateway_role.py
@@ -0,0 +1,60 @@
+"""Puts a gateway together."""
+
+from __future__ import annotations
+
+import random
+import time
+
+from lagoonwing._addresses import seed_addresses, split_listen
+from lagoonwing_core.clock import LoopClock
+from lagoonwing_core.ids import FailureDomainId, HostId
+from lagoonwing_core.runtime import Runtime
+from lagoonwing_core.settings import HostSettings
+from lagoonwing_gateway import Gateway, GatewaySettings, RetryBudgetSettings
+from lagoonwing_platform.dialect import PlatformDialect
+from lagoonwing_platform.front_server import FrontServer
+from lagoonwing_wire import Identity
+
+
+class GatewayProcess:
+    """Process of a gateway."""
+
+    def __init__(self, runtime: Runtime, gateway: Gateway) -> None:
+        self.runtime = runtime
+        self._gateway = gateway
+
+    async def async_drain(self) -> None:
+        """Let running requests end within the grace of the settings."""
+        await self._gateway.async_drain()
+
+
+def build_gateway(settings: HostSettings, key: bytes) -> GatewayProcess:
+    """Return the process of a gateway.
+
+    Args:
+        settings: Checked settings with a `gateway` section.
+        key: Key shared by the system's processes.
+    """
+    section = settings.gateway
+    assert section is not None
+    clock = LoopClock()
+    identity = Identity(HostId(settings.host_id), key)
+    gateway_settings = GatewaySettings(
+        failure_domain=FailureDomainId(settings.failure_domain),
+        seeds=seed_addresses(settings),
+        retry_budget=RetryBudgetSettings(
+            section.retry_ratio, section.retry_slack, section.retry_window_s
+        ),
+        drain_grace_s=section.drain_grace_s,
+    )
+    dialect = PlatformDialect(lambda endpoint_id: gateway.endpoint_key(endpoint_id))
+    rng = random.Random(time.time_ns())
+    gateway = Gateway(gateway_settings, identity, dialect, clock, rng)
+    runtime = Runtime(clock)
+    runtime.register(gateway)
+    runtime.register(
+        FrontServer(
+            gateway, split_listen(section.caller_listen), split_listen(section.ready_listen)
+        )
+    )
+    return GatewayProcess(runtime, gateway)
--- a/packages/lagoonwing/src/lagoonwing/_process.py
+++ b/packages/lagoonwing/src/lagoonwing/_process.py
@@ -61,9 +61,16 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    # Settings are read at the start; without a handler the signal would end the process.
+    loop.add_signal_handler(signal.SIGHUP, _note_reload)
     return stop
 
 
+def _note_reload() -> None:
+    """Log that new settings come in force at the next start."""
+    log_event(EventCode.SETTINGS_RELOADED, effect="at the next start")
+
+
 def _build(settings: HostSettings, key: bytes) -> RoleProcess:
     """Return the process of the role in the settings."""
     # Each role imports only its own packages, so that a control replica loads no entry code.
@@ -76,3 +83,11 @@
             from lagoonwing._control_role import build_control
 
             return build_control(settings, key)
+        case Role.GATEWAY:
+            from lagoonwing._gateway_role import build_gateway
+
+            return build_gateway(settings, key)
+        case Role.REGISTRY:
+            from lagoonwing._registry_role import build_registry
+
+            return build_registry(settings, key)
--- /dev/null
+++ b/packages/lagoonwing/src/lagoonwing/_registry_role.py
@@ -0,0 +1,91 @@
+"""Puts a registry process together."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from lagoonwing._addresses import seed_addresses, split_listen
+from lagoonwing_catalog import CatalogStateMachine
+from lagoonwing_consensus import CoreSettings
+from lagoonwing_core.clock import LoopClock
+from lagoonwing_core.ids import FailureDomainId, HostId
+from lagoonwing_core.runtime import Runtime
+from lagoonwing_core.settings import HostSettings
+from lagoonwing_core.settings import RegistrySettings as RegistrySection
+from lagoonwing_platform.control_server import ControlServer
+from lagoonwing_platform.engine_client import EngineClient
+from lagoonwing_registry import RegistryService, RegistrySettings
+from lagoonwing_replication import LogSettings, RaftLog, ReplicaHost
+from lagoonwing_wire import ChannelServer, Identity
+
+LOG_FOLDER = "log"
+
+
+class RegistryProcess:
+    """Process of one replica of the catalog."""
+
+    def __init__(self, runtime: Runtime) -> None:
+        self.runtime = runtime
+
+    async def async_drain(self) -> None:
+        """Return at once: callers turn to another replica."""
+
+
+def build_registry(settings: HostSettings, key: bytes) -> RegistryProcess:
+    """Return the process of one replica of the catalog.
+
+    Args:
+        settings: Checked settings with a `registry` section.
+        key: Key shared by the system's processes.
+    """
+    section = settings.registry
+    assert section is not None
+    clock = LoopClock()
+    # Hosts are told no names of each other; the address names a replica's host everywhere.
+    host_id = HostId(settings.address)
+    identity = Identity(host_id, key)
+    server = ChannelServer(identity, settings.address, settings.peer_port)
+    state_machine = CatalogStateMachine()
+    log = RaftLog(_log_settings(settings, section, host_id), state_machine, identity, server)
+    registry = RegistryService(
+        RegistrySettings(
+            host_id=host_id,
+            failure_domain=FailureDomainId(settings.failure_domain),
+            address=settings.address,
+            peer_port=settings.peer_port,
+            announce_interval_s=section.announce_interval_ms / 1_000,
+        ),
+        identity,
+        state_machine,
+        log,
+        server,
+        EngineClient(),
+        clock,
+    )
+    address, port = split_listen(section.control_listen)
+    runtime = Runtime(clock)
+    runtime.register(server)
+    runtime.register(registry)
+    runtime.register(log)
+    runtime.register(ControlServer(registry, address, port))
+    return RegistryProcess(runtime)
+
+
+def _log_settings(
+    settings: HostSettings, section: RegistrySection, host_id: HostId
+) -> LogSettings:
+    """Return the settings of the replicated log, formed by the hosts that the seeds name."""
+    # The schema refuses a registry without a folder.
+    assert settings.data_folder is not None
+    own = ReplicaHost(host_id, settings.address, settings.peer_port, is_voter=True)
+    return LogSettings(
+        host_id=host_id,
+        folder=Path(settings.data_folder) / LOG_FOLDER,
+        hosts=tuple(
+            ReplicaHost(seed.host_id, seed.address, seed.port, is_voter=True)
+            for seed in seed_addresses(settings)
+        ),
+        own=own,
+        may_found=section.may_found,
+        core=CoreSettings(voter_count=2 * section.tolerated_losses + 1),
+    )
--- a/packages/lagoonwing/src/lagoonwing/const.py
+++ b/packages/lagoonwing/src/lagoonwing/const.py
@@ -9,3 +9,6 @@
 EXIT_SETTINGS = 2
 
 MIN_SYSTEM_KEY_BYTES = 16
+
+# Names the settings file where the command line names none.
+SETTINGS_VARIABLE = "LAGOONWING_CONFIG"
--- /dev/null
+++ b/packages/registry/src/lagoonwing_registry/_peers.py
@@ -0,0 +1,96 @@
+"""Links from this replica to the others, as the replicated log knows them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from expression import Error, Result
+
+from lagoonwing_catalog.const import PROTOCOL
+from lagoonwing_catalog.messages import CATALOG_DECODER, CatalogMessage, Refused, ReplicaAddress
+from lagoonwing_core.callback import callback
+from lagoonwing_core.errors import Refusal
+from lagoonwing_core.ids import HostId
+from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_replication import ReplicatedLog
+from lagoonwing_wire import Channel, Handlers, Identity, Link
+
+
+class Peers:
+    """Keeps a link to each other replica."""
+
+    def __init__(self, identity: Identity, log: ReplicatedLog) -> None:
+        self._identity = identity
+        self._log = log
+        self._link_by_host: dict[HostId, Link] = {}
+
+    def replicas(self) -> tuple[ReplicaAddress, ...]:
+        """Return where every replica listens."""
+        status = self._log.status()
+        return tuple(
+            ReplicaAddress(one.host_id, one.address, one.port)
+            for one in (*status.voters, *status.learners)
+        )
+
+    async def async_refresh(self) -> None:
+        """Open links to new replicas and close those to replicas that are gone."""
+        wanted = {one.host_id: one for one in self.replicas()}
+        wanted.pop(self._identity.host_id, None)
+        for host_id in list(self._link_by_host.keys() - wanted.keys()):
+            await self._link_by_host.pop(host_id).async_unload()
+        for host_id, one in wanted.items():
+            if host_id in self._link_by_host:
+                continue
+            link = Link(self._identity, one.address, one.port, PROTOCOL, _caller_handlers())
+            self._link_by_host[host_id] = link
+            await link.async_setup()
+
+    async def async_unload(self) -> None:
+        """Close every link."""
+        for link in self._link_by_host.values():
+            await link.async_unload()
+
+    async def async_call(
+        self, host_id: HostId, message: CatalogMessage, timeout: float
+    ) -> Result[CatalogMessage, Refusal]:
+        """Call one replica."""
+        link = self._link_by_host.get(host_id)
+        if link is None:
+            return Error(Refusal(ResultCode.PEER_UNREACHABLE, f"no link to {host_id!r}"))
+        return await link.async_call(message, timeout)
+
+    @callback
+    def push(self, host_id: HostId, message: CatalogMessage) -> bool:
+        """Send a message to one replica, if it can be reached."""
+        link = self._link_by_host.get(host_id)
+        return link is not None and link.push(message)
+
+    @callback
+    def push_all(self, message: CatalogMessage) -> None:
+        """Send a message to every other replica that can be reached."""
+        for link in self._link_by_host.values():
+            link.push(message)
+
+
+def _caller_handlers() -> Handlers[CatalogMessage]:
+    """Return handlers for a link on which only this side calls."""
+
+    async def async_refuse(channel: Channel[Any], message: Any) -> Refused:
+        return Refused(ResultCode.MESSAGE_INVALID, "calls are not served on this channel")
+
+    ignore: Callable[[Channel[Any], Any], None] = lambda channel, message: None
+    return Handlers(
+        decoder=CATALOG_DECODER,
+        on_push=ignore,
+        async_on_call=async_refuse,
+        on_closed=lambda channel: None,
+    )
+
+
+async def async_keep_refreshed(peers: Peers, interval_s: float) -> None:
+    """Follow the replica set for ever."""
+    while True:
+        await peers.async_refresh()
+        await asyncio.sleep(interval_s)
--- /dev/null
+++ b/packages/registry/src/lagoonwing_registry/_service.py
@@ -0,0 +1,300 @@
+"""Component that serves the catalog to endpoints, operators and gateways."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import zlib
+from typing import Any
+
+import msgspec
+from expression import Error, Ok, Result
+
+from lagoonwing_catalog import CatalogStateMachine, StoredDocument, is_newer, says_the_same
+from lagoonwing_catalog.const import PROTOCOL
+from lagoonwing_catalog.messages import (
+    CATALOG_DECODER,
+    Applied,
+    CatalogMessage,
+    Heard,
+    LoadReport,
+    PutDocument,
+    PutEndpoint,
+    ReadAt,
+    ReadIndex,
+    Refused,
+    ReplicaLoad,
+    Submit,
+    Subscribe,
+    Subscribed,
+)
+from lagoonwing_catalog.models import Document, EndpointRecord, EndpointState
+from lagoonwing_core.callback import callback
+from lagoonwing_core.clock import Clock, LoopClock
+from lagoonwing_core.errors import Refusal
+from lagoonwing_core.events import EventCode, log_event
+from lagoonwing_core.ids import EndpointId, HostId, Revision, Term
+from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_registry._executor import Executor
+from lagoonwing_registry._liveness import Liveness
+from lagoonwing_registry._peers import Peers
+from lagoonwing_registry._proposer import Proposer
+from lagoonwing_registry._subscribers import Subscribers
+from lagoonwing_registry.const import (
+    CURRENT_INTERVAL_S,
+    HEARD_INTERVAL_S,
+    MAX_SUBSCRIBE_AGE_S,
+    READ_TIMEOUT_S,
+    READ_WAIT_S,
+)
+from lagoonwing_registry.ports import EnginePort
+from lagoonwing_registry.settings import RegistrySettings
+from lagoonwing_replication import RaftLog
+from lagoonwing_wire import Channel, ChannelServer, Handlers, Identity
+
+
+class RegistryService:
+    """One replica of the catalog; the log and the channel server are components of their own."""
+
+    name = "registry"
+
+    def __init__(
+        self,
+        settings: RegistrySettings,
+        identity: Identity,
+        state_machine: CatalogStateMachine,
+        log: RaftLog,
+        server: ChannelServer,
+        engines: EnginePort,
+        clock: Clock | None = None,
+    ) -> None:
+        self.state_machine = state_machine
+        self.log = log
+        self._clock = clock or LoopClock()
+        self._peers = Peers(identity, log)
+        self._proposer = Proposer(log, self._peers)
+        self._liveness = Liveness(settings.announce_interval_s)
+        self._subscribers = Subscribers(state_machine, log.current_age, self._clock)
+        self._executor = Executor(
+            state_machine, log, engines, self._clock, self._proposer.async_submit
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+        self._push_scheduled = False
+        state_machine.on_applied = self._schedule_push
+        log.on_leadership = self._on_leadership
+        server.register(PROTOCOL, self._handlers())
+
+    async def async_setup(self) -> None:
+        """Start to serve."""
+        loop = asyncio.get_running_loop()
+        self._tasks = [
+            loop.create_task(self._async_share_loads()),
+            loop.create_task(self._async_watch_endpoints()),
+            loop.create_task(self._executor.async_run()),
+        ]
+
+    async def async_unload(self) -> None:
+        """Stop to serve."""
+        for task in self._tasks:
+            task.cancel()
+        await self._executor.async_unload()
+        await self._peers.async_unload()
+
+    async def async_announce(self, record: EndpointRecord) -> Result[None, Refusal]:
+        """Take an endpoint's announcement; when it is accepted, a majority knows of a change."""
+        self._liveness.heard(
+            record.endpoint_id, record.started_ms, record.sequence, self._clock.now()
+        )
+        current = self.state_machine.state.endpoint_by_id.get(record.endpoint_id)
+        if says_the_same(current, record) or not is_newer(current, record):
+            return Ok(None)
+        result = await self._proposer.async_submit(PutEndpoint(record))
+        log_event(
+            EventCode.ENDPOINT_ANNOUNCED,
+            endpoint=record.endpoint_id,
+            service=record.service_id,
+            address=record.key,
+            state=record.state.value,
+            layers=record.layers and f"{record.layers.first}-{record.layers.end}",
+            sequence=record.sequence,
+            outcome="accepted" if result.is_ok() else result.error.detail,
+        )
+        return result.map(lambda applied: None)
+
+    async def async_leave(
+        self, endpoint_id: EndpointId, started_ms: int | None
+    ) -> Result[None, Refusal]:
+        """Take an endpoint out for good."""
+        current = self.state_machine.state.endpoint_by_id.get(endpoint_id)
+        if current is None:
+            # Another replica may have taken its announcement a moment ago.
+            barrier = await self._async_barrier()
+            if barrier.is_error():
+                return barrier
+            current = self.state_machine.state.endpoint_by_id.get(endpoint_id)
+        if current is None or (started_ms is not None and started_ms < current.started_ms):
+            return Ok(None)
+        left = msgspec.structs.replace(
+            current,
+            state=EndpointState.LEFT,
+            layers=None,
+            started_ms=current.started_ms if started_ms is None else started_ms,
+        )
+        return await self.async_announce(left)
+
+    async def async_put_document(
+        self, document: Document, source: bytes
+    ) -> Result[Applied, Refusal]:
+        """Bring a valid document in force if its number is the highest."""
+        stored = StoredDocument(document, zlib.compress(source, 1))
+        result = await self._proposer.async_submit(PutDocument(stored))
+        match result:
+            case Result(tag="ok", ok=applied):
+                log_event(
+                    EventCode.DOCUMENT_ACCEPTED,
+                    version=document.version,
+                    revision=applied.revision,
+                    changed=applied.changed,
+                    routes=len(document.routes),
+                )
+            case Result(error=refusal):
+                log_event(
+                    EventCode.DOCUMENT_REFUSED, version=document.version, reason=refusal.detail
+                )
+        return result
+
+    async def async_read_document(self) -> Result[bytes | None, Refusal]:
+        """Return the operator's bytes of the newest document, if there is one.
+
+        A refusal means that this replica can't be sure which document is the newest.
+        """
+        barrier = await self._async_barrier()
+        if barrier.is_error():
+            return Error(barrier.error)
+        stored = self.state_machine.state.stored
+        return Ok(None if stored is None else zlib.decompress(stored.source))
+
+    async def _async_barrier(self) -> Result[None, Refusal]:
+        """Wait until this replica holds every change committed before the call."""
+        deadline = self._clock.now() + READ_TIMEOUT_S
+        revision = await self._async_read_index()
+        if revision.is_error():
+            return Error(revision.error)
+        while self.state_machine.state.revision < revision.ok:
+            if self._clock.now() > deadline:
+                return Error(Refusal(ResultCode.NO_QUORUM, "the replica lags behind"))
+            await asyncio.sleep(READ_WAIT_S)
+        return Ok(None)
+
+    async def _async_read_index(self) -> Result[Revision, Refusal]:
+        """Return the revision that a current read must see."""
+        if self.log.lease_term() is not None:
+            barrier = await self.log.async_read_barrier(READ_TIMEOUT_S)
+            return barrier.map(lambda done: self.state_machine.state.revision)
+        leader = self.log.status().leader or HostId("")
+        reply = await self._peers.async_call(leader, ReadIndex(), READ_TIMEOUT_S)
+        match reply:
+            case Result(tag="ok", ok=ReadAt(revision=revision)):
+                return Ok(revision)
+            case Result(tag="ok", ok=Refused(code=code, detail=detail)):
+                return Error(Refusal(code, detail))
+            case Result(error=refusal):
+                return Error(refusal)
+            case _:
+                return Error(Refusal(ResultCode.MESSAGE_INVALID, "no answer to a read"))
+
+    def _handlers(self) -> Handlers[CatalogMessage]:
+        """Return the handlers of the protocol."""
+        return Handlers(
+            decoder=CATALOG_DECODER,
+            on_push=self._on_push,
+            async_on_call=self._async_on_call,
+            on_closed=self._subscribers.remove,
+        )
+
+    @callback
+    def _on_push(self, channel: Channel[Any], message: CatalogMessage) -> None:
+        """Take a push of a gateway or of another replica."""
+        match message:
+            case LoadReport():
+                self._subscribers.take_report(channel, message)
+            case ReplicaLoad():
+                self._subscribers.take_remote(channel.peer_id, message)
+            case Heard():
+                self._liveness.heard_elsewhere(message, self._clock.now())
+            case _:
+                log_event(EventCode.PEER_REFUSED, peer=channel.peer_id, reason="no such push")
+
+    async def _async_on_call(
+        self, channel: Channel[Any], message: CatalogMessage
+    ) -> msgspec.Struct:
+        """Answer one call."""
+        match message:
+            case Subscribe():
+                return self._subscribe(channel, message)
+            case Submit():
+                return await self._proposer.async_answer(message)
+            case ReadIndex():
+                return await self._async_answer_read()
+            case _:
+                return Refused(ResultCode.MESSAGE_INVALID, "the message is no call")
+
+    @callback
+    def _subscribe(self, channel: Channel[Any], message: Subscribe) -> Subscribed | Refused:
+        """Begin to push changes to a gateway, if this replica is current."""
+        age = self.log.current_age()
+        if age > MAX_SUBSCRIBE_AGE_S or self.state_machine.state.revision < message.after:
+            detail = "never" if math.isinf(age) else f"{age:.2f} s ago"
+            return Refused(ResultCode.NO_QUORUM, f"the replica was last current {detail}")
+        asyncio.get_running_loop().call_soon(self._subscribers.add, channel, message.after)
+        return Subscribed(self._peers.replicas())
+
+    async def _async_answer_read(self) -> ReadAt | Refused:
+        """Tell another replica what a current read must see."""
+        barrier = await self.log.async_read_barrier(READ_TIMEOUT_S)
+        match barrier:
+            case Result(tag="ok"):
+                return ReadAt(self.state_machine.state.revision)
+            case Result(error=refusal):
+                return Refused(refusal.code, refusal.detail)
+
+    @callback
+    def _on_leadership(self, term: Term | None) -> None:
+        """Begin or cease to judge which endpoints are lost."""
+        self._liveness.lead(None if term is None else self._clock.now())
+
+    @callback
+    def _schedule_push(self) -> None:
+        """Push changes once the loop has applied all that it has to."""
+        if self._push_scheduled:
+            return
+        self._push_scheduled = True
+        asyncio.get_running_loop().call_soon(self._push_changes)
+
+    @callback
+    def _push_changes(self) -> None:
+        """Push changes to every gateway."""
+        self._push_scheduled = False
+        self._subscribers.push_changes()
+
+    async def _async_share_loads(self) -> None:
+        """Share loads with gateways and replicas at a steady pace."""
+        while True:
+            await asyncio.sleep(CURRENT_INTERVAL_S)
+            self._peers.push_all(self._subscribers.push_loads())
+
+    async def _async_watch_endpoints(self) -> None:
+        """Tell the leader who was heard; as the leader, mark who has fallen silent."""
+        while True:
+            await asyncio.sleep(HEARD_INTERVAL_S)
+            await self._peers.async_refresh()
+            news = self._liveness.take_news()
+            leader = self.log.status().leader
+            if news is not None and leader is not None:
+                self._peers.push(leader, news)
+            if self.log.lease_term() is None:
+                continue
+            records = self.state_machine.state.endpoint_by_id.values()
+            for command in self._liveness.lost(list(records), self._clock.now()):
+                log_event(EventCode.ENDPOINT_EXPIRED, endpoint=command.endpoint_id)
+                await self._proposer.async_submit(command)
