--- a/packages/catalog/src/lagoonwing_catalog/_validation.py
+++ b/packages/catalog/src/lagoonwing_catalog/_validation.py
@@ -6,6 +6,7 @@
 
 from lagoonwing_catalog.errors import DocumentFault
 from lagoonwing_catalog.models import Document, Route
+from lagoonwing_core.ids import ServiceId
 
 
 def find_faults(document: Document) -> tuple[DocumentFault, ...]:
@@ -29,7 +30,7 @@
         yield from _split_faults(route, service_ids)
 
 
-def _split_faults(route: Route, service_ids: set[str]) -> Iterator[DocumentFault]:
+def _split_faults(route: Route, service_ids: set[ServiceId]) -> Iterator[DocumentFault]:
     """Yield the faults of a route's weights."""
     for split in route.splits:
         if split.service_id not in service_ids:
--- a/packages/catalog/src/lagoonwing_catalog/messages.py
+++ b/packages/catalog/src/lagoonwing_catalog/messages.py
@@ -6,7 +6,7 @@
 
 from lagoonwing_catalog._state import StoredDocument
 from lagoonwing_catalog.models import Document, EndpointRecord
-from lagoonwing_core.ids import EndpointId, Fingerprint, FailureDomainId, HostId, Revision
+from lagoonwing_core.ids import EndpointId, FailureDomainId, Fingerprint, HostId, Revision
 from lagoonwing_core.result_codes import ResultCode
 
 
--- a/packages/core/src/lagoonwing_core/settings/_load.py
+++ b/packages/core/src/lagoonwing_core/settings/_load.py
@@ -16,6 +16,7 @@
 from lagoonwing_core.settings.models import HostSettings, Role
 
 _MAX_FOUND_CHARACTERS = 60
+_ROLES = frozenset(role.value for role in Role)
 _ROLES_WITH_DISK = (Role.CONTROL.value, Role.REGISTRY.value)
 _ROLES_WITH_REPLICAS = (Role.ENTRY.value, Role.CONTROL.value)
 _ROLES_WITH_SEEDS = (Role.GATEWAY.value, Role.REGISTRY.value)
@@ -141,7 +142,7 @@
         return []
     role = settings.get("role")
     faults: list[SettingsFault] = []
-    if role in (one.value for one in Role) and role not in settings:
+    if isinstance(role, str) and role in _ROLES and role not in settings:
         faults.append(_missing(parsed, role, f'this section, role is "{role}"'))
     if role in _ROLES_WITH_DISK and settings.get("data_folder") is None:
         faults.append(_missing(parsed, "data_folder", "a folder on a disk"))
--- a/packages/core/src/lagoonwing_core/settings/models.py
+++ b/packages/core/src/lagoonwing_core/settings/models.py
@@ -12,17 +12,17 @@
     DEFAULT_ANNOUNCE_PORT,
     DEFAULT_CALLER_PORT,
     DEFAULT_DRAIN_GRACE_S,
+    DEFAULT_LOG_LINES_PER_S,
     DEFAULT_MAX_BODY_BYTES,
     DEFAULT_METRICS_PORT,
     DEFAULT_OPERATOR_PORT,
     DEFAULT_PEER_PORT,
     DEFAULT_REQUEST_TIMEOUT_S,
-    DEFAULT_LOG_LINES_PER_S,
     KEY_HASH_PATTERN,
     LISTEN_PATTERN,
-    MAX_LOG_LINES_PER_S,
     MAX_BODY_BYTES,
     MAX_DRAIN_GRACE_S,
+    MAX_LOG_LINES_PER_S,
     MAX_PORT,
     MAX_REQUEST_TIMEOUT_S,
     MIN_BODY_BYTES,
@@ -80,9 +80,7 @@
 Name = Annotated[str, Meta(pattern=NAME_PATTERN)]
 Port = Annotated[int, Meta(ge=MIN_PORT, le=MAX_PORT, extra={"unit": "port"})]
 IpNumber = Annotated[str, Meta(extra={"unit": "IP number"})]
-ListenAddress = Annotated[
-    str, Meta(pattern=LISTEN_PATTERN, extra={"unit": "IP number and port"})
-]
+ListenAddress = Annotated[str, Meta(pattern=LISTEN_PATTERN, extra={"unit": "IP number and port"})]
 KeyHash = Annotated[str, Meta(pattern=KEY_HASH_PATTERN, extra={"unit": "SHA-256, hexadecimal"})]
 
 
--- a/packages/gateway/src/lagoonwing_gateway/_calls.py
+++ b/packages/gateway/src/lagoonwing_gateway/_calls.py
@@ -110,9 +110,7 @@
                 break
         return self._give_up(context, last, sends, responder)
 
-    def _choose(
-        self, service: Service, excluded: Iterable[EndpointId]
-    ) -> EndpointRecord | None:
+    def _choose(self, service: Service, excluded: Iterable[EndpointId]) -> EndpointRecord | None:
         """Return the endpoint with the least work, unless all are full."""
         loads = self._ledger.loads(self._follower.summary().load_by_id)
 
@@ -127,7 +125,7 @@
             load = loads.get(record.endpoint_id, _NO_LOAD)
             return load.sequences < PLAIN_FULL_FACTOR * record.slots
 
-        records = [one for one in self._directory.plain(service.service_id, excluded)]
+        records = self._directory.plain(service.service_id, excluded)
         self._rng.shuffle(records)
         return min(filter(has_room, records), key=cost, default=None)
 
--- a/packages/gateway/src/lagoonwing_gateway/_directory.py
+++ b/packages/gateway/src/lagoonwing_gateway/_directory.py
@@ -53,9 +53,7 @@
         """Return the endpoint at an address and port, if it is known."""
         return None if key is None else self._id_by_key.get(key)
 
-    def plain(
-        self, service_id: ServiceId, excluded: Iterable[EndpointId]
-    ) -> list[EndpointRecord]:
+    def plain(self, service_id: ServiceId, excluded: Iterable[EndpointId]) -> list[EndpointRecord]:
         """Return the endpoints of a service for a call; suspected ones only for want of others."""
         shut_out = set(excluded)
         records = [
@@ -69,7 +67,7 @@
             for one in records
             if self._suspects.is_usable(one.endpoint_id) and one.endpoint_id not in suspected
         ]
-        return good or records
+        return good or list(records)
 
     def holders(
         self, service: Service, engine: Engine, excluded: Iterable[EndpointId]
--- a/packages/gateway/src/lagoonwing_gateway/_gateway.py
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -32,7 +32,6 @@
 from lagoonwing_wire import Identity
 
 _PRUNE_INTERVAL_S = 1.0
-_DRAIN_CHECK_S = 0.05
 
 
 class Gateway:
@@ -91,6 +90,8 @@
             rng,
         )
         self._active = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
         self._pruner: asyncio.Task[None] | None = None
 
     async def async_setup(self) -> None:
@@ -121,13 +122,17 @@
         began = loop.time()
         last = began + self._settings.drain_grace_s - DRAIN_SLACK_S
         await asyncio.sleep(min(DRAIN_ACCEPT_S, last - began))
-        while self._active and loop.time() < last:
-            await asyncio.sleep(_DRAIN_CHECK_S)
+        try:
+            async with asyncio.timeout_at(last):
+                await self._idle.wait()
+        except TimeoutError:
+            pass
         log_event(EventCode.GATEWAY_DRAINED, active=self._active, seconds=loop.time() - began)
 
     async def async_serve(self, request: CallerRequest, responder: Responder) -> None:
         """Serve one request of a caller to its end."""
         self._active += 1
+        self._idle.clear()
         route_id = None
         try:
             found = self._context(request)
@@ -142,6 +147,8 @@
             refusal = unknown(ResultCode.OUTCOME_UNKNOWN, "internal error")
         finally:
             self._active -= 1
+            if self._active == 0:
+                self._idle.set()
         held_s = self._clock.now() - request.received_at
         self.metrics.request_ended(route_id, refusal, held_s)
         if refusal is not None and not responder.is_gone:
--- a/packages/gateway/src/lagoonwing_gateway/_ledger.py
+++ b/packages/gateway/src/lagoonwing_gateway/_ledger.py
@@ -96,9 +96,7 @@
             loads[endpoint_id] = EndpointLoad(calls, 0, 0)
         return loads
 
-    def loads(
-        self, others: Mapping[EndpointId, EndpointLoad]
-    ) -> dict[EndpointId, EndpointLoad]:
+    def loads(self, others: Mapping[EndpointId, EndpointLoad]) -> dict[EndpointId, EndpointLoad]:
         """Return the work of all gateways at each endpoint."""
         total = dict(others)
         for endpoint_id, own in self.own_loads().items():
--- a/packages/gateway/src/lagoonwing_gateway/_streams.py
+++ b/packages/gateway/src/lagoonwing_gateway/_streams.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import random
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from tornado.httputil import HTTPHeaders
@@ -232,9 +231,7 @@
                 opened.close()
             self._ledger.release(reservation)
 
-    def _read_times(
-        self, engine: Engine, path: Path, work: Work
-    ) -> dict[EndpointId, float]:
+    def _read_times(self, engine: Engine, path: Path, work: Work) -> dict[EndpointId, float]:
         """Return how long each endpoint of a path reads the prompt, in milliseconds."""
         if engine.layer_count == 0:
             return {part.endpoint_id: 0.0 for part in path.parts}
--- a/packages/gateway/src/lagoonwing_gateway/_suspects.py
+++ b/packages/gateway/src/lagoonwing_gateway/_suspects.py
@@ -67,9 +67,7 @@
         """Give an endpoint no work for a moment, for it had no room or not the layers."""
         self._avoided_until_by_id[endpoint_id] = self._clock.now() + AVOID_S
 
-    def stalled(
-        self, endpoint_ids: Iterable[EndpointId], since: float
-    ) -> tuple[EndpointId, ...]:
+    def stalled(self, endpoint_ids: Iterable[EndpointId], since: float) -> tuple[EndpointId, ...]:
         """Return the endpoints that have shown no progress since a time."""
         return tuple(
             endpoint_id
--- a/packages/gateway/src/lagoonwing_gateway/ports.py
+++ b/packages/gateway/src/lagoonwing_gateway/ports.py
@@ -24,7 +24,7 @@
     def is_gone(self) -> bool:
         """Whether the caller has closed its connection."""
 
-    def set_on_gone(self, on_gone: Callable[[], None]) -> None:
+    def set_on_gone(self, on_gone: Callable[[], object]) -> None:
         """Set what is called once the caller closes its connection."""
 
     def send_whole(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
--- a/packages/lagoonwing/src/lagoonwing/_registry_role.py
+++ b/packages/lagoonwing/src/lagoonwing/_registry_role.py
@@ -71,9 +71,7 @@
     return RegistryProcess(runtime)
 
 
-def _log_settings(
-    settings: HostSettings, section: RegistrySection, host_id: HostId
-) -> LogSettings:
+def _log_settings(settings: HostSettings, section: RegistrySection, host_id: HostId) -> LogSettings:
     """Return the settings of the replicated log, formed by the hosts that the seeds name."""
     # The schema refuses a registry without a folder.
     assert settings.data_folder is not None
--- a/packages/placement/src/lagoonwing_placement/_paths.py
+++ b/packages/placement/src/lagoonwing_placement/_paths.py
@@ -73,9 +73,7 @@
     load_by_id: Mapping[EndpointId, EndpointLoad]
     rng: random.Random = field(default_factory=random.Random)
 
-    def find(
-        self, holders: Iterable[Holder], work: Work, ignore_room: bool = False
-    ) -> Path | None:
+    def find(self, holders: Iterable[Holder], work: Work, ignore_room: bool = False) -> Path | None:
         """Return the cheapest path, or nothing if no path has room.
 
         Args:
@@ -89,9 +87,7 @@
             (0, None): _Step(0.0, 0.0, None, None)
         }
         crossing = crossing_ms(self.engine, work.prompt_tokens)
-        cost_by_id = {
-            one.endpoint_id: self._costs(one, work, edges) for one in usable
-        }
+        cost_by_id = {one.endpoint_id: self._costs(one, work, edges) for one in usable}
         for position in edges[:-1]:
             here = [(key, step) for key, step in steps.items() if key[0] == position]
             if not here:
@@ -154,9 +150,7 @@
         load = self.load_by_id.get(holder.endpoint_id, _NO_LOAD)
         total = self.engine.layer_count
         context = load.kv_token_layers / holder.layers.count
-        step = step_ms(
-            self.engine, holder.accelerator, total, load.sequences + 1, context
-        )
+        step = step_ms(self.engine, holder.accelerator, total, load.sequences + 1, context)
         read = read_ms(self.engine, holder.accelerator, work.prompt_tokens, total)
         step *= holder.slowness
         read *= holder.slowness
--- a/packages/placement/src/lagoonwing_placement/_planner.py
+++ b/packages/placement/src/lagoonwing_placement/_planner.py
@@ -116,9 +116,7 @@
 
 def _shapes(engine: Engine, hosts: Iterable[Host]) -> Iterator[Shape]:
     """Yield the cuts to try."""
-    most_by_kind = {
-        host.accelerator.kind: max_layers(engine, host.accelerator) for host in hosts
-    }
+    most_by_kind = {host.accelerator.kind: max_layers(engine, host.accelerator) for host in hosts}
     kinds = sorted(most_by_kind)
     for blocks in BLOCK_COUNTS:
         if blocks > engine.layer_count:
--- a/packages/placement/src/lagoonwing_placement/_repair.py
+++ b/packages/placement/src/lagoonwing_placement/_repair.py
@@ -68,9 +68,7 @@
     return orders if move is None else [*orders, move]
 
 
-def _add_room(
-    engine: Engine, shape: Shape, room: list[float], host: Host, sign: float
-) -> None:
+def _add_room(engine: Engine, shape: Shape, room: list[float], host: Host, sign: float) -> None:
     """Add the room of one endpoint to the blocks that it will hold."""
     layers = host.target
     if layers is None:
@@ -98,7 +96,8 @@
         lost = [
             left
             for block, left in enumerate(rest)
-            if room[block] > 0 and host.held is not None
+            if room[block] > 0
+            and host.held is not None
             and host.held.covers(shape.layers(block, 1))
         ]
         if lost and min(lost) > 0 and (best is None or min(lost) > best[0]):
--- a/packages/registry/src/lagoonwing_registry/_executor.py
+++ b/packages/registry/src/lagoonwing_registry/_executor.py
@@ -106,9 +106,8 @@
             if accelerator is None:
                 continue
             known = self._known(record)
-            if known.pending is not None:
-                if record.layers == known.pending or now > known.pending_until:
-                    known.pending = None
+            if record.layers == known.pending or now > known.pending_until:
+                known.pending = None
             hosts.append(
                 Host(
                     record.endpoint_id,
--- a/packages/registry/src/lagoonwing_registry/_peers.py
+++ b/packages/registry/src/lagoonwing_registry/_peers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from typing import Any
 
 from expression import Error, Result
@@ -80,7 +79,9 @@
     async def async_refuse(channel: Channel[Any], message: Any) -> Refused:
         return Refused(ResultCode.MESSAGE_INVALID, "calls are not served on this channel")
 
-    ignore: Callable[[Channel[Any], Any], None] = lambda channel, message: None
+    def ignore(channel: Channel[Any], message: Any) -> None:
+        """Nothing is pushed on a link."""
+
     return Handlers(
         decoder=CATALOG_DECODER,
         on_push=ignore,
