--- a/packages/core/src/lagoonwing_core/settings/_load.py
+++ b/packages/core/src/lagoonwing_core/settings/_load.py
@@ -10,7 +10,8 @@
 from expression import Error, Ok, Result
 from msgspec import inspect
 
-from lagoonwing_core.settings._parser import KeyPath, ParsedSettings, dotted_path, parse_settings
+from lagoonwing_core.settings._parsed import KeyPath, ParsedSettings, dotted_path
+from lagoonwing_core.settings._plain import read_plain
 from lagoonwing_core.settings._schema import build_schema, describe_type
 from lagoonwing_core.settings.errors import SettingsFault
 from lagoonwing_core.settings.models import HostSettings, Role
@@ -45,6 +46,12 @@
         file: Path used in faults.
         text: Contents of the file.
     """
+    quick = ParsedSettings(file, read_plain(text), {(): 1})
+    if quick.value is not None and not [*_schema_faults(quick), *_role_faults(quick)]:
+        return Ok(msgspec.convert(quick.value, HostSettings))
+    # Loaded only here, for the grammar takes longer to load than all else.
+    from lagoonwing_core.settings._parser import parse_settings
+
     match parse_settings(file, text):
         case Result(tag="ok", ok=parsed):
             faults = [*parsed.faults, *_schema_faults(parsed), *_role_faults(parsed)]
--- a/packages/core/src/lagoonwing_core/settings/_parser.py
+++ b/packages/core/src/lagoonwing_core/settings/_parser.py
@@ -3,17 +3,15 @@
 from __future__ import annotations
 
 import ast
-from dataclasses import dataclass, field
 from typing import Any
 
 from expression import Error, Ok, Result
 from lark import Lark, Token, Tree, UnexpectedInput
 from lark.exceptions import UnexpectedCharacters, UnexpectedToken
 
+from lagoonwing_core.settings._parsed import KeyPath, ParsedSettings, dotted_path
 from lagoonwing_core.settings.errors import SettingsFault
 
-KeyPath = tuple[str | int, ...]
-
 _GRAMMAR = r"""
     start: _value
     _value: object | array | string | number | true | false | null
@@ -36,22 +34,6 @@
 _PARSER = Lark(_GRAMMAR, parser="lalr", propagate_positions=True, maybe_placeholders=False)
 
 
-@dataclass(slots=True)
-class ParsedSettings:
-    """Values of a settings file with the line of each.
-
-    Attributes:
-        value: Plain value of the whole file.
-        line_by_path: Line, from 1, of each key path.
-        faults: Keys that stand twice in one object.
-    """
-
-    file: str
-    value: Any = None
-    line_by_path: dict[KeyPath, int] = field(default_factory=dict)
-    faults: list[SettingsFault] = field(default_factory=list)
-
-
 def parse_settings(file: str, text: str) -> Result[ParsedSettings, SettingsFault]:
     """Parse JSON with comments; a comma may follow the last entry.
 
@@ -141,14 +123,3 @@
         return int(text)
     except ValueError:
         return float(text)
-
-
-def dotted_path(path: KeyPath) -> str:
-    """Return a key path as text, such as `replicas[0].port`."""
-    text = ""
-    for part in path:
-        if isinstance(part, int):
-            text += f"[{part}]"
-        else:
-            text += f".{part}" if text else part
-    return text
--- a/packages/gateway/src/lagoonwing_gateway/_calls.py
+++ b/packages/gateway/src/lagoonwing_gateway/_calls.py
@@ -179,7 +179,7 @@
             raise
         except BROKEN_ERRORS as error:
             reason = str(error) or "no answer in time"
-            self._suspects.failed(endpoint_id, reason)
+            self._suspects.failed_softly(endpoint_id, reason)
             return Failed(reason, (endpoint_id,))
         finally:
             responder.set_on_gone(_nothing)
@@ -202,6 +202,7 @@
             self._suspects.failed(record.endpoint_id, "an answer that is not the endpoint's")
             return Failed("the answer is not the endpoint's own", blamed)
         if notes.status >= _FIRST_FAILURE_STATUS:
+            self._suspects.failed_softly(record.endpoint_id, f"status {notes.status}")
             return Failed(f"the endpoint answered {notes.status}", blamed, answer)
         self._suspects.progressed(blamed)
         responder.send_whole(notes.status, answer.headers, answer.body)
--- a/packages/gateway/src/lagoonwing_gateway/_follower.py
+++ b/packages/gateway/src/lagoonwing_gateway/_follower.py
@@ -79,6 +79,7 @@
         self._summary = _NO_SUMMARY
         self._summary_at = -math.inf
         self._tasks: list[asyncio.Task[None]] = []
+        self._routes_known = asyncio.Event()
 
     async def async_setup(self) -> None:
         """Start to follow."""
@@ -96,6 +97,14 @@
         for link in self._link_by_place.values():
             await link.async_unload()
 
+    async def async_wait_for_routes(self, timeout: float) -> None:
+        """Wait until a document is known, but no longer than a time."""
+        try:
+            async with asyncio.timeout(timeout):
+                await self._routes_known.wait()
+        except TimeoutError:
+            return
+
     @callback
     def add_listener(self, listener: Callable[[], None]) -> None:
         """Call a function after each change of routes or endpoints."""
@@ -176,6 +185,7 @@
         if delta.document is not None:
             document = DOCUMENT_DECODER.decode(zlib.decompress(delta.document))
             self.routes = RouteTable(document)
+            self._routes_known.set()
         self._revision = delta.revision
         log_event(
             EventCode.REVISION_APPLIED,
--- a/packages/gateway/src/lagoonwing_gateway/_gateway.py
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from lagoonwing_catalog.messages import LoadReport
 from lagoonwing_catalog.models import RequestKind, Route, Service
@@ -21,10 +22,17 @@
 from lagoonwing_gateway._journal import log_refusal
 from lagoonwing_gateway._ledger import Ledger
 from lagoonwing_gateway._pace import Pace
-from lagoonwing_gateway._refusals import final, not_run, unknown
+from lagoonwing_gateway._refusals import final, not_run, not_started, unknown
 from lagoonwing_gateway._streams import Streams
 from lagoonwing_gateway._suspects import Suspects
-from lagoonwing_gateway.const import DRAIN_ACCEPT_S, DRAIN_SLACK_S
+from lagoonwing_gateway.const import (
+    DRAIN_ACCEPT_S,
+    DRAIN_IDLE_S,
+    DRAIN_SLACK_S,
+    MAX_START_WAIT_S,
+    START_S,
+    START_WAIT_SHARE,
+)
 from lagoonwing_gateway.diagnostics import GatewayMetrics
 from lagoonwing_gateway.models import CallerRequest, GatewayRefusal, RequestContext
 from lagoonwing_gateway.ports import Dialect, Responder
@@ -90,6 +98,9 @@
             rng,
         )
         self._active = 0
+        self._started_at = clock.now()
+        self._drain_began: float | None = None
+        self._on_idle_close: Callable[[], None] = _nothing
         self._idle = asyncio.Event()
         self._idle.set()
         self._pruner: asyncio.Task[None] | None = None
@@ -120,8 +131,11 @@
         self.is_draining = True
         loop = asyncio.get_running_loop()
         began = loop.time()
-        last = began + self._settings.drain_grace_s - DRAIN_SLACK_S
-        await asyncio.sleep(min(DRAIN_ACCEPT_S, last - began))
+        self._drain_began = began
+        last = self._drain_ends()
+        await asyncio.sleep(min(DRAIN_IDLE_S, last - began))
+        self._on_idle_close()
+        await asyncio.sleep(max(0.0, min(began + DRAIN_ACCEPT_S, last) - loop.time()))
         try:
             async with asyncio.timeout_at(last):
                 await self._idle.wait()
@@ -129,19 +143,31 @@
             pass
         log_event(EventCode.GATEWAY_DRAINED, active=self._active, seconds=loop.time() - began)
 
+    @callback
+    def set_on_idle_close(self, on_idle_close: Callable[[], None]) -> None:
+        """Set what closes the idle connections of callers while the process drains."""
+        self._on_idle_close = on_idle_close
+
+    def _drain_ends(self) -> float:
+        """Return when a process that drains must have ended its requests."""
+        began = self._clock.now() if self._drain_began is None else self._drain_began
+        return began + self._settings.drain_grace_s - DRAIN_SLACK_S
+
+    def _may_outlast(self, context: RequestContext) -> bool:
+        """Return whether a request may last longer than a process that drains."""
+        if self._drain_began is None or context.deadline <= self._drain_ends():
+            return False
+        return self._clock.now() >= self._drain_began + DRAIN_ACCEPT_S
+
     async def async_serve(self, request: CallerRequest, responder: Responder) -> None:
         """Serve one request of a caller to its end."""
         self._active += 1
         self._idle.clear()
-        route_id = None
+        await self._async_wait_for_routes(request)
+        found = self._context(request)
+        route_id = found.route.route_id if isinstance(found, RequestContext) else None
         try:
-            found = self._context(request)
-            match found:
-                case RequestContext() as context:
-                    route_id = context.route.route_id
-                    refusal = await self._async_serve(context, responder)
-                case GatewayRefusal() as refusal:
-                    pass
+            refusal = await self._async_answer(found, responder)
         except Exception as error:
             log_event(EventCode.COMPONENT_FAILED, component=self.name, error=repr(error))
             refusal = unknown(ResultCode.OUTCOME_UNKNOWN, "internal error")
@@ -155,12 +181,39 @@
             log_refusal(request.attempt_id, route_id, refusal, held_s)
             responder.refuse(request, refusal)
 
+    async def _async_wait_for_routes(self, request: CallerRequest) -> None:
+        """Hold a request that comes just before the first configuration is known.
+
+        A caller that was refused has used a try that it would rather have used later.
+        """
+        if self.follower.routes is not None:
+            return
+        left_s = START_S - (self._clock.now() - self._started_at)
+        if left_s > MAX_START_WAIT_S:
+            return
+        wait_s = MAX_START_WAIT_S
+        if request.budget_s is not None:
+            wait_s = min(wait_s, START_WAIT_SHARE * request.budget_s)
+        await self.follower.async_wait_for_routes(wait_s)
+
+    async def _async_answer(
+        self, found: RequestContext | GatewayRefusal, responder: Responder
+    ) -> GatewayRefusal | None:
+        """Serve a request unless it is refused; return what is to be refused."""
+        match found:
+            case GatewayRefusal():
+                return found
+            case RequestContext() if self._may_outlast(found):
+                detail = "the gateway is about to stop"
+                return not_run(ResultCode.HOST_DRAINING, detail, self._rng)
+            case RequestContext():
+                return await self._async_serve(found, responder)
+
     def _context(self, request: CallerRequest) -> RequestContext | GatewayRefusal:
         """Return the route and member of a request, or why it is refused."""
         routes = self.follower.routes
         if routes is None:
-            detail = "no configuration is known yet"
-            return not_run(ResultCode.CONFIGURATION_LEASE_LAPSED, detail, self._rng)
+            return not_started(self._clock.now() - self._started_at, self._rng)
         route = routes.match(request.host, request.path)
         if route is None:
             return final(ResultCode.NOT_FOUND, f"no route for {request.host}{request.path}")
@@ -209,3 +262,7 @@
         while True:
             await asyncio.sleep(_PRUNE_INTERVAL_S)
             self._connections.prune()
+
+
+def _nothing() -> None:
+    """Close nothing before a server has said what to close."""
--- a/packages/gateway/src/lagoonwing_gateway/_journal.py
+++ b/packages/gateway/src/lagoonwing_gateway/_journal.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from lagoonwing_core.events import EventCode, log_event
 from lagoonwing_core.ids import EndpointId
 from lagoonwing_gateway.models import (
@@ -62,6 +64,28 @@
     )
 
 
+def log_late_stream(
+    context: RequestContext,
+    endpoint_ids: list[EndpointId],
+    events: int,
+    first_s: float,
+    longest_pause_s: float,
+) -> None:
+    """Log a stream that was whole but later than its route's objectives."""
+    pause_objective_s = context.route.pause_objective_s or math.inf
+    if first_s <= context.route.objective_s and longest_pause_s <= pause_objective_s:
+        return
+    log_event(
+        EventCode.STREAM_LATE,
+        request=context.request.attempt_id,
+        route=context.route.route_id,
+        path=",".join(endpoint_ids),
+        events=events,
+        first_ms=round(first_s * 1_000),
+        longest_pause_ms=round(longest_pause_s * 1_000),
+    )
+
+
 def log_refusal(
     attempt_id: str | None, route_id: str | None, refusal: GatewayRefusal, held_s: float
 ) -> None:
--- a/packages/gateway/src/lagoonwing_gateway/_refusals.py
+++ b/packages/gateway/src/lagoonwing_gateway/_refusals.py
@@ -5,7 +5,7 @@
 import random
 
 from lagoonwing_core.result_codes import ResultCode
-from lagoonwing_gateway.const import RETRY_AFTER_JITTER_S, RETRY_AFTER_S
+from lagoonwing_gateway.const import RETRY_AFTER_JITTER_S, RETRY_AFTER_S, START_S
 from lagoonwing_gateway.models import GatewayRefusal, Promise
 
 
@@ -15,6 +15,16 @@
     return GatewayRefusal(code, detail, Promise.NOT_RUN, retry_after_s)
 
 
+def not_started(uptime_s: float, rng: random.Random) -> GatewayRefusal:
+    """Return a refusal before a configuration is known, until when one usually is."""
+    left_s = max(RETRY_AFTER_S, START_S - uptime_s)
+    retry_after_s = left_s + rng.random() * RETRY_AFTER_JITTER_S
+    detail = "no configuration is known yet"
+    return GatewayRefusal(
+        ResultCode.CONFIGURATION_LEASE_LAPSED, detail, Promise.NOT_RUN, retry_after_s
+    )
+
+
 def no_endpoint(detail: str, rng: random.Random) -> GatewayRefusal:
     """Return a refusal for want of endpoints with room."""
     return not_run(ResultCode.NO_ENDPOINT, detail, rng)
--- a/packages/gateway/src/lagoonwing_gateway/_streams.py
+++ b/packages/gateway/src/lagoonwing_gateway/_streams.py
@@ -20,7 +20,7 @@
 from lagoonwing_gateway._directory import Directory
 from lagoonwing_gateway._exchanges import BROKEN_ERRORS, Exchanges, OpenExchange
 from lagoonwing_gateway._follower import CatalogFollower
-from lagoonwing_gateway._journal import log_attempt, log_path
+from lagoonwing_gateway._journal import log_attempt, log_late_stream, log_path
 from lagoonwing_gateway._ledger import Ledger, Reservation
 from lagoonwing_gateway._refusals import no_endpoint, not_run, unknown
 from lagoonwing_gateway._suspects import Suspects
@@ -58,6 +58,9 @@
     Attributes:
         began: Whether the caller has got the head.
         last_event: Last event that the caller has got.
+        last_at: When it got the last event.
+        first_s: Time from the request to the first event.
+        longest_pause_s: Longest time between two events.
         sends: Times that the request was sent.
         excluded: Endpoints not to be used again for it.
     """
@@ -65,6 +68,9 @@
     began: bool = False
     last_event: str | None = None
     events: int = 0
+    last_at: float = 0.0
+    first_s: float = 0.0
+    longest_pause_s: float = 0.0
     sends: int = 0
     excluded: set[EndpointId] = field(default_factory=set)
 
@@ -161,7 +167,7 @@
         """Return the best path with room now."""
         loads = self._ledger.loads(self._follower.summary().load_by_id)
         holders = self._directory.holders(service, engine, progress.excluded)
-        finder = PathFinder(engine, loads, self._rng)
+        finder = PathFinder(engine, loads, self._rng, self._failure_domain)
         path = finder.find(holders, work)
         if path is not None:
             log_path(
@@ -303,6 +309,7 @@
                 self._suspects.progressed(ids)
                 content = b"".join(event.content for event in events)
                 self._send(head, content, progress, responder)
+                self._note_pace(context, progress)
                 progress.events += len(events)
                 progress.last_event = events[-1].event_id or progress.last_event
         except BROKEN_ERRORS as error:
@@ -312,8 +319,18 @@
         if not progress.began:
             self._send(head, b"", progress, responder)
         responder.finish()
+        log_late_stream(context, ids, progress.events, progress.first_s, progress.longest_pause_s)
         return Completed()
 
+    def _note_pace(self, context: RequestContext, progress: _Progress) -> None:
+        """Note how long the caller has waited for an event."""
+        now = self._clock.now()
+        if progress.events == 0:
+            progress.first_s = now - context.request.received_at
+        else:
+            progress.longest_pause_s = max(progress.longest_pause_s, now - progress.last_at)
+        progress.last_at = now
+
     def _send(
         self, head: AnswerHead, content: bytes, progress: _Progress, responder: Responder
     ) -> None:
--- a/packages/gateway/src/lagoonwing_gateway/_suspects.py
+++ b/packages/gateway/src/lagoonwing_gateway/_suspects.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import Any
 
 from lagoonwing_core.callback import callback
 from lagoonwing_core.clock import Clock
@@ -12,6 +13,7 @@
 from lagoonwing_gateway.const import (
     AVOID_S,
     MAX_SUSPECT_S,
+    PLAIN_FAILURES,
     SUSPECT_MEMORY_S,
     SUSPECT_S,
 )
@@ -39,6 +41,7 @@
         self._suspicion_by_id: dict[EndpointId, _Suspicion] = {}
         self._avoided_until_by_id: dict[EndpointId, float] = {}
         self._progress_at_by_id: dict[EndpointId, float] = {}
+        self._failures_by_id: dict[EndpointId, int] = {}
 
     @callback
     def progressed(self, endpoint_ids: Iterable[EndpointId]) -> None:
@@ -46,6 +49,7 @@
         now = self._clock.now()
         for endpoint_id in endpoint_ids:
             self._progress_at_by_id[endpoint_id] = now
+            self._failures_by_id.pop(endpoint_id, None)
 
     @callback
     def failed(self, endpoint_id: EndpointId, reason: str) -> None:
@@ -62,6 +66,15 @@
             EventCode.ENDPOINT_SUSPECTED, endpoint=endpoint_id, reason=reason, seconds=length_s
         )
 
+    @callback
+    def failed_softly(self, endpoint_id: EndpointId, reason: str) -> None:
+        """Suspect an endpoint that fails several times in a row."""
+        failures = self._failures_by_id.get(endpoint_id, 0) + 1
+        self._failures_by_id[endpoint_id] = failures
+        if failures >= PLAIN_FAILURES:
+            self._failures_by_id[endpoint_id] = 0
+            self.failed(endpoint_id, reason)
+
     @callback
     def avoid(self, endpoint_id: EndpointId) -> None:
         """Give an endpoint no work for a moment, for it had no room or not the layers."""
@@ -94,10 +107,12 @@
     def keep_only(self, endpoint_ids: Iterable[EndpointId]) -> None:
         """Forget endpoints that are gone."""
         kept = set(endpoint_ids)
-        for table in (
+        tables: tuple[dict[EndpointId, Any], ...] = (
             self._suspicion_by_id,
             self._avoided_until_by_id,
             self._progress_at_by_id,
-        ):
+            self._failures_by_id,
+        )
+        for table in tables:
             for endpoint_id in table.keys() - kept:
                 del table[endpoint_id]
--- a/packages/gateway/src/lagoonwing_gateway/const.py
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -29,6 +29,8 @@
 
 # Silence of a stream after which it is taken up elsewhere.
 STREAM_STALL_S = 0.9
+# Failures of a plain endpoint in a row after which it is suspected.
+PLAIN_FAILURES = 3
 # Silence after which a repeatable call is also tried elsewhere, as a share of its objective.
 CALL_SILENCE_SHARE = 0.9
 MIN_CALL_SILENCE_S = 0.2
@@ -44,6 +46,11 @@
 # First delay that a refused caller is asked for, and its random part.
 RETRY_AFTER_S = 0.3
 RETRY_AFTER_JITTER_S = 0.6
+# Time from the start of a gateway until it usually knows the configuration.
+START_S = 2.0
+# Longest wait of a request for the first configuration, and its share of the caller's time.
+MAX_START_WAIT_S = 1.5
+START_WAIT_SHARE = 0.5
 # Calls in flight at a plain endpoint, as a multiple of its slots, above which none is added.
 PLAIN_FULL_FACTOR = 2.0
 # Cost of leaving the failure domain for a plain call, in calls in flight per slot.
@@ -53,8 +60,10 @@
 BUDGET_SHARE = 0.6
 # Bytes that may wait for a caller that reads slowly.
 MAX_CALLER_BUFFER_BYTES = 512 * 1024
-# Time after SIGTERM for which new connections are still taken.
-DRAIN_ACCEPT_S = 3.2
+# Time after SIGTERM until idle connections are closed: the balancer has turned away by then.
+DRAIN_IDLE_S = 2.2
+# Time after SIGTERM from which streams are refused, for they may last longer than the grace.
+DRAIN_ACCEPT_S = 2.7
 # Time kept back from the grace, for a clean end.
 DRAIN_SLACK_S = 0.7
 # Share of the slowness estimate that a new sample replaces.
--- a/packages/lagoonwing/src/lagoonwing/_registry_role.py
+++ b/packages/lagoonwing/src/lagoonwing/_registry_role.py
@@ -19,6 +19,10 @@
 from lagoonwing_wire import ChannelServer, Identity
 
 LOG_FOLDER = "log"
+# Replicas that stand a fraction of a millisecond apart notice a lost leader sooner.
+HEARTBEAT_S = 0.12
+ELECTION_MIN_S = 0.55
+ELECTION_MAX_S = 0.85
 
 
 class RegistryProcess:
@@ -85,5 +89,10 @@
         ),
         own=own,
         may_found=section.may_found,
-        core=CoreSettings(voter_count=2 * section.tolerated_losses + 1),
+        core=CoreSettings(
+            heartbeat_s=HEARTBEAT_S,
+            election_min_s=ELECTION_MIN_S,
+            election_max_s=ELECTION_MAX_S,
+            voter_count=2 * section.tolerated_losses + 1,
+        ),
     )
--- /dev/null
+++ b/packages/lagoonwing/src/lagoonwing/_run.py
@@ -0,0 +1,61 @@
+"""Runs the process of a settings file; needs no command line library."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+
+import uvloop
+from expression import Result
+
+from lagoonwing._keys import system_key
+from lagoonwing._logging import set_up_logging
+from lagoonwing._process import async_run_process
+from lagoonwing.const import EXIT_FAILED, EXIT_OK, EXIT_SETTINGS, SETTINGS_VARIABLE
+from lagoonwing_core.settings import HostSettings, SettingsFault, load_settings
+
+
+def run_settings_file(file: str | None) -> int:
+    """Check a settings file, then run until the process is told to stop.
+
+    Args:
+        file: Path; the environment names it if it is not given.
+
+    Returns:
+        The exit code of the process.
+    """
+    settings = load_or_print(settings_path(file))
+    if settings is None:
+        return EXIT_SETTINGS
+    match system_key(settings):
+        case Result(tag="ok", ok=key):
+            pass
+        case Result(error=fault):
+            print_faults((fault,))
+            return EXIT_SETTINGS
+    set_up_logging(settings)
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        stopped_in_order = runner.run(async_run_process(settings, key))
+    return EXIT_OK if stopped_in_order else EXIT_FAILED
+
+
+def settings_path(file: str | None) -> str:
+    """Return the path of the settings file, from the argument or the environment."""
+    return file or os.environ.get(SETTINGS_VARIABLE, "")
+
+
+def load_or_print(file: str) -> HostSettings | None:
+    """Return the settings, or print every fault and return nothing."""
+    match load_settings(file):
+        case Result(tag="ok", ok=settings):
+            return settings
+        case Result(error=faults):
+            print_faults(faults)
+            return None
+
+
+def print_faults(faults: tuple[SettingsFault, ...]) -> None:
+    """Print faults to standard error, one a line."""
+    for fault in faults:
+        print(fault, file=sys.stderr)
--- a/packages/placement/src/lagoonwing_placement/_paths.py
+++ b/packages/placement/src/lagoonwing_placement/_paths.py
@@ -18,6 +18,7 @@
 from lagoonwing_placement.const import (
     CROSSING_WEIGHT,
     DECODE_WEIGHT,
+    ENTRY_CROSSING_MS,
     HOP_MS,
     JITTER_SHARE,
     KV_BUSY_SHARE,
@@ -67,11 +68,13 @@
 
     Attributes:
         load_by_id: Work in flight at each endpoint, of all gateways.
+        own_domain: Where the gateway is, if that is known.
     """
 
     engine: Engine
     load_by_id: Mapping[EndpointId, EndpointLoad]
     rng: random.Random = field(default_factory=random.Random)
+    own_domain: FailureDomainId | None = None
 
     def find(self, holders: Iterable[Holder], work: Work, ignore_room: bool = False) -> Path | None:
         """Return the cheapest path, or nothing if no path has room.
@@ -112,6 +115,8 @@
         for key, step in here:
             crosses = key[1] is not None and key[1] != holder.failure_domain
             cost = step.cost_ms + (crossing * CROSSING_WEIGHT if crosses else 0.0)
+            if position == 0 and self.own_domain not in (None, holder.failure_domain):
+                cost += ENTRY_CROSSING_MS
             if base is None or cost < base[0]:
                 base = (cost, step.first_token_ms + (crossing if crosses else 0.0), key)
         assert base is not None
--- a/packages/placement/src/lagoonwing_placement/const.py
+++ b/packages/placement/src/lagoonwing_placement/const.py
@@ -19,11 +19,13 @@
 # Fixed cost of each further endpoint on a path, in milliseconds.
 HOP_MS = 1.0
 # Shared pipes between failure domains delay every other request on them as well.
-CROSSING_WEIGHT = 3.0
+CROSSING_WEIGHT = 6.0
+# Events of a path that begins in another domain cross a link to come back, in milliseconds.
+ENTRY_CROSSING_MS = 40.0
 # Reading a prompt delays the tokens of the requests that run on the endpoint.
 READ_INTERFERENCE = 0.05
 # Callers wait for the first token; the rest of the answer only keeps memory in use.
-DECODE_WEIGHT = 0.15
+DECODE_WEIGHT = 0.03
 # Random part of a path's cost, so that several gateways don't choose the same one.
 JITTER_SHARE = 0.1
 # Largest number of endpoints on one path that engines accept.
