--- a/packages/gateway/src/lagoonwing_gateway/_gateway.py
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -25,6 +25,7 @@
 from lagoonwing_gateway._refusals import final, not_run, not_started, unknown
 from lagoonwing_gateway._streams import Streams
 from lagoonwing_gateway._suspects import Suspects
+from lagoonwing_gateway._watchdog import Watchdog
 from lagoonwing_gateway.const import (
     DRAIN_ACCEPT_S,
     DRAIN_IDLE_S,
@@ -71,6 +72,7 @@
         self._connections = Connections(clock)
         pace = Pace()
         directory = Directory(self.follower, self._suspects, pace)
+        self._watchdog = Watchdog(directory, self._suspects, clock)
         budget = RetryBudget(settings.retry_budget, clock)
         exchanges = Exchanges(dialect, self._connections, clock)
         self._calls = Calls(
@@ -90,6 +92,7 @@
             self.follower,
             directory,
             self._suspects,
+            self._watchdog,
             self._ledger,
             budget,
             exchanges,
@@ -103,17 +106,22 @@
         self._on_idle_close: Callable[[], None] = _nothing
         self._idle = asyncio.Event()
         self._idle.set()
-        self._pruner: asyncio.Task[None] | None = None
+        self._tasks: list[asyncio.Task[None]] = []
 
     async def async_setup(self) -> None:
         """Start to serve."""
         await self.follower.async_setup()
-        self._pruner = asyncio.get_running_loop().create_task(self._async_prune())
+        loop = asyncio.get_running_loop()
+        self._tasks = [
+            loop.create_task(self._async_prune()),
+            loop.create_task(self._watchdog.async_run()),
+        ]
 
     async def async_unload(self) -> None:
         """Stop to serve."""
-        if self._pruner is not None:
-            self._pruner.cancel()
+        for task in self._tasks:
+            task.cancel()
+        await self._watchdog.async_unload()
         await self.follower.async_unload()
         self._connections.close()
 
--- a/packages/gateway/src/lagoonwing_gateway/_streams.py
+++ b/packages/gateway/src/lagoonwing_gateway/_streams.py
@@ -24,6 +24,7 @@
 from lagoonwing_gateway._ledger import Ledger, Reservation
 from lagoonwing_gateway._refusals import no_endpoint, not_run, unknown
 from lagoonwing_gateway._suspects import Suspects
+from lagoonwing_gateway._watchdog import Watchdog, WatchedStream
 from lagoonwing_gateway.const import (
     DEADLINE_SLACK_S,
     MAX_CONNECT_TRIES,
@@ -84,6 +85,7 @@
         follower: CatalogFollower,
         directory: Directory,
         suspects: Suspects,
+        watchdog: Watchdog,
         ledger: Ledger,
         budget: RetryBudget,
         exchanges: Exchanges,
@@ -95,6 +97,7 @@
         self._follower = follower
         self._directory = directory
         self._suspects = suspects
+        self._watchdog = watchdog
         self._ledger = ledger
         self._budget = budget
         self._exchanges = exchanges
@@ -231,12 +234,48 @@
             if progress.sends == 0:
                 self._budget.first_sent(service.service_id)
             progress.sends += 1
-            return await self._async_relay(context, path, reservation, opened, progress, responder)
+            return await self._async_watched(
+                context, path, reservation, opened, progress, responder
+            )
         finally:
             if opened is not None:
                 opened.close()
             self._ledger.release(reservation)
 
+    async def _async_watched(
+        self,
+        context: RequestContext,
+        path: Path,
+        reservation: Reservation,
+        opened: OpenExchange,
+        progress: _Progress,
+        responder: Responder,
+    ) -> AttemptOutcome:
+        """Relay one exchange while its endpoints are watched."""
+        down: list[EndpointId] = []
+
+        def interrupt(endpoint_id: EndpointId) -> None:
+            down.append(endpoint_id)
+            opened.close()
+
+        now = self._clock.now()
+        stream = WatchedStream(
+            tuple(part.endpoint_id for part in path.parts),
+            interrupt,
+            quiet_until=now + 2 * path.first_token_ms / 1_000,
+            heard_at=now,
+        )
+        self._watchdog.watch(stream)
+        try:
+            outcome = await self._async_relay(
+                context, path, reservation, opened, progress, responder, stream
+            )
+        finally:
+            self._watchdog.forget(stream)
+        if down and isinstance(outcome, Failed):
+            return Failed(f"{down[0]} is down", tuple(down))
+        return outcome
+
     def _read_times(self, engine: Engine, path: Path, work: Work) -> dict[EndpointId, float]:
         """Return how long each endpoint of a path reads the prompt, in milliseconds."""
         if engine.layer_count == 0:
@@ -260,10 +299,11 @@
         opened: OpenExchange,
         progress: _Progress,
         responder: Responder,
+        stream: WatchedStream,
     ) -> AttemptOutcome:
         """Relay the events of one exchange until it ends or the caller goes."""
         task = asyncio.ensure_future(
-            self._async_events(context, path, reservation, opened, progress, responder)
+            self._async_events(context, path, reservation, opened, progress, responder, stream)
         )
         responder.set_on_gone(task.cancel)
         try:
@@ -283,6 +323,7 @@
         opened: OpenExchange,
         progress: _Progress,
         responder: Responder,
+        stream: WatchedStream,
     ) -> AttemptOutcome:
         """Relay the events of one exchange."""
         ids = [part.endpoint_id for part in path.parts]
@@ -310,6 +351,7 @@
                 content = b"".join(event.content for event in events)
                 self._send(head, content, progress, responder)
                 self._note_pace(context, progress)
+                stream.heard_at = progress.last_at
                 progress.events += len(events)
                 progress.last_event = events[-1].event_id or progress.last_event
         except BROKEN_ERRORS as error:
@@ -365,8 +407,7 @@
         reason = str(error) or "the path fell silent"
         is_silent = isinstance(error, TimeoutError)
         blamed = self._suspects.stalled(ids, since) if is_silent else (ids[0],)
-        for endpoint_id in blamed:
-            self._suspects.failed(endpoint_id, reason)
+        self._watchdog.suspect(blamed)
         return Failed(reason, blamed or tuple(ids))
 
     async def _async_failure(
--- a/packages/gateway/src/lagoonwing_gateway/const.py
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -27,6 +27,16 @@
 # Suspicion of a holder that is short of memory or doesn't hold what it was said to.
 AVOID_S = 0.4
 
+# Period in which streams are looked at for silence.
+WATCH_INTERVAL_S = 0.03
+# Delay of the event loop that is worth a log line.
+LOOP_DELAY_S = 0.04
+# Silence through an endpoint after which a connection to it is tried.
+PROBE_SILENCE_S = 0.08
+PROBE_TIMEOUT_S = 0.12
+# A single packet may be lost; an endpoint is down only if several tries go unanswered.
+PROBE_TRIES = 2
+PROBE_AGAIN_S = 0.5
 # Silence of a stream after which it is taken up elsewhere.
 STREAM_STALL_S = 0.9
 # Failures of a plain endpoint in a row after which it is suspected.
--- a/packages/placement/src/lagoonwing_placement/_paths.py
+++ b/packages/placement/src/lagoonwing_placement/_paths.py
@@ -24,6 +24,7 @@
     KV_BUSY_SHARE,
     KV_FULL_SHARE,
     KV_PRESSURE_MS,
+    LATENCY_WEIGHT,
     MAX_PARTS,
     READ_INTERFERENCE,
 )
@@ -164,12 +165,12 @@
         jitter = 1.0 + JITTER_SHARE * self.rng.random()
         capacity = kv_token_layers(self.engine, holder.accelerator, holder.layers.count)
         decode = step * work.answer_tokens * DECODE_WEIGHT
-        per_layer = (read * interference + decode) / total
+        per_layer = (read * interference * LATENCY_WEIGHT + decode) / total
         per_layer += self._pressure_ms(load, capacity) / total
         return _HolderCosts(
             edges=tuple(edge for edge in edges if edge <= holder.layers.end),
             queue_ms=queue,
-            fixed_ms=queue * jitter,
+            fixed_ms=queue * LATENCY_WEIGHT * jitter,
             read_per_layer_ms=read / total,
             per_layer_ms=per_layer * jitter,
         )
--- a/packages/placement/src/lagoonwing_placement/const.py
+++ b/packages/placement/src/lagoonwing_placement/const.py
@@ -21,9 +21,11 @@
 # Shared pipes between failure domains delay every other request on them as well.
 CROSSING_WEIGHT = 6.0
 # Events of a path that begins in another domain cross a link to come back, in milliseconds.
-ENTRY_CROSSING_MS = 40.0
+ENTRY_CROSSING_MS = 60.0
 # Reading a prompt delays the tokens of the requests that run on the endpoint.
 READ_INTERFERENCE = 0.05
+# Time to the first token below the objective is worth less than what others lose.
+LATENCY_WEIGHT = 0.3
 # Callers wait for the first token; the rest of the answer only keeps memory in use.
 DECODE_WEIGHT = 0.03
 # Random part of a path's cost, so that several gateways don't choose the same one.
