Let a follower tell how current it is by the leader's echo of its own clock

The leader now repeats the follower's own time of its last reply, which bounds how long the message can have travelled; an echo from before a loss of power is ignored.

--- a/packages/consensus/src/lagoonwing_consensus/_replication.py
+++ b/packages/consensus/src/lagoonwing_consensus/_replication.py
@@ -60,17 +60,17 @@
 def handle_append_request(state: ReplicaState, request: AppendRequest, now: float) -> None:
     """Take entries from the leader."""
     if not follow_leader(state, request.sender, request.term, now):
-        _reply(state, request, success=False, index=LogIndex(0))
+        _reply(state, request, now, success=False, index=LogIndex(0))
         return
     if not holds_previous(state, request):
-        _reply(state, request, success=False, index=_resend_index(state, request))
+        _reply(state, request, now, success=False, index=_resend_index(state, request))
         return
     for entry in request.entries:
         take_entry(state, entry)
     last_new = LogIndex(request.previous_index + len(request.entries))
     state.advance_commit(commit_of_follower(state, request.commit, last_new))
     _note_current(state, request, now)
-    _reply(state, request, success=True, index=last_new)
+    _reply(state, request, now, success=True, index=last_new)
 
 
 def current_at(state: ReplicaState, now: float) -> float | None:
@@ -82,9 +82,15 @@
 
 def _note_current(state: ReplicaState, request: AppendRequest, now: float) -> None:
     """Note that every entry accepted before the leader's last quorum is known here."""
-    if state.commit < request.commit or math.isinf(request.quorum_age_s):
+    if state.commit < request.commit:
         return
-    seen_at = now - request.quorum_age_s
+    if math.isinf(request.quorum_age_s) or math.isinf(request.echo):
+        return
+    if request.echo > now:
+        # The peer's clock has begun anew since, after a loss of power.
+        return
+    drift = state.settings.clock_drift_ratio
+    seen_at = request.echo - request.quorum_age_s * (1.0 + drift) / (1.0 - drift)
     if state.current_at is None or seen_at > state.current_at:
         state.current_at = seen_at
 
@@ -144,6 +150,7 @@
     progress = confirm(state, reply.sender, reply.term, reply.sent_at, now)
     if progress is None:
         return
+    progress.echo = reply.replied_at
     if not reply.success:
         _step_back(state, reply, progress, now)
         return
@@ -258,6 +265,7 @@
             sent_at=now,
             entries=entries,
             quorum_age_s=math.inf if confirmed_at is None else now - confirmed_at,
+            echo=progress.echo,
         )
     )
 
@@ -288,7 +296,9 @@
     return state.log.first_index_of_term(request.previous_index)
 
 
-def _reply(state: ReplicaState, request: AppendRequest, *, success: bool, index: LogIndex) -> None:
+def _reply(
+    state: ReplicaState, request: AppendRequest, now: float, *, success: bool, index: LogIndex
+) -> None:
     """Answer an append request once everything so far is synced."""
     state.output.messages.append(
         AppendReply(
@@ -299,5 +309,6 @@
             index=index,
             rejected_index=request.previous_index,
             sent_at=request.sent_at,
+            replied_at=now,
         )
     )
--- a/packages/consensus/src/lagoonwing_consensus/_state.py
+++ b/packages/consensus/src/lagoonwing_consensus/_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import deque
 from dataclasses import dataclass, field
@@ -74,6 +75,7 @@
         probing: Whether it is unknown where the logs part.
         inflight: Last index of each unanswered request with entries.
         told_commit: Accepted entry named in the last request.
+        echo: Time on the peer's own clock that it has told last in this term.
     """
 
     next_index: LogIndex
@@ -85,6 +87,7 @@
     inflight: deque[LogIndex] = field(default_factory=deque)
     transfer: SnapshotTransfer | None = None
     told_commit: LogIndex = LogIndex(0)
+    echo: float = -math.inf
 
 
 @dataclass(slots=True)
--- a/packages/consensus/src/lagoonwing_consensus/messages.py
+++ b/packages/consensus/src/lagoonwing_consensus/messages.py
@@ -47,6 +47,8 @@
         sent_at: Time of sending on the leader's clock, which the reply repeats.
         quorum_age_s: Seconds since a quorum is known to have followed the leader; infinite if
             none has in this term.
+        echo: Time on the receiver's clock that the leader had from it last when it sent this;
+            shows that the message is younger than that, however long it travelled.
     """
 
     sender: ReplicaId
@@ -58,6 +60,7 @@
     sent_at: float
     entries: tuple[Entry, ...] = ()
     quorum_age_s: float = math.inf
+    echo: float = -math.inf
 
 
 class AppendReply(msgspec.Struct, frozen=True, array_like=True, tag=4):
@@ -68,6 +71,7 @@
         index: Last entry held for certain; on failure the first one to send again.
         rejected_index: On failure, the request's previous index.
         sent_at: The request's time of sending.
+        replied_at: Time of the reply on the sender's own clock, which later requests repeat.
     """
 
     sender: ReplicaId
@@ -77,6 +81,7 @@
     index: LogIndex
     rejected_index: LogIndex
     sent_at: float
+    replied_at: float = -math.inf
 
 
 class SnapshotRequest(msgspec.Struct, frozen=True, array_like=True, tag=5):
--- a/packages/fakes/src/lagoonwing_fakes/deployment/_settings_files.py
+++ b/packages/fakes/src/lagoonwing_fakes/deployment/_settings_files.py
@@ -45,7 +45,7 @@
         Path of the file.
     """
     key_file = plan.folder / "system.key"
-    key_file.write_text(SYSTEM_KEY, encoding="utf-8")
+    _replace_text(key_file, SYSTEM_KEY)
     document = _common(plan, process, number, key_file)
     match process:
         case HostProcess.ENTRY:
@@ -57,10 +57,17 @@
                 "metrics_port": METRICS_PORT,
             }
     path = plan.folder / f"{process.value}-{number}.json"
-    path.write_text(json.dumps(document, indent=4), encoding="utf-8")
+    _replace_text(path, json.dumps(document, indent=4))
     return path
 
 
+def _replace_text(path: Path, text: str) -> None:
+    """Put a file in place whole: other processes may read it while it is written anew."""
+    aside = path.with_name(f"{path.name}.new")
+    aside.write_text(text, encoding="utf-8")
+    aside.replace(path)
+
+
 def _common(
     plan: DeploymentPlan, process: HostProcess, number: int, key_file: Path
 ) -> dict[str, Any]:
--- a/tests/consensus/consensus_simulation.py
+++ b/tests/consensus/consensus_simulation.py
@@ -111,7 +111,18 @@
 
 
 class Simulation:
-    """One schedule: a time of faults, then a time in which the log must get on."""
+    """One schedule: a time of faults, then a time in which the log must get on.
+
+    Attributes:
+        hosts: Names of the hosts.
+        founders: Hosts whose replicas vote from the beginning.
+        joiners: Whether the other hosts have to ask to join, and begin outside the set.
+    """
+
+    hosts = HOSTS
+    founders = 3
+    joiners = False
+    base_settings = SETTINGS
 
     def __init__(self, seed: int, mistakes: Mistakes = Mistakes()) -> None:
         self.random = random.Random(seed)
@@ -124,16 +135,18 @@
         self._hash_by_index: dict[int, bytes] = {}
         self._leader_by_term: dict[int, ReplicaId] = {}
         self.answered = 0
+        self._answers: list[tuple[float, int]] = []
         self._blocked: set[tuple[str, str]] = set()
         self._wiped: set[ReplicaId] = set()
         self._wipes = 0
         self._settling = False
         self.settled = False
         self._faults = self._draw_faults()
-        self._settings = replace(SETTINGS, max_message_entries=self.random.choice((1, 3)))
-        self.node_by_host = {host: self._make_node(host) for host in HOSTS}
+        self._settings = replace(self.base_settings, max_message_entries=self.random.choice((1, 3)))
+        self.node_by_host = {host: self._make_node(host) for host in self.hosts}
         replicas = [node.disk.replica for node in self.node_by_host.values()]
-        founding = ReplicaSet(tuple(replicas[:3]), tuple(replicas[3:]))
+        learners = () if self.joiners else tuple(replicas[self.founders :])
+        founding = ReplicaSet(tuple(replicas[: self.founders]), learners)
         entry = Entry(LogIndex(1), Term(1), EntryKind.REPLICA_SET, encode_replica_set(founding))
         self.node_by_host["a"].disk.entries.append(entry)
         self.node_by_host["a"].disk.hard_state = HardState(Term(1))
@@ -144,7 +157,7 @@
         Raises:
             ViolationError: A promise was broken.
         """
-        for host in HOSTS:
+        for host in self.hosts:
             self._start(host)
         self._at(1.0, self._propose)
         self._at(self.random.uniform(6.0, 14.0), self._cause_fault)
@@ -165,7 +178,10 @@
     def isolate(self, hosts: list[str]) -> None:
         """Cut some hosts off from the rest, both ways."""
         self._blocked = {
-            (one, two) for one in HOSTS for two in HOSTS if (one in hosts) is not (two in hosts)
+            (one, two)
+            for one in self.hosts
+            for two in self.hosts
+            if (one in hosts) is not (two in hosts)
         }
 
     def heal(self) -> None:
@@ -204,7 +220,7 @@
 
     def _make_node(self, host: str) -> Node:
         """Return a host with an empty disk."""
-        drift = SETTINGS.clock_drift_ratio
+        drift = self.base_settings.clock_drift_ratio
         return Node(
             disk=Disk(_replica(host, 0)),
             clock_offset=self.random.uniform(0.0, 1000.0),
@@ -241,13 +257,15 @@
         self._carry_out(host, node.core.tick(self.local_now(node)))
         self._ask_to_join(host)
         self._check_read(node)
+        self._check_current(node)
         self._at(0.7, lambda: self._tick(host, life))
 
     def _ask_to_join(self, host: str) -> None:
         """Let a replica outside the set ask whoever leads to be taken in."""
         node = self.node_by_host[host]
         replica = node.disk.replica
-        if replica.replica_id not in self._wiped and replica.replica_id.endswith("0"):
+        is_first = replica.replica_id not in self._wiped and replica.replica_id.endswith("0")
+        if is_first and not (self.joiners and host in self.hosts[self.founders :]):
             return
         for other, peer in self.node_by_host.items():
             if peer.core is not None and (host, other) not in self._blocked:
@@ -367,7 +385,7 @@
             case "crash":
                 self._crash_for_a_while(host)
             case "crash_all":
-                for each in HOSTS:
+                for each in self.hosts:
                     self._crash_for_a_while(each)
             case "wipe":
                 self._wipe(host)
@@ -378,8 +396,10 @@
 
     def _draw_hosts(self) -> tuple[str, str]:
         """Return a host that something happens to, often one that leads, and another."""
-        leaders = [host for host in HOSTS if self.node_by_host[host].role is ReplicaRole.LEADER]
-        shuffled = self.random.sample(HOSTS, len(HOSTS))
+        leaders = [
+            host for host in self.hosts if self.node_by_host[host].role is ReplicaRole.LEADER
+        ]
+        shuffled = self.random.sample(self.hosts, len(self.hosts))
         if leaders and self.random.random() < 0.4:
             shuffled.sort(key=lambda host: host != leaders[0])
         return shuffled[0], shuffled[1]
@@ -448,7 +468,7 @@
         self._settling = True
         self.heal()
         self._faults = Faults(0.0, 0.0, 0.0, ())
-        for host in HOSTS:
+        for host in self.hosts:
             self._restart(host)
 
     def _has_settled(self) -> bool:
@@ -460,7 +480,7 @@
         if any(core.commit < leaders[0].commit - 8 for core in cores):
             return False
         voter_ids = {voter.replica_id for voter in leaders[0].replica_set.voters}
-        return len(voter_ids) == SETTINGS.voter_count and not voter_ids & self._wiped
+        return len(voter_ids) == self.base_settings.voter_count and not voter_ids & self._wiped
 
     def _check_entry(self, core: ReplicaCore, entry: Entry) -> None:
         """Log matching: index and term name one entry and one predecessor."""
@@ -500,6 +520,22 @@
         if index is not None and index < self.answered:
             raise ViolationError(f"stale read: {index} after {self.answered} was answered")
 
+    def _check_current(self, node: Node) -> None:
+        """A replica holds every change that was answered before it was last current."""
+        assert node.core is not None
+        local = node.core.current_at(self.local_now(node))
+        if local is None:
+            return
+        current_at = (local - node.clock_offset) / node.clock_rate
+        for answered_at, index in reversed(self._answers):
+            if answered_at < current_at:
+                if index > node.core.commit:
+                    raise ViolationError(
+                        f"currency: {node.core.commit} held, {index} answered at {answered_at}, "
+                        f"current at {current_at}"
+                    )
+                return
+
     def _apply(self, node: Node, committed: list[Entry]) -> None:
         """State machine safety, and revisions that only rise, one by one."""
         for entry in committed:
@@ -516,6 +552,7 @@
             assert node.core is not None
             if node.core.role is ReplicaRole.LEADER:
                 self.answered = max(self.answered, entry.index)
+                self._answers.append((self.now, self.answered))
 
     def _check_state(self, node: Node) -> None:
         """Every replica reaches the same state at the same entry."""
@@ -542,3 +579,11 @@
     learners = [learner.replica_id in gone for learner in replica_set.learners]
     enlarged = [*voters, *sorted(learners)[-1:]]
     return not voters or (2 * sum(voters) < len(voters) and 2 * sum(enlarged) < len(enlarged))
+
+
+class FiveVoterSimulation(Simulation):
+    """Five voters wanted: three hosts found the log, three more ask to join."""
+
+    hosts = ("a", "b", "c", "d", "e", "f")
+    joiners = True
+    base_settings = replace(SETTINGS, voter_count=5)
