--- a/tests/consensus/test_consensus_schedules.py
+++ b/tests/consensus/test_consensus_schedules.py
@@ -4,12 +4,13 @@
 
 import pytest
 from consensus_scenarios import SCENARIOS
-from consensus_simulation import Mistakes, Simulation
+from consensus_simulation import FiveVoterSimulation, Mistakes, Simulation
 
 # Beyond the range of the cases; stopped before a replica without a vote could be needed to win.
 FOUND_SEEDS = (211985,)
 SCHEDULES_PER_CASE = 500
 CASES = 24
+FIVE_VOTER_CASES = 20
 
 
 @pytest.mark.parametrize("case", range(CASES))
@@ -23,6 +24,17 @@
             raise
 
 
+@pytest.mark.parametrize("case", range(FIVE_VOTER_CASES))
+def test_promises_hold_with_five_voters_and_joining_hosts(case: int) -> None:
+    """Three hosts found the log, three more join; disks are wiped and voters replaced."""
+    for seed in range(case * SCHEDULES_PER_CASE, (case + 1) * SCHEDULES_PER_CASE):
+        try:
+            FiveVoterSimulation(seed).run()
+        except Exception as error:
+            error.add_note(f"seed {seed}")
+            raise
+
+
 @pytest.mark.parametrize("seed", FOUND_SEEDS)
 def test_promises_hold_in_schedules_that_failed(seed: int) -> None:
     """Schedules that once broke a promise hold it."""
