--- a/tests/platform/stand_ins.py
+++ b/tests/platform/stand_ins.py
@@ -230,6 +230,7 @@
 
     registry: RegistryService
     gateway: Gateway
+    front: FrontServer
     control_port: int
     caller_port: int
     ready_port: int
@@ -336,17 +337,18 @@
         clock,
         random.Random(1),
     )
+    front = FrontServer(gateway, (ADDRESS, caller_port), (ADDRESS, ready_port))
     components = (
         server,
         registry,
         log,
         ControlServer(registry, ADDRESS, control_port),
         gateway,
-        FrontServer(gateway, (ADDRESS, caller_port), (ADDRESS, ready_port)),
+        front,
     )
     for component in components:
         await component.async_setup()
-    deployment = Deployment(registry, gateway, control_port, caller_port, ready_port)
+    deployment = Deployment(registry, gateway, front, control_port, caller_port, ready_port)
     try:
         await deployment.async_until(lambda: log.lease_term() is not None)
         yield deployment
--- a/tests/platform/test_platform_path.py
+++ b/tests/platform/test_platform_path.py
@@ -4,9 +4,12 @@
 
 import asyncio
 import json
+from unittest.mock import MagicMock
 
 import pytest
 from stand_ins import EVENTS, Deployment, document
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from lagoonwing_catalog.models import EndpointState
 from lagoonwing_core.ids import EndpointId
@@ -260,6 +263,31 @@
     assert len(deployment.gateway.follower.endpoint_by_id) == 3
 
 
+@pytest.mark.parametrize("is_closed", [False, True])
+async def test_request_that_crosses_the_close_is_not_passed_on(
+    deployment: Deployment, is_closed: bool
+) -> None:
+    """A request read from a connection that was closed meanwhile reaches no endpoint."""
+    await _async_call_service(deployment)
+    connection = MagicMock(spec=HTTP1Connection)
+    connection.stream = MagicMock()
+    connection.stream.closed.return_value = is_closed
+    delegate = deployment.front._callers.request_callback
+    message = delegate.start_request(None, connection)
+    headers = HTTPHeaders(
+        {
+            "Host": "h.example",
+            "Authorization": "Bearer key-1",
+            "X-Lagoonwing-Attempt-Id": "a-1",
+        }
+    )
+    message.headers_received(RequestStartLine("GET", "/safe/x", "HTTP/1.1"), headers)
+    message.finish()
+    await asyncio.sleep(0.2)
+    reached = [one for one in deployment.endpoints if "a-1" in one.headers_by_id]
+    assert bool(reached) is not is_closed
+
+
 async def test_stop_turns_readiness_off_and_cuts_nothing(deployment: Deployment) -> None:
     """What runs when the process is told to stop still comes to its end."""
     await _async_call_service(deployment)
