--- a/packages/lagoonctl/src/lagoonctl/_commands/__init__.py
+++ b/packages/lagoonctl/src/lagoonctl/_commands/__init__.py
@@ -28,6 +28,7 @@
     StopList,
     StopOrder,
 )
+from lagoonctl.explain.command import ExplainCommand
 from lagoonctl.load.command import LoadCommand
 
 COMMANDS: tuple[type[Command], ...] = (
@@ -55,4 +56,5 @@
     Watch,
     History,
     LoadCommand,
+    ExplainCommand,
 )
