Serve metrics of gateways and registries; share what handlers work with

Counters of requests, attempts and orders, histograms of latency and of first events, gauges of what is in force, who leads and how current a replica is. The handlers of calls and streams took eleven arguments each; they now take one record.

--- a/packages/gateway/src/lagoonwing_gateway/_calls.py
+++ b/packages/gateway/src/lagoonwing_gateway/_calls.py
@@ -7,23 +7,16 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from collections.abc import Iterable
 
 from lagoonwing_catalog.messages import EndpointLoad
 from lagoonwing_catalog.models import EndpointRecord, RequestKind, Service
-from lagoonwing_core.clock import Clock
-from lagoonwing_core.ids import EndpointId, FailureDomainId
+from lagoonwing_core.ids import EndpointId
 from lagoonwing_core.result_codes import ResultCode
-from lagoonwing_gateway._budget import RetryBudget
-from lagoonwing_gateway._directory import Directory
-from lagoonwing_gateway._exchanges import BROKEN_ERRORS, Exchanges, OpenExchange
-from lagoonwing_gateway._follower import CatalogFollower
+from lagoonwing_gateway._exchanges import BROKEN_ERRORS, OpenExchange
 from lagoonwing_gateway._journal import log_attempt
-from lagoonwing_gateway._ledger import Ledger
-from lagoonwing_gateway._pace import Pace
 from lagoonwing_gateway._refusals import no_endpoint, not_run, unknown
-from lagoonwing_gateway._suspects import Suspects
+from lagoonwing_gateway._shared import Shared
 from lagoonwing_gateway.const import (
     CALL_SILENCE_SHARE,
     DEADLINE_SLACK_S,
@@ -55,29 +48,18 @@
 class Calls:
     """Serves requests whose answers are sent on whole."""
 
-    def __init__(
-        self,
-        failure_domain: FailureDomainId,
-        follower: CatalogFollower,
-        directory: Directory,
-        suspects: Suspects,
-        pace: Pace,
-        ledger: Ledger,
-        budget: RetryBudget,
-        exchanges: Exchanges,
-        clock: Clock,
-        rng: random.Random,
-    ) -> None:
-        self._failure_domain = failure_domain
-        self._follower = follower
-        self._directory = directory
-        self._suspects = suspects
-        self._pace = pace
-        self._ledger = ledger
-        self._budget = budget
-        self._exchanges = exchanges
-        self._clock = clock
-        self._rng = rng
+    def __init__(self, shared: Shared) -> None:
+        self._failure_domain = shared.failure_domain
+        self._follower = shared.follower
+        self._directory = shared.directory
+        self._suspects = shared.suspects
+        self._pace = shared.pace
+        self._ledger = shared.ledger
+        self._budget = shared.budget
+        self._exchanges = shared.exchanges
+        self._clock = shared.clock
+        self._rng = shared.rng
+        self._metrics = shared.metrics
 
     async def async_serve(
         self, context: RequestContext, service: Service, responder: Responder
@@ -101,6 +83,7 @@
             sends += 1
             last = await self._async_attempt(context, record, opened, responder, sends)
             log_attempt(context, record.endpoint_id, sends, last)
+            self._metrics.attempt_ended(type(last).__name__)
             match last:
                 case Completed() | CallerGone():
                     return None
--- a/packages/gateway/src/lagoonwing_gateway/_gateway.py
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 
@@ -23,6 +24,7 @@
 from lagoonwing_gateway._ledger import Ledger
 from lagoonwing_gateway._pace import Pace
 from lagoonwing_gateway._refusals import final, not_run, not_started, unknown
+from lagoonwing_gateway._shared import Shared
 from lagoonwing_gateway._streams import Streams
 from lagoonwing_gateway._suspects import Suspects
 from lagoonwing_gateway._watchdog import Watchdog
@@ -73,33 +75,23 @@
         pace = Pace()
         directory = Directory(self.follower, self._suspects, pace)
         self._watchdog = Watchdog(directory, self._suspects, clock)
-        budget = RetryBudget(settings.retry_budget, clock)
-        exchanges = Exchanges(dialect, self._connections, clock)
-        self._calls = Calls(
-            settings.failure_domain,
-            self.follower,
-            directory,
-            self._suspects,
-            pace,
-            self._ledger,
-            budget,
-            exchanges,
-            clock,
-            rng,
-        )
-        self._streams = Streams(
-            settings.failure_domain,
-            self.follower,
-            directory,
-            self._suspects,
-            self._watchdog,
-            self._ledger,
-            budget,
-            exchanges,
-            dialect,
-            clock,
-            rng,
+        shared = Shared(
+            failure_domain=settings.failure_domain,
+            follower=self.follower,
+            directory=directory,
+            suspects=self._suspects,
+            watchdog=self._watchdog,
+            pace=pace,
+            ledger=self._ledger,
+            budget=RetryBudget(settings.retry_budget, clock),
+            exchanges=Exchanges(dialect, self._connections, clock),
+            dialect=dialect,
+            metrics=self.metrics,
+            clock=clock,
+            rng=rng,
         )
+        self._calls = Calls(shared)
+        self._streams = Streams(shared)
         self._active = 0
         self._started_at = clock.now()
         self._drain_began: float | None = None
@@ -129,6 +121,18 @@
         """Return whether new connections should come here."""
         return self.follower.routes is not None and not self.is_draining
 
+    @callback
+    def refresh_metrics(self) -> None:
+        """Bring the gauges up to date."""
+        routes = self.follower.routes
+        age = self.follower.age()
+        self.metrics.set_gauge("revision", self.follower.revision)
+        self.metrics.set_gauge("document_version", 0 if routes is None else routes.version)
+        self.metrics.set_gauge("current_age_seconds", -1.0 if math.isinf(age) else age)
+        self.metrics.set_gauge("gateways", self.follower.gateways)
+        self.metrics.set_gauge("suspected_endpoints", len(self._suspects.active()))
+        self.metrics.set_gauge("active_requests", self._active)
+
     def endpoint_key(self, endpoint_id: str) -> str | None:
         """Return address and port of an endpoint, if it is known."""
         record = self.follower.endpoint_by_id.get(EndpointId(endpoint_id))
--- a/packages/gateway/src/lagoonwing_gateway/_streams.py
+++ b/packages/gateway/src/lagoonwing_gateway/_streams.py
@@ -7,24 +7,19 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from dataclasses import dataclass, field
 
 from tornado.httputil import HTTPHeaders
 
 from lagoonwing_catalog.models import Engine, Service
-from lagoonwing_core.clock import Clock
-from lagoonwing_core.ids import EndpointId, FailureDomainId
+from lagoonwing_core.ids import EndpointId
 from lagoonwing_core.result_codes import ResultCode
-from lagoonwing_gateway._budget import RetryBudget
-from lagoonwing_gateway._directory import Directory
-from lagoonwing_gateway._exchanges import BROKEN_ERRORS, Exchanges, OpenExchange
-from lagoonwing_gateway._follower import CatalogFollower
+from lagoonwing_gateway._exchanges import BROKEN_ERRORS, OpenExchange
 from lagoonwing_gateway._journal import log_attempt, log_late_stream, log_path
-from lagoonwing_gateway._ledger import Ledger, Reservation
+from lagoonwing_gateway._ledger import Reservation
 from lagoonwing_gateway._refusals import no_endpoint, not_run, unknown
-from lagoonwing_gateway._suspects import Suspects
-from lagoonwing_gateway._watchdog import Watchdog, WatchedStream
+from lagoonwing_gateway._shared import Shared
+from lagoonwing_gateway._watchdog import WatchedStream
 from lagoonwing_gateway.const import (
     DEADLINE_SLACK_S,
     MAX_CONNECT_TRIES,
@@ -45,7 +40,7 @@
     RequestContext,
     WholeAnswer,
 )
-from lagoonwing_gateway.ports import Dialect, Responder
+from lagoonwing_gateway.ports import Responder
 from lagoonwing_http import AnswerHead, ConnectError
 from lagoonwing_placement import Path, PathFinder, Work, read_ms
 
@@ -79,31 +74,19 @@
 class Streams:
     """Serves requests whose answers are streams of events."""
 
-    def __init__(
-        self,
-        failure_domain: FailureDomainId,
-        follower: CatalogFollower,
-        directory: Directory,
-        suspects: Suspects,
-        watchdog: Watchdog,
-        ledger: Ledger,
-        budget: RetryBudget,
-        exchanges: Exchanges,
-        dialect: Dialect,
-        clock: Clock,
-        rng: random.Random,
-    ) -> None:
-        self._failure_domain = failure_domain
-        self._follower = follower
-        self._directory = directory
-        self._suspects = suspects
-        self._watchdog = watchdog
-        self._ledger = ledger
-        self._budget = budget
-        self._exchanges = exchanges
-        self._dialect = dialect
-        self._clock = clock
-        self._rng = rng
+    def __init__(self, shared: Shared) -> None:
+        self._failure_domain = shared.failure_domain
+        self._follower = shared.follower
+        self._directory = shared.directory
+        self._suspects = shared.suspects
+        self._watchdog = shared.watchdog
+        self._ledger = shared.ledger
+        self._budget = shared.budget
+        self._exchanges = shared.exchanges
+        self._dialect = shared.dialect
+        self._clock = shared.clock
+        self._rng = shared.rng
+        self._metrics = shared.metrics
         self._waiting = 0
 
     async def async_serve(
@@ -127,6 +110,7 @@
                 context, service, engine, work, path, progress, responder
             )
             log_attempt(context, path.parts[0].endpoint_id, progress.sends, last)
+            self._metrics.attempt_ended(type(last).__name__)
             match last:
                 case Completed() | CallerGone():
                     return None
@@ -369,6 +353,7 @@
         now = self._clock.now()
         if progress.events == 0:
             progress.first_s = now - context.request.received_at
+            self._metrics.first_event(progress.first_s)
         else:
             progress.longest_pause_s = max(progress.longest_pause_s, now - progress.last_at)
         progress.last_at = now
--- a/packages/gateway/src/lagoonwing_gateway/diagnostics.py
+++ b/packages/gateway/src/lagoonwing_gateway/diagnostics.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
-from aioprometheus.renderer import render
 
 from lagoonwing_gateway.models import GatewayRefusal
 
@@ -26,6 +25,17 @@
             registry=self.registry,
             buckets=LATENCY_BUCKETS_S,
         )
+        self._attempts = Counter(
+            "lagoonwing_gateway_attempts_total",
+            "Attempts at endpoints by how they ended.",
+            registry=self.registry,
+        )
+        self._first_event = Histogram(
+            "lagoonwing_gateway_first_event_seconds",
+            "Time from a stream's arrival to its first event.",
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
         self._gauge = Gauge(
             "lagoonwing_gateway", "State of the gateway by name.", registry=self.registry
         )
@@ -38,10 +48,14 @@
         self._requests.inc({"route": route_id or "", "code": code})
         self._seconds.observe({}, seconds)
 
+    def attempt_ended(self, outcome: str) -> None:
+        """Count the end of an attempt at an endpoint."""
+        self._attempts.inc({"outcome": outcome})
+
+    def first_event(self, seconds: float) -> None:
+        """Note the time to a stream's first event."""
+        self._first_event.observe({}, seconds)
+
     def set_gauge(self, name: str, value: float) -> None:
         """Set one value of the gateway's state."""
         self._gauge.set({"name": name}, value)
-
-    def render(self, accepts: list[str]) -> tuple[bytes, dict[str, str]]:
-        """Return the exposition and its headers."""
-        return render(self.registry, accepts)
--- a/packages/lagoonwing/src/lagoonwing/_gateway_role.py
+++ b/packages/lagoonwing/src/lagoonwing/_gateway_role.py
@@ -7,6 +7,7 @@
 
 from lagoonwing._addresses import seed_addresses, split_listen
 from lagoonwing_core.clock import LoopClock
+from lagoonwing_core.diagnostics import MetricsServer
 from lagoonwing_core.ids import FailureDomainId, HostId
 from lagoonwing_core.runtime import Runtime
 from lagoonwing_core.settings import HostSettings
@@ -57,4 +58,12 @@
             gateway, split_listen(section.caller_listen), split_listen(section.ready_listen)
         )
     )
+    runtime.register(
+        MetricsServer(
+            settings.address,
+            section.metrics_port,
+            gateway.metrics.registry,
+            gateway.refresh_metrics,
+        )
+    )
     return GatewayProcess(runtime, gateway)
--- a/packages/lagoonwing/src/lagoonwing/_registry_role.py
+++ b/packages/lagoonwing/src/lagoonwing/_registry_role.py
@@ -8,6 +8,7 @@
 from lagoonwing_catalog import CatalogStateMachine
 from lagoonwing_consensus import CoreSettings
 from lagoonwing_core.clock import LoopClock
+from lagoonwing_core.diagnostics import MetricsServer
 from lagoonwing_core.ids import FailureDomainId, HostId
 from lagoonwing_core.runtime import Runtime
 from lagoonwing_core.settings import HostSettings
@@ -72,6 +73,10 @@
     runtime.register(registry)
     runtime.register(log)
     runtime.register(ControlServer(registry, address, port))
+    metrics = registry.metrics
+    runtime.register(
+        MetricsServer(settings.address, section.metrics_port, metrics.registry, metrics.refresh)
+    )
     return RegistryProcess(runtime)
 
 
--- a/packages/registry/src/lagoonwing_registry/_executor.py
+++ b/packages/registry/src/lagoonwing_registry/_executor.py
@@ -51,12 +51,14 @@
         port: EnginePort,
         clock: Clock,
         submit: Callable[[PutEndpoint], Coroutine[Any, Any, Any]],
+        on_ordered: Callable[[OrderOutcome], None],
     ) -> None:
         self._state_machine = state_machine
         self._log = log
         self._port = port
         self._clock = clock
         self._submit = submit
+        self._on_ordered = on_ordered
         self._engine_by_id: dict[EndpointId, _Engine] = {}
         self._seen: tuple[frozenset[EndpointId], float] = (frozenset(), 0.0)
         self._term: Term | None = None
@@ -204,6 +206,7 @@
             outcome=outcome.value,
             detail="" if result.is_ok() else result.error.detail,
         )
+        self._on_ordered(outcome)
         added = new_layers(record.layers, order.layers)
         match outcome:
             case OrderOutcome.BEGUN | OrderOutcome.DONE:
--- a/packages/registry/src/lagoonwing_registry/_service.py
+++ b/packages/registry/src/lagoonwing_registry/_service.py
@@ -47,6 +47,7 @@
     READ_TIMEOUT_S,
     READ_WAIT_S,
 )
+from lagoonwing_registry.diagnostics import RegistryMetrics
 from lagoonwing_registry.ports import EnginePort
 from lagoonwing_registry.settings import RegistrySettings
 from lagoonwing_replication import RaftLog
@@ -75,8 +76,14 @@
         self._proposer = Proposer(log, self._peers)
         self._liveness = Liveness(settings.announce_interval_s)
         self._subscribers = Subscribers(state_machine, log.current_age, self._clock)
+        self.metrics = RegistryMetrics(state_machine, log)
         self._executor = Executor(
-            state_machine, log, engines, self._clock, self._proposer.async_submit
+            state_machine,
+            log,
+            engines,
+            self._clock,
+            self._proposer.async_submit,
+            self.metrics.ordered,
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._push_scheduled = False
