Add a fault soak with real processes on loopback

Three registries and two gateways run as processes; they are killed, paused, stopped by SIGTERM, one disk is wiped, and connections to endpoints are delayed, reset, silenced or lose answers, two series of faults at once. Checked: whole answers of one's own, no success without signature, what was told not run didn't run, nothing runs more than allowed, accepted documents are read back, drained endpoints get nothing, callers are served again. Links between the system's own processes are not proxied: pauses stand for their silence.

--- /dev/null
+++ b/soak/endpoints.py
@@ -0,0 +1,179 @@
+"""Endpoints of the soak behind a proxy that misbehaves, and what they have seen."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+from enum import Enum
+
+import msgspec
+
+from lagoonwing_platform.const import (
+    HEADER_ATTEMPT_ID,
+    HEADER_EXPECTED_ENDPOINT,
+    HEADER_LAST_EVENT,
+    HEADER_NOT_EXECUTED,
+    HEADER_SIGNATURE,
+    PATH_ORDER,
+    PATH_REPORT,
+)
+from soak.const import EVENT_PAUSE_S, EVENTS
+
+
+class LinkFault(Enum):
+    """How connections to an endpoint misbehave."""
+
+    NONE = "none"
+    DELAY = "delay"
+    RESET = "reset"
+    SILENT = "silent"
+    LOST_ANSWER = "lost_answer"
+
+
+@dataclass
+class Seen:
+    """What all endpoints have seen.
+
+    Attributes:
+        runs_by_id: How often each request was run.
+        reached: Endpoint, id and time of each request that reached an endpoint.
+    """
+
+    runs_by_id: Counter[str] = field(default_factory=Counter)
+    reached: list[tuple[str, str, float]] = field(default_factory=list)
+
+
+class SoakEndpoint:
+    """One endpoint; its faults come from the soak."""
+
+    def __init__(self, endpoint_id: str, service: str, seen: Seen, rng: random.Random) -> None:
+        self.endpoint_id = endpoint_id
+        self.service = service
+        self.fault = LinkFault.NONE
+        self.is_engine = service == "engines"
+        self.layers: tuple[int, int] | None = None
+        self.sequence = 0
+        self.port = 0
+        self._orders = 0
+        self._seen = seen
+        self._rng = rng
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def async_setup(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._async_serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def async_unload(self) -> None:
+        """Stop to listen and end every connection."""
+        if self._server is not None:
+            self._server.close()
+        self.reset_connections()
+
+    def reset_connections(self) -> None:
+        """Reset every open connection."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _async_serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve one connection."""
+        self._writers.add(writer)
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+                lines = head.split("\r\n")
+                headers = dict(line.split(": ", 1) for line in lines[1:] if ": " in line)
+                headers = {name.lower(): value for name, value in headers.items()}
+                body = await reader.readexactly(int(headers.get("content-length", "0")))
+                await self._async_answer(lines[0].split()[1], headers, body, writer)
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            writer.transport.abort()
+        finally:
+            self._writers.discard(writer)
+
+    async def _async_answer(
+        self, path: str, headers: dict[str, str], body: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer one request."""
+        if path == PATH_REPORT:
+            _write(writer, 200, {}, b'{"sequence":%d,"busy":false}' % self._orders)
+            return
+        if path == PATH_ORDER:
+            self._take_order(body, writer)
+            return
+        attempt_id = headers[HEADER_ATTEMPT_ID.lower()]
+        echo = {HEADER_ATTEMPT_ID: attempt_id}
+        self._seen.reached.append((self.endpoint_id, attempt_id, asyncio.get_running_loop().time()))
+        if headers.get(HEADER_EXPECTED_ENDPOINT.lower(), self.endpoint_id) != self.endpoint_id:
+            _write(writer, 421, echo, b"")
+            return
+        if self._rng.random() < 0.02:
+            _write(writer, 503, {**echo, HEADER_NOT_EXECUTED: "1"}, b"")
+            return
+        await self._async_suffer(writer)
+        self._seen.runs_by_id[attempt_id] += 1
+        echo[HEADER_SIGNATURE] = f"signed-{self.endpoint_id}"
+        if self.fault is LinkFault.LOST_ANSWER:
+            writer.transport.abort()
+            return
+        if self.is_engine:
+            await self._async_stream(headers, echo, writer)
+        else:
+            _write(writer, 200, echo, f"done {attempt_id}".encode())
+            await writer.drain()
+
+    async def _async_suffer(self, writer: asyncio.StreamWriter) -> None:
+        """Let the link's fault strike before the request runs."""
+        match self.fault:
+            case LinkFault.DELAY:
+                await asyncio.sleep(self._rng.uniform(0.1, 1.0))
+            case LinkFault.RESET:
+                writer.transport.abort()
+                raise ConnectionError
+            case LinkFault.SILENT:
+                await asyncio.sleep(30.0)
+            case _:
+                pass
+
+    async def _async_stream(
+        self, headers: dict[str, str], echo: dict[str, str], writer: asyncio.StreamWriter
+    ) -> None:
+        """Send the events after the last one that the caller has."""
+        head = {**echo, "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
+        _write(writer, 200, head, None)
+        first = int(headers.get(HEADER_LAST_EVENT.lower(), "0")) + 1
+        for number in range(first, EVENTS + 1):
+            event = f"id: {number}\ndata: {headers[HEADER_ATTEMPT_ID.lower()]}\n\n".encode()
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(EVENT_PAUSE_S)
+            if self.fault is LinkFault.RESET:
+                writer.transport.abort()
+                raise ConnectionError
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+    def _take_order(self, body: bytes, writer: asyncio.StreamWriter) -> None:
+        """Hold the layers of an order, unless it comes late."""
+        order = msgspec.json.decode(body)
+        if order["precondition"] != self._orders:
+            _write(writer, 409, {}, b"{}")
+            return
+        self._orders += 1
+        self.layers = (order["from"], order["to"])
+        _write(writer, 202, {}, b"{}")
+
+
+def _write(
+    writer: asyncio.StreamWriter, status: int, headers: dict[str, str], body: bytes | None
+) -> None:
+    """Write a head and, unless it is a stream, the body."""
+    if body is not None:
+        headers = {**headers, "Content-Length": str(len(body))}
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    writer.write(f"HTTP/1.1 {status} Status\r\n{lines}\r\n".encode() + (body or b""))
--- /dev/null
+++ b/soak/processes.py
@@ -0,0 +1,133 @@
+"""Real processes of one deployment on loopback, ended by their ids only."""
+
+from __future__ import annotations
+
+import json
+import os
+import shutil
+import signal
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from soak.const import (
+    CALLER_PORT,
+    CONTROL_PORT,
+    DRAIN_GRACE_S,
+    GATEWAYS,
+    HEARTBEAT_S,
+    KEY,
+    METRICS_PORT,
+    PEER_PORT,
+    READY_PORT,
+    REGISTRIES,
+)
+
+
+@dataclass
+class SoakProcess:
+    """One process of the system.
+
+    Attributes:
+        started: How often it was started; the last start's log is the current one.
+    """
+
+    name: str
+    address: str
+    settings: Path
+    data: Path | None
+    log: Path
+    popen: subprocess.Popen[bytes] | None = None
+    started: int = 0
+
+    def start(self) -> None:
+        """Start the process."""
+        self.started += 1
+        with self.log.open("ab") as log:
+            self.popen = subprocess.Popen(  # noqa: S603
+                [sys.executable, "-m", "lagoonwing", "run"],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                env={**os.environ, "LAGOONWING_CONFIG": str(self.settings)},
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal, if the process runs."""
+        if self.popen is not None and self.popen.poll() is None:
+            self.popen.send_signal(number)
+
+    def stop(self) -> None:
+        """Kill the process and wait for its end."""
+        if self.popen is None:
+            return
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        self.popen.wait()
+
+    def wipe(self) -> None:
+        """Empty the disk of a stopped process; it may never form a new log."""
+        assert self.data is not None
+        shutil.rmtree(self.data, ignore_errors=True)
+        document = json.loads(self.settings.read_text(encoding="utf-8"))
+        document["registry"]["may_found"] = False
+        self.settings.write_text(json.dumps(document), encoding="utf-8")
+
+
+@dataclass
+class Processes:
+    """All processes of one deployment."""
+
+    registries: list[SoakProcess] = field(default_factory=list)
+    gateways: list[SoakProcess] = field(default_factory=list)
+
+    def all(self) -> list[SoakProcess]:
+        """Return every process."""
+        return [*self.registries, *self.gateways]
+
+
+def make_processes(folder: Path, network: int) -> Processes:
+    """Write the settings of a deployment.
+
+    Args:
+        folder: Folder of settings, data and logs.
+        network: Third number of the loopback addresses.
+    """
+    seeds = [f"127.78.{network}.{10 + n}:{CONTROL_PORT}" for n in range(REGISTRIES)]
+    processes = Processes()
+    for number in range(REGISTRIES + GATEWAYS):
+        is_registry = number < REGISTRIES
+        name = f"registry-{number}" if is_registry else f"gateway-{number - REGISTRIES}"
+        address = f"127.78.{network}.{10 + number}"
+        data = folder / f"data-{name}" if is_registry else None
+        document = {
+            "role": "registry" if is_registry else "gateway",
+            "host_id": name,
+            "failure_domain": "d-1",
+            "address": address,
+            "peer_port": PEER_PORT,
+            "system_key": KEY,
+            "seeds": seeds,
+        }
+        if data is not None:
+            document["data_folder"] = str(data)
+            document["registry"] = {
+                "control_listen": f"{address}:{CONTROL_PORT}",
+                "metrics_port": METRICS_PORT,
+                "announce_interval_ms": HEARTBEAT_S * 1_000,
+                "tolerated_losses": (REGISTRIES - 1) // 2,
+            }
+        else:
+            document["gateway"] = {
+                "caller_listen": f"{address}:{CALLER_PORT}",
+                "ready_listen": f"{address}:{READY_PORT}",
+                "metrics_port": METRICS_PORT,
+                "drain_grace_s": DRAIN_GRACE_S,
+                "retry_slack": 100.0,
+            }
+        path = folder / f"{name}.json"
+        path.write_text(json.dumps(document), encoding="utf-8")
+        process = SoakProcess(name, address, path, data, folder / f"{name}.log")
+        (processes.registries if is_registry else processes.gateways).append(process)
+    return processes
