--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import logging
 import sys
 import time
 
@@ -15,6 +16,9 @@
     parser.add_argument("--seeds", default="", help="FIRST-LAST or one seed; else a fresh one")
     parser.add_argument("--seconds", type=float, default=15.0, help="length of the faults")
     arguments = parser.parse_args()
+    # The client's library logs each connection that a fault has cut.
+    logging.getLogger("tornado").setLevel(logging.CRITICAL)
+    logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     first, _, last = (arguments.seeds or str(time.time_ns() % 1_000_000)).partition("-")
     failed = 0
     for seed in range(int(first), int(last or first) + 1):
--- a/soak/run.py
+++ b/soak/run.py
@@ -6,12 +6,12 @@
 import random
 import signal
 import tempfile
-from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import msgspec
-from tornado.httpclient import AsyncHTTPClient, HTTPResponse
+from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPResponse
+from tornado.httputil import HTTPInputError
 
 from lagoonwing_platform.const import HEADER_SIGNATURE, PATH_GET_DOCUMENT, PATH_PUT_DOCUMENT
 from soak.const import (
@@ -68,6 +68,7 @@
         self._version = 0
         self._next_id = 0
         self._is_quiet = False
+        self._is_wiped = False
         self._tasks: list[asyncio.Task[None]] = []
 
     async def async_run(self) -> Outcome:
@@ -106,7 +107,7 @@
         for process in self._processes.all():
             process.start()
         async with asyncio.timeout(START_TIMEOUT_S):
-            while not await self._async_put():
+            while not await self._async_put():  # noqa: ASYNC110
                 await asyncio.sleep(0.2)
 
     async def _async_settle(self) -> None:
@@ -150,7 +151,7 @@
         self._note(f"{number.name} {process.name}")
         process.signal(number)
         popen = process.popen
-        while popen is not None and popen.poll() is None:
+        while popen is not None and popen.poll() is None:  # noqa: ASYNC110
             await asyncio.sleep(0.05)
         await asyncio.sleep(self._rng.uniform(0.0, 1.5))
         if process.popen is popen:
@@ -170,9 +171,9 @@
             return
         if any(one.popen is not None and one.popen.poll() is not None for one in others):
             return
-        if getattr(self, "_wiped", False):
+        if self._is_wiped:
             return
-        self._wiped = True
+        self._is_wiped = True
         self._note(f"wipe {process.name}")
         process.stop()
         process.wipe()
@@ -321,7 +322,7 @@
         headers: dict[str, str] | None = None,
     ) -> HTTPResponse | None:
         """Call a process; return nothing if it gives no answer."""
-        with suppress(OSError, Exception):
+        try:
             return await AsyncHTTPClient(force_instance=True).fetch(
                 f"http://{process.address}:{port}{path}",
                 method="GET" if body is None else "POST",
@@ -331,7 +332,9 @@
                 connect_timeout=1.0,
                 request_timeout=CALL_TIMEOUT_S if port == CALLER_PORT else 1.0,
             )
-        return None
+        except (OSError, HTTPError, HTTPInputError):
+            # No answer is what a killed or paused process gives; the checks judge the rest.
+            return None
 
     def _shuffled(self, processes: list[SoakProcess]) -> list[SoakProcess]:
         """Return processes in a random order."""
