--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -4,8 +4,10 @@
 
 import argparse
 import logging
+import signal
 import sys
 import time
+from types import FrameType
 
 from soak.run import run_seed
 
@@ -19,6 +21,8 @@
     # The client's library logs each connection that a fault has cut.
     logging.getLogger("tornado").setLevel(logging.CRITICAL)
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
+    # Ends the processes of the deployment too, by way of the run's own clean-up.
+    signal.signal(signal.SIGTERM, _interrupt)
     first, _, last = (arguments.seeds or str(time.time_ns() % 1_000_000)).partition("-")
     failed = 0
     for seed in range(int(first), int(last or first) + 1):
@@ -38,4 +42,9 @@
     return 1 if failed else 0
 
 
+def _interrupt(number: int, frame: FrameType | None) -> None:
+    """End the run in order."""
+    raise KeyboardInterrupt
+
+
 sys.exit(main())
