--- a/packages/catalog/src/lagoonwing_catalog/_state.py
+++ b/packages/catalog/src/lagoonwing_catalog/_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import zlib
 from dataclasses import dataclass, field
 
 import msgspec
@@ -11,19 +12,48 @@
 from lagoonwing_catalog.models import Document, EndpointRecord, EndpointState
 from lagoonwing_core.ids import DocumentVersion, EndpointId, Revision
 
+# The fastest level: routes repeat so much that more effort gains little.
+_COMPRESSION = 1
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DOCUMENT_DECODER = msgspec.msgpack.Decoder(Document)
+
 
 class StoredDocument(msgspec.Struct, frozen=True, array_like=True):
-    """A document with the operator's own bytes.
+    """A document with the operator's own bytes; large ones repeat themselves, so both are packed.
 
     Attributes:
+        packed: Document as `pack_document` makes it.
         source: Compressed bytes as the operator sent them.
         revision: Change that brought it in force.
     """
 
-    document: Document
+    version: DocumentVersion
+    packed: bytes
     source: bytes
     revision: Revision = Revision(0)
 
+    def operator_bytes(self) -> bytes:
+        """Return the bytes as the operator sent them."""
+        return zlib.decompress(self.source)
+
+
+def store_document(document: Document, source: bytes) -> StoredDocument:
+    """Return a document with the operator's own bytes, to be put."""
+    return StoredDocument(
+        document.version, pack_document(document), zlib.compress(source, _COMPRESSION)
+    )
+
+
+def pack_document(document: Document) -> bytes:
+    """Return a document as it is kept and sent."""
+    return zlib.compress(_ENCODER.encode(document), _COMPRESSION)
+
+
+def unpack_document(packed: bytes) -> Document:
+    """Return a document that was packed."""
+    return _DOCUMENT_DECODER.decode(zlib.decompress(packed))
+
 
 @dataclass(slots=True)
 class CatalogState:
@@ -42,11 +72,11 @@
     @property
     def version(self) -> DocumentVersion | None:
         """Number of the document in force, if there is one."""
-        return None if self.stored is None else self.stored.document.version
+        return None if self.stored is None else self.stored.version
 
     def put_document(self, stored: StoredDocument) -> bool:
         """Bring a document in force if its number is the highest; return whether it was."""
-        if self.version is not None and stored.document.version <= self.version:
+        if self.version is not None and stored.version <= self.version:
             return False
         self.stored = msgspec.structs.replace(stored, revision=self._next())
         return True
@@ -124,7 +154,6 @@
     endpoints: tuple[EndpointRecord, ...]
 
 
-_ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(_Snapshot)
 
 
--- a/packages/catalog/src/lagoonwing_catalog/messages.py
+++ b/packages/catalog/src/lagoonwing_catalog/messages.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from lagoonwing_catalog._state import StoredDocument
-from lagoonwing_catalog.models import Document, EndpointRecord
+from lagoonwing_catalog.models import EndpointRecord
 from lagoonwing_core.ids import EndpointId, FailureDomainId, Fingerprint, HostId, Revision
 from lagoonwing_core.result_codes import ResultCode
 
@@ -114,7 +114,7 @@
 
     Attributes:
         is_whole: Whether records that are not named don't exist.
-        document: Compressed document, if it has changed.
+        document: Packed document, if it has changed.
     """
 
     revision: Revision
@@ -195,4 +195,3 @@
     | ReplicaLoad
 )
 CATALOG_DECODER = msgspec.msgpack.Decoder(CatalogMessage)
-DOCUMENT_DECODER = msgspec.msgpack.Decoder(Document)
--- a/packages/gateway/src/lagoonwing_gateway/_follower.py
+++ b/packages/gateway/src/lagoonwing_gateway/_follower.py
@@ -4,17 +4,15 @@
 
 import asyncio
 import math
-import zlib
 from collections.abc import Callable
 from typing import Any
 
 from expression import Result
 
-from lagoonwing_catalog import RouteTable
+from lagoonwing_catalog import RouteTable, unpack_document
 from lagoonwing_catalog.const import PROTOCOL
 from lagoonwing_catalog.messages import (
     CATALOG_DECODER,
-    DOCUMENT_DECODER,
     CatalogMessage,
     Current,
     Delta,
@@ -183,8 +181,7 @@
         for record in delta.endpoints:
             self.endpoint_by_id[record.endpoint_id] = record
         if delta.document is not None:
-            document = DOCUMENT_DECODER.decode(zlib.decompress(delta.document))
-            self.routes = RouteTable(document)
+            self.routes = RouteTable(unpack_document(delta.document))
             self._routes_known.set()
         self._revision = delta.revision
         log_event(
--- a/packages/registry/src/lagoonwing_registry/_executor.py
+++ b/packages/registry/src/lagoonwing_registry/_executor.py
@@ -10,13 +10,13 @@
 import msgspec
 from expression import Result
 
-from lagoonwing_catalog import CatalogStateMachine
+from lagoonwing_catalog import CatalogStateMachine, unpack_document
 from lagoonwing_catalog.messages import PutEndpoint
 from lagoonwing_catalog.models import EndpointRecord, EndpointState, Engine, LayerRange, Service
 from lagoonwing_core.callback import callback
 from lagoonwing_core.clock import Clock
 from lagoonwing_core.events import EventCode, log_event
-from lagoonwing_core.ids import EndpointId, ServiceId, Term
+from lagoonwing_core.ids import DocumentVersion, EndpointId, ServiceId, Term
 from lagoonwing_placement import Host, PlaceOrder, due_orders, load_s, new_layers
 from lagoonwing_placement.const import ORDER_SLACK_S, SETTLE_S
 from lagoonwing_registry.const import PLACEMENT_INTERVAL_S
@@ -62,6 +62,7 @@
         self._engine_by_id: dict[EndpointId, _Engine] = {}
         self._seen: tuple[frozenset[EndpointId], float] = (frozenset(), 0.0)
         self._term: Term | None = None
+        self._layered: tuple[DocumentVersion | None, list[tuple[Service, Engine]]] = (None, [])
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def async_run(self) -> None:
@@ -90,12 +91,16 @@
     def _layered_services(self) -> list[tuple[Service, Engine]]:
         """Return the services whose endpoints hold ranges of layers."""
         stored = self._state_machine.state.stored
-        services = stored.document.services if stored is not None else ()
-        return [
-            (service, service.engine)
-            for service in services
-            if service.engine is not None and service.engine.layer_count > 0
-        ]
+        if stored is None:
+            return []
+        if stored.version != self._layered[0]:
+            layered = [
+                (service, service.engine)
+                for service in unpack_document(stored.packed).services
+                if service.engine is not None and service.engine.layer_count > 0
+            ]
+            self._layered = (stored.version, layered)
+        return self._layered[1]
 
     def _hosts(self, service_id: ServiceId, engine: Engine) -> list[Host]:
         """Return the engines of a service that may hold layers."""
--- a/packages/registry/src/lagoonwing_registry/_service.py
+++ b/packages/registry/src/lagoonwing_registry/_service.py
@@ -4,13 +4,12 @@
 
 import asyncio
 import math
-import zlib
 from typing import Any
 
 import msgspec
 from expression import Error, Ok, Result
 
-from lagoonwing_catalog import CatalogStateMachine, StoredDocument, is_newer, says_the_same
+from lagoonwing_catalog import CatalogStateMachine, is_newer, says_the_same, store_document
 from lagoonwing_catalog.const import PROTOCOL
 from lagoonwing_catalog.messages import (
     CATALOG_DECODER,
@@ -153,8 +152,8 @@
         self, document: Document, source: bytes
     ) -> Result[Applied, Refusal]:
         """Bring a valid document in force if its number is the highest."""
-        stored = StoredDocument(document, zlib.compress(source, 1))
-        result = await self._proposer.async_submit(PutDocument(stored))
+        command = PutDocument(store_document(document, source))
+        result = await self._proposer.async_submit(command)
         match result:
             case Result(tag="ok", ok=applied):
                 log_event(
@@ -179,7 +178,7 @@
         if barrier.is_error():
             return Error(barrier.error)
         stored = self.state_machine.state.stored
-        return Ok(None if stored is None else zlib.decompress(stored.source))
+        return Ok(None if stored is None else stored.operator_bytes())
 
     async def _async_barrier(self) -> Result[None, Refusal]:
         """Wait until this replica holds every change committed before the call."""
--- a/packages/registry/src/lagoonwing_registry/_subscribers.py
+++ b/packages/registry/src/lagoonwing_registry/_subscribers.py
@@ -2,13 +2,10 @@
 
 from __future__ import annotations
 
-import zlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
-import msgspec
-
 from lagoonwing_catalog import CatalogStateMachine
 from lagoonwing_catalog.messages import (
     Current,
@@ -24,7 +21,6 @@
 from lagoonwing_registry.const import GATEWAY_SILENCE_S
 from lagoonwing_wire import Channel
 
-_ENCODER = msgspec.msgpack.Encoder()
 _NOTHING = LoadReport({})
 
 
@@ -90,7 +86,6 @@
         self._clock = clock
         self._subscriber_by_channel: dict[Channel[Any], _Subscriber] = {}
         self._remote_by_host: dict[HostId, _Remote] = {}
-        self._document: tuple[Revision, bytes] | None = None
 
     @callback
     def add(self, channel: Channel[Any], after: Revision) -> None:
@@ -176,20 +171,11 @@
         after = Revision(0) if is_whole else subscriber.pushed
         document = None
         if state.stored is not None and state.stored.revision > after:
-            document = self._encoded_document()
+            document = state.stored.packed
         delta = Delta(state.revision, is_whole, document, state.changed_after(after))
         if channel.push(delta):
             subscriber.pushed = state.revision
 
-    def _encoded_document(self) -> bytes:
-        """Return the document in force, encoded once for all gateways."""
-        stored = self._state_machine.state.stored
-        assert stored is not None
-        if self._document is None or self._document[0] != stored.revision:
-            encoded = zlib.compress(_ENCODER.encode(stored.document), 1)
-            self._document = (stored.revision, encoded)
-        return self._document[1]
-
 
 def _merge(*groups: tuple[Any, ...]) -> tuple[Any, ...]:
     """Return what any group holds, once."""
--- a/tests/catalog/test_catalog.py
+++ b/tests/catalog/test_catalog.py
@@ -10,9 +10,10 @@
 from lagoonwing_catalog import (
     CatalogStateMachine,
     RouteTable,
-    StoredDocument,
     encode_command,
     find_faults,
+    store_document,
+    unpack_document,
 )
 from lagoonwing_catalog.messages import Applied, LoseEndpoint, PutDocument, PutEndpoint
 from lagoonwing_catalog.models import (
@@ -26,6 +27,7 @@
     Service,
     ServiceWeight,
 )
+from lagoonwing_consensus.const import MAX_COMMAND_BYTES
 from lagoonwing_core.ids import (
     DocumentVersion,
     EndpointId,
@@ -36,6 +38,8 @@
     ServiceId,
 )
 
+LARGE_DOCUMENT_ROUTES = 15_600
+
 
 def _route(**changes: Any) -> Route:
     """Return a valid route with some changes."""
@@ -144,12 +148,25 @@
 def test_highest_document_number_is_in_force() -> None:
     """Equal and lower numbers are accepted without any change."""
     machine = _Machine()
-    assert machine.apply(PutDocument(StoredDocument(_document(5), b"five"))).changed
-    assert not machine.apply(PutDocument(StoredDocument(_document(5), b"other"))).changed
-    assert not machine.apply(PutDocument(StoredDocument(_document(4), b"four"))).changed
+    assert machine.apply(PutDocument(store_document(_document(5), b"five"))).changed
+    assert not machine.apply(PutDocument(store_document(_document(5), b"other"))).changed
+    assert not machine.apply(PutDocument(store_document(_document(4), b"four"))).changed
     stored = machine.machine.state.stored
     assert stored is not None
-    assert stored.source == b"five"
+    assert stored.operator_bytes() == b"five"
+
+
+def test_large_document_fits_into_one_command() -> None:
+    """Ten times the routes of the largest document known take a tenth of a command's bound."""
+    routes = tuple(
+        _route(route_id=RouteId(f"r-{number}"), path_prefix=f"/p{number}/")
+        for number in range(LARGE_DOCUMENT_ROUTES)
+    )
+    document = _document(routes=routes)
+    command = encode_command(PutDocument(store_document(document, b"x" * 4_000_000)))
+    assert len(command) < MAX_COMMAND_BYTES // 2
+    stored = msgspec.msgpack.decode(command, type=PutDocument).stored
+    assert unpack_document(stored.packed) == document
 
 
 def test_late_announcements_change_nothing() -> None:
@@ -196,7 +213,7 @@
 def test_snapshot_holds_everything() -> None:
     """A restored state is the same, and goes on with the same numbers."""
     machine = _Machine()
-    machine.apply(PutDocument(StoredDocument(_document(5), b"five")))
+    machine.apply(PutDocument(store_document(_document(5), b"five")))
     machine.put(_record(layers=LayerRange(0, 8)))
     restored = CatalogStateMachine()
     restored.restore(machine.machine.snapshot())
