Refuse a request after which three endpoints have died, over all gateways

Deaths are noted only where a connection attempt shows that the endpoint is down; gateways share the counts with their loads. Before, max_attempts alone bounded what such a request took: the test saw one more endpoint die with each repetition.

--- a/packages/catalog/src/lagoonwing_catalog/messages.py
+++ b/packages/catalog/src/lagoonwing_catalog/messages.py
@@ -154,12 +154,13 @@
     """Work that one gateway has in flight.
 
     Attributes:
-        crossing_ms: Time for which its prompts will fill pipes between failure domains.
+        suspects: Endpoints that the gateway gives no work.
+        crashes_by_request: Endpoints that died lately while they ran a request.
     """
 
     load_by_id: dict[EndpointId, EndpointLoad]
     suspects: tuple[EndpointId, ...] = ()
-    crashing: tuple[Fingerprint, ...] = ()
+    crashes_by_request: dict[Fingerprint, int] = {}
 
 
 class LoadSummary(msgspec.Struct, frozen=True, array_like=True, tag=25):
@@ -167,7 +168,7 @@
 
     load_by_id: dict[EndpointId, EndpointLoad]
     suspects: tuple[EndpointId, ...] = ()
-    crashing: tuple[Fingerprint, ...] = ()
+    crashes_by_request: dict[Fingerprint, int] = {}
 
 
 class ReplicaLoad(msgspec.Struct, frozen=True, array_like=True, tag=26):
@@ -176,7 +177,7 @@
     gateways: int
     load_by_id: dict[EndpointId, EndpointLoad]
     suspects: tuple[EndpointId, ...] = ()
-    crashing: tuple[Fingerprint, ...] = ()
+    crashes_by_request: dict[Fingerprint, int] = {}
 
 
 CatalogMessage = (
--- a/packages/gateway/src/lagoonwing_gateway/_calls.py
+++ b/packages/gateway/src/lagoonwing_gateway/_calls.py
@@ -38,7 +38,7 @@
     WholeAnswer,
 )
 from lagoonwing_gateway.ports import Responder
-from lagoonwing_http import ConnectError
+from lagoonwing_http import AnswerBrokenError, ConnectError
 
 _NO_LOAD = EndpointLoad(0, 0, 0)
 # Status of an endpoint's failure for which another endpoint may do better.
@@ -56,6 +56,8 @@
         self._pace = shared.pace
         self._ledger = shared.ledger
         self._budget = shared.budget
+        self._crashes = shared.crashes
+        self._watchdog = shared.watchdog
         self._exchanges = shared.exchanges
         self._clock = shared.clock
         self._rng = shared.rng
@@ -163,6 +165,8 @@
         except BROKEN_ERRORS as error:
             reason = str(error) or "no answer in time"
             self._suspects.failed_softly(endpoint_id, reason)
+            if isinstance(error, AnswerBrokenError) and await self._watchdog.async_is_down(record):
+                self._crashes.note(context)
             return Failed(reason, (endpoint_id,))
         finally:
             responder.set_on_gone(_nothing)
--- a/packages/gateway/src/lagoonwing_gateway/_gateway.py
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -17,13 +17,14 @@
 from lagoonwing_gateway._budget import RetryBudget
 from lagoonwing_gateway._calls import Calls
 from lagoonwing_gateway._connections import Connections
+from lagoonwing_gateway._crashes import Crashes
 from lagoonwing_gateway._directory import Directory
 from lagoonwing_gateway._exchanges import Exchanges
 from lagoonwing_gateway._follower import CatalogFollower
 from lagoonwing_gateway._journal import log_refusal
 from lagoonwing_gateway._ledger import Ledger
 from lagoonwing_gateway._pace import Pace
-from lagoonwing_gateway._refusals import final, not_run, not_started, unknown
+from lagoonwing_gateway._refusals import final, not_run, not_started, quarantined, unknown
 from lagoonwing_gateway._shared import Shared
 from lagoonwing_gateway._streams import Streams
 from lagoonwing_gateway._suspects import Suspects
@@ -70,6 +71,7 @@
         self._rng = rng
         self._suspects = Suspects(clock)
         self._ledger = Ledger()
+        self._crashes = Crashes(clock)
         self.follower = CatalogFollower(settings, identity, clock, self._report)
         self._connections = Connections(clock)
         pace = Pace()
@@ -84,6 +86,7 @@
             pace=pace,
             ledger=self._ledger,
             budget=RetryBudget(settings.retry_budget, clock),
+            crashes=self._crashes,
             exchanges=Exchanges(dialect, self._connections, clock),
             dialect=dialect,
             metrics=self.metrics,
@@ -245,6 +248,9 @@
         self, context: RequestContext, responder: Responder
     ) -> GatewayRefusal | None:
         """Serve a request by its kind."""
+        others = self.follower.summary().crashes_by_request
+        if self._crashes.is_quarantined(context, others):
+            return quarantined()
         service = self._service(context.route)
         if service is None:
             return final(ResultCode.UNKNOWN_SERVICE, "the route's service is not known")
@@ -267,7 +273,7 @@
     @callback
     def _report(self) -> LoadReport:
         """Return what is in flight here."""
-        return LoadReport(self._ledger.own_loads(), self._suspects.active())
+        return LoadReport(self._ledger.own_loads(), self._suspects.active(), self._crashes.counts())
 
     async def _async_prune(self) -> None:
         """Close idle connections at a steady pace."""
--- a/packages/gateway/src/lagoonwing_gateway/_refusals.py
+++ b/packages/gateway/src/lagoonwing_gateway/_refusals.py
@@ -5,7 +5,12 @@
 import random
 
 from lagoonwing_core.result_codes import ResultCode
-from lagoonwing_gateway.const import RETRY_AFTER_JITTER_S, RETRY_AFTER_S, START_S
+from lagoonwing_gateway.const import (
+    QUARANTINE_RETRY_S,
+    RETRY_AFTER_JITTER_S,
+    RETRY_AFTER_S,
+    START_S,
+)
 from lagoonwing_gateway.models import GatewayRefusal, Promise
 
 
@@ -30,6 +35,12 @@
     return not_run(ResultCode.NO_ENDPOINT, detail, rng)
 
 
+def quarantined() -> GatewayRefusal:
+    """Return the refusal of a request that endpoints die of."""
+    detail = "endpoints that ran this request have died"
+    return GatewayRefusal(ResultCode.QUARANTINED, detail, Promise.NOT_RUN, QUARANTINE_RETRY_S)
+
+
 def unknown(code: ResultCode, detail: str) -> GatewayRefusal:
     """Return the answer to a request that may have run."""
     return GatewayRefusal(code, detail, Promise.UNKNOWN)
--- a/packages/gateway/src/lagoonwing_gateway/_shared.py
+++ b/packages/gateway/src/lagoonwing_gateway/_shared.py
@@ -8,6 +8,7 @@
 from lagoonwing_core.clock import Clock
 from lagoonwing_core.ids import FailureDomainId
 from lagoonwing_gateway._budget import RetryBudget
+from lagoonwing_gateway._crashes import Crashes
 from lagoonwing_gateway._directory import Directory
 from lagoonwing_gateway._exchanges import Exchanges
 from lagoonwing_gateway._follower import CatalogFollower
@@ -31,6 +32,7 @@
     pace: Pace
     ledger: Ledger
     budget: RetryBudget
+    crashes: Crashes
     exchanges: Exchanges
     dialect: Dialect
     metrics: GatewayMetrics
--- a/packages/gateway/src/lagoonwing_gateway/_streams.py
+++ b/packages/gateway/src/lagoonwing_gateway/_streams.py
@@ -82,6 +82,7 @@
         self._watchdog = shared.watchdog
         self._ledger = shared.ledger
         self._budget = shared.budget
+        self._crashes = shared.crashes
         self._exchanges = shared.exchanges
         self._dialect = shared.dialect
         self._clock = shared.clock
@@ -99,6 +100,9 @@
         progress = _Progress(last_event=context.request.last_event)
         last: AttemptOutcome = NotRun("no path has room", ())
         for _ in range(MAX_CONNECT_TRIES + context.route.max_attempts):
+            others = self._follower.summary().crashes_by_request
+            if progress.sends and self._crashes.is_quarantined(context, others):
+                break
             if progress.sends and not self._may_send_again(context, service, progress, last):
                 break
             path = await self._async_path(context, service, engine, work, progress, responder)
@@ -257,6 +261,7 @@
         finally:
             self._watchdog.forget(stream)
         if down and isinstance(outcome, Failed):
+            self._crashes.note(context)
             return Failed(f"{down[0]} is down", tuple(down))
         return outcome
 
--- a/packages/gateway/src/lagoonwing_gateway/_watchdog.py
+++ b/packages/gateway/src/lagoonwing_gateway/_watchdog.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from lagoonwing_catalog.models import EndpointRecord
 from lagoonwing_core.callback import callback
 from lagoonwing_core.clock import Clock
 from lagoonwing_core.events import EventCode, log_event
@@ -107,13 +108,10 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _async_probe(self, endpoint_id: EndpointId) -> None:
-        """Connect to an endpoint; suspect it and end its streams if that can't be done."""
+    async def async_is_down(self, record: EndpointRecord) -> bool:
+        """Return whether an endpoint takes no connection, and suspect it then."""
         reason = ""
         for _ in range(PROBE_TRIES):
-            record = self._directory.record(endpoint_id)
-            if record is None:
-                return
             try:
                 connection = await async_open_connection(
                     record.address, record.port, PROBE_TIMEOUT_S, lambda idle: None
@@ -124,8 +122,15 @@
                     break
                 continue
             connection.close()
+            return False
+        self._suspects.failed(record.endpoint_id, reason)
+        return True
+
+    async def _async_probe(self, endpoint_id: EndpointId) -> None:
+        """Connect to an endpoint; suspect it and end its streams if that can't be done."""
+        record = self._directory.record(endpoint_id)
+        if record is None or not await self.async_is_down(record):
             return
-        self._suspects.failed(endpoint_id, reason)
         for stream in list(self._streams):
             if endpoint_id in stream.endpoint_ids:
                 stream.interrupt(endpoint_id)
--- a/packages/gateway/src/lagoonwing_gateway/const.py
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -66,6 +66,11 @@
 # Cost of leaving the failure domain for a plain call, in calls in flight per slot.
 PLAIN_CROSSING_COST = 0.15
 
+# Deaths of endpoints after which a request is refused, and how long they count.
+MAX_CRASHES = 3
+CRASH_MEMORY_S = 60.0
+# Time after which the caller of a quarantined request may try again.
+QUARANTINE_RETRY_S = 10.0
 # Share of the retry budget that gateways spend together, so that lag can't break it.
 BUDGET_SHARE = 0.6
 # Bytes that may wait for a caller that reads slowly.
--- a/packages/registry/src/lagoonwing_registry/_subscribers.py
+++ b/packages/registry/src/lagoonwing_registry/_subscribers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter as Tally
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -126,19 +127,22 @@
         for subscriber in self._subscriber_by_channel.values():
             own.add(subscriber.report.load_by_id)
         own_load = ReplicaLoad(
-            len(self._subscriber_by_channel), own.loads(), self._suspects(), self._crashing()
+            len(self._subscriber_by_channel), own.loads(), self._suspects(), self._crashes()
         )
         remotes = [one.load for one in self._remote_by_host.values()]
         gateways = own_load.gateways + sum(load.gateways for load in remotes)
         suspects = _merge(own_load.suspects, *(load.suspects for load in remotes))
-        crashing = _merge(own_load.crashing, *(load.crashing for load in remotes))
+        crashes = Tally(own_load.crashes_by_request)
+        for load in remotes:
+            crashes.update(load.crashes_by_request)
         current = Current(self._state_machine.state.revision, self._age(), gateways)
         for load in remotes:
             own.add(load.load_by_id)
         for channel, subscriber in list(self._subscriber_by_channel.items()):
             own.add(subscriber.report.load_by_id, -1)
             channel.push(current)
-            channel.push(LoadSummary(own.loads(), suspects, crashing))
+            others = crashes - Tally(subscriber.report.crashes_by_request)
+            channel.push(LoadSummary(own.loads(), suspects, dict(others)))
             own.add(subscriber.report.load_by_id)
         return own_load
 
@@ -146,10 +150,12 @@
         """Return the endpoints that a gateway here suspects."""
         return _merge(*(one.report.suspects for one in self._subscriber_by_channel.values()))
 
-    def _crashing(self) -> tuple[Fingerprint, ...]:
-        """Return the requests after which an endpoint died, once for each time."""
-        reports = [one.report for one in self._subscriber_by_channel.values()]
-        return tuple(one for report in reports for one in report.crashing)
+    def _crashes(self) -> dict[Fingerprint, int]:
+        """Return how many endpoints died of requests, as the gateways here have seen it."""
+        crashes: Tally[Fingerprint] = Tally()
+        for subscriber in self._subscriber_by_channel.values():
+            crashes.update(subscriber.report.crashes_by_request)
+        return dict(crashes)
 
     def _drop_silent(self, now: float) -> None:
         """Close the channels of silent gateways and forget silent replicas."""
--- a/tests/platform/test_platform_path.py
+++ b/tests/platform/test_platform_path.py
@@ -173,6 +173,39 @@
     assert answer.body == expected
 
 
+async def test_request_that_crashes_endpoints_is_refused(deployment: Deployment) -> None:
+    """After the third death no further endpoint gets it; other requests are served."""
+    await _async_call_service(deployment)
+    for number in range(3, 7):
+        await deployment.async_add(f"p-{number}", "plain")
+
+    async def crash(handler: object) -> None:
+        if handler.request.body != b"deadly":  # type: ignore[attr-defined]
+            return
+        handler.endpoint.ran.append(handler.attempt_id)  # type: ignore[attr-defined]
+        handler.endpoint.server.stop()  # type: ignore[attr-defined]
+        handler.request.connection.stream.close()  # type: ignore[attr-defined]
+        handler._finished = True  # type: ignore[attr-defined]
+
+    for endpoint in deployment.endpoints:
+        endpoint.behave = crash
+    codes = []
+    for number in range(6):
+        answer = await deployment.async_call(
+            deployment.caller_port,
+            "/unsafe/x",
+            "POST",
+            b"deadly",
+            Host="h.example",
+            Authorization="Bearer key-1",
+            X_Lagoonwing_Attempt_Id=f"a-{number}",
+        )
+        codes.append(answer.code)
+    assert codes == [502, 502, 502, 503, 503, 503]
+    assert sum(len(endpoint.ran) for endpoint in deployment.endpoints) == 3
+    assert (await deployment.async_ask("unsafe", "a-9")).code == 200
+
+
 async def test_caller_that_goes_ends_the_work(deployment: Deployment) -> None:
     """The endpoint's connection ends soon after the caller's."""
     await _async_call_service(deployment)
