--- a/packages/gateway/src/lagoonwing_gateway/_directory.py
+++ b/packages/gateway/src/lagoonwing_gateway/_directory.py
@@ -3,32 +3,30 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Iterator
 
 from lagoonwing_catalog.models import (
     EndpointRecord,
     EndpointState,
     Engine,
-    LayerRange,
     Service,
 )
 from lagoonwing_core.callback import callback
 from lagoonwing_core.ids import EndpointId, ServiceId
 from lagoonwing_gateway._follower import CatalogFollower
-from lagoonwing_gateway._pace import Pace
 from lagoonwing_gateway._suspects import Suspects
-from lagoonwing_placement import Holder
+from lagoonwing_placement import Holder, HolderGroup, group_holders
 
 
 class Directory:
     """Indexes the catalog's records after each change."""
 
-    def __init__(self, follower: CatalogFollower, suspects: Suspects, pace: Pace) -> None:
+    def __init__(self, follower: CatalogFollower, suspects: Suspects) -> None:
         self._follower = follower
         self._suspects = suspects
-        self._pace = pace
         self._ready_by_service: dict[ServiceId, list[EndpointRecord]] = {}
         self._id_by_key: dict[str, EndpointId] = {}
+        self._groups_by_service: dict[ServiceId, tuple[Engine, tuple[HolderGroup, ...]]] = {}
         follower.add_listener(self._refresh)
 
     @callback
@@ -39,6 +37,7 @@
             if record.state is EndpointState.READY:
                 ready[record.service_id].append(record)
         self._ready_by_service = ready
+        self._groups_by_service.clear()
         self._id_by_key = {one.key: one.endpoint_id for group in ready.values() for one in group}
         self._suspects.keep_only(one for one in self._id_by_key.values())
 
@@ -69,29 +68,33 @@
         ]
         return good or list(records)
 
-    def holders(
-        self, service: Service, engine: Engine, excluded: Iterable[EndpointId]
-    ) -> list[Holder]:
-        """Return the holders of a service's layers that may get a part of a path."""
+    def groups(self, service: Service, engine: Engine) -> tuple[HolderGroup, ...]:
+        """Return the holders of a service's layers, grouped once for each state of the catalog."""
+        known = self._groups_by_service.get(service.service_id)
+        if known is None or known[0] is not engine:
+            known = (engine, group_holders(engine, self._holders(service, engine)))
+            self._groups_by_service[service.service_id] = known
+        return known[1]
+
+    def usable(self, excluded: Iterable[EndpointId]) -> Callable[[EndpointId], bool]:
+        """Return a check whether an endpoint may get work."""
         shut_out = {*excluded, *self._follower.summary().suspects}
-        holders: list[Holder] = []
+
+        def is_usable(endpoint_id: EndpointId) -> bool:
+            return endpoint_id not in shut_out and self._suspects.is_usable(endpoint_id)
+
+        return is_usable
+
+    def _holders(self, service: Service, engine: Engine) -> Iterator[Holder]:
+        """Yield the ready holders of a service's layers."""
         for record in self._ready_by_service.get(service.service_id, ()):
             accelerator = engine.accelerator(record.kind)
-            layers = record.layers
-            if engine.layer_count == 0:
-                layers = LayerRange(0, 1)
-            if accelerator is None or layers is None or record.endpoint_id in shut_out:
-                continue
-            if not self._suspects.is_usable(record.endpoint_id):
+            if accelerator is None or record.layers is None:
                 continue
-            holders.append(
-                Holder(
-                    record.endpoint_id,
-                    record.failure_domain,
-                    accelerator,
-                    layers,
-                    record.slots,
-                    self._pace.slowness(record.endpoint_id),
-                )
+            yield Holder(
+                record.endpoint_id,
+                record.failure_domain,
+                accelerator,
+                record.layers,
+                record.slots,
             )
-        return holders
--- a/packages/gateway/src/lagoonwing_gateway/_gateway.py
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -75,7 +75,7 @@
         self.follower = CatalogFollower(settings, identity, clock, self._report)
         self._connections = Connections(clock)
         pace = Pace()
-        directory = Directory(self.follower, self._suspects, pace)
+        directory = Directory(self.follower, self._suspects)
         self._watchdog = Watchdog(directory, self._suspects, clock)
         shared = Shared(
             failure_domain=settings.failure_domain,
--- a/packages/gateway/src/lagoonwing_gateway/_streams.py
+++ b/packages/gateway/src/lagoonwing_gateway/_streams.py
@@ -157,15 +157,15 @@
     ) -> Path | None:
         """Return the best path with room now."""
         loads = self._ledger.loads(self._follower.summary().load_by_id)
-        holders = self._directory.holders(service, engine, progress.excluded)
+        groups = self._directory.groups(service, engine)
         finder = PathFinder(engine, loads, self._rng, self._failure_domain)
-        path = finder.find(holders, work)
+        path = finder.find(groups, work, self._directory.usable(progress.excluded))
         if path is not None:
             log_path(
                 context,
                 path,
                 progress.sends + 1,
-                len(holders),
+                sum(len(group.endpoint_ids) for group in groups),
                 self._follower.revision,
                 self._follower.age(),
             )
--- a/packages/placement/src/lagoonwing_placement/__init__.py
+++ b/packages/placement/src/lagoonwing_placement/__init__.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from lagoonwing_placement._capacity import kv_token_layers, load_s, read_ms
-from lagoonwing_placement._paths import Holder, PathFinder
+from lagoonwing_placement._paths import Holder, HolderGroup, PathFinder, group_holders
 from lagoonwing_placement._planner import choose_shape, plan
 from lagoonwing_placement._repair import due_orders, new_layers, shape_of
 from lagoonwing_placement.models import Host, Path, PathPart, PlaceOrder, Shape, Work
 
 __all__ = [
     "Holder",
+    "HolderGroup",
     "Host",
     "Path",
     "PathFinder",
@@ -19,6 +20,7 @@
     "Work",
     "choose_shape",
     "due_orders",
+    "group_holders",
     "kv_token_layers",
     "load_s",
     "new_layers",
--- a/packages/placement/src/lagoonwing_placement/_paths.py
+++ b/packages/placement/src/lagoonwing_placement/_paths.py
@@ -7,8 +7,9 @@
 
 from __future__ import annotations
 
+import math
 import random
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from lagoonwing_catalog.messages import EndpointLoad
@@ -35,18 +36,48 @@
 
 @dataclass(frozen=True, slots=True)
 class Holder:
-    """An endpoint that holds layers and may get work.
+    """An endpoint that holds layers and may get work."""
+
+    endpoint_id: EndpointId
+    failure_domain: FailureDomainId
+    accelerator: Accelerator
+    layers: LayerRange
+    slots: int
+
+
+@dataclass(frozen=True, slots=True)
+class HolderGroup:
+    """Endpoints that differ in nothing but their load.
 
     Attributes:
-        slowness: Factor by which it works slower than published; 1 as published.
+        kv_token_layers: KV cache of each.
     """
 
-    endpoint_id: EndpointId
     failure_domain: FailureDomainId
     accelerator: Accelerator
     layers: LayerRange
     slots: int
-    slowness: float = 1.0
+    kv_token_layers: float
+    endpoint_ids: tuple[EndpointId, ...]
+
+
+def group_holders(engine: Engine, holders: Iterable[Holder]) -> tuple[HolderGroup, ...]:
+    """Return holders by domain, kind and layers, to be made once for many requests."""
+    ids_by_key: dict[tuple[FailureDomainId, Accelerator, LayerRange, int], list[EndpointId]] = {}
+    for one in holders:
+        key = (one.failure_domain, one.accelerator, one.layers, one.slots)
+        ids_by_key.setdefault(key, []).append(one.endpoint_id)
+    return tuple(
+        HolderGroup(
+            domain,
+            accelerator,
+            layers,
+            slots,
+            kv_token_layers(engine, accelerator, layers.count),
+            tuple(ids),
+        )
+        for (domain, accelerator, layers, slots), ids in ids_by_key.items()
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,136 +108,155 @@
     rng: random.Random = field(default_factory=random.Random)
     own_domain: FailureDomainId | None = None
 
-    def find(self, holders: Iterable[Holder], work: Work, ignore_room: bool = False) -> Path | None:
+    def find(
+        self,
+        groups: Iterable[HolderGroup],
+        work: Work,
+        is_usable: Callable[[EndpointId], bool] = lambda endpoint_id: True,
+    ) -> Path | None:
         """Return the cheapest path, or nothing if no path has room.
 
         Args:
-            holders: Endpoints that may be used.
+            groups: Endpoints that hold layers.
             work: Size of the request.
-            ignore_room: Whether endpoints with a full KV cache may be used.
+            is_usable: Whether an endpoint may be used.
         """
-        usable = [one for one in holders if ignore_room or self._has_room(one, work)]
-        edges = sorted({0, self.engine.layer_count, *self._edges(usable)})
-        steps: dict[tuple[int, FailureDomainId | None], _Step] = {
-            (0, None): _Step(0.0, 0.0, None, None)
+        choices = self._choices(groups, work, is_usable)
+        edges = sorted(
+            {0, self.engine.layer_count}.union(
+                *((one.layers.first, one.layers.end) for one in choices)
+            )
+        )
+        choices_by_position = {
+            position: [one for one in choices if one.layers.first <= position < one.layers.end]
+            for position in edges[:-1]
         }
         crossing = crossing_ms(self.engine, work.prompt_tokens)
-        cost_by_id = {one.endpoint_id: self._costs(one, work, edges) for one in usable}
+        steps_by_position: dict[int, dict[FailureDomainId | None, _Step]] = {
+            position: {} for position in edges
+        }
+        steps_by_position[0][None] = _Step(0.0, 0.0, None, None)
         for position in edges[:-1]:
-            here = [(key, step) for key, step in steps.items() if key[0] == position]
+            here = steps_by_position[position]
             if not here:
                 continue
-            for holder in usable:
-                if not holder.layers.first <= position < holder.layers.end:
-                    continue
-                self._extend(steps, here, holder, cost_by_id[holder.endpoint_id], crossing)
-        return self._best(steps)
+            for choice in choices_by_position[position]:
+                self._extend(steps_by_position, position, choice, edges, crossing)
+        return self._best(steps_by_position)
 
     def _extend(
         self,
-        steps: dict[tuple[int, FailureDomainId | None], _Step],
-        here: list[tuple[tuple[int, FailureDomainId | None], _Step]],
-        holder: Holder,
-        costs: _HolderCosts,
+        steps_by_position: dict[int, dict[FailureDomainId | None, _Step]],
+        position: int,
+        choice: _Choice,
+        edges: Sequence[int],
         crossing: float,
     ) -> None:
-        """Try one holder after the best ways to a position."""
-        position = here[0][0][0]
-        base: tuple[float, float, tuple[int, FailureDomainId | None]] | None = None
-        for key, step in here:
-            crosses = key[1] is not None and key[1] != holder.failure_domain
+        """Try one endpoint after the best ways to a position."""
+        base_cost, base_first_ms, base_key = math.inf, 0.0, None
+        for domain, step in steps_by_position[position].items():
+            crosses = domain is not None and domain != choice.failure_domain
             cost = step.cost_ms + (crossing * CROSSING_WEIGHT if crosses else 0.0)
-            if position == 0 and self.own_domain not in (None, holder.failure_domain):
+            if position == 0 and self.own_domain not in (None, choice.failure_domain):
                 cost += ENTRY_CROSSING_MS
-            if base is None or cost < base[0]:
-                base = (cost, step.first_token_ms + (crossing if crosses else 0.0), key)
-        assert base is not None
-        for end in costs.edges:
-            if end <= position:
+            if cost < base_cost:
+                base_first_ms = step.first_token_ms + (crossing if crosses else 0.0)
+                base_cost, base_key = cost, (position, domain)
+        base_cost += HOP_MS + choice.queue_ms * LATENCY_WEIGHT
+        for end in edges:
+            if not position < end <= choice.layers.end:
                 continue
             count = end - position
-            cost = base[0] + HOP_MS + costs.fixed_ms + costs.per_layer_ms * count
-            key = (end, holder.failure_domain)
-            known = steps.get(key)
+            cost = base_cost + choice.per_layer_ms * count
+            steps = steps_by_position[end]
+            known = steps.get(choice.failure_domain)
             if known is not None and known.cost_ms <= cost:
                 continue
-            first = base[1] + costs.queue_ms + costs.read_per_layer_ms * count
-            part = PathPart(holder.endpoint_id, LayerRange(position, end))
-            steps[key] = _Step(cost, first, part, base[2])
+            first_ms = base_first_ms + choice.queue_ms + choice.read_per_layer_ms * count
+            part = PathPart(choice.endpoint_id, LayerRange(position, end))
+            steps[choice.failure_domain] = _Step(cost, first_ms, part, base_key)
 
-    def _best(self, steps: dict[tuple[int, FailureDomainId | None], _Step]) -> Path | None:
+    def _best(
+        self, steps_by_position: dict[int, dict[FailureDomainId | None, _Step]]
+    ) -> Path | None:
         """Return the cheapest way to the end as a path."""
-        end = self.engine.layer_count
-        ends = [step for key, step in steps.items() if key[0] == end]
+        ends = steps_by_position[self.engine.layer_count]
         if not ends:
             return None
-        last = min(ends, key=lambda step: step.cost_ms)
+        last = min(ends.values(), key=lambda step: step.cost_ms)
         parts: list[PathPart] = []
-        step: _Step | None = last
-        while step is not None and step.part is not None:
+        step = last
+        while step.part is not None and step.previous is not None:
             parts.append(step.part)
-            step = steps[step.previous] if step.previous is not None else None
+            position, domain = step.previous
+            step = steps_by_position[position][domain]
         parts = _join(parts[::-1])
         if len(parts) > MAX_PARTS:
             return None
         return Path(tuple(parts), last.cost_ms, last.first_token_ms)
 
-    def _costs(self, holder: Holder, work: Work, edges: list[int]) -> _HolderCosts:
-        """Return the parts of a holder's cost."""
-        load = self.load_by_id.get(holder.endpoint_id, _NO_LOAD)
+    def _choices(
+        self,
+        groups: Iterable[HolderGroup],
+        work: Work,
+        is_usable: Callable[[EndpointId], bool],
+    ) -> list[_Choice]:
+        """Return the best endpoint of each group that has one with room."""
+        choices: list[_Choice] = []
+        for group in groups:
+            best = self._least_loaded(group, work, is_usable)
+            if best is not None:
+                choices.append(self._choice(group, best, work))
+        return choices
+
+    def _least_loaded(
+        self, group: HolderGroup, work: Work, is_usable: Callable[[EndpointId], bool]
+    ) -> EndpointId | None:
+        """Return the endpoint of a group with the least work, unless all are full."""
+        most_kv = group.kv_token_layers * KV_FULL_SHARE - work.tokens * group.layers.count
+        best: EndpointId | None = None
+        best_rank = math.inf
+        for endpoint_id in group.endpoint_ids:
+            load = self.load_by_id.get(endpoint_id, _NO_LOAD)
+            if load.sequences >= group.slots or load.kv_token_layers > most_kv:
+                continue
+            jitter = 1.0 + JITTER_SHARE * self.rng.random()
+            rank = (1.0 + load.read_ms + load.sequences) * jitter
+            if rank < best_rank and is_usable(endpoint_id):
+                best, best_rank = endpoint_id, rank
+        return best
+
+    def _choice(self, group: HolderGroup, endpoint_id: EndpointId, work: Work) -> _Choice:
+        """Return the costs of one endpoint for a request."""
+        load = self.load_by_id.get(endpoint_id, _NO_LOAD)
         total = self.engine.layer_count
-        context = load.kv_token_layers / holder.layers.count
-        step = step_ms(self.engine, holder.accelerator, total, load.sequences + 1, context)
-        read = read_ms(self.engine, holder.accelerator, work.prompt_tokens, total)
-        step *= holder.slowness
-        read *= holder.slowness
-        queue = load.read_ms * holder.slowness
+        context = load.kv_token_layers / group.layers.count
+        step = step_ms(self.engine, group.accelerator, total, load.sequences + 1, context)
+        read = read_ms(self.engine, group.accelerator, work.prompt_tokens, total)
         interference = 1.0 + READ_INTERFERENCE * load.sequences
-        jitter = 1.0 + JITTER_SHARE * self.rng.random()
-        capacity = kv_token_layers(self.engine, holder.accelerator, holder.layers.count)
         decode = step * work.answer_tokens * DECODE_WEIGHT
-        per_layer = (read * interference * LATENCY_WEIGHT + decode) / total
-        per_layer += self._pressure_ms(load, capacity) / total
-        return _HolderCosts(
-            edges=tuple(edge for edge in edges if edge <= holder.layers.end),
-            queue_ms=queue,
-            fixed_ms=queue * LATENCY_WEIGHT * jitter,
+        cost = read * interference * LATENCY_WEIGHT + decode
+        share = load.kv_token_layers / max(group.kv_token_layers, 1.0)
+        cost += KV_PRESSURE_MS * max(0.0, share - KV_BUSY_SHARE)
+        jitter = 1.0 + JITTER_SHARE * self.rng.random()
+        return _Choice(
+            endpoint_id,
+            group.failure_domain,
+            group.layers,
+            queue_ms=float(load.read_ms),
             read_per_layer_ms=read / total,
-            per_layer_ms=per_layer * jitter,
+            per_layer_ms=cost / total * jitter,
         )
 
-    def _pressure_ms(self, load: EndpointLoad, capacity: float) -> float:
-        """Return the cost of filling a KV cache further."""
-        share = load.kv_token_layers / max(capacity, 1.0)
-        return KV_PRESSURE_MS * max(0.0, share - KV_BUSY_SHARE)
-
-    def _has_room(self, holder: Holder, work: Work) -> bool:
-        """Return whether a request fits into an endpoint with all layers that it holds."""
-        load = self.load_by_id.get(holder.endpoint_id, _NO_LOAD)
-        if load.sequences >= holder.slots:
-            return False
-        capacity = kv_token_layers(self.engine, holder.accelerator, holder.layers.count)
-        needed = load.kv_token_layers + work.tokens * holder.layers.count
-        return needed <= capacity * KV_FULL_SHARE
-
-    def _edges(self, holders: Iterable[Holder]) -> Iterable[int]:
-        """Yield every layer at which a holder begins or ends."""
-        for holder in holders:
-            yield holder.layers.first
-            yield holder.layers.end
-
 
 @dataclass(frozen=True, slots=True)
-class _HolderCosts:
-    """Cost of one holder for one request.
-
-    Attributes:
-        edges: Layers at which its part may end.
-    """
+class _Choice:
+    """One endpoint with its costs for one request."""
 
-    edges: tuple[int, ...]
+    endpoint_id: EndpointId
+    failure_domain: FailureDomainId
+    layers: LayerRange
     queue_ms: float
-    fixed_ms: float
     read_per_layer_ms: float
     per_layer_ms: float
 
--- a/tests/placement/test_paths.py
+++ b/tests/placement/test_paths.py
@@ -18,6 +18,7 @@
     Path,
     PathFinder,
     Work,
+    group_holders,
     kv_token_layers,
     plan,
 )
@@ -55,7 +56,7 @@
 def test_path_stays_in_one_domain(engine: Engine, fleet: list[Host]) -> None:
     """Pipes between domains are shared by all, so a path crosses none without need."""
     holders = _holders(engine, fleet)
-    path = PathFinder(engine, {}, random.Random(1)).find(holders, USUAL)
+    path = PathFinder(engine, {}, random.Random(1)).find(group_holders(engine, holders), USUAL)
     assert path is not None
     _assert_whole(engine, path, holders)
     domains = {part.endpoint_id.split("-")[0] for part in path.parts}
@@ -65,7 +66,7 @@
 def test_path_crosses_where_it_must(engine: Engine, scattered: list[Host]) -> None:
     """Without a copy in any domain the layers are still run, each once."""
     holders = _holders(engine, scattered)
-    path = PathFinder(engine, {}, random.Random(1)).find(holders, USUAL)
+    path = PathFinder(engine, {}, random.Random(1)).find(group_holders(engine, holders), USUAL)
     assert path is not None
     _assert_whole(engine, path, holders)
 
@@ -73,18 +74,20 @@
 def test_no_path_over_a_missing_layer(engine: Engine, fleet: list[Host]) -> None:
     """A layer that nobody holds leaves no path."""
     holders = [one for one in _holders(engine, fleet) if one.layers.first > 0]
-    assert PathFinder(engine, {}, random.Random(1)).find(holders, USUAL) is None
+    assert (
+        PathFinder(engine, {}, random.Random(1)).find(group_holders(engine, holders), USUAL) is None
+    )
 
 
 def test_full_endpoint_is_left_out(engine: Engine, fleet: list[Host]) -> None:
     """An endpoint whose memory is reserved gets nothing more."""
     holders = _holders(engine, fleet)
-    first = PathFinder(engine, {}, random.Random(1)).find(holders, USUAL)
+    first = PathFinder(engine, {}, random.Random(1)).find(group_holders(engine, holders), USUAL)
     assert first is not None
     loads: Mapping[EndpointId, EndpointLoad] = {
         part.endpoint_id: EndpointLoad(1, 10**9, 0) for part in first.parts
     }
-    second = PathFinder(engine, loads, random.Random(1)).find(holders, USUAL)
+    second = PathFinder(engine, loads, random.Random(1)).find(group_holders(engine, holders), USUAL)
     assert second is not None
     used = {part.endpoint_id for part in first.parts}
     assert used.isdisjoint(part.endpoint_id for part in second.parts)
@@ -96,7 +99,9 @@
     loads: dict[EndpointId, EndpointLoad] = {}
     rng = random.Random(1)
     domains: Counter[str] = Counter()
-    while (path := PathFinder(engine, loads, rng).find(holders, USUAL)) is not None:
+    while (
+        path := PathFinder(engine, loads, rng).find(group_holders(engine, holders), USUAL)
+    ) is not None:
         domains[path.parts[0].endpoint_id.split("-")[0]] += 1
         for part in path.parts:
             known = loads.get(part.endpoint_id, EndpointLoad(0, 0, 0))
@@ -134,7 +139,9 @@
         accelerator = Accelerator("k", memory, data.draw(st.floats(0.5, 20)), 1.0)  # type: ignore[arg-type]
         holders.append(Holder(endpoint_id, domain, accelerator, LayerRange(first, end), 96))  # type: ignore[arg-type]
         loads[endpoint_id] = EndpointLoad(data.draw(st.integers(0, 50)), 0, 5)
-    path = PathFinder(engine, loads, random.Random(1)).find(holders, Work(50, 50))
+    path = PathFinder(engine, loads, random.Random(1)).find(
+        group_holders(engine, holders), Work(50, 50)
+    )
     covered = {layer for one in holders for layer in range(one.layers.first, one.layers.end)}
     if path is None:
         assert len(covered) < 8 or any(one.accelerator.memory_mb < 17 for one in holders)
