Let a supervisor of the soak start ended processes again, as the platform does

Seed 31: a gateway that still drained when the faults ended was never started again, so nothing was served at the end. A fault of the soak, not of the gateway; the seed stays as a case.

--- a/soak/run.py
+++ b/soak/run.py
@@ -80,6 +80,7 @@
             self._tasks += [
                 loop.create_task(self._async_beat()),
                 loop.create_task(self._async_operate()),
+                loop.create_task(self._async_supervise()),
             ]
             faults = [loop.create_task(self._async_faults()) for _ in range(2)]
             await asyncio.sleep(self._seconds)
@@ -116,8 +117,6 @@
             endpoint.fault = LinkFault.NONE
         for process in self._processes.all():
             process.signal(signal.SIGCONT)
-            if process.popen is None or process.popen.poll() is not None:
-                process.start()
         await asyncio.sleep(SETTLE_S)
         self._is_quiet = True
         await asyncio.sleep(SETTLE_S / 2)
@@ -147,15 +146,18 @@
                     await self._async_harm(self._rng.choice(self._endpoints))
 
     async def _async_end(self, process: SoakProcess, number: signal.Signals) -> None:
-        """End a process and start it again."""
+        """Tell a process to end, or end it; the supervisor starts it again."""
         self._note(f"{number.name} {process.name}")
         process.signal(number)
-        popen = process.popen
-        while popen is not None and popen.poll() is None:  # noqa: ASYNC110
-            await asyncio.sleep(0.05)
-        await asyncio.sleep(self._rng.uniform(0.0, 1.5))
-        if process.popen is popen:
-            process.start()
+        await asyncio.sleep(self._rng.uniform(0.0, 1.0))
+
+    async def _async_supervise(self) -> None:
+        """Start processes that have ended again, as the platform does."""
+        while True:
+            await asyncio.sleep(self._rng.uniform(0.05, 0.6))
+            for process in self._processes.all():
+                if process.popen is not None and process.popen.poll() is not None:
+                    process.start()
 
     async def _async_pause(self, process: SoakProcess) -> None:
         """Pause a process for a while."""
@@ -177,7 +179,6 @@
         self._note(f"wipe {process.name}")
         process.stop()
         process.wipe()
-        process.start()
 
     async def _async_harm(self, endpoint: SoakEndpoint) -> None:
         """Let the connections of an endpoint misbehave for a while."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,8 +10,8 @@
 from soak.run import SoakRun
 
 SECONDS = 6.0
-# Seeds that ever broke a promise stay here, each with its cause.
-SEEDS = (1,)
+# 31: the soak itself did not start a gateway again that drained when the faults ended.
+SEEDS = (1, 31)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
