--- a/packages/entry/src/lagoonwing_entry/_dispatch.py
+++ b/packages/entry/src/lagoonwing_entry/_dispatch.py
@@ -93,7 +93,7 @@
         """
         loop = asyncio.get_running_loop()
         started = loop.time()
-        self._connection = await self._pool.async_take(self._record, self._request.fresh)
+        self._connection = await self._pool.async_take_for(self._record, self._request.fresh)
         if loop.time() - started > MAX_SEND_DELAY_S:
             self._connection.close()
             raise ConnectError("too much time passed between the choice and the dispatch")
--- a/packages/gateway/src/lagoonwing_gateway/_exchanges.py
+++ b/packages/gateway/src/lagoonwing_gateway/_exchanges.py
@@ -53,7 +53,7 @@
             ConnectError: Nothing was sent.
         """
         request = outgoing.request
-        connection = await self._connections.async_take(outgoing.endpoint, fresh)
+        connection = await self._connections.async_take_for(outgoing.endpoint, fresh)
         exchange = connection.send(
             RequestStartLine(request.method, request.target, "HTTP/1.1"),
             self._dialect.outgoing_headers(outgoing),
--- a/packages/gateway/src/lagoonwing_gateway/_journal.py
+++ b/packages/gateway/src/lagoonwing_gateway/_journal.py
@@ -66,7 +66,7 @@
 
 def log_late_stream(
     context: RequestContext,
-    endpoint_ids: list[EndpointId],
+    endpoint_ids: tuple[EndpointId, ...],
     events: int,
     first_s: float,
     longest_pause_s: float,
--- a/packages/http/src/lagoonwing_http/__init__.py
+++ b/packages/http/src/lagoonwing_http/__init__.py
@@ -4,6 +4,7 @@
 
 from lagoonwing_http._client import ClientConnection, async_open_connection
 from lagoonwing_http._exchange import AnswerHead, Exchange
+from lagoonwing_http._pool import ConnectionPool, PoolSettings
 from lagoonwing_http.errors import AnswerBrokenError, ConnectError, ForeignAnswerError
 
 __all__ = [
@@ -11,7 +12,9 @@
     "AnswerHead",
     "ClientConnection",
     "ConnectError",
+    "ConnectionPool",
     "Exchange",
     "ForeignAnswerError",
+    "PoolSettings",
     "async_open_connection",
 ]
--- a/tests/entry/test_entry_checks.py
+++ b/tests/entry/test_entry_checks.py
@@ -84,7 +84,7 @@
     def __init__(self) -> None:
         self.closed = False
 
-    async def async_take(self, record: Any, fresh: bool) -> Any:
+    async def async_take_for(self, record: Any, fresh: bool) -> Any:
         """Take two seconds."""
         await asyncio.sleep(2.0)
         return self
