--- a/tests/consensus/consensus_simulation.py
+++ b/tests/consensus/consensus_simulation.py
@@ -264,7 +264,8 @@
         """Let a replica outside the set ask whoever leads to be taken in."""
         node = self.node_by_host[host]
         replica = node.disk.replica
-        is_first = replica.replica_id not in self._wiped and replica.replica_id.endswith("0")
+        was_wiped = replica.replica_id in self._wiped
+        is_first = replica == _replica(host, 0) and not was_wiped
         if is_first and not (self.joiners and host in self.hosts[self.founders :]):
             return
         for other, peer in self.node_by_host.items():
