Write the wait for an answer or a caller's going once; drop what nothing calls

The status of a misdirected request had two spellings. The comment of MIN_SEND_BUDGET_S told of something else.

--- a/packages/gateway/src/lagoonwing_gateway/_calls.py
+++ b/packages/gateway/src/lagoonwing_gateway/_calls.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Iterable
 
 from lagoonwing_catalog.messages import EndpointLoad
@@ -17,12 +16,14 @@
 from lagoonwing_gateway._journal import log_attempt
 from lagoonwing_gateway._refusals import no_endpoint, not_run, unknown
 from lagoonwing_gateway._shared import Shared
+from lagoonwing_gateway._until_gone import async_until_gone
 from lagoonwing_gateway.const import (
     CALL_SILENCE_SHARE,
     DEADLINE_SLACK_S,
     MAX_CONNECT_TRIES,
     MIN_CALL_SILENCE_S,
     MIN_SEND_BUDGET_S,
+    MISDIRECTED_STATUS,
     PLAIN_CROSSING_COST,
     PLAIN_FULL_FACTOR,
 )
@@ -152,16 +153,9 @@
         """Wait for the answer of one endpoint and send it on if it is good."""
         endpoint_id = record.endpoint_id
         self._ledger.begin_call(endpoint_id)
-        task = asyncio.ensure_future(
-            self._exchanges.async_whole(opened, self._patience_ends(context, send))
-        )
-        responder.set_on_gone(task.cancel)
+        work = self._exchanges.async_whole(opened, self._patience_ends(context, send))
         try:
-            answer = await task
-        except asyncio.CancelledError:
-            if responder.is_gone:
-                return CallerGone()
-            raise
+            answer = await async_until_gone(work, responder)
         except BROKEN_ERRORS as error:
             reason = str(error) or "no answer in time"
             self._suspects.failed_softly(endpoint_id, reason)
@@ -169,9 +163,10 @@
                 self._crashes.note(context)
             return Failed(reason, (endpoint_id,))
         finally:
-            responder.set_on_gone(_nothing)
             opened.close()
             self._ledger.end_call(endpoint_id)
+        if isinstance(answer, CallerGone):
+            return answer
         elapsed = self._clock.now() - opened.sent_at
         self._pace.observe(endpoint_id, elapsed, context.route.objective_s / 2)
         return self._judge(record, answer, responder)
@@ -182,7 +177,7 @@
         """Send a good answer on; return what a bad one means."""
         notes = answer.notes
         blamed = (record.endpoint_id,)
-        if notes.not_executed or notes.status == 421:
+        if notes.not_executed or notes.status == MISDIRECTED_STATUS:
             self._suspects.avoid(record.endpoint_id)
             return NotRun(f"the endpoint refused it with {notes.status}", blamed)
         if notes.is_success and (not notes.is_signed or notes.is_encoded):
@@ -223,7 +218,3 @@
                 return not_run(ResultCode.ENDPOINT_REFUSED, reason, self._rng)
             case _:
                 return no_endpoint("no endpoint can take the call", self._rng)
-
-
-def _nothing() -> None:
-    """Do nothing when the caller goes."""
--- a/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from dataclasses import dataclass, field
 
 from lagoonwing_catalog.models import Engine, Service
@@ -11,11 +10,11 @@
 from lagoonwing_gateway._journal import log_late_stream
 from lagoonwing_gateway._ledger import Reservation
 from lagoonwing_gateway._shared import Shared
+from lagoonwing_gateway._until_gone import async_until_gone
 from lagoonwing_gateway._watchdog import WatchedStream
-from lagoonwing_gateway.const import DEADLINE_SLACK_S, STREAM_STALL_S
+from lagoonwing_gateway.const import DEADLINE_SLACK_S, MISDIRECTED_STATUS, STREAM_STALL_S
 from lagoonwing_gateway.models import (
     AttemptOutcome,
-    CallerGone,
     Completed,
     Failed,
     NotRun,
@@ -29,7 +28,6 @@
 from lagoonwing_placement import Path, Work, read_ms
 
 _USUAL_STATUS = 200
-_MISDIRECTED_STATUS = 421
 
 
 @dataclass(slots=True)
@@ -138,7 +136,8 @@
         stream = WatchedStream(self._ids, interrupt, quiet_until, heard_at=now)
         self._shared.watchdog.watch(stream)
         try:
-            outcome = await self._async_until_gone(opened, reservation, stream)
+            relay = self._async_relay(opened, reservation, stream)
+            outcome = await async_until_gone(relay, self._responder)
         finally:
             self._shared.watchdog.forget(stream)
         if self._down and isinstance(outcome, Failed):
@@ -146,21 +145,6 @@
             return Failed(f"{self._down[0]} is down", tuple(self._down))
         return outcome
 
-    async def _async_until_gone(
-        self, opened: OpenExchange, reservation: Reservation, stream: WatchedStream
-    ) -> AttemptOutcome:
-        """Relay the events of one exchange until it ends or the caller goes."""
-        task = asyncio.ensure_future(self._async_relay(opened, reservation, stream))
-        self._responder.set_on_gone(task.cancel)
-        try:
-            return await task
-        except asyncio.CancelledError:
-            if self._responder.is_gone:
-                return CallerGone()
-            raise
-        finally:
-            self._responder.set_on_gone(_nothing)
-
     async def _async_relay(
         self, opened: OpenExchange, reservation: Reservation, stream: WatchedStream
     ) -> AttemptOutcome:
@@ -267,7 +251,7 @@
         notes = shared.dialect.notes(head)
         at_fault = shared.directory.id_at(notes.at_fault) or self._ids[0]
         body = await shared.exchanges.async_body(opened, shared.clock.now() + STREAM_STALL_S)
-        if notes.not_executed or notes.status == _MISDIRECTED_STATUS:
+        if notes.not_executed or notes.status == MISDIRECTED_STATUS:
             shared.suspects.avoid(at_fault)
             return NotRun(f"{at_fault} refused it with {notes.status}", (at_fault,))
         answer = WholeAnswer(notes, shared.dialect.caller_headers(head), body)
@@ -284,7 +268,3 @@
                 tokens = self._call.work.prompt_tokens
                 times[part.endpoint_id] = read_ms(engine, accelerator, tokens, part.layers.count)
         return times
-
-
-def _nothing() -> None:
-    """Do nothing when the caller goes."""
--- a/packages/gateway/src/lagoonwing_gateway/const.py
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -46,9 +46,12 @@
 MIN_CALL_SILENCE_S = 0.2
 # Time kept back from a deadline so that the answer still reaches the caller.
 DEADLINE_SLACK_S = 0.03
-# Deadlines handed on end this long before the caller's own.
+# Time that must be left for a request to be sent at all.
 MIN_SEND_BUDGET_S = 0.05
 
+# Answer of an endpoint that a request was not meant for, or that lacks the layers named.
+MISDIRECTED_STATUS = 421
+
 # Time for which a stream may wait for room, as a share of its objective.
 ROOM_WAIT_SHARE = 0.7
 ROOM_CHECK_S = 0.02
--- a/packages/registry/src/lagoonwing_registry/_peers.py
+++ b/packages/registry/src/lagoonwing_registry/_peers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import Any
 
 from expression import Error, Result
@@ -88,10 +87,3 @@
         async_on_call=async_refuse,
         on_closed=lambda channel: None,
     )
-
-
-async def async_keep_refreshed(peers: Peers, interval_s: float) -> None:
-    """Follow the replica set for ever."""
-    while True:
-        await peers.async_refresh()
-        await asyncio.sleep(interval_s)
--- a/packages/registry/src/lagoonwing_registry/const.py
+++ b/packages/registry/src/lagoonwing_registry/const.py
@@ -21,6 +21,5 @@
 # Silence after which a gateway's subscription is dropped.
 GATEWAY_SILENCE_S = 2.5
 PLACEMENT_INTERVAL_S = 0.25
-ORDER_TIMEOUT_S = 1.0
 # Age up to which a replica accepts subscriptions.
 MAX_SUBSCRIBE_AGE_S = 0.9
