Tests hold their ports until a server listens on them

Ports were taken, closed and listened on later, so that another process could get them in between. A reserved socket stays bound for the whole test; a server with SO_REUSEADDR listens beside it. Fake deployments claim a loopback network each, so that two checkouts on one machine do not use the same addresses.

--- a/packages/fakes/src/lagoonwing_fakes/platform/_processes.py
+++ b/packages/fakes/src/lagoonwing_fakes/platform/_processes.py
@@ -6,6 +6,7 @@
 import os
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 from dataclasses import dataclass, field
@@ -18,6 +19,7 @@
     DRAIN_GRACE_S,
     FAILURE_DOMAIN,
     METRICS_PORT,
+    NETWORK_COUNT,
     PEER_PORT,
     READY_PORT,
     SYSTEM_KEY,
@@ -96,8 +98,13 @@
 
 @dataclass
 class Processes:
-    """Processes of one deployment."""
+    """Processes of one deployment.
 
+    Attributes:
+        network_claim: Socket that keeps other deployments off the loopback addresses.
+    """
+
+    network_claim: socket.socket
     registries: list[SystemProcess] = field(default_factory=list)
     gateways: list[SystemProcess] = field(default_factory=list)
 
@@ -113,13 +120,14 @@
 
     Args:
         folder: Folder for settings, data and logs.
-        network: Third octet of the loopback addresses.
+        network: Preferred third octet of the loopback addresses; the next free one is used.
         registries: Number of registries, which replicate the catalog.
         gateways: Number of gateways.
         behind_proxies: Whether peers connect through a proxy.
     """
+    network, claim = _claim_network(network)
     seeds = [f"127.78.{network}.{10 + n}:{CONTROL_PORT}" for n in range(registries)]
-    processes = Processes()
+    processes = Processes(claim)
     for number in range(registries + gateways):
         is_registry = number < registries
         name = f"registry-{number}" if is_registry else f"gateway-{number - registries}"
@@ -158,3 +166,21 @@
         process = SystemProcess(name, address, listen_address, path, data, folder / f"{name}.log")
         (processes.registries if is_registry else processes.gateways).append(process)
     return processes
+
+
+def _claim_network(preferred: int) -> tuple[int, socket.socket]:
+    """Return the first network that no other process on this machine has claimed, and the claim.
+
+    Raises:
+        OSError: All networks are in use.
+    """
+    for offset in range(NETWORK_COUNT):
+        network = (preferred + offset) % NETWORK_COUNT
+        claim = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            claim.bind((f"127.78.{network}.1", PEER_PORT))
+        except OSError:
+            claim.close()
+            continue
+        return network, claim
+    raise OSError("all loopback networks of the fake platform are in use")
--- a/packages/fakes/src/lagoonwing_fakes/platform/const.py
+++ b/packages/fakes/src/lagoonwing_fakes/platform/const.py
@@ -17,3 +17,5 @@
 SYSTEM_KEY = "stand-in-deployment-key-0123456789abcdef"
 ANNOUNCE_INTERVAL_S = 0.5
 DRAIN_GRACE_S = 4.0
+# Loopback networks of which each deployment on a machine uses one.
+NETWORK_COUNT = 250
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,10 +1,20 @@
-"""Hooks shared by all tests: known failures are reported without failing the run."""
+"""Hooks shared by all tests: known failures and reserved ports."""
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
+from ports import release_ports
+
+
+@pytest.fixture(autouse=True)
+def _released_ports() -> Iterator[None]:
+    """Release the ports that a test reserved."""
+    yield
+    release_ports()
+
 
 KNOWN_RED = Path(__file__).parents[1] / "KNOWN-RED.txt"
 
--- a/tests/entry/test_entry_membership.py
+++ b/tests/entry/test_entry_membership.py
@@ -16,26 +16,19 @@
     async_wait_until,
     chat_prompt,
 )
+from ports import reserve_port
 from tornado.iostream import StreamClosedError
 from tornado.tcpclient import TCPClient
-from tornado.testing import bind_unused_port
 
 from lagoonwing_core.ids import ModelId
 from lagoonwing_fakes import FakeEndpoint, FakeKind, expected_text
 
 
-def _unused_port() -> int:
-    """Return an unused port."""
-    sock, port = bind_unused_port()
-    sock.close()
-    return port
-
-
 @pytest.fixture
 async def pair(tmp_path: Path) -> AsyncIterator[tuple[Cluster, Host, Host, PeerPorts]]:
     """Two hosts that are configured as peers."""
     cluster = Cluster(tmp_path)
-    ports = (_unused_port(), _unused_port())
+    ports = (reserve_port(), reserve_port())
     plan = PeerPorts({"e1": ports[0], "e2": ports[1]})
     first = await cluster.async_add_host(peers=plan)
     second = await cluster.async_add_host(peers=plan)
--- a/tests/platform/platform_deployment.py
+++ b/tests/platform/platform_deployment.py
@@ -10,8 +10,8 @@
 from pathlib import Path
 from typing import Any
 
+from ports import reserve_port
 from tornado.httpclient import AsyncHTTPClient, HTTPResponse
-from tornado.testing import bind_unused_port
 
 from lagoonwing_catalog import CatalogStateMachine
 from lagoonwing_catalog.messages import ReplicaAddress
@@ -111,12 +111,7 @@
 @asynccontextmanager
 async def async_run_deployment(folder: Path) -> AsyncIterator[Deployment]:
     """Run a single-voter registry and a gateway."""
-    ports = []
-    for _ in range(4):
-        sock, port = bind_unused_port(address=ADDRESS)
-        sock.close()
-        ports.append(port)
-    peer_port, control_port, caller_port, ready_port = ports
+    peer_port, control_port, caller_port, ready_port = (reserve_port(ADDRESS) for _ in range(4))
     clock = LoopClock()
     host_id = HostId(ADDRESS)
     identity = Identity(host_id, KEY)
--- a/tests/support/control_support.py
+++ b/tests/support/control_support.py
@@ -6,14 +6,13 @@
 import hashlib
 import itertools
 import os
-import random
-import socket
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from pathlib import Path
 
 import grpc
+from ports import reserve_port
 from shared_log import SharedLog, SharedLogReplica
 
 from lagoonwing_control import (
@@ -47,20 +46,7 @@
 PEER_PORT = 7402
 OPERATOR_PORT = 7400
 
-FREE_PORTS = range(10_000, 30_000)
-
 _numbers = itertools.count(1)
-# Seeded by process id, so that parallel test processes choose different ports.
-_port_random = random.Random(os.getpid())
-
-
-def unused_port() -> int:
-    """Return a port of 127.0.0.1 on which no process is listening."""
-    for port in _port_random.sample(FREE_PORTS, len(FREE_PORTS)):
-        with socket.socket() as probe:
-            if probe.connect_ex(("127.0.0.1", port)) != 0:
-                return port
-    raise OSError("no free port on 127.0.0.1")
 
 
 def unused_address() -> str:
@@ -128,9 +114,9 @@
 
 def make_settings(count: int = 1, max_request_s: float = 900.0) -> list[ControlSettings]:
     """Return settings of replicas on 127.0.0.1, spread over failure domains."""
-    addresses = [_host_address(number, "127.0.0.1", unused_port()) for number in range(count)]
+    addresses = [_host_address(number, "127.0.0.1", reserve_port()) for number in range(count)]
     return [
-        _control_settings(address, tuple(addresses), unused_port(), max_request_s)
+        _control_settings(address, tuple(addresses), reserve_port(), max_request_s)
         for address in addresses
     ]
 
