Responses are bounded, and only events count as progress of a stream

Cause: a body was read into memory until the deadline, whatever its size; bytes that completed no event renewed the time-out of a stream, so that a byte now and then kept a stalled stream until its deadline, and their buffer grew without limit.

Ruled out: responses 1xx without end, of which tornado reads a fixed number.

--- a/packages/gateway/src/lagoonwing_gateway/_endpoint_client.py
+++ b/packages/gateway/src/lagoonwing_gateway/_endpoint_client.py
@@ -9,6 +9,7 @@
 
 from lagoonwing_core.clock import Clock
 from lagoonwing_gateway._connection_pool import EndpointConnectionPool
+from lagoonwing_gateway.const import MAX_RESPONSE_BODY_BYTES
 from lagoonwing_gateway.models import CompleteResponse, EndpointRequest, ResponseInfo
 from lagoonwing_gateway.ports import Dialect
 from lagoonwing_http import (
@@ -94,18 +95,13 @@
         """Wait for the remaining body.
 
         Raises:
-            AnswerBrokenError: The connection closed before the body was complete.
+            AnswerBrokenError: The connection closed first, or the body is too large.
             TimeoutError: The body was not complete in time.
         """
-        chunks: list[bytes] = []
-        while True:
-            remaining_s = deadline - self._clock.now()
-            if remaining_s <= 0:
-                raise TimeoutError
-            chunk = await open_exchange.exchange.async_read_chunk(remaining_s)
-            if chunk is None:
-                return b"".join(chunks)
-            chunks.append(chunk)
+        remaining_s = deadline - self._clock.now()
+        if remaining_s <= 0:
+            raise TimeoutError
+        return await open_exchange.exchange.async_read_body(remaining_s, MAX_RESPONSE_BODY_BYTES)
 
 
 RESPONSE_ERRORS = (AnswerBrokenError, TimeoutError)
--- a/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
@@ -12,7 +12,12 @@
 from lagoonwing_gateway._load_tracker import Reservation
 from lagoonwing_gateway._request_log import log_late_stream
 from lagoonwing_gateway._watchdog import WatchedStream
-from lagoonwing_gateway.const import DEADLINE_MARGIN_S, MISDIRECTED_STATUS, STREAM_STALL_TIMEOUT_S
+from lagoonwing_gateway.const import (
+    DEADLINE_MARGIN_S,
+    MAX_EVENT_BYTES,
+    MISDIRECTED_STATUS,
+    STREAM_STALL_TIMEOUT_S,
+)
 from lagoonwing_gateway.models import (
     AttemptOutcome,
     Completed,
@@ -163,7 +168,7 @@
         wait_started_at = components.clock.now()
         try:
             head, info = await components.endpoint_client.async_head(
-                open_exchange, self._read_timeout()
+                open_exchange, self._read_timeout(wait_started_at)
             )
             if not info.is_success:
                 return await self._async_read_failure(open_exchange, head)
@@ -173,15 +178,20 @@
                 )
                 return Failed("the answer is not the endpoint's own", self._endpoint_ids[:1])
             splitter = components.dialect.splitter()
+            wait_started_at = components.clock.now()
             while True:
-                wait_started_at = components.clock.now()
-                chunk = await open_exchange.exchange.async_read_chunk(self._read_timeout())
+                timeout = self._read_timeout(wait_started_at)
+                chunk = await open_exchange.exchange.async_read_chunk(timeout)
                 if chunk is None:
                     break
                 events = splitter.feed(chunk)
                 if events:
                     components.load_tracker.complete_prefill(reservation)
                     self._forward_events(head, events, stream)
+                    # Bytes that complete no event are no progress.
+                    wait_started_at = components.clock.now()
+                elif len(splitter.rest) > MAX_EVENT_BYTES:
+                    return Failed("an event of the stream is too large", self._endpoint_ids[:1])
         except RESPONSE_ERRORS as error:
             return self._blame_endpoints(wait_started_at, error)
         if splitter.rest:
@@ -235,20 +245,21 @@
             progress.longest_pause_s = max(progress.longest_pause_s, now - progress.last_event_at)
         progress.last_event_at = now
 
-    def _read_timeout(self) -> float:
+    def _read_timeout(self, waiting_since: float) -> float:
         """Return how long to wait for the next event.
 
         Raises:
-            TimeoutError: The deadline has passed.
+            TimeoutError: The deadline or the time for the event has passed.
         """
         route = self._context.route
-        remaining_s = self._context.deadline - self._components.clock.now() - DEADLINE_MARGIN_S
+        wait_until = self._context.deadline - DEADLINE_MARGIN_S
+        if route.is_resumable and self._progress.send_count < route.max_attempts:
+            expected_s = self._path.first_token_ms / 1_000 if self._progress.events == 0 else 0.0
+            wait_until = min(wait_until, waiting_since + STREAM_STALL_TIMEOUT_S + expected_s)
+        remaining_s = wait_until - self._components.clock.now()
         if remaining_s <= 0:
             raise TimeoutError
-        if not route.is_resumable or self._progress.send_count >= route.max_attempts:
-            return remaining_s
-        expected_s = self._path.first_token_ms / 1_000 if self._progress.events == 0 else 0.0
-        return min(remaining_s, STREAM_STALL_TIMEOUT_S + expected_s)
+        return remaining_s
 
     def _blame_endpoints(self, silent_since: float, error: BaseException) -> AttemptOutcome:
         """Determine the endpoints to blame for a path that stalled or broke."""
--- a/packages/gateway/src/lagoonwing_gateway/const.py
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -89,6 +89,10 @@
 # Share of the retry budget that all gateways use together; the rest is a margin for state that
 # lags behind.
 RETRY_BUDGET_SHARE = 0.6
+# Maximum size of a response that is not a stream: it is buffered until it is complete.
+MAX_RESPONSE_BODY_BYTES = 16 * 1024 * 1024
+# Maximum size of one event of a stream.
+MAX_EVENT_BYTES = 256 * 1024
 # Maximum number of bytes buffered for a caller that reads slowly.
 MAX_CALLER_BUFFER_BYTES = 512 * 1024
 # Time after SIGTERM until idle connections are closed. By then the load balancer has stopped
--- a/packages/http/src/lagoonwing_http/__init__.py
+++ b/packages/http/src/lagoonwing_http/__init__.py
@@ -5,10 +5,16 @@
 from lagoonwing_http._client import ClientConnection, async_open_connection
 from lagoonwing_http._exchange import Exchange, ResponseHead
 from lagoonwing_http._pool import ConnectionPool, PoolSettings
-from lagoonwing_http.errors import AnswerBrokenError, ConnectError, ForeignAnswerError
+from lagoonwing_http.errors import (
+    AnswerBrokenError,
+    AnswerTooLargeError,
+    ConnectError,
+    ForeignAnswerError,
+)
 
 __all__ = [
     "AnswerBrokenError",
+    "AnswerTooLargeError",
     "ClientConnection",
     "ConnectError",
     "ConnectionPool",
--- a/packages/http/src/lagoonwing_http/_exchange.py
+++ b/packages/http/src/lagoonwing_http/_exchange.py
@@ -11,7 +11,7 @@
 
 from lagoonwing_core.callback import callback
 from lagoonwing_http.const import MAX_BUFFERED_RESPONSE_BYTES
-from lagoonwing_http.errors import AnswerBrokenError, ForeignAnswerError
+from lagoonwing_http.errors import AnswerBrokenError, AnswerTooLargeError, ForeignAnswerError
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +84,28 @@
             self._buffer_drained.set_result(None)
         return data
 
+    async def async_read_body(self, timeout: float, max_bytes: int) -> bytes:
+        """Wait for the complete body.
+
+        Args:
+            timeout: Maximum time until the body is complete, in seconds.
+            max_bytes: Maximum size of the body.
+
+        Raises:
+            AnswerBrokenError: The connection closed before the body was complete.
+            AnswerTooLargeError: The body exceeds `max_bytes`; the caller must close the connection.
+            TimeoutError: The body was not complete in time.
+        """
+        chunks: list[bytes] = []
+        size = 0
+        async with asyncio.timeout(timeout):
+            while (chunk := await self.async_read_chunk(timeout)) is not None:
+                size += len(chunk)
+                if size > max_bytes:
+                    raise AnswerTooLargeError(f"the answer exceeds {max_bytes} bytes")
+                chunks.append(chunk)
+        return b"".join(chunks)
+
     @callback
     def cancel_idle_timer(self) -> None:
         """Cancel the idle timer."""
--- a/packages/http/src/lagoonwing_http/errors.py
+++ b/packages/http/src/lagoonwing_http/errors.py
@@ -21,3 +21,7 @@
 
 class ForeignAnswerError(AnswerBrokenError):
     """The response belongs to another request or attempt; the connection was closed."""
+
+
+class AnswerTooLargeError(AnswerBrokenError):
+    """The response body exceeds the limit of its reader; it may have no end."""
--- a/tests/platform/platform_deployment.py
+++ b/tests/platform/platform_deployment.py
@@ -163,3 +163,20 @@
         for endpoint in deployment.endpoints:
             assert endpoint.server is not None
             endpoint.server.stop()
+
+
+async def async_start_engines(deployment: Deployment) -> None:
+    """Upload a document and start engines that serve every layer twice."""
+    await deployment.async_set_document()
+    for number in range(8):
+        await deployment.async_add_endpoint(f"e-{number}", "engines", "small")
+    engines = deployment.endpoints
+    await deployment.async_wait_until(
+        lambda: all(endpoint.layers is not None for endpoint in engines)
+    )
+    for engine in engines:
+        assert (await deployment.async_send_heartbeat(engine)).code == 200
+    follower = deployment.gateway.follower
+    await deployment.async_wait_until(
+        lambda: all(record.layers for record in follower.endpoint_by_id.values())
+    )
--- a/tests/platform/test_platform_path.py
+++ b/tests/platform/test_platform_path.py
@@ -7,7 +7,7 @@
 from unittest.mock import MagicMock
 
 import pytest
-from platform_deployment import Deployment
+from platform_deployment import Deployment, async_start_engines
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
@@ -24,23 +24,6 @@
     await deployment.async_add_endpoint("p-2", "plain")
 
 
-async def _async_start_engines(deployment: Deployment) -> None:
-    """Upload a document and start engines that serve every layer twice."""
-    await deployment.async_set_document()
-    for number in range(8):
-        await deployment.async_add_endpoint(f"e-{number}", "engines", "small")
-    engines = deployment.endpoints
-    await deployment.async_wait_until(
-        lambda: all(endpoint.layers is not None for endpoint in engines)
-    )
-    for engine in engines:
-        assert (await deployment.async_send_heartbeat(engine)).code == 200
-    follower = deployment.gateway.follower
-    await deployment.async_wait_until(
-        lambda: all(record.layers for record in follower.endpoint_by_id.values())
-    )
-
-
 async def test_requests_are_rejected_without_a_document(deployment: Deployment) -> None:
     """A gateway without configuration is not ready and asks callers to retry later."""
     assert (await deployment.async_call(deployment.ready_port, "/lagoonwing/readyz")).code == 503
@@ -147,7 +130,7 @@
 
 async def test_stream_path_covers_each_layer_once(deployment: Deployment) -> None:
     """The leader places the layers; the path covers each layer once and in order."""
-    await _async_start_engines(deployment)
+    await async_start_engines(deployment)
     response = await deployment.async_send_request("stream", "a-1")
     assert response.code == 200
     assert response.body.count(b"id: ") == EVENTS
@@ -164,7 +147,7 @@
 
 async def test_broken_stream_is_resumed_on_another_path(deployment: Deployment) -> None:
     """Another path continues after the last event; the headers of the first endpoint are kept."""
-    await _async_start_engines(deployment)
+    await async_start_engines(deployment)
     broken: list[str] = []
 
     async def break_stream(handler: object) -> None:
