Repair closes all holes at once, by the layers that are missing, and opens none

Change: the missing blocks of a group are handed out together. Empty endpoints load the missing part of the range that they should hold; then each further block goes to the endpoint that has it loaded first, by extension or by a move; a block is given up only if another endpoint holds it now. Later, endpoints grow to the range of the layout, and extended ones shrink once two others hold what they give up. Loads that close no hole wait while as many run as the store serves at full speed. The inferred layout weighs ranges by their layers.

The check of a restarted endpoint's own order became one of all orders of the round, since several endpoints now share a hole.

Tried first and dropped: handing out blocks one by one to empty endpoints too, which left fleets with unusable fragments; shrinking as soon as one other holder is left, which reopened a hole when that holder had just crashed.

--- a/packages/placement/src/lagoonwing_placement/__init__.py
+++ b/packages/placement/src/lagoonwing_placement/__init__.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from lagoonwing_placement._capacity import kv_token_layers, load_s, prefill_ms, transfer_ms
+from lagoonwing_placement._holes import new_layer_count
 from lagoonwing_placement._paths import Holder, HolderGroup, PathFinder, group_holders
 from lagoonwing_placement._planner import choose_layout, plan
-from lagoonwing_placement._repair import due_orders, infer_layout, new_layer_count
+from lagoonwing_placement._repair import due_orders, infer_layout
 from lagoonwing_placement.models import (
     Backlogs,
     DomainLink,
+    OrderReason,
     PartitionLayout,
     Path,
     PathSegment,
@@ -22,6 +24,7 @@
     "DomainLink",
     "Holder",
     "HolderGroup",
+    "OrderReason",
     "PartitionLayout",
     "Path",
     "PathFinder",
--- a/packages/placement/src/lagoonwing_placement/const.py
+++ b/packages/placement/src/lagoonwing_placement/const.py
@@ -46,4 +46,7 @@
 ORDER_TIMEOUT_MARGIN_S = 3.0
 # Time without newly registered endpoints after which the first plan is computed, in seconds.
 INITIAL_PLAN_DELAY_S = 1.2
+# Other holders that each block must have before an extended endpoint gives it up: one of them may
+# have crashed without being noticed yet.
+SHRINK_MIN_HOLDERS = 2
 BYTES_PER_MB = 1_000_000.0
--- a/packages/placement/src/lagoonwing_placement/models.py
+++ b/packages/placement/src/lagoonwing_placement/models.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from enum import Enum
 
 from lagoonwing_catalog.models import Accelerator, LayerRange
 from lagoonwing_core.ids import AcceleratorKind, EndpointId, FailureDomainId
@@ -52,19 +53,27 @@
         return LayerRange(self.boundaries[first_block], self.boundaries[first_block + count])
 
 
+class OrderReason(Enum):
+    """Why an endpoint is ordered to change its layers."""
+
+    EMPTY = "empty"
+    HOLE = "hole"
+    GROW = "grow"
+    SHRINK = "shrink"
+
+
 @dataclass(frozen=True, slots=True)
 class PlacementOrder:
     """An order to an endpoint to hold the given layers.
 
     Attributes:
         load_s: Time to load the new layers at full speed.
-        reason: Reason for the order, for the log.
     """
 
     endpoint_id: EndpointId
     layers: LayerRange
     load_s: float
-    reason: str
+    reason: OrderReason
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/registry/src/lagoonwing_registry/_placement_executor.py
+++ b/packages/registry/src/lagoonwing_registry/_placement_executor.py
@@ -216,7 +216,7 @@
             endpoint=record.endpoint_id,
             layers=f"{order.layers.first}-{order.layers.end}",
             held=record.layers and f"{record.layers.first}-{record.layers.end}",
-            reason=order.reason,
+            reason=order.reason.value,
             outcome=outcome.value,
             detail="" if result.is_ok() else result.error.detail,
         )
