--- a/bench/replication_mutations.py
+++ b/bench/replication_mutations.py
@@ -71,7 +71,7 @@
     ),
     Mutation(
         "messages of other logs taken",
-        "_raft_log.py",
+        "_inbox.py",
         "if packet.cluster_id == self._identity_store.cluster_id:",
         "if True:",
     ),
