--- a/packages/core/src/lagoonwing_core/settings/_schema.py
+++ b/packages/core/src/lagoonwing_core/settings/_schema.py
@@ -58,9 +58,15 @@
 
 def _describe_bounds(low: float | None, high: float | None) -> str:
     """Return a description of numeric bounds."""
-    if low is None and high is None:
-        return ""
-    return f" from {low} to {high}"
+    match (low, high):
+        case (None, None):
+            return ""
+        case (_, None):
+            return f" of at least {low}"
+        case (None, _):
+            return f" of at most {high}"
+        case _:
+            return f" from {low} to {high}"
 
 
 def _object_schema(info: inspect.StructType) -> dict[Any, Any]:
