--- a/packages/placement/src/lagoonwing_placement/__init__.py
+++ b/packages/placement/src/lagoonwing_placement/__init__.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
-from lagoonwing_placement._capacity import kv_token_layers, load_s, prefill_ms, transfer_ms
-from lagoonwing_placement._holes import new_layer_count
+from lagoonwing_placement._capacity import (
+    kv_token_layers,
+    load_s,
+    new_layer_count,
+    prefill_ms,
+    transfer_ms,
+)
 from lagoonwing_placement._paths import Holder, HolderGroup, PathFinder, group_holders
 from lagoonwing_placement._planner import choose_layout, plan
 from lagoonwing_placement._repair import due_orders, infer_layout
--- a/packages/placement/src/lagoonwing_placement/_capacity.py
+++ b/packages/placement/src/lagoonwing_placement/_capacity.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lagoonwing_catalog.models import Accelerator, Engine
+from lagoonwing_catalog.models import Accelerator, Engine, LayerRange
 from lagoonwing_placement.const import (
     BYTES_PER_MB,
     MIN_KV_SHARE,
@@ -68,3 +68,11 @@
     if engine.link_mbps <= 0:
         return 0.0
     return tokens * engine.activation_bytes * 8 / (engine.link_mbps * 1_000)
+
+
+def new_layer_count(held: LayerRange | None, wanted: LayerRange) -> int:
+    """Return the number of layers that an endpoint must load for an order."""
+    if held is None:
+        return wanted.count
+    common = min(held.end, wanted.end) - max(held.first, wanted.first)
+    return wanted.count - max(0, common)
--- a/packages/placement/src/lagoonwing_placement/_repair.py
+++ b/packages/placement/src/lagoonwing_placement/_repair.py
@@ -9,7 +9,8 @@
 from lagoonwing_catalog.models import Engine
 from lagoonwing_core.ids import AcceleratorKind
 from lagoonwing_placement._capacity import load_s, max_layers
-from lagoonwing_placement._holes import GroupCoverage, hole_orders
+from lagoonwing_placement._coverage import GroupCoverage
+from lagoonwing_placement._holes import hole_orders
 from lagoonwing_placement._planner import (
     EndpointGroup,
     assign_layers,
--- a/packages/placement/src/lagoonwing_placement/_resize.py
+++ b/packages/placement/src/lagoonwing_placement/_resize.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterable
 
 from lagoonwing_catalog.models import Engine
-from lagoonwing_placement._capacity import load_s
-from lagoonwing_placement._holes import GroupCoverage, new_layer_count
+from lagoonwing_placement._capacity import load_s, new_layer_count
+from lagoonwing_placement._coverage import GroupCoverage
 from lagoonwing_placement.const import SHRINK_MIN_HOLDERS
 from lagoonwing_placement.models import (
     OrderReason,
