--- a/packages/placement/src/lagoonwing_placement/_coverage.py
+++ b/packages/placement/src/lagoonwing_placement/_coverage.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left, bisect_right
 from collections import Counter
 from collections.abc import Sequence
 
@@ -30,12 +31,11 @@
 
     def blocks(self, layers: LayerRange | None) -> range:
         """Return the blocks that lie within a range of layers."""
-        covered = [
-            block
-            for block in range(self._layout.block_count)
-            if layers is not None and layers.covers(self._layout.layers(block, 1))
-        ]
-        return range(covered[0], covered[-1] + 1) if covered else range(0)
+        if layers is None:
+            return range(0)
+        first = bisect_left(self._layout.boundaries, layers.first)
+        end = bisect_right(self._layout.boundaries, layers.end) - 1
+        return range(first, max(first, end))
 
     def can_drop(self, endpoint: PlacementEndpoint, layers: LayerRange, remaining: int = 1) -> bool:
         """Return whether others hold every block that an endpoint gives up for a new range.
