--- a/packages/wire/src/lagoonwing_wire/_connections.py
+++ b/packages/wire/src/lagoonwing_wire/_connections.py
@@ -129,9 +129,11 @@
         `NOT_AUTHENTIC`.
     """
     family = socket.AF_INET6 if ":" in address else socket.AF_INET
-    stream = IOStream(
-        socket.socket(family, socket.SOCK_STREAM), max_buffer_size=MAX_WRITE_BUFFER_BYTES
-    )
+    try:
+        sock = socket.socket(family, socket.SOCK_STREAM)
+    except OSError as error:
+        return Error(Refusal(ResultCode.PEER_UNREACHABLE, f"{address}:{port}: {error}"))
+    stream = IOStream(sock, max_buffer_size=MAX_WRITE_BUFFER_BYTES)
     try:
         result = await _async_connect_stream(stream, identity, address, port, protocol)
     except asyncio.CancelledError:
--- a/tests/wire/test_channel.py
+++ b/tests/wire/test_channel.py
@@ -6,6 +6,7 @@
 import struct
 from dataclasses import dataclass, field
 from typing import Any
+from unittest.mock import patch
 
 import msgspec
 import pytest
@@ -156,6 +157,13 @@
     assert (await _async_open(port)).error.code is ResultCode.PEER_UNREACHABLE
 
 
+async def test_lack_of_descriptors_returns_refusal() -> None:
+    """A link keeps trying after a process has run out of file descriptors for a while."""
+    with patch("lagoonwing_wire._connections.socket.socket", side_effect=OSError("EMFILE")):
+        result = await _async_open(1)
+    assert result.error.code is ResultCode.PEER_UNREACHABLE
+
+
 async def test_unknown_message_closes_the_channel(running_server) -> None:
     """A message that is not part of the protocol closes the sender's channel."""
     recorder, port = running_server
