The processes of a fake deployment inherit its network claim

That run had been killed at 16:21; five of its processes, started 16:20:18, still held 127.78.152, but the claim had ended with the test process. Now each process holds the claim.

--- a/packages/fakes/src/lagoonwing_fakes/platform/_processes.py
+++ b/packages/fakes/src/lagoonwing_fakes/platform/_processes.py
@@ -32,6 +32,8 @@
 
     Attributes:
         address: Address at which other processes reach it, possibly through a proxy.
+        network_claim: Socket that keeps other deployments off the addresses. Each process inherits
+            it, so that the claim outlives a test run that was killed and left processes behind.
         start_count: Number of starts; the current log belongs to the last one.
     """
 
@@ -41,6 +43,7 @@
     settings: Path
     data: Path | None
     log: Path
+    network_claim: socket.socket
     popen: subprocess.Popen[bytes] | None = None
     start_count: int = 0
 
@@ -51,6 +54,7 @@
             stdin=subprocess.DEVNULL,
             stdout=subprocess.PIPE,
             env={**os.environ, "LAGOONWING_CONFIG": str(self.settings)},
+            pass_fds=(self.network_claim.fileno(),),
         )
 
     def start(self) -> None:
@@ -63,6 +67,7 @@
                 stdout=log,
                 stderr=subprocess.STDOUT,
                 env={**os.environ, "LAGOONWING_CONFIG": str(self.settings)},
+                pass_fds=(self.network_claim.fileno(),),
             )
 
     def signal(self, number: signal.Signals) -> None:
@@ -98,13 +103,8 @@
 
 @dataclass
 class Processes:
-    """Processes of one deployment.
-
-    Attributes:
-        network_claim: Socket that keeps other deployments off the loopback addresses.
-    """
+    """Processes of one deployment."""
 
-    network_claim: socket.socket
     registries: list[SystemProcess] = field(default_factory=list)
     gateways: list[SystemProcess] = field(default_factory=list)
 
@@ -127,7 +127,7 @@
     """
     network, claim = _claim_network(network)
     seeds = [f"127.78.{network}.{10 + n}:{CONTROL_PORT}" for n in range(registries)]
-    processes = Processes(claim)
+    processes = Processes()
     for number in range(registries + gateways):
         is_registry = number < registries
         name = f"registry-{number}" if is_registry else f"gateway-{number - registries}"
@@ -163,7 +163,9 @@
             }
         path = folder / f"{name}.json"
         path.write_text(json.dumps(document), encoding="utf-8")
-        process = SystemProcess(name, address, listen_address, path, data, folder / f"{name}.log")
+        process = SystemProcess(
+            name, address, listen_address, path, data, folder / f"{name}.log", claim
+        )
         (processes.registries if is_registry else processes.gateways).append(process)
     return processes
 
