The log says why a stream was not completed and what speaks against an endpoint

No line said that a started answer was aborted, nor which condition kept a stream from being sent again, nor whether an endpoint was suspected because its host refused a connection or because nothing came. So the three hypotheses could not be told apart from the logs.

The order of the checks and all decisions are the same. The tests of the suspicions pass the evidence along.

--- a/packages/gateway/src/lagoonwing_gateway/_call_handler.py
+++ b/packages/gateway/src/lagoonwing_gateway/_call_handler.py
@@ -13,7 +13,11 @@
 from lagoonwing_core.ids import EndpointId
 from lagoonwing_gateway._components import GatewayComponents
 from lagoonwing_gateway._disconnect import async_run_until_disconnect
-from lagoonwing_gateway._endpoint_client import RESPONSE_ERRORS, OpenExchange
+from lagoonwing_gateway._endpoint_client import (
+    RESPONSE_ERRORS,
+    OpenExchange,
+    failure_evidence,
+)
 from lagoonwing_gateway._final_response import respond_unserved
 from lagoonwing_gateway._request_log import log_attempt
 from lagoonwing_gateway.const import (
@@ -33,6 +37,7 @@
     CompleteResponse,
     EndpointRequest,
     Failed,
+    FailureEvidence,
     GatewayRefusal,
     NotRun,
     RequestContext,
@@ -150,7 +155,7 @@
         try:
             open_exchange = await self._endpoint_client.async_send(outgoing, fresh)
         except ConnectError as error:
-            self._suspicions.record_failure(record.endpoint_id, str(error))
+            self._suspicions.record_failure(record.endpoint_id, str(error), failure_evidence(error))
             return None
         if is_first:
             self._budget.record_first_send(service.service_id)
@@ -174,7 +179,7 @@
             response = await async_run_until_disconnect(pending_response, responder)
         except RESPONSE_ERRORS as error:
             reason = str(error) or "no answer in time"
-            self._suspicions.record_soft_failure(endpoint_id, reason)
+            self._suspicions.record_soft_failure(endpoint_id, reason, failure_evidence(error))
             if isinstance(error, AnswerBrokenError) and await self._watchdog.async_is_down(record):
                 self._crash_tracker.record_crash(context)
             return Failed(reason, (endpoint_id,))
@@ -198,11 +203,15 @@
             return NotRun(f"the endpoint refused it with {info.status}", blamed_ids)
         if info.is_success and (not info.is_signed or info.is_encoded):
             self._suspicions.record_failure(
-                record.endpoint_id, "response is unsigned or re-encoded"
+                record.endpoint_id,
+                "response is unsigned or re-encoded",
+                FailureEvidence.RESPONSE,
             )
             return Failed("the answer is not the endpoint's own", blamed_ids)
         if info.status >= _FIRST_FAILURE_STATUS:
-            self._suspicions.record_soft_failure(record.endpoint_id, f"status {info.status}")
+            self._suspicions.record_soft_failure(
+                record.endpoint_id, f"status {info.status}", FailureEvidence.RESPONSE
+            )
             return Failed(f"the endpoint answered {info.status}", blamed_ids, response)
         self._suspicions.record_progress(blamed_ids)
         responder.send_response(info.status, response.headers, response.body)
--- a/packages/gateway/src/lagoonwing_gateway/_endpoint_client.py
+++ b/packages/gateway/src/lagoonwing_gateway/_endpoint_client.py
@@ -10,11 +10,17 @@
 from lagoonwing_core.clock import Clock
 from lagoonwing_gateway._connection_pool import EndpointConnectionPool
 from lagoonwing_gateway.const import MAX_RESPONSE_BODY_BYTES
-from lagoonwing_gateway.models import CompleteResponse, EndpointRequest, ResponseInfo
+from lagoonwing_gateway.models import (
+    CompleteResponse,
+    EndpointRequest,
+    FailureEvidence,
+    ResponseInfo,
+)
 from lagoonwing_gateway.ports import Dialect
 from lagoonwing_http import (
     AnswerBrokenError,
     ClientConnection,
+    ConnectError,
     Exchange,
     ResponseHead,
 )
@@ -105,3 +111,12 @@
 
 
 RESPONSE_ERRORS = (AnswerBrokenError, TimeoutError)
+
+
+def failure_evidence(error: BaseException) -> FailureEvidence:
+    """Return what a failed connection or exchange shows about its endpoint."""
+    if isinstance(error, ConnectError) and error.refused:
+        return FailureEvidence.REFUSED
+    if isinstance(error, TimeoutError) or isinstance(error.__cause__, TimeoutError):
+        return FailureEvidence.SILENT
+    return FailureEvidence.BROKEN
--- a/packages/gateway/src/lagoonwing_gateway/_request_log.py
+++ b/packages/gateway/src/lagoonwing_gateway/_request_log.py
@@ -14,6 +14,7 @@
     GatewayRefusal,
     NotRun,
     RequestContext,
+    ResendObstacle,
 )
 from lagoonwing_placement import Path
 
@@ -88,6 +89,29 @@
     )
 
 
+def log_unserved_stream(
+    context: RequestContext,
+    endpoint_ids: tuple[EndpointId, ...],
+    events: int,
+    last_outcome: AttemptOutcome,
+    obstacle: ResendObstacle,
+    *,
+    is_started: bool,
+) -> None:
+    """Log a stream that was sent and not completed, and why it was not sent again."""
+    reason = last_outcome.reason if isinstance(last_outcome, NotRun | Failed) else ""
+    log_event(
+        EventCode.STREAM_UNSERVED,
+        request=context.request.attempt_id,
+        route=context.route.route_id,
+        path=",".join(endpoint_ids),
+        events=events,
+        reason=reason,
+        obstacle=obstacle.value,
+        outcome="aborted" if is_started else "refused",
+    )
+
+
 def log_refusal(
     attempt_id: str | None, route_id: str | None, refusal: GatewayRefusal, duration_s: float
 ) -> None:
--- a/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
@@ -8,7 +8,11 @@
 from lagoonwing_core.ids import EndpointId
 from lagoonwing_gateway._components import GatewayComponents
 from lagoonwing_gateway._disconnect import async_run_until_disconnect
-from lagoonwing_gateway._endpoint_client import RESPONSE_ERRORS, OpenExchange
+from lagoonwing_gateway._endpoint_client import (
+    RESPONSE_ERRORS,
+    OpenExchange,
+    failure_evidence,
+)
 from lagoonwing_gateway._load_tracker import Reservation
 from lagoonwing_gateway._request_log import log_late_stream
 from lagoonwing_gateway._watchdog import WatchedStream
@@ -24,6 +28,7 @@
     CompleteResponse,
     EndpointRequest,
     Failed,
+    FailureEvidence,
     NotRun,
     RequestContext,
     StreamEvent,
@@ -47,6 +52,7 @@
         first_event_s: Time from the request to the first event.
         longest_pause_s: Longest time between two events.
         send_count: Number of times that the request was sent to an endpoint.
+        endpoint_ids: Endpoints of the path to which it was sent last.
         excluded: Endpoints that must not be used again for the request.
     """
 
@@ -57,6 +63,7 @@
     first_event_s: float = 0.0
     longest_pause_s: float = 0.0
     send_count: int = 0
+    endpoint_ids: tuple[EndpointId, ...] = ()
     excluded: set[EndpointId] = field(default_factory=set)
 
 
@@ -128,11 +135,14 @@
                 outgoing, fresh=not is_first
             )
         except ConnectError as error:
-            components.suspicions.record_failure(record.endpoint_id, str(error))
+            components.suspicions.record_failure(
+                record.endpoint_id, str(error), failure_evidence(error)
+            )
             return None
         if is_first:
             components.budget.record_first_send(self._call.service.service_id)
         self._progress.send_count += 1
+        self._progress.endpoint_ids = self._endpoint_ids
         return open_exchange
 
     async def _async_run_watched(
@@ -174,7 +184,9 @@
                 return await self._async_read_failure(open_exchange, head)
             if not info.is_signed or info.is_encoded:
                 components.suspicions.record_failure(
-                    self._endpoint_ids[0], "response is unsigned or re-encoded"
+                    self._endpoint_ids[0],
+                    "response is unsigned or re-encoded",
+                    FailureEvidence.RESPONSE,
                 )
                 return Failed("the answer is not the endpoint's own", self._endpoint_ids[:1])
             splitter = components.dialect.splitter()
--- a/packages/gateway/src/lagoonwing_gateway/_stream_handler.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_handler.py
@@ -11,7 +11,7 @@
 from lagoonwing_catalog.models import Engine, Service
 from lagoonwing_gateway._components import GatewayComponents
 from lagoonwing_gateway._final_response import respond_unserved
-from lagoonwing_gateway._request_log import log_attempt, log_path
+from lagoonwing_gateway._request_log import log_attempt, log_path, log_unserved_stream
 from lagoonwing_gateway._stream_attempt import StreamAttempt, StreamCall, StreamProgress
 from lagoonwing_gateway.const import (
     CAPACITY_POLL_INTERVAL_S,
@@ -28,6 +28,7 @@
     GatewayRefusal,
     NotRun,
     RequestContext,
+    ResendObstacle,
 )
 from lagoonwing_gateway.ports import Responder
 from lagoonwing_placement import Path, PathFinder, RequestSize
@@ -50,13 +51,16 @@
         progress = StreamProgress(last_event_id=context.request.last_event_id)
         call = StreamCall(context, service, engine, size, responder, progress)
         last_outcome: AttemptOutcome = NotRun("no path has room", ())
+        obstacle: ResendObstacle | None = None
         for _ in range(MAX_CONNECT_ATTEMPTS + context.route.max_attempts):
-            if progress.send_count and not self._may_send_again(call, last_outcome):
+            obstacle = self._find_resend_obstacle(call, last_outcome)
+            if obstacle is not None:
                 break
             path = await self._async_path(call)
             if responder.is_disconnected:
                 return None
             if path is None:
+                obstacle = ResendObstacle.NO_PATH
                 break
             last_outcome = await StreamAttempt(self._components, call, path).async_run()
             log_attempt(context, path.segments[0].endpoint_id, progress.send_count, last_outcome)
@@ -66,7 +70,9 @@
                     return None
                 case NotRun(blamed_ids=blamed_ids) | Failed(blamed_ids=blamed_ids):
                     progress.excluded.update(blamed_ids)
-        return self._finish_unserved(call, last_outcome)
+        return self._finish_unserved(
+            call, last_outcome, obstacle or ResendObstacle.CONNECT_ATTEMPTS
+        )
 
     async def _async_path(self, call: StreamCall) -> Path | None:
         """Return a path; wait for capacity if there is none."""
@@ -112,34 +118,50 @@
             )
         return path
 
-    def _may_send_again(self, call: StreamCall, last_outcome: AttemptOutcome) -> bool:
-        """Return whether a stream may be sent again."""
+    def _find_resend_obstacle(
+        self, call: StreamCall, last_outcome: AttemptOutcome
+    ) -> ResendObstacle | None:
+        """Return why a stream may not be sent again, or None if it may or was not sent yet."""
+        if call.progress.send_count == 0:
+            return None
         components = self._components
         route = call.context.route
         remote_crashes = components.follower.load_summary().crashes_by_request
         if components.crash_tracker.is_quarantined(call.context, remote_crashes):
-            return False
+            return ResendObstacle.QUARANTINED
         may_have_run = isinstance(last_outcome, Failed)
         if may_have_run and not route.is_resumable:
-            return False
+            return ResendObstacle.NOT_RESUMABLE
         if may_have_run and call.progress.send_count >= route.max_attempts:
-            return False
+            return ResendObstacle.MAX_ATTEMPTS
         if call.context.deadline - components.clock.now() < MIN_TIME_TO_SEND_S:
-            return False
-        return components.budget.try_acquire(call.service.service_id, components.follower.gateways)
+            return ResendObstacle.DEADLINE
+        if components.budget.try_acquire(call.service.service_id, components.follower.gateways):
+            return None
+        return ResendObstacle.RETRY_BUDGET
 
     def _finish_unserved(
-        self, call: StreamCall, last_outcome: AttemptOutcome
+        self, call: StreamCall, last_outcome: AttemptOutcome, obstacle: ResendObstacle
     ) -> GatewayRefusal | None:
         """Abort a started stream, or respond to a stream that was not served."""
-        if call.progress.started:
+        progress = call.progress
+        if progress.send_count:
+            log_unserved_stream(
+                call.context,
+                progress.endpoint_ids,
+                progress.events,
+                last_outcome,
+                obstacle,
+                is_started=progress.started,
+            )
+        if progress.started:
             call.responder.abort()
             return None
         return respond_unserved(
             call.context,
             last_outcome,
             call.responder,
-            was_sent=call.progress.send_count > 0,
+            was_sent=progress.send_count > 0,
             no_capacity_detail="no path over the layers has room",
             now=self._components.clock.now(),
             rng=self._components.rng,
--- a/packages/gateway/src/lagoonwing_gateway/_suspicions.py
+++ b/packages/gateway/src/lagoonwing_gateway/_suspicions.py
@@ -17,6 +17,7 @@
     MIN_SUSPICION_S,
     SUSPICION_RESET_S,
 )
+from lagoonwing_gateway.models import FailureEvidence
 
 
 @dataclass(slots=True)
@@ -52,7 +53,9 @@
             self._failures_by_id.pop(endpoint_id, None)
 
     @callback
-    def record_failure(self, endpoint_id: EndpointId, reason: str) -> None:
+    def record_failure(
+        self, endpoint_id: EndpointId, reason: str, evidence: FailureEvidence
+    ) -> None:
         """Suspect an endpoint; the duration doubles with each repeated failure."""
         now = self._clock.now()
         suspicion = self._suspicion_by_id.get(endpoint_id)
@@ -63,17 +66,23 @@
             duration_s = min(2 * suspicion.duration_s, MAX_SUSPICION_S)
         self._suspicion_by_id[endpoint_id] = _Suspicion(now + duration_s, duration_s, now)
         log_event(
-            EventCode.ENDPOINT_SUSPECTED, endpoint=endpoint_id, reason=reason, seconds=duration_s
+            EventCode.ENDPOINT_SUSPECTED,
+            endpoint=endpoint_id,
+            reason=reason,
+            evidence=evidence.value,
+            seconds=duration_s,
         )
 
     @callback
-    def record_soft_failure(self, endpoint_id: EndpointId, reason: str) -> None:
+    def record_soft_failure(
+        self, endpoint_id: EndpointId, reason: str, evidence: FailureEvidence
+    ) -> None:
         """Suspect an endpoint after several consecutive failures."""
         failure_count = self._failures_by_id.get(endpoint_id, 0) + 1
         self._failures_by_id[endpoint_id] = failure_count
         if failure_count >= MAX_CONSECUTIVE_FAILURES:
             self._failures_by_id[endpoint_id] = 0
-            self.record_failure(endpoint_id, reason)
+            self.record_failure(endpoint_id, reason, evidence)
 
     @callback
     def avoid_briefly(self, endpoint_id: EndpointId) -> None:
--- a/packages/gateway/src/lagoonwing_gateway/_watchdog.py
+++ b/packages/gateway/src/lagoonwing_gateway/_watchdog.py
@@ -18,6 +18,7 @@
 from lagoonwing_core.ids import EndpointId
 from lagoonwing_core.tasks import TaskSet
 from lagoonwing_gateway._directory import EndpointDirectory
+from lagoonwing_gateway._endpoint_client import failure_evidence
 from lagoonwing_gateway._suspicions import SuspicionTracker
 from lagoonwing_gateway.const import (
     LOOP_DELAY_WARNING_S,
@@ -27,6 +28,7 @@
     PROBE_TIMEOUT_S,
     WATCH_INTERVAL_S,
 )
+from lagoonwing_gateway.models import FailureEvidence
 from lagoonwing_http import ConnectError, async_open_connection
 
 
@@ -113,20 +115,20 @@
 
     async def async_is_down(self, record: EndpointRecord) -> bool:
         """Return whether an endpoint accepts no connections; if so, suspect it."""
-        reason = ""
+        reason, evidence = "", FailureEvidence.SILENT
         for _ in range(PROBE_ATTEMPTS):
             try:
                 connection = await async_open_connection(
                     record.address, record.port, PROBE_TIMEOUT_S, lambda connection: None
                 )
             except ConnectError as error:
-                reason = str(error)
+                reason, evidence = str(error), failure_evidence(error)
                 if error.refused:
                     break
                 continue
             connection.close()
             return False
-        self._suspicions.record_failure(record.endpoint_id, reason)
+        self._suspicions.record_failure(record.endpoint_id, reason, evidence)
         return True
 
     async def _async_probe(self, endpoint_id: EndpointId) -> None:
--- a/packages/gateway/src/lagoonwing_gateway/models.py
+++ b/packages/gateway/src/lagoonwing_gateway/models.py
@@ -165,6 +165,32 @@
     """The caller closed its connection."""
 
 
+class FailureEvidence(Enum):
+    """What shows that an endpoint failed.
+
+    REFUSED: its host refused a connection. SILENT: it did not reply in time, which a healthy
+    endpoint may do for a while. BROKEN: a connection ended. RESPONSE: its response was a failure or
+    invalid.
+    """
+
+    REFUSED = "refused"
+    SILENT = "silent"
+    BROKEN = "broken"
+    RESPONSE = "response"
+
+
+class ResendObstacle(Enum):
+    """Why a stream was not sent again."""
+
+    QUARANTINED = "quarantined"
+    NOT_RESUMABLE = "not_resumable"
+    MAX_ATTEMPTS = "max_attempts"
+    DEADLINE = "deadline"
+    RETRY_BUDGET = "retry_budget"
+    NO_PATH = "no_path"
+    CONNECT_ATTEMPTS = "connect_attempts"
+
+
 AttemptOutcome = Completed | NotRun | Failed | CallerGone
 
 
--- a/tests/gateway/test_trackers.py
+++ b/tests/gateway/test_trackers.py
@@ -14,6 +14,7 @@
 from lagoonwing_gateway._retry_budget import RetryBudget
 from lagoonwing_gateway._suspicions import SuspicionTracker
 from lagoonwing_gateway.const import MAX_CONSECUTIVE_FAILURES, MAX_SUSPICION_S, MIN_SUSPICION_S
+from lagoonwing_gateway.models import FailureEvidence
 from lagoonwing_gateway.settings import RetryBudgetSettings
 from lagoonwing_placement import Path, PathSegment, RequestSize
 
@@ -48,7 +49,7 @@
     suspicions = SuspicionTracker(clock)
     durations = []
     for _ in range(5):
-        suspicions.record_failure(ONE, "refused")
+        suspicions.record_failure(ONE, "refused", FailureEvidence.REFUSED)
         suspected_at = clock.now()
         while not suspicions.is_usable(ONE):
             clock.advance(0.25)
@@ -63,12 +64,12 @@
     clock = ManualClock()
     suspicions = SuspicionTracker(clock)
     for _ in range(MAX_CONSECUTIVE_FAILURES - 1):
-        suspicions.record_soft_failure(ONE, "status 500")
+        suspicions.record_soft_failure(ONE, "status 500", FailureEvidence.RESPONSE)
     suspicions.record_progress([ONE])
     for _ in range(MAX_CONSECUTIVE_FAILURES - 1):
-        suspicions.record_soft_failure(ONE, "status 500")
+        suspicions.record_soft_failure(ONE, "status 500", FailureEvidence.RESPONSE)
     assert suspicions.is_usable(ONE)
-    suspicions.record_soft_failure(ONE, "status 500")
+    suspicions.record_soft_failure(ONE, "status 500", FailureEvidence.RESPONSE)
     assert not suspicions.is_usable(ONE)
 
 
