A stream leaves a silent endpoint only for a certain attempt elsewhere

Callers saw: a started answer was cut and a request got neither answer nor refusal while an endpoint was merely silent for about a second.

Cause: silence was taken for death. The watchdog called an endpoint down when two connection attempts timed out, cut every stream through it, and counted a crash under each request; a resumable stream was also cut after 0.9 s without an event. Only after the cut was it asked whether the route, the attempts, the retry budget and the free paths allow another attempt.

Change: StreamFailover reserves the next attempt (conditions, path, one retry of the budget) before the present one is given up; without one the stream waits and looks again every 0.2 s until its deadline. A refused connection still moves a stream at once; silence moves one that has not begun, and one that has begun after 1.2 s, since callers leave after two. Only a refused connection counts as a crash. Progress ends a suspicion that rests on silence.

Ruled out: a change of the configuration as the cause (each case fails with and without one).

--- a/packages/gateway/src/lagoonwing_gateway/_call_handler.py
+++ b/packages/gateway/src/lagoonwing_gateway/_call_handler.py
@@ -180,8 +180,10 @@
         except RESPONSE_ERRORS as error:
             reason = str(error) or "no answer in time"
             self._suspicions.record_soft_failure(endpoint_id, reason, failure_evidence(error))
-            if isinstance(error, AnswerBrokenError) and await self._watchdog.async_is_down(record):
-                self._crash_tracker.record_crash(context)
+            if isinstance(error, AnswerBrokenError):
+                evidence = await self._watchdog.async_find_failure(record)
+                if evidence is FailureEvidence.REFUSED:
+                    self._crash_tracker.record_crash(context)
             return Failed(reason, (endpoint_id,))
         finally:
             open_exchange.close()
--- a/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
@@ -2,22 +2,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-
-from lagoonwing_catalog.models import Engine, Service
 from lagoonwing_core.ids import EndpointId
 from lagoonwing_gateway._components import GatewayComponents
 from lagoonwing_gateway._disconnect import async_run_until_disconnect
-from lagoonwing_gateway._endpoint_client import (
-    RESPONSE_ERRORS,
-    OpenExchange,
-    failure_evidence,
-)
+from lagoonwing_gateway._endpoint_client import OpenExchange, failure_evidence
 from lagoonwing_gateway._load_tracker import Reservation
+from lagoonwing_gateway._patient_reader import GivenUpError, PatientReader
 from lagoonwing_gateway._request_log import log_late_stream
+from lagoonwing_gateway._stream_call import StreamCall
+from lagoonwing_gateway._stream_failover import StreamFailover
 from lagoonwing_gateway._watchdog import WatchedStream
 from lagoonwing_gateway.const import (
-    DEADLINE_MARGIN_S,
     MAX_EVENT_BYTES,
     MISDIRECTED_STATUS,
     STREAM_STALL_TIMEOUT_S,
@@ -30,60 +25,26 @@
     Failed,
     FailureEvidence,
     NotRun,
-    RequestContext,
     StreamEvent,
 )
-from lagoonwing_gateway.ports import Responder
-from lagoonwing_http import ConnectError, ResponseHead
-from lagoonwing_placement import Path, RequestSize, prefill_ms, transfer_ms
+from lagoonwing_http import AnswerBrokenError, ConnectError, ResponseHead
+from lagoonwing_placement import Path, prefill_ms, transfer_ms
 
 _STREAM_STATUS = 200
 
 
-@dataclass(slots=True)
-class StreamProgress:
-    """Progress of a stream towards its caller.
-
-    Attributes:
-        started: Whether the response head was sent to the caller.
-        last_event_id: Id of the last event sent to the caller.
-        events: Number of events sent to the caller.
-        last_event_at: Time at which the last event was sent.
-        first_event_s: Time from the request to the first event.
-        longest_pause_s: Longest time between two events.
-        send_count: Number of times that the request was sent to an endpoint.
-        endpoint_ids: Endpoints of the path to which it was sent last.
-        excluded: Endpoints that must not be used again for the request.
-    """
-
-    started: bool = False
-    last_event_id: str | None = None
-    events: int = 0
-    last_event_at: float = 0.0
-    first_event_s: float = 0.0
-    longest_pause_s: float = 0.0
-    send_count: int = 0
-    endpoint_ids: tuple[EndpointId, ...] = ()
-    excluded: set[EndpointId] = field(default_factory=set)
-
-
-@dataclass(frozen=True, slots=True)
-class StreamCall:
-    """A stream requested by a caller."""
-
-    context: RequestContext
-    service: Service
-    engine: Engine
-    size: RequestSize
-    responder: Responder
-    progress: StreamProgress
-
-
 class StreamAttempt:
     """Runs a stream on one path."""
 
-    def __init__(self, components: GatewayComponents, call: StreamCall, path: Path) -> None:
+    def __init__(
+        self,
+        components: GatewayComponents,
+        call: StreamCall,
+        failover: StreamFailover,
+        path: Path,
+    ) -> None:
         self._components = components
+        self._failover = failover
         self._call = call
         self._context = call.context
         self._progress = call.progress
@@ -91,6 +52,7 @@
         self._path = path
         self._endpoint_ids = tuple(segment.endpoint_id for segment in path.segments)
         self._down_ids: list[EndpointId] = []
+        self._is_crash = False
 
     async def async_run(self) -> AttemptOutcome:
         """Reserve the path, send the request and relay its events."""
@@ -149,10 +111,13 @@
         self, open_exchange: OpenExchange, reservation: Reservation
     ) -> AttemptOutcome:
         """Relay one exchange while the watchdog monitors its endpoints."""
+        reader = PatientReader(
+            self._components, self._call, self._failover, self._path, open_exchange
+        )
 
-        def interrupt(endpoint_id: EndpointId) -> None:
-            self._down_ids.append(endpoint_id)
-            open_exchange.close()
+        def interrupt(endpoint_id: EndpointId, evidence: FailureEvidence) -> None:
+            if self._leaves(endpoint_id, evidence, reader):
+                open_exchange.close()
 
         now = self._components.clock.now()
         silence_allowed_until = now + 2 * self._path.first_token_ms / 1_000
@@ -161,25 +126,42 @@
         )
         self._components.watchdog.watch(stream)
         try:
-            relay = self._async_relay(open_exchange, reservation, stream)
+            relay = self._async_relay(open_exchange, reader, reservation, stream)
             outcome = await async_run_until_disconnect(relay, self._responder)
         finally:
             self._components.watchdog.unwatch(stream)
         if self._down_ids and isinstance(outcome, Failed):
-            self._components.crash_tracker.record_crash(self._context)
+            if self._is_crash:
+                self._components.crash_tracker.record_crash(self._context)
             return Failed(f"{self._down_ids[0]} is down", tuple(self._down_ids))
         return outcome
 
+    def _leaves(
+        self, endpoint_id: EndpointId, evidence: FailureEvidence, reader: PatientReader
+    ) -> bool:
+        """Return whether to continue elsewhere since an endpoint of the path seems to be down.
+
+        A stream that has begun to arrive gains nothing by leaving an endpoint that may go on.
+        """
+        if evidence is not FailureEvidence.REFUSED and reader.has_events:
+            return False
+        if not self._failover.try_reserve((endpoint_id,)):
+            return False
+        self._down_ids.append(endpoint_id)
+        self._is_crash = self._is_crash or evidence is FailureEvidence.REFUSED
+        return True
+
     async def _async_relay(
-        self, open_exchange: OpenExchange, reservation: Reservation, stream: WatchedStream
+        self,
+        open_exchange: OpenExchange,
+        reader: PatientReader,
+        reservation: Reservation,
+        stream: WatchedStream,
     ) -> AttemptOutcome:
         """Relay the events of one exchange."""
         components = self._components
-        wait_started_at = components.clock.now()
         try:
-            head, info = await components.endpoint_client.async_head(
-                open_exchange, self._read_timeout(wait_started_at)
-            )
+            head, info = await reader.async_head()
             if not info.is_success:
                 return await self._async_read_failure(open_exchange, head)
             if not info.is_signed or info.is_encoded:
@@ -190,22 +172,20 @@
                 )
                 return Failed("the answer is not the endpoint's own", self._endpoint_ids[:1])
             splitter = components.dialect.splitter()
-            wait_started_at = components.clock.now()
-            while True:
-                timeout = self._read_timeout(wait_started_at)
-                chunk = await open_exchange.exchange.async_read_chunk(timeout)
-                if chunk is None:
-                    break
+            reader.record_progress()
+            while (chunk := await reader.async_chunk()) is not None:
                 events = splitter.feed(chunk)
                 if events:
                     components.load_tracker.complete_prefill(reservation)
                     self._forward_events(head, events, stream)
                     # Bytes that complete no event are no progress.
-                    wait_started_at = components.clock.now()
+                    reader.record_progress(is_event=True)
                 elif len(splitter.rest) > MAX_EVENT_BYTES:
                     return Failed("an event of the stream is too large", self._endpoint_ids[:1])
-        except RESPONSE_ERRORS as error:
-            return self._blame_endpoints(wait_started_at, error)
+        except AnswerBrokenError as error:
+            return self._blame_first_endpoint(str(error))
+        except GivenUpError as error:
+            return error.outcome
         if splitter.rest:
             return Failed("the stream ended in the middle of an event", self._endpoint_ids[:1])
         self._finish(head)
@@ -257,36 +237,11 @@
             progress.longest_pause_s = max(progress.longest_pause_s, now - progress.last_event_at)
         progress.last_event_at = now
 
-    def _read_timeout(self, waiting_since: float) -> float:
-        """Return how long to wait for the next event.
-
-        Raises:
-            TimeoutError: The deadline or the time for the event has passed.
-        """
-        route = self._context.route
-        wait_until = self._context.deadline - DEADLINE_MARGIN_S
-        if route.is_resumable and self._progress.send_count < route.max_attempts:
-            expected_s = self._path.first_token_ms / 1_000 if self._progress.events == 0 else 0.0
-            wait_until = min(wait_until, waiting_since + STREAM_STALL_TIMEOUT_S + expected_s)
-        remaining_s = wait_until - self._components.clock.now()
-        if remaining_s <= 0:
-            raise TimeoutError
-        return remaining_s
-
-    def _blame_endpoints(self, silent_since: float, error: BaseException) -> AttemptOutcome:
-        """Determine the endpoints to blame for a path that stalled or broke."""
-        components = self._components
-        if components.clock.now() >= self._context.deadline - 2 * DEADLINE_MARGIN_S:
-            return Failed("the deadline has passed", ())
-        reason = str(error) or "the path fell silent"
-        is_timeout = isinstance(error, TimeoutError)
-        blamed_ids = (
-            components.suspicions.without_progress_since(self._endpoint_ids, silent_since)
-            if is_timeout
-            else self._endpoint_ids[:1]
-        )
-        components.watchdog.probe_all(blamed_ids)
-        return Failed(reason, blamed_ids or self._endpoint_ids)
+    def _blame_first_endpoint(self, reason: str) -> Failed:
+        """Blame the first endpoint of the path for a connection that it ended."""
+        first_ids = self._endpoint_ids[:1]
+        self._components.watchdog.probe_all(first_ids)
+        return Failed(reason, first_ids)
 
     async def _async_read_failure(
         self, open_exchange: OpenExchange, head: ResponseHead
--- /dev/null
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_call.py
@@ -0,0 +1,50 @@
+"""A stream requested by a caller, and how far it has come."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from lagoonwing_catalog.models import Engine, Service
+from lagoonwing_core.ids import EndpointId
+from lagoonwing_gateway.models import RequestContext
+from lagoonwing_gateway.ports import Responder
+from lagoonwing_placement import RequestSize
+
+
+@dataclass(slots=True)
+class StreamProgress:
+    """Progress of a stream towards its caller.
+
+    Attributes:
+        started: Whether the response head was sent to the caller.
+        last_event_id: Id of the last event sent to the caller.
+        events: Number of events sent to the caller.
+        last_event_at: Time at which the last event was sent.
+        first_event_s: Time from the request to the first event.
+        longest_pause_s: Longest time between two events.
+        send_count: Number of times that the request was sent to an endpoint.
+        endpoint_ids: Endpoints of the path to which it was sent last.
+        excluded: Endpoints that must not be used again for the request.
+    """
+
+    started: bool = False
+    last_event_id: str | None = None
+    events: int = 0
+    last_event_at: float = 0.0
+    first_event_s: float = 0.0
+    longest_pause_s: float = 0.0
+    send_count: int = 0
+    endpoint_ids: tuple[EndpointId, ...] = ()
+    excluded: set[EndpointId] = field(default_factory=set)
+
+
+@dataclass(frozen=True, slots=True)
+class StreamCall:
+    """A stream requested by a caller."""
+
+    context: RequestContext
+    service: Service
+    engine: Engine
+    size: RequestSize
+    responder: Responder
+    progress: StreamProgress
--- a/packages/gateway/src/lagoonwing_gateway/_stream_handler.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_handler.py
@@ -11,8 +11,10 @@
 from lagoonwing_catalog.models import Engine, Service
 from lagoonwing_gateway._components import GatewayComponents
 from lagoonwing_gateway._final_response import respond_unserved
-from lagoonwing_gateway._request_log import log_attempt, log_path, log_unserved_stream
-from lagoonwing_gateway._stream_attempt import StreamAttempt, StreamCall, StreamProgress
+from lagoonwing_gateway._request_log import log_attempt, log_unserved_stream
+from lagoonwing_gateway._stream_attempt import StreamAttempt
+from lagoonwing_gateway._stream_call import StreamCall, StreamProgress
+from lagoonwing_gateway._stream_failover import StreamFailover
 from lagoonwing_gateway.const import (
     CAPACITY_POLL_INTERVAL_S,
     CAPACITY_WAIT_SHARE,
@@ -31,7 +33,7 @@
     ResendObstacle,
 )
 from lagoonwing_gateway.ports import Responder
-from lagoonwing_placement import Path, PathFinder, RequestSize
+from lagoonwing_placement import Path, RequestSize
 
 
 class StreamHandler:
@@ -50,19 +52,22 @@
         )
         progress = StreamProgress(last_event_id=context.request.last_event_id)
         call = StreamCall(context, service, engine, size, responder, progress)
+        failover = StreamFailover(self._components, call)
         last_outcome: AttemptOutcome = NotRun("no path has room", ())
         obstacle: ResendObstacle | None = None
         for _ in range(MAX_CONNECT_ATTEMPTS + context.route.max_attempts):
-            obstacle = self._find_resend_obstacle(call, last_outcome)
-            if obstacle is not None:
-                break
-            path = await self._async_path(call)
+            path = failover.take_reserved_path()
+            if path is None:
+                obstacle = failover.find_obstacle(last_outcome)
+                if obstacle is not None:
+                    break
+                path = await self._async_path(call, failover)
             if responder.is_disconnected:
                 return None
             if path is None:
                 obstacle = ResendObstacle.NO_PATH
                 break
-            last_outcome = await StreamAttempt(self._components, call, path).async_run()
+            last_outcome = await StreamAttempt(self._components, call, failover, path).async_run()
             log_attempt(context, path.segments[0].endpoint_id, progress.send_count, last_outcome)
             self._components.metrics.attempt_ended(type(last_outcome).__name__)
             match last_outcome:
@@ -74,14 +79,14 @@
             call, last_outcome, obstacle or ResendObstacle.CONNECT_ATTEMPTS
         )
 
-    async def _async_path(self, call: StreamCall) -> Path | None:
+    async def _async_path(self, call: StreamCall, failover: StreamFailover) -> Path | None:
         """Return a path; wait for capacity if there is none."""
         clock = self._components.clock
         capacity_wait_s = call.context.route.objective_s * CAPACITY_WAIT_SHARE
         wait_deadline = min(
             call.context.deadline - MIN_TIME_TO_SEND_S, clock.now() + capacity_wait_s
         )
-        path = self._find_path(call)
+        path = failover.find_path()
         if path is not None or self._waiting_streams >= MAX_WAITING_STREAMS:
             return path
         self._waiting_streams += 1
@@ -90,56 +95,11 @@
                 path is None and clock.now() < wait_deadline and not call.responder.is_disconnected
             ):
                 await asyncio.sleep(CAPACITY_POLL_INTERVAL_S)
-                path = self._find_path(call)
+                path = failover.find_path()
         finally:
             self._waiting_streams -= 1
         return path
 
-    def _find_path(self, call: StreamCall) -> Path | None:
-        """Return the best path that has capacity now."""
-        components = self._components
-        load_by_id = components.load_tracker.loads(components.follower.load_summary().load_by_id)
-        groups = components.directory.holder_groups(call.service, call.engine)
-        backlogs = components.backlog_estimator.backlogs()
-        finder = PathFinder(
-            call.engine, load_by_id, components.rng, components.failure_domain, backlogs
-        )
-        path = finder.find(
-            groups, call.size, components.directory.usability_check(call.progress.excluded)
-        )
-        if path is not None:
-            log_path(
-                call.context,
-                path,
-                call.progress.send_count + 1,
-                sum(len(group.endpoint_ids) for group in groups),
-                components.follower.revision,
-                components.follower.age(),
-            )
-        return path
-
-    def _find_resend_obstacle(
-        self, call: StreamCall, last_outcome: AttemptOutcome
-    ) -> ResendObstacle | None:
-        """Return why a stream may not be sent again, or None if it may or was not sent yet."""
-        if call.progress.send_count == 0:
-            return None
-        components = self._components
-        route = call.context.route
-        remote_crashes = components.follower.load_summary().crashes_by_request
-        if components.crash_tracker.is_quarantined(call.context, remote_crashes):
-            return ResendObstacle.QUARANTINED
-        may_have_run = isinstance(last_outcome, Failed)
-        if may_have_run and not route.is_resumable:
-            return ResendObstacle.NOT_RESUMABLE
-        if may_have_run and call.progress.send_count >= route.max_attempts:
-            return ResendObstacle.MAX_ATTEMPTS
-        if call.context.deadline - components.clock.now() < MIN_TIME_TO_SEND_S:
-            return ResendObstacle.DEADLINE
-        if components.budget.try_acquire(call.service.service_id, components.follower.gateways):
-            return None
-        return ResendObstacle.RETRY_BUDGET
-
     def _finish_unserved(
         self, call: StreamCall, last_outcome: AttemptOutcome, obstacle: ResendObstacle
     ) -> GatewayRefusal | None:
--- a/packages/gateway/src/lagoonwing_gateway/_suspicions.py
+++ b/packages/gateway/src/lagoonwing_gateway/_suspicions.py
@@ -27,11 +27,13 @@
     Attributes:
         until: Time from which the endpoint may get requests again.
         duration_s: Duration of the suspicion.
+        evidence: What showed that the endpoint failed.
     """
 
     until: float
     duration_s: float
     failed_at: float
+    evidence: FailureEvidence
 
 
 class SuspicionTracker:
@@ -51,6 +53,10 @@
         for endpoint_id in endpoint_ids:
             self._progress_at_by_id[endpoint_id] = now
             self._failures_by_id.pop(endpoint_id, None)
+            suspicion = self._suspicion_by_id.get(endpoint_id)
+            if suspicion is not None and suspicion.evidence is FailureEvidence.SILENT:
+                # It was only silent; the next suspicion is a first one again.
+                del self._suspicion_by_id[endpoint_id]
 
     @callback
     def record_failure(
@@ -64,7 +70,7 @@
             return
         if suspicion is not None and now < suspicion.failed_at + SUSPICION_RESET_S:
             duration_s = min(2 * suspicion.duration_s, MAX_SUSPICION_S)
-        self._suspicion_by_id[endpoint_id] = _Suspicion(now + duration_s, duration_s, now)
+        self._suspicion_by_id[endpoint_id] = _Suspicion(now + duration_s, duration_s, now, evidence)
         log_event(
             EventCode.ENDPOINT_SUSPECTED,
             endpoint=endpoint_id,
--- a/packages/gateway/src/lagoonwing_gateway/_watchdog.py
+++ b/packages/gateway/src/lagoonwing_gateway/_watchdog.py
@@ -37,12 +37,12 @@
     """An active stream.
 
     Attributes:
-        interrupt: Aborts the attempt; called with the failed endpoint.
+        interrupt: Called with an endpoint that seems to be down, and what shows it.
         silence_allowed_until: Time until which no events are expected because of prefill.
     """
 
     endpoint_ids: tuple[EndpointId, ...]
-    interrupt: Callable[[EndpointId], None]
+    interrupt: Callable[[EndpointId, FailureEvidence], None]
     silence_allowed_until: float
     last_event_at: float
 
@@ -113,9 +113,11 @@
         self._probed_at_by_id[endpoint_id] = now
         self._tasks.spawn(self._async_probe(endpoint_id))
 
-    async def async_is_down(self, record: EndpointRecord) -> bool:
-        """Return whether an endpoint accepts no connections; if so, suspect it."""
-        reason, evidence = "", FailureEvidence.SILENT
+    async def async_find_failure(self, record: EndpointRecord) -> FailureEvidence | None:
+        """Probe an endpoint; return what shows that it is down, or None if it accepts connections.
+
+        An endpoint that seems to be down is suspected.
+        """
         for _ in range(PROBE_ATTEMPTS):
             try:
                 connection = await async_open_connection(
@@ -123,19 +125,20 @@
                 )
             except ConnectError as error:
                 reason, evidence = str(error), failure_evidence(error)
-                if error.refused:
+                if evidence is FailureEvidence.REFUSED:
                     break
                 continue
             connection.close()
-            return False
+            return None
         self._suspicions.record_failure(record.endpoint_id, reason, evidence)
-        return True
+        return evidence
 
     async def _async_probe(self, endpoint_id: EndpointId) -> None:
-        """Probe an endpoint; interrupt its streams if it is down."""
+        """Probe an endpoint; tell its streams if it seems to be down."""
         record = self._directory.record(endpoint_id)
-        if record is None or not await self.async_is_down(record):
+        evidence = None if record is None else await self.async_find_failure(record)
+        if evidence is None:
             return
         for stream in list(self._streams):
             if endpoint_id in stream.endpoint_ids:
-                stream.interrupt(endpoint_id)
+                stream.interrupt(endpoint_id, evidence)
--- a/packages/gateway/src/lagoonwing_gateway/const.py
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -41,11 +41,14 @@
 # A single packet may be lost, so an endpoint is down only if several attempts time out.
 PROBE_ATTEMPTS = 2
 MIN_PROBE_INTERVAL_S = 0.5
-# Time without events after which a stream is resumed on another path.
-STREAM_STALL_TIMEOUT_S = 0.9
+# Time without events after which a stream is resumed on another path, if there is one. Healthy
+# endpoints may be silent for about a second; callers leave after two.
+STREAM_STALL_TIMEOUT_S = 1.2
+# Interval at which another path is looked for while a path stays silent.
+SILENCE_RECHECK_INTERVAL_S = 0.2
 # Consecutive failed calls to an endpoint after which it is suspected.
 MAX_CONSECUTIVE_FAILURES = 3
-# Response timeout after which a repeatable call is retried on another endpoint, as a share of the
+# Response time after which a repeatable call is sent to another endpoint, as a share of the
 # route's latency objective.
 CALL_RETRY_TIMEOUT_SHARE = 0.9
 MIN_CALL_RETRY_TIMEOUT_S = 0.2
--- a/packages/http/src/lagoonwing_http/_exchange.py
+++ b/packages/http/src/lagoonwing_http/_exchange.py
@@ -57,7 +57,8 @@
         Raises:
             AnswerBrokenError: The connection closed first.
         """
-        return await self._head
+        # Shielded, so that a reader whose wait timed out may wait again.
+        return await asyncio.shield(self._head)
 
     async def async_read_chunk(self, timeout: float) -> bytes | None:
         """Wait for the next chunk of the body; return `None` at its end.
