A repeatable call gives up a late endpoint only for a certain attempt elsewhere

Callers saw: 502 "no answer in time" after 0.36 s of a 3 s deadline, from a safe call whose only endpoint was silent for a second.

Cause: as with streams, the attempt timed out before it was known whether another endpoint, attempt or retry of the budget was left. A crash of a call's endpoint is counted only if its host refuses connections.

Ruled out: longer fixed timeouts, which delay the retry that is possible.

--- a/packages/gateway/src/lagoonwing_gateway/_call_handler.py
+++ b/packages/gateway/src/lagoonwing_gateway/_call_handler.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Iterable
+from dataclasses import dataclass, field
 
 from lagoonwing_catalog.messages import EndpointLoad
 from lagoonwing_catalog.models import EndpointRecord, RequestKind, Service
@@ -29,6 +31,7 @@
     MIN_CALL_RETRY_TIMEOUT_S,
     MIN_TIME_TO_SEND_S,
     MISDIRECTED_STATUS,
+    SILENCE_RECHECK_INTERVAL_S,
 )
 from lagoonwing_gateway.models import (
     AttemptOutcome,
@@ -50,6 +53,24 @@
 _FIRST_FAILURE_STATUS = 500
 
 
+@dataclass(slots=True)
+class _Call:
+    """A call and its attempts.
+
+    Attributes:
+        send_count: Number of times that the call was sent to an endpoint.
+        excluded: Endpoints that must not be used again for the call.
+        reserved: Endpoint of the next attempt, which is certain to be made.
+    """
+
+    context: RequestContext
+    service: Service
+    responder: Responder
+    send_count: int = 0
+    excluded: set[EndpointId] = field(default_factory=set)
+    reserved: EndpointRecord | None = None
+
+
 class CallHandler:
     """Serves requests whose responses are forwarded as a whole."""
 
@@ -72,46 +93,64 @@
         self, context: RequestContext, service: Service, responder: Responder
     ) -> GatewayRefusal | None:
         """Serve one call; return the refusal to send, or None if the call was answered."""
-        excluded: set[EndpointId] = set()
+        call = _Call(context, service, responder)
         last_outcome: AttemptOutcome = NotRun("no endpoint has room", ())
-        send_count = 0
         connect_attempts = 0
         while connect_attempts < MAX_CONNECT_ATTEMPTS + context.route.max_attempts:
-            record = self._choose_endpoint(service, excluded)
-            if record is None or context.deadline - self._clock.now() < MIN_TIME_TO_SEND_S:
-                break
-            if send_count and not self._may_send_again(context, service, last_outcome):
+            record = self._next_endpoint(call, last_outcome)
+            if record is None:
                 break
             connect_attempts += 1
-            open_exchange = await self._async_open(
-                context, service, record, is_first=send_count == 0
-            )
+            open_exchange = await self._async_open(call, record)
             if open_exchange is None:
-                excluded.add(record.endpoint_id)
+                call.excluded.add(record.endpoint_id)
                 continue
-            send_count += 1
-            last_outcome = await self._async_attempt(
-                context, record, open_exchange, responder, send_count
-            )
-            log_attempt(context, record.endpoint_id, send_count, last_outcome)
+            call.send_count += 1
+            last_outcome = await self._async_attempt(call, record, open_exchange)
+            log_attempt(context, record.endpoint_id, call.send_count, last_outcome)
             self._metrics.attempt_ended(type(last_outcome).__name__)
             match last_outcome:
                 case Completed() | CallerGone():
                     return None
                 case NotRun() | Failed():
-                    excluded.add(record.endpoint_id)
-            if send_count >= context.route.max_attempts:
+                    call.excluded.add(record.endpoint_id)
+            if call.send_count >= context.route.max_attempts:
                 break
         return respond_unserved(
             context,
             last_outcome,
             responder,
-            was_sent=send_count > 0,
+            was_sent=call.send_count > 0,
             no_capacity_detail="no endpoint can take the call",
             now=self._clock.now(),
             rng=self._rng,
         )
 
+    def _next_endpoint(self, call: _Call, last_outcome: AttemptOutcome) -> EndpointRecord | None:
+        """Return the endpoint to try next, or None if the call may not be sent."""
+        record, call.reserved = call.reserved, None
+        if record is not None:
+            return record
+        record = self._choose_endpoint(call.service, call.excluded)
+        if record is None or call.context.deadline - self._clock.now() < MIN_TIME_TO_SEND_S:
+            return None
+        if call.send_count and not self._may_send_again(call, last_outcome):
+            return None
+        return record
+
+    def _try_reserve(self, call: _Call, silent: EndpointRecord) -> bool:
+        """Reserve an attempt at another endpoint; return whether there is one."""
+        excluded = {*call.excluded, silent.endpoint_id}
+        record = self._choose_endpoint(call.service, excluded)
+        if record is None or call.send_count >= call.context.route.max_attempts:
+            return False
+        if call.context.deadline - self._clock.now() < MIN_TIME_TO_SEND_S:
+            return False
+        if not self._may_send_again(call, Failed("no answer in time", ())):
+            return False
+        call.reserved = record
+        return True
+
     def _choose_endpoint(
         self, service: Service, excluded: Iterable[EndpointId]
     ) -> EndpointRecord | None:
@@ -133,18 +172,16 @@
         self._rng.shuffle(records)
         return min(filter(has_capacity, records), key=cost, default=None)
 
-    def _may_send_again(
-        self, context: RequestContext, service: Service, last_outcome: AttemptOutcome
-    ) -> bool:
-        """Return whether a call may be sent to another endpoint."""
-        if context.route.kind is RequestKind.UNSAFE and not isinstance(last_outcome, NotRun):
+    def _may_send_again(self, call: _Call, last_outcome: AttemptOutcome) -> bool:
+        """Return whether a call may be sent to another endpoint; if so, take one retry."""
+        is_unsafe = call.context.route.kind is RequestKind.UNSAFE
+        if is_unsafe and not isinstance(last_outcome, NotRun):
             return False
-        return self._budget.try_acquire(service.service_id, self._follower.gateways)
+        return self._budget.try_acquire(call.service.service_id, self._follower.gateways)
 
-    async def _async_open(
-        self, context: RequestContext, service: Service, record: EndpointRecord, is_first: bool
-    ) -> OpenExchange | None:
+    async def _async_open(self, call: _Call, record: EndpointRecord) -> OpenExchange | None:
         """Send a call to an endpoint; return None if it can't be reached."""
+        context = call.context
         budget_s = context.deadline - self._clock.now()
         outgoing = EndpointRequest(
             context.request, record, context.member, budget_s, context.route.priority
@@ -157,42 +194,67 @@
         except ConnectError as error:
             self._suspicions.record_failure(record.endpoint_id, str(error), failure_evidence(error))
             return None
-        if is_first:
-            self._budget.record_first_send(service.service_id)
+        if call.send_count == 0:
+            self._budget.record_first_send(call.service.service_id)
         return open_exchange
 
     async def _async_attempt(
-        self,
-        context: RequestContext,
-        record: EndpointRecord,
-        open_exchange: OpenExchange,
-        responder: Responder,
-        send_number: int,
+        self, call: _Call, record: EndpointRecord, open_exchange: OpenExchange
     ) -> AttemptOutcome:
         """Wait for the response of one endpoint and forward it if it is valid."""
         endpoint_id = record.endpoint_id
         self._load_tracker.begin_call(endpoint_id)
-        pending_response = self._endpoint_client.async_complete_response(
-            open_exchange, self._response_deadline(context, send_number)
-        )
         try:
-            response = await async_run_until_disconnect(pending_response, responder)
+            response = await async_run_until_disconnect(
+                self._async_response(call, record, open_exchange), call.responder
+            )
         except RESPONSE_ERRORS as error:
-            reason = str(error) or "no answer in time"
-            self._suspicions.record_soft_failure(endpoint_id, reason, failure_evidence(error))
-            if isinstance(error, AnswerBrokenError):
-                evidence = await self._watchdog.async_find_failure(record)
-                if evidence is FailureEvidence.REFUSED:
-                    self._crash_tracker.record_crash(context)
-            return Failed(reason, (endpoint_id,))
+            return await self._async_record_failure(call.context, record, error)
         finally:
             open_exchange.close()
             self._load_tracker.end_call(endpoint_id)
         if isinstance(response, CallerGone):
             return response
         elapsed = self._clock.now() - open_exchange.sent_at
-        self._slowdown.observe(endpoint_id, elapsed, context.route.objective_s / 2)
-        return self._judge(record, response, responder)
+        self._slowdown.observe(endpoint_id, elapsed, call.context.route.objective_s / 2)
+        return self._judge(record, response, call.responder)
+
+    async def _async_response(
+        self, call: _Call, record: EndpointRecord, open_exchange: OpenExchange
+    ) -> CompleteResponse:
+        """Wait for a response; give up an endpoint that is late only for a certain attempt.
+
+        Raises:
+            AnswerBrokenError: The connection closed before the response was complete.
+            TimeoutError: The deadline has passed, or another attempt is reserved.
+        """
+        response = asyncio.ensure_future(
+            self._endpoint_client.async_complete_response(
+                open_exchange, call.context.deadline - DEADLINE_MARGIN_S
+            )
+        )
+        patience_s = self._patience_s(call.context)
+        try:
+            while not response.done():
+                await asyncio.wait((response,), timeout=patience_s)
+                if not response.done() and self._try_reserve(call, record):
+                    raise TimeoutError
+                patience_s = SILENCE_RECHECK_INTERVAL_S
+            return response.result()
+        finally:
+            response.cancel()
+
+    async def _async_record_failure(
+        self, context: RequestContext, record: EndpointRecord, error: BaseException
+    ) -> Failed:
+        """Record an attempt that gave no whole response, and whether its endpoint crashed."""
+        reason = str(error) or "no answer in time"
+        self._suspicions.record_soft_failure(record.endpoint_id, reason, failure_evidence(error))
+        if isinstance(error, AnswerBrokenError):
+            evidence = await self._watchdog.async_find_failure(record)
+            if evidence is FailureEvidence.REFUSED:
+                self._crash_tracker.record_crash(context)
+        return Failed(reason, (record.endpoint_id,))
 
     def _judge(
         self, record: EndpointRecord, response: CompleteResponse, responder: Responder
@@ -219,12 +281,7 @@
         responder.send_response(info.status, response.headers, response.body)
         return Completed()
 
-    def _response_deadline(self, context: RequestContext, send_number: int) -> float:
-        """Return the time until which to wait for an endpoint's response."""
-        deadline = context.deadline - DEADLINE_MARGIN_S
-        if context.route.kind is RequestKind.UNSAFE or send_number >= context.route.max_attempts:
-            return deadline
-        retry_timeout_s = max(
-            MIN_CALL_RETRY_TIMEOUT_S, context.route.objective_s * CALL_RETRY_TIMEOUT_SHARE
-        )
-        return min(deadline, self._clock.now() + retry_timeout_s)
+    def _patience_s(self, context: RequestContext) -> float:
+        """Return how long an endpoint may take before another one is looked for."""
+        objective_share_s = context.route.objective_s * CALL_RETRY_TIMEOUT_SHARE
+        return max(MIN_CALL_RETRY_TIMEOUT_S, objective_share_s)
