The guard of a request covers its resolution

Waiting for routes and resolving the route ran before the try of Gateway.async_serve: an exception there would have ended the request without an answer and left active_requests one too high for good, so that a drain never becomes idle. Both run inside now. tests/platform/test_platform_path.py and test_unusual_requests.py pass before and after.

--- a/packages/gateway/src/lagoonwing_gateway/_gateway.py
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -202,14 +202,12 @@
         """Serve one request of a caller."""
         self._active_requests += 1
         self._idle.clear()
-        await self._async_wait_for_routes(request)
-        context_or_refusal = self._resolve(request)
-        route_id = (
-            context_or_refusal.route.route_id
-            if isinstance(context_or_refusal, RequestContext)
-            else None
-        )
+        route_id = None
         try:
+            await self._async_wait_for_routes(request)
+            context_or_refusal = self._resolve(request)
+            if isinstance(context_or_refusal, RequestContext):
+                route_id = context_or_refusal.route.route_id
             refusal = await self._async_serve_or_refuse(context_or_refusal, responder)
         except Exception as error:
             log_event(EventCode.COMPONENT_FAILED, component=self.name, error=repr(error))
