--- a/packages/fakes/src/lagoonwing_fakes/platform/__init__.py
+++ b/packages/fakes/src/lagoonwing_fakes/platform/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from lagoonwing_fakes.platform._crashing_prompts import Arrival, CrashingPrompts
 from lagoonwing_fakes.platform._documents import make_document
 from lagoonwing_fakes.platform._endpoint import Endpoint, WorkHandler, start_endpoint
 from lagoonwing_fakes.platform._processes import Processes, SystemProcess, make_processes
@@ -12,6 +13,8 @@
 )
 
 __all__ = [
+    "Arrival",
+    "CrashingPrompts",
     "Endpoint",
     "Processes",
     "SystemProcess",
--- a/packages/fakes/src/lagoonwing_fakes/platform/_endpoint.py
+++ b/packages/fakes/src/lagoonwing_fakes/platform/_endpoint.py
@@ -9,6 +9,8 @@
 from typing import Any
 
 from tornado.httpserver import HTTPServer
+from tornado.iostream import IOStream
+from tornado.netutil import bind_sockets
 from tornado.testing import bind_unused_port
 from tornado.web import Application, RequestHandler
 
@@ -16,6 +18,7 @@
 from lagoonwing_fakes.platform.const import ADDRESS, EVENTS
 from lagoonwing_platform.const import (
     HEADER_ATTEMPT_ID,
+    HEADER_EXPECTED_ENDPOINT,
     HEADER_LAST_EVENT,
     HEADER_SIGNATURE,
     HEADER_TOKENS,
@@ -25,6 +28,29 @@
 
 RequestBehavior = Callable[["WorkHandler"], Any]
 
+_MISDIRECTED_STATUS = 421
+
+
+class _EndpointServer(HTTPServer):
+    """Server whose open connections can be closed at once."""
+
+    def initialize(self, *args: Any, **kwargs: Any) -> None:
+        """Create the server."""
+        self._streams: set[IOStream] = set()
+        super().initialize(*args, **kwargs)
+
+    def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
+        """Serve a connection and remember it while it is open."""
+        self._streams.add(stream)
+        super().handle_stream(stream, address)
+
+    def crash(self) -> None:
+        """Stop listening and close all connections."""
+        self.stop()
+        for stream in self._streams:
+            stream.close()
+        self._streams.clear()
+
 
 @dataclass
 class Endpoint:
@@ -45,7 +71,8 @@
     headers_by_attempt_id: dict[str, dict[str, str]] = field(default_factory=dict)
     orders: int = 0
     sequence: int = 0
-    server: HTTPServer | None = None
+    server: _EndpointServer | None = None
+    has_crashed: bool = False
     caller_disconnected: asyncio.Event = field(default_factory=asyncio.Event)
 
     def heartbeat(self, **changes: Any) -> bytes:
@@ -55,6 +82,12 @@
             self.service, self.port, self.sequence, self.kind, self.layers, **changes
         )
 
+    def crash(self) -> None:
+        """End like a killed process: no listener, and no connection is left."""
+        assert self.server is not None
+        self.has_crashed = True
+        self.server.crash()
+
 
 class WorkHandler(RequestHandler):
     """Handles requests to an endpoint."""
@@ -68,6 +101,11 @@
         self.attempt_id = self.request.headers[HEADER_ATTEMPT_ID]
         self.endpoint.headers_by_attempt_id[self.attempt_id] = dict(self.request.headers.get_all())
         self.set_header(HEADER_ATTEMPT_ID, self.attempt_id)
+        expected_id = self.request.headers.get(HEADER_EXPECTED_ENDPOINT, self.endpoint.endpoint_id)
+        if expected_id != self.endpoint.endpoint_id:
+            self.set_status(_MISDIRECTED_STATUS)
+            self.finish()
+            return
         if self.endpoint.handler_override is not None:
             await self.endpoint.handler_override(self)
         if not self._finished:
@@ -128,9 +166,14 @@
         self.finish({})
 
 
-def start_endpoint(endpoint_id: str, service: str, kind: str | None = None) -> Endpoint:
-    """Start a fake endpoint on a free port."""
-    sock, port = bind_unused_port(address=ADDRESS)
+def start_endpoint(
+    endpoint_id: str, service: str, kind: str | None = None, port: int | None = None
+) -> Endpoint:
+    """Start a fake endpoint on the given port, or on a free one."""
+    if port is None:
+        sock, port = bind_unused_port(address=ADDRESS)
+    else:
+        (sock,) = bind_sockets(port, ADDRESS)
     endpoint = Endpoint(endpoint_id, service, port, kind)
     arguments = {"endpoint": endpoint}
     application = Application(
@@ -141,6 +184,6 @@
         ],
         log_function=lambda handler: None,
     )
-    endpoint.server = HTTPServer(application)
+    endpoint.server = _EndpointServer(application)
     endpoint.server.add_socket(sock)
     return endpoint
--- a/packages/fakes/src/lagoonwing_fakes/platform/const.py
+++ b/packages/fakes/src/lagoonwing_fakes/platform/const.py
@@ -6,6 +6,8 @@
 FAILURE_DOMAIN = "d-1"
 HOST_NAME = "h.example"
 CALLER_KEY = "key-1"
+# Parts of a request's prompt, as comma-separated ID:TOKENS entries.
+HEADER_PROMPT_PARTS = "X-Lagoonwing-Prompt-Prefix"
 # Number of events in a stream.
 EVENTS = 6
 
--- a/tests/platform/platform_deployment.py
+++ b/tests/platform/platform_deployment.py
@@ -49,6 +49,7 @@
     control_port: int
     caller_port: int
     ready_port: int
+    peer_port: int
     endpoints: list[Endpoint] = field(default_factory=list)
 
     async def async_call(
@@ -109,7 +110,9 @@
 
 
 @asynccontextmanager
-async def async_run_deployment(folder: Path) -> AsyncIterator[Deployment]:
+async def async_run_deployment(
+    folder: Path, announce_interval_s: float = 30.0
+) -> AsyncIterator[Deployment]:
     """Run a single-voter registry and a gateway."""
     peer_port, control_port, caller_port, ready_port = (reserve_port(ADDRESS) for _ in range(4))
     clock = LoopClock()
@@ -121,7 +124,7 @@
     core = CoreSettings(heartbeat_s=0.05, election_min_s=0.2, election_max_s=0.3, voter_count=1)
     log = RaftLog(LogSettings(host_id, folder, (own,), core=core), state_machine, identity, server)
     registry = RegistryService(
-        RegistrySettings(host_id, FailureDomainId("d-1"), ADDRESS, peer_port, 30.0),
+        RegistrySettings(host_id, FailureDomainId("d-1"), ADDRESS, peer_port, announce_interval_s),
         identity,
         state_machine,
         log,
@@ -153,7 +156,9 @@
     )
     for component in components:
         await component.async_setup()
-    deployment = Deployment(registry, gateway, front, control_port, caller_port, ready_port)
+    deployment = Deployment(
+        registry, gateway, front, control_port, caller_port, ready_port, peer_port
+    )
     try:
         await deployment.async_wait_until(lambda: log.lease_term() is not None)
         yield deployment
