A refusal whose body is late moves the stream

Callers saw: 502 'internal error' from a stream that an endpoint had refused without running it, with other paths free; in a stream that had begun, a second response head after its events.

Cause: the body of an error response is read with a timeout, and since no one catches it: TimeoutError left StreamAttempt and reached the guard of Gateway.async_serve. Change: the attempt ends by the status and the headers if the body does not come; the wait for it ends with the deadline.

--- a/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
@@ -5,7 +5,11 @@
 from lagoonwing_core.ids import EndpointId
 from lagoonwing_gateway._components import GatewayComponents
 from lagoonwing_gateway._disconnect import async_run_until_disconnect
-from lagoonwing_gateway._endpoint_client import OpenExchange, failure_evidence
+from lagoonwing_gateway._endpoint_client import (
+    RESPONSE_ERRORS,
+    OpenExchange,
+    failure_evidence,
+)
 from lagoonwing_gateway._load_tracker import Reservation
 from lagoonwing_gateway._patient_reader import GivenUpError, PatientReader
 from lagoonwing_gateway._request_log import log_late_stream
@@ -13,6 +17,7 @@
 from lagoonwing_gateway._stream_failover import StreamFailover
 from lagoonwing_gateway._watchdog import WatchedStream
 from lagoonwing_gateway.const import (
+    DEADLINE_MARGIN_S,
     MAX_EVENT_BYTES,
     MISDIRECTED_STATUS,
     STREAM_STALL_TIMEOUT_S,
@@ -250,12 +255,20 @@
         components = self._components
         info = components.dialect.response_info(head)
         at_fault = components.directory.id_at_address(info.at_fault) or self._endpoint_ids[0]
-        body = await components.endpoint_client.async_body(
-            open_exchange, components.clock.now() + STREAM_STALL_TIMEOUT_S
+        body_deadline = min(
+            self._context.deadline - DEADLINE_MARGIN_S,
+            components.clock.now() + STREAM_STALL_TIMEOUT_S,
         )
+        body: bytes | None
+        try:
+            body = await components.endpoint_client.async_body(open_exchange, body_deadline)
+        except RESPONSE_ERRORS:
+            body = None
         if info.not_executed or info.status == MISDIRECTED_STATUS:
             components.suspicions.avoid_briefly(at_fault)
             return NotRun(f"{at_fault} refused it with {info.status}", (at_fault,))
+        if body is None:
+            return self._blame_first_endpoint("the error response was not complete")
         response = CompleteResponse(info, components.dialect.caller_headers(head), body)
         return Failed(f"the endpoint answered {info.status}", (at_fault,), response)
 
