A failure inside the gateway adds no bytes to a started stream

Callers saw: the head and body of a 502 in the middle of a chunked stream. Cause: the guard of Gateway.async_serve refuses every request whose handler raised, also one whose response was begun.

--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -5,14 +5,18 @@
 import asyncio
 from typing import Any
 
+import pytest
 from platform_deployment import Deployment, async_start_engines
 
-from lagoonwing_fakes.platform import WorkHandler
-from lagoonwing_fakes.platform.const import EVENTS
+from lagoonwing_fakes.platform import WorkHandler, make_caller_headers
+from lagoonwing_fakes.platform.const import ADDRESS, EVENTS
+from lagoonwing_platform.const import HEADER_SIGNATURE
 
 EVENT_CONTENTS = [b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, EVENTS + 1)]
 COMPLETE_STREAM = b"".join(EVENT_CONTENTS)
+EVENT_INTERVAL_S = 0.05
 LATE_BODY_S = 1.5
+ANSWER_TIMEOUT_S = 5.0
 
 
 def _break_off(handler: WorkHandler) -> None:
@@ -51,3 +55,47 @@
     _override_all(deployment, handle)
     response = await deployment.async_send_request("stream", "a-1")
     assert (response.code, response.body) == (200, COMPLETE_STREAM)
+
+
+async def test_started_stream_gets_no_second_response_head(
+    deployment: Deployment, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A failure inside the gateway ends a started stream without further bytes."""
+    await async_start_engines(deployment)
+    suspicions = deployment.gateway._suspicions
+    record_progress = suspicions.record_progress
+    progress: list[Any] = []
+
+    def fail_on_second_event(endpoint_ids: Any) -> None:
+        progress.append(endpoint_ids)
+        if len(progress) > 1:
+            raise RuntimeError("failure inside the gateway")
+        record_progress(endpoint_ids)
+
+    monkeypatch.setattr(suspicions, "record_progress", fail_on_second_event)
+
+    async def handle(handler: WorkHandler) -> None:
+        handler.set_header(HEADER_SIGNATURE, "stamp-first")
+        for content in EVENT_CONTENTS:
+            handler.write(content)
+            await handler.flush()
+            await asyncio.sleep(EVENT_INTERVAL_S)
+
+    _override_all(deployment, handle)
+    answer = await _async_raw_answer(deployment)
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert answer.count(b"HTTP/1.1 ") == 1
+    assert not answer.endswith(b"0\r\n\r\n")
+
+
+async def _async_raw_answer(deployment: Deployment) -> bytes:
+    """Send a stream request and return the bytes up to the end of the connection."""
+    reader, writer = await asyncio.open_connection(ADDRESS, deployment.caller_port)
+    headers = make_caller_headers("stream", "a-1", deadline_ms=3_000)
+    lines = ["POST /stream/x HTTP/1.1", *(f"{name}: {value}" for name, value in headers.items())]
+    writer.write("\r\n".join([*lines, "Content-Length: 0", "", ""]).encode())
+    try:
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            return await reader.read()
+    finally:
+        writer.close()
