A refused connection counts as a crash of a stream that can't move, too

Seen: requests that end endpoints are quarantined later, since only a stream that another attempt was reserved for counted the crash. A stream that may not be resumed counted none.

Cause: the evidence was recorded after the question whether to leave. Change: it is recorded first, and counted if the attempt fails.

--- a/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
@@ -135,9 +135,11 @@
             outcome = await async_run_until_disconnect(relay, self._responder)
         finally:
             self._components.watchdog.unwatch(stream)
-        if self._down_ids and isinstance(outcome, Failed):
-            if self._is_crash:
-                self._components.crash_tracker.record_crash(self._context)
+        if not isinstance(outcome, Failed):
+            return outcome
+        if self._is_crash:
+            self._components.crash_tracker.record_crash(self._context)
+        if self._down_ids:
             return Failed(f"{self._down_ids[0]} is down", tuple(self._down_ids))
         return outcome
 
@@ -148,12 +150,13 @@
 
         A stream that has begun to arrive gains nothing by leaving an endpoint that may go on.
         """
-        if evidence is not FailureEvidence.REFUSED and reader.has_events:
+        if evidence is FailureEvidence.REFUSED:
+            self._is_crash = True
+        elif reader.has_events:
             return False
         if not self._failover.try_reserve((endpoint_id,)):
             return False
         self._down_ids.append(endpoint_id)
-        self._is_crash = self._is_crash or evidence is FailureEvidence.REFUSED
         return True
 
     async def _async_relay(
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -3,22 +3,33 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from typing import Any
 
 import pytest
 from platform_deployment import Deployment, async_start_engines
+from silent_endpoints import stop_endpoint
 
-from lagoonwing_fakes.platform import WorkHandler, make_caller_headers
+from lagoonwing_fakes.platform import Endpoint, WorkHandler, make_caller_headers, make_document
 from lagoonwing_fakes.platform.const import ADDRESS, EVENTS
-from lagoonwing_platform.const import HEADER_SIGNATURE
+from lagoonwing_platform.const import HEADER_PATH, HEADER_SIGNATURE
 
 EVENT_CONTENTS = [b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, EVENTS + 1)]
 COMPLETE_STREAM = b"".join(EVENT_CONTENTS)
 EVENT_INTERVAL_S = 0.05
 LATE_BODY_S = 1.5
+STALL_S = 0.5
 ANSWER_TIMEOUT_S = 5.0
 
 
+def _path(deployment: Deployment, handler: WorkHandler) -> list[Endpoint]:
+    """Return the endpoints on the path of a stream."""
+    parts = handler.request.headers[HEADER_PATH].split(",")
+    ports = [int(part.split("=")[0].rsplit(":", 1)[1]) for part in parts]
+    by_port = {endpoint.port: endpoint for endpoint in deployment.endpoints}
+    return [by_port[port] for port in ports]
+
+
 def _break_off(handler: WorkHandler) -> None:
     """Close the connection in the middle of an answer."""
     connection: Any = handler.request.connection
@@ -99,3 +110,21 @@
             return await reader.read()
     finally:
         writer.close()
+
+
+async def test_crash_below_a_stream_that_cannot_move_is_counted(deployment: Deployment) -> None:
+    """An endpoint that ends under a stream counts as a crash, though the stream can't go on."""
+    document = json.loads(make_document())
+    document["routes"][2]["resumable"] = False
+    await async_start_engines(deployment, routes=document["routes"])
+
+    async def handle(handler: WorkHandler) -> None:
+        handler.set_header(HEADER_SIGNATURE, "stamp-first")
+        await handler.send_events(1)
+        stop_endpoint(_path(deployment, handler)[1])
+        await asyncio.sleep(STALL_S)
+        _break_off(handler)
+
+    _override_all(deployment, handle)
+    await asyncio.gather(deployment.async_send_request("stream", "a-1"), return_exceptions=True)
+    assert list(deployment.gateway._crash_tracker.counts().values()) == [1]
