A response without framing is not complete because the gateway closed it

Callers saw: a stream that ended as complete after two of six events. Cause: a response without length and chunks ends with its connection. When the watchdog closed the connection to leave a path, the reader took this for the end of the response, before the exchange was marked as broken. Change: the exchange is marked first, and a broken exchange does not finish.

--- a/packages/http/src/lagoonwing_http/_client.py
+++ b/packages/http/src/lagoonwing_http/_client.py
@@ -92,8 +92,9 @@
     @callback
     def close(self) -> None:
         """Close the connection; an unfinished exchange fails."""
-        self._stream.close()
+        # First, since the end of the connection completes a response without framing.
         self._fail_exchange()
+        self._stream.close()
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
--- a/packages/http/src/lagoonwing_http/_exchange.py
+++ b/packages/http/src/lagoonwing_http/_exchange.py
@@ -134,6 +134,8 @@
     @callback
     def on_finish(self) -> None:
         """Handle the end of a complete response."""
+        if self._broken:
+            return
         self._finished = True
         self.cancel_idle_timer()
         self._wake()
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -12,7 +12,7 @@
 
 from lagoonwing_fakes.platform import Endpoint, WorkHandler, make_caller_headers, make_document
 from lagoonwing_fakes.platform.const import ADDRESS, EVENTS
-from lagoonwing_platform.const import HEADER_PATH, HEADER_SIGNATURE
+from lagoonwing_platform.const import HEADER_ATTEMPT_ID, HEADER_PATH, HEADER_SIGNATURE
 
 EVENT_CONTENTS = [b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, EVENTS + 1)]
 COMPLETE_STREAM = b"".join(EVENT_CONTENTS)
@@ -128,3 +128,38 @@
     _override_all(deployment, handle)
     await asyncio.gather(deployment.async_send_request("stream", "a-1"), return_exceptions=True)
     assert list(deployment.gateway._crash_tracker.counts().values()) == [1]
+
+
+async def _async_send_unframed(handler: WorkHandler, contents: list[bytes]) -> Any:
+    """Send a stream without length and chunks; return the connection, which is still open."""
+    connection: Any = handler.request.connection
+    handler._finished = True
+    head = (
+        f"HTTP/1.1 200 OK\r\n{HEADER_ATTEMPT_ID}: {handler.attempt_id}\r\n"
+        f"{HEADER_SIGNATURE}: stamp-first\r\nContent-Type: text/event-stream\r\n\r\n"
+    )
+    stream = connection.stream
+    await stream.write(head.encode())
+    for content in contents:
+        await stream.write(content)
+        await asyncio.sleep(EVENT_INTERVAL_S)
+    return stream
+
+
+async def test_unframed_stream_that_moves_is_not_cut_short(deployment: Deployment) -> None:
+    """A stream is whole though an endpoint on its path ends and its answer has no framing."""
+    await async_start_engines(deployment)
+    sent: list[bool] = []
+
+    async def handle(handler: WorkHandler) -> None:
+        if sent:
+            return
+        sent.append(True)
+        stream = await _async_send_unframed(handler, EVENT_CONTENTS[:2])
+        stop_endpoint(_path(deployment, handler)[1])
+        await asyncio.sleep(STALL_S)
+        stream.close()
+
+    _override_all(deployment, handle)
+    response = await deployment.async_send_request("stream", "a-1")
+    assert (response.code, response.body) == (200, COMPLETE_STREAM)
