A call does not run on for a caller that left before it was sent

Change: async_run_until_disconnect ends at once if the caller has left before, and the call handler looks before each attempt.

Evidence: test_call_is_not_sent_after_its_caller_has_left and 2 tests test_call_to_an_endpoint_ends_with_its_caller failed before and pass now.

--- a/packages/gateway/src/lagoonwing_gateway/_call_handler.py
+++ b/packages/gateway/src/lagoonwing_gateway/_call_handler.py
@@ -97,6 +97,8 @@
         last_outcome: AttemptOutcome = NotRun("no endpoint has room", ())
         connect_attempts = 0
         while connect_attempts < MAX_CONNECT_ATTEMPTS + context.route.max_attempts:
+            if responder.is_disconnected:
+                return None
             record = self._next_endpoint(call, last_outcome)
             if record is None:
                 break
--- a/packages/gateway/src/lagoonwing_gateway/_disconnect.py
+++ b/packages/gateway/src/lagoonwing_gateway/_disconnect.py
@@ -16,6 +16,9 @@
     coroutine: Coroutine[Any, Any, ResultT], responder: Responder
 ) -> ResultT | CallerGone:
     """Return the result of a coroutine; cancel it and return CallerGone on disconnect."""
+    if responder.is_disconnected:
+        coroutine.close()
+        return CallerGone()
     task = asyncio.ensure_future(coroutine)
     responder.set_on_disconnect(task.cancel)
     try:
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -17,6 +17,7 @@
 EVENT_CONTENTS = [b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, EVENTS + 1)]
 COMPLETE_STREAM = b"".join(EVENT_CONTENTS)
 EVENT_INTERVAL_S = 0.05
+SILENCE_S = 1.5
 LATE_BODY_S = 1.5
 STALL_S = 0.5
 ANSWER_TIMEOUT_S = 5.0
@@ -163,3 +164,50 @@
     _override_all(deployment, handle)
     response = await deployment.async_send_request("stream", "a-1")
     assert (response.code, response.body) == (200, COMPLETE_STREAM)
+
+
+async def test_call_is_not_sent_after_its_caller_has_left(deployment: Deployment) -> None:
+    """A call that waited for the first document is dropped if its caller left meanwhile."""
+    endpoint = await deployment.async_add_endpoint("p-1", "plain")
+    _, writer = await asyncio.open_connection(ADDRESS, deployment.caller_port)
+    headers = make_caller_headers("safe", "a-1", deadline_ms=3_000)
+    lines = ["GET /safe/x HTTP/1.1", *(f"{name}: {value}" for name, value in headers.items())]
+    writer.write("\r\n".join([*lines, "", ""]).encode())
+    await deployment.async_wait_until(lambda: deployment.gateway.active_requests == 1)
+    writer.close()
+    await asyncio.sleep(EVENT_INTERVAL_S)
+    await deployment.async_set_document()
+    await deployment.async_wait_until(lambda: deployment.gateway.active_requests == 0)
+    assert endpoint.executed_ids == []
+
+
+@pytest.mark.parametrize("route", ["safe", "unsafe"])
+async def test_call_to_an_endpoint_ends_with_its_caller(deployment: Deployment, route: str) -> None:
+    """A call whose caller left while a connection was opened does not run on."""
+    await deployment.async_set_document()
+    endpoint = await deployment.async_add_endpoint("p-1", "plain")
+    client = deployment.gateway._call_handler._endpoint_client
+    async_send = client.async_send
+
+    async def async_send_late(outgoing: Any, fresh: bool) -> Any:
+        await asyncio.sleep(STALL_S)
+        return await async_send(outgoing, fresh)
+
+    client.async_send = async_send_late  # type: ignore[method-assign]
+
+    async def handle(handler: WorkHandler) -> None:
+        await asyncio.sleep(SILENCE_S)
+
+    endpoint.handler_override = handle
+    _, writer = await asyncio.open_connection(ADDRESS, deployment.caller_port)
+    headers = make_caller_headers(route, "a-1", deadline_ms=3_000)
+    method = "GET" if route == "safe" else "POST"
+    lines = [
+        f"{method} /{route}/x HTTP/1.1",
+        *(f"{name}: {value}" for name, value in headers.items()),
+    ]
+    writer.write("\r\n".join([*lines, "Content-Length: 0", "", ""]).encode())
+    await deployment.async_wait_until(lambda: deployment.gateway.active_requests == 1)
+    writer.close()
+    async with asyncio.timeout(2 * STALL_S):
+        await deployment.async_wait_until(lambda: deployment.gateway.active_requests == 0)
