A probe that times out after new progress suspects no endpoint

Seen: an endpoint that goes on after its silence is suspected for another 1.5 s and more, if a probe begun before its return times out after it: the progress that lifts a suspicion came earlier than the suspicion.

Change: silence of a probe counts only if the endpoint made no progress since the probe began. A refused connection counts as before.

Evidence: test_probe_that_ends_after_new_progress_suspects_nothing failed before and passes now.

--- a/packages/gateway/src/lagoonwing_gateway/_suspicions.py
+++ b/packages/gateway/src/lagoonwing_gateway/_suspicions.py
@@ -105,6 +105,10 @@
             if self._progress_at_by_id.get(endpoint_id, 0.0) <= since
         )
 
+    def has_progress_since(self, endpoint_id: EndpointId, since: float) -> bool:
+        """Return whether an endpoint made progress after a point in time."""
+        return not self.without_progress_since((endpoint_id,), since)
+
     def suspected(self) -> tuple[EndpointId, ...]:
         """Return the currently suspected endpoints."""
         now = self._clock.now()
--- a/packages/gateway/src/lagoonwing_gateway/_watchdog.py
+++ b/packages/gateway/src/lagoonwing_gateway/_watchdog.py
@@ -118,6 +118,7 @@
 
         An endpoint that seems to be down is suspected.
         """
+        started_at = self._clock.now()
         for _ in range(PROBE_ATTEMPTS):
             try:
                 connection = await async_open_connection(
@@ -130,6 +131,9 @@
                 continue
             connection.close()
             return None
+        is_silent = evidence is not FailureEvidence.REFUSED
+        if is_silent and self._suspicions.has_progress_since(record.endpoint_id, started_at):
+            return None
         self._suspicions.record_failure(record.endpoint_id, reason, evidence)
         return evidence
 
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -12,6 +12,8 @@
 
 from lagoonwing_fakes.platform import Endpoint, WorkHandler, make_caller_headers, make_document
 from lagoonwing_fakes.platform.const import ADDRESS, EVENTS
+from lagoonwing_gateway import _watchdog
+from lagoonwing_http import ConnectError
 from lagoonwing_platform.const import HEADER_ATTEMPT_ID, HEADER_PATH, HEADER_SIGNATURE
 
 EVENT_CONTENTS = [b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, EVENTS + 1)]
@@ -211,3 +213,22 @@
     writer.close()
     async with asyncio.timeout(2 * STALL_S):
         await deployment.async_wait_until(lambda: deployment.gateway.active_requests == 0)
+
+
+async def test_probe_that_ends_after_new_progress_suspects_nothing(
+    deployment: Deployment, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """An endpoint that makes progress while a probe of it times out is not suspected."""
+    await deployment.async_set_document()
+    await deployment.async_add_endpoint("p-1", "plain")
+    gateway = deployment.gateway
+    record = next(iter(gateway.follower.endpoint_by_id.values()))
+
+    async def async_time_out(*arguments: Any) -> Any:
+        await asyncio.sleep(0)
+        gateway._suspicions.record_progress((record.endpoint_id,))
+        raise ConnectError("no reply in time") from TimeoutError()
+
+    monkeypatch.setattr(_watchdog, "async_open_connection", async_time_out)
+    assert await gateway._watchdog.async_find_failure(record) is None
+    assert gateway._suspicions.suspected() == ()
