Failing tests: an attempt is given up for one that never begins; a crash that isn't counted

Reserved is a path or an endpoint, not a connection: if its host refuses the connection, the attempt that was given up is followed by nobody. A started stream is aborted after 1.2 s of silence, a safe call gets 502 after 0.36 s of a 3 s deadline, though their endpoints go on after 1.5 s.

The end of a stream's first endpoint, which also ends the connection, is not counted as a crash of the request (0 of 2); this belongs to the second matter.

--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -133,6 +133,32 @@
     assert list(deployment.gateway._crash_tracker.counts().values()) == [1]
 
 
+async def test_started_stream_stays_if_the_other_path_refuses_it(deployment: Deployment) -> None:
+    """A stream is whole if its path is silent for a while and all others refuse connections."""
+    await async_start_engines(deployment)
+    sent: list[bool] = []
+
+    async def handle(handler: WorkHandler) -> None:
+        if sent:
+            return
+        sent.append(True)
+        handler.set_header(HEADER_SIGNATURE, "stamp-first")
+        await handler.send_events(2)
+        path = _path(deployment, handler)
+        for endpoint in deployment.endpoints:
+            if endpoint not in path:
+                stop_endpoint(endpoint)
+        await asyncio.sleep(SILENCE_S)
+        for content in EVENT_CONTENTS[2:]:
+            handler.write(content)
+            await handler.flush()
+        await handler.finish()
+
+    _override_all(deployment, handle)
+    response = await deployment.async_send_request("stream", "a-1")
+    assert (response.code, response.body) == (200, COMPLETE_STREAM)
+
+
 async def _async_send_unframed(handler: WorkHandler, contents: list[bytes]) -> Any:
     """Send a stream without length and chunks; return the connection, which is still open."""
     connection: Any = handler.request.connection
@@ -232,3 +258,40 @@
     monkeypatch.setattr(_watchdog, "async_open_connection", async_time_out)
     assert await gateway._watchdog.async_find_failure(record) is None
     assert gateway._suspicions.suspected() == ()
+
+
+async def test_call_stays_if_the_other_endpoint_refuses_it(deployment: Deployment) -> None:
+    """A safe call is answered if its endpoint is silent for a while and the other one has ended."""
+    await deployment.async_set_document()
+    for name in ("p-1", "p-2"):
+        await deployment.async_add_endpoint(name, "plain")
+    sent: list[bool] = []
+
+    async def handle(handler: WorkHandler) -> None:
+        if sent:
+            return
+        sent.append(True)
+        for endpoint in deployment.endpoints:
+            if endpoint is not handler.endpoint:
+                stop_endpoint(endpoint)
+        await asyncio.sleep(SILENCE_S)
+
+    _override_all(deployment, handle)
+    response = await deployment.async_send_request("safe", "a-1")
+    assert response.code == 200
+
+
+async def test_crash_of_the_first_endpoint_is_counted(deployment: Deployment) -> None:
+    """An endpoint that ends and so breaks off its own stream counts as a crash."""
+    await async_start_engines(deployment)
+
+    async def handle(handler: WorkHandler) -> None:
+        handler.set_header(HEADER_SIGNATURE, "stamp-first")
+        await handler.send_events(1)
+        await asyncio.sleep(EVENT_INTERVAL_S)
+        stop_endpoint(handler.endpoint)
+        _break_off(handler)
+
+    _override_all(deployment, handle)
+    await asyncio.gather(deployment.async_send_request("stream", "a-1"), return_exceptions=True)
+    assert sum(deployment.gateway._crash_tracker.counts().values()) == 2
