Failing test: one gateway's suspicion keeps all others from an endpoint

A gateway whose own link is harmed suspects each endpoint on its silent paths, and all others refuse streams for which they have a path that makes progress. The test injects the summary; no deployment with a harmed link was run.

--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -10,6 +10,7 @@
 from platform_deployment import Deployment, async_start_engines
 from silent_endpoints import stop_endpoint
 
+from lagoonwing_catalog.messages import LoadSummary
 from lagoonwing_fakes.platform import Endpoint, WorkHandler, make_caller_headers, make_document
 from lagoonwing_fakes.platform.const import ADDRESS, EVENTS
 from lagoonwing_gateway import _watchdog
@@ -22,6 +23,7 @@
 SILENCE_S = 1.5
 LATE_BODY_S = 1.5
 STALL_S = 0.5
+LONG_STREAM_S = 1.0
 ANSWER_TIMEOUT_S = 5.0
 
 
@@ -295,3 +297,28 @@
     _override_all(deployment, handle)
     await asyncio.gather(deployment.async_send_request("stream", "a-1"), return_exceptions=True)
     assert sum(deployment.gateway._crash_tracker.counts().values()) == 2
+
+
+async def test_endpoint_with_progress_is_used_though_another_gateway_suspects_it(
+    deployment: Deployment, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A gateway whose link is harmed does not keep the others from endpoints that serve them."""
+    await async_start_engines(deployment, 2)
+
+    async def handle(handler: WorkHandler) -> None:
+        handler.set_header(HEADER_SIGNATURE, "stamp-first")
+        for content in EVENT_CONTENTS:
+            handler.write(content)
+            await handler.flush()
+            await asyncio.sleep(LONG_STREAM_S / EVENTS)
+        await handler.finish()
+
+    _override_all(deployment, handle)
+    running = asyncio.create_task(deployment.async_send_request("stream", "a-1"))
+    await asyncio.sleep(LONG_STREAM_S / 2)
+    suspects = tuple(deployment.gateway.follower.endpoint_by_id)
+    summary = LoadSummary({}, suspects)
+    monkeypatch.setattr(deployment.gateway.follower, "load_summary", lambda: summary)
+    response = await deployment.async_send_request("stream", "a-2")
+    assert (await running).body == COMPLETE_STREAM
+    assert (response.code, response.body) == (200, COMPLETE_STREAM)
