The soak pauses sound engines for about a second and expects every answer

The soak had no fault in which a sound endpoint falls silent in the middle of its answers and goes on, so it couldn't find this.

Change: an endpoint can be paused in two ways, the process (connections are accepted, nothing is read or written) and the host (connection attempts get no reply either). From recovery on, in every scenario, a connection that is closed without a complete answer before the route's timeout is a violation.

The gateways' logs name two causes: "the path fell silent" (stalled for 0.9 s) and "is down" (a probe got no reply), each without a further attempt.

Ruled out: pausing a random number of engines in a random way.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterator
 from types import FrameType
 
+from soak.models import Scenario
 from soak.run import run_seed
 
 
@@ -30,6 +31,12 @@
     parser.add_argument(
         "--seconds", type=float, default=15.0, help="duration of fault injection per seed"
     )
+    parser.add_argument(
+        "--scenario",
+        default=Scenario.NONE.value,
+        choices=[scenario.value for scenario in Scenario],
+        help="what happens after recovery",
+    )
     arguments = parser.parse_args()
     # The HTTP client library logs every connection that an injected fault closes.
     logging.getLogger("tornado").setLevel(logging.CRITICAL)
@@ -38,7 +45,7 @@
     signal.signal(signal.SIGTERM, _interrupt)
     failed = 0
     for seed in _seeds(arguments.seeds, arguments.minutes):
-        outcome = run_seed(seed, arguments.seconds)
+        outcome = run_seed(seed, arguments.seconds, Scenario(arguments.scenario))
         print(
             f"seed {seed}: {outcome.served} of {outcome.sent} served, "
             f"{len(outcome.faults)} faults, {len(outcome.violations)} violations",
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -8,7 +8,7 @@
 
 from lagoonwing_platform.const import HEADER_SIGNATURE
 from soak.client import async_send_request
-from soak.const import EVENTS, MAX_ROUTING_DELAY_AFTER_DRAIN_S
+from soak.const import ANSWER_TIMEOUT_S, EVENTS, MAX_ROUTING_DELAY_AFTER_DRAIN_S
 from soak.models import SoakContext
 
 _NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
@@ -29,10 +29,21 @@
             attempt_id = f"a-{self._next_id}"
             kind = self._context.rng.choice(("safe", "unsafe", "stream"))
             process = self._context.rng.choice(self._context.processes.gateways)
+            sent_at = asyncio.get_running_loop().time()
+            had_recovered = self._context.has_recovered
             answer = await async_send_request(process, kind, attempt_id)
             self._context.outcome.sent += 1
             if answer is not None:
                 self._check_response(kind, attempt_id, answer)
+            elif had_recovered:
+                self._record_unanswered(attempt_id, sent_at)
+
+    def _record_unanswered(self, attempt_id: str, sent_at: float) -> None:
+        """Record a request whose connection was closed though no process or link had a fault."""
+        elapsed_s = asyncio.get_running_loop().time() - sent_at
+        if elapsed_s < ANSWER_TIMEOUT_S:
+            text = f"{attempt_id}: no complete answer, connection closed after {elapsed_s:.2f} s"
+            self._context.outcome.violations.append(text)
 
     def _check_response(self, kind: str, attempt_id: str, answer: HTTPResponse) -> None:
         """Check the response to one request."""
--- a/soak/const.py
+++ b/soak/const.py
@@ -15,3 +15,9 @@
 CALL_TIMEOUT_S = 6.0
 EVENTS = 12
 EVENT_PAUSE_S = 0.02
+
+SCENARIO_S = 10.0
+MIN_PAUSE_S = 0.8
+MAX_PAUSE_S = 1.6
+# Less than the timeout of the routes, at which a gateway may abort a response.
+ANSWER_TIMEOUT_S = 2.9
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -4,12 +4,16 @@
 
 import asyncio
 import random
+import socket
 from collections import Counter
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Any
 
 import msgspec
 
+from lagoonwing_fakes.platform.const import ADDRESS
 from lagoonwing_platform.const import (
     HEADER_ATTEMPT_ID,
     HEADER_EXPECTED_ENDPOINT,
@@ -30,6 +34,12 @@
     RESET = "reset"
     SILENT = "silent"
     LOST_ANSWER = "lost_answer"
+    PROCESS_PAUSE = "process_pause"
+    HOST_PAUSE = "host_pause"
+
+
+PAUSES = (LinkFault.PROCESS_PAUSE, LinkFault.HOST_PAUSE)
+_BACKLOG = 100
 
 
 @dataclass
@@ -61,20 +71,79 @@
         self._orders = 0
         self._requests = requests
         self._rng = rng
-        self._server: asyncio.Server | None = None
+        self._listener: socket.socket | None = None
+        self._backlog_fillers: list[socket.socket] = []
+        self._is_running = asyncio.Event()
+        self._is_running.set()
+        self._tasks: set[asyncio.Task[None]] = set()
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def async_setup(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._async_serve, "127.0.0.1", 0)
-        self.port = self._server.sockets[0].getsockname()[1]
+        """Listen on a free port, or on the previous one."""
+        self._listener = socket.create_server((ADDRESS, self.port), backlog=_BACKLOG)
+        self._listener.setblocking(False)
+        self.port = self._listener.getsockname()[1]
+        self._start(self._async_accept(self._listener))
 
     async def async_unload(self) -> None:
         """Stop listening and abort all connections."""
-        if self._server is not None:
-            self._server.close()
+        self.set_fault(LinkFault.NONE)
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._listener is not None:
+            self._listener.close()
         self.reset_connections()
 
+    def set_fault(self, fault: LinkFault) -> None:
+        """Set the active fault; `NONE` clears it."""
+        self.fault = fault
+        if fault is LinkFault.RESET:
+            self.reset_connections()
+        if fault in PAUSES:
+            self._is_running.clear()
+        else:
+            self._is_running.set()
+        if fault is LinkFault.HOST_PAUSE:
+            self._fill_backlog()
+        else:
+            self._empty_backlog()
+
+    def _fill_backlog(self) -> None:
+        """Let the kernel drop connection attempts, as those to a host that stands still."""
+        if self._listener is None or self._backlog_fillers:
+            return
+        self._listener.listen(0)
+        # The pending accept call takes the first one.
+        for _ in range(2):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((ADDRESS, self.port))
+            self._backlog_fillers.append(filler)
+
+    def _empty_backlog(self) -> None:
+        """Let the kernel accept connection attempts again."""
+        for filler in self._backlog_fillers:
+            filler.close()
+        self._backlog_fillers.clear()
+        if self._listener is not None:
+            self._listener.listen(_BACKLOG)
+
+    def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Run a coroutine as a task until the endpoint is unloaded."""
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _async_accept(self, listener: socket.socket) -> None:
+        """Accept connections, except while the host stands still."""
+        loop = asyncio.get_running_loop()
+        while True:
+            connection, _ = await loop.sock_accept(listener)
+            self._start(self._async_serve(*await asyncio.open_connection(sock=connection)))
+            if self.fault is LinkFault.HOST_PAUSE:
+                await self._is_running.wait()
+
     def reset_connections(self) -> None:
         """Abort all open connections."""
         for writer in list(self._writers):
@@ -92,6 +161,7 @@
                 headers = dict(line.split(": ", 1) for line in lines[1:] if ": " in line)
                 headers = {name.lower(): value for name, value in headers.items()}
                 body = await reader.readexactly(int(headers.get("content-length", "0")))
+                await self._is_running.wait()
                 await self._async_respond(lines[0].split()[1], headers, body, writer)
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             writer.transport.abort()
@@ -156,6 +226,7 @@
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
             await asyncio.sleep(EVENT_PAUSE_S)
+            await self._is_running.wait()
             if self.fault is LinkFault.RESET:
                 writer.transport.abort()
                 raise ConnectionError
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import signal
 
 from lagoonwing_fakes.platform import SystemProcess
-from soak.endpoints import LinkFault, SoakEndpoint
+from soak.const import MAX_PAUSE_S, MIN_PAUSE_S
+from soak.endpoints import PAUSES, LinkFault, SoakEndpoint
 from soak.models import SoakContext
 from soak.proxy import Proxy, ProxyFault
 
@@ -87,11 +89,22 @@
         """Inject a fault into the connections of an endpoint for a random time."""
         fault = self._context.rng.choice([item for item in LinkFault if item is not LinkFault.NONE])
         self._context.outcome.record_fault(f"{fault.value} {endpoint.endpoint_id}")
-        endpoint.fault = fault
-        if fault is LinkFault.RESET:
-            endpoint.reset_connections()
+        endpoint.set_fault(fault)
         await asyncio.sleep(self._context.rng.uniform(0.2, 3.0))
-        endpoint.fault = LinkFault.NONE
+        endpoint.set_fault(LinkFault.NONE)
+
+    async def async_pause_engines(self) -> None:
+        """Pause all engines, then a single one, in each way for about a second, repeatedly."""
+        engines = [item for item in self._context.endpoints if item.is_engine]
+        for count, fault in itertools.cycle(itertools.product((len(engines), 1), PAUSES)):
+            paused = self._context.rng.sample(engines, count)
+            for endpoint in paused:
+                self._context.outcome.record_fault(f"{fault.value} {endpoint.endpoint_id}")
+                endpoint.set_fault(fault)
+            await asyncio.sleep(self._context.rng.uniform(MIN_PAUSE_S, MAX_PAUSE_S))
+            for endpoint in paused:
+                endpoint.set_fault(LinkFault.NONE)
+            await asyncio.sleep(self._context.rng.uniform(0.2, 1.0))
 
     async def _async_fault_link(self, proxy: Proxy) -> None:
         """Inject a fault into the peer links of a replica for a random time."""
@@ -117,7 +130,7 @@
     def clear_all(self) -> None:
         """Clear all faults and resume suspended processes."""
         for endpoint in self._context.endpoints:
-            endpoint.fault = LinkFault.NONE
+            endpoint.set_fault(LinkFault.NONE)
         for proxy in self._context.proxies:
             proxy.set_fault(ProxyFault.NONE)
         for process in self._context.processes.all():
--- a/soak/models.py
+++ b/soak/models.py
@@ -5,12 +5,20 @@
 import asyncio
 import random
 from dataclasses import dataclass, field
+from enum import Enum
 
 from lagoonwing_fakes.platform import Processes
 from soak.endpoints import RequestRecord, SoakEndpoint
 from soak.proxy import Proxy
 
 
+class Scenario(Enum):
+    """What happens after recovery from the random faults."""
+
+    NONE = "none"
+    PAUSES = "pauses"
+
+
 @dataclass
 class Outcome:
     """Result of one run.
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,11 +17,12 @@
     GATEWAYS,
     RECOVERY_S,
     REGISTRIES,
+    SCENARIO_S,
     START_TIMEOUT_S,
 )
 from soak.endpoints import SoakEndpoint
 from soak.faults import Faults
-from soak.models import Outcome, SoakContext
+from soak.models import Outcome, Scenario, SoakContext
 from soak.operators import Operators
 from soak.proxy import Proxy
 
@@ -29,12 +30,15 @@
 class SoakRun:
     """Sets up, runs and checks one seed."""
 
-    def __init__(self, seed: int, seconds: float, folder: Path) -> None:
+    def __init__(
+        self, seed: int, seconds: float, folder: Path, scenario: Scenario = Scenario.NONE
+    ) -> None:
         rng = random.Random(seed)
         processes = make_processes(
             folder, 1 + seed % 200, REGISTRIES, GATEWAYS, behind_proxies=True
         )
         self._seconds = seconds
+        self._scenario = scenario
         self.context = SoakContext(rng, Outcome(seed), processes)
         self.context.proxies = [
             Proxy(item.address, item.listen_address, PEER_PORT, rng)
@@ -64,6 +68,7 @@
                 task.cancel()
             await asyncio.gather(*faults, return_exceptions=True)
             await self._async_check_recovery()
+            await self._async_play_scenario()
         finally:
             await self.async_stop()
         self._callers.check_runs()
@@ -101,6 +106,15 @@
                 f"read version {version} after recovery, {context.accepted_version} was accepted"
             )
 
+    async def _async_play_scenario(self) -> None:
+        """Play the scenario; the callers check the responses meanwhile."""
+        match self._scenario:
+            case Scenario.NONE:
+                return
+            case Scenario.PAUSES:
+                self._tasks.append(asyncio.ensure_future(self._faults.async_pause_engines()))
+        await asyncio.sleep(SCENARIO_S)
+
     async def async_stop(self) -> None:
         """Stop all tasks, processes, proxies and endpoints."""
         for task in self._tasks:
@@ -113,10 +127,10 @@
             await endpoint.async_unload()
 
 
-def run_seed(seed: int, seconds: float) -> Outcome:
+def run_seed(seed: int, seconds: float, scenario: Scenario) -> Outcome:
     """Run one seed in its own temporary folder and add the folder name to any violations."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    outcome = asyncio.run(SoakRun(seed, seconds, folder).async_run())
+    outcome = asyncio.run(SoakRun(seed, seconds, folder, scenario).async_run())
     if outcome.violations:
         outcome.violations.append(f"logs: {folder.name}")
     return outcome
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,11 +7,13 @@
 
 import pytest
 
+from soak.models import Scenario
 from soak.run import SoakRun
 
 SECONDS = 6.0
 # 31: a gateway is draining when fault injection ends and must still be restarted afterwards.
 SEEDS = (1, 31)
+PAUSE_SEEDS = (1, 2)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -19,3 +21,10 @@
     """Process kills, pauses and stops, a wiped disk and link faults violate no guarantee."""
     outcome = asyncio.run(SoakRun(seed, SECONDS, tmp_path).async_run())
     assert outcome.violations == [], outcome.faults
+
+
+@pytest.mark.parametrize("seed", PAUSE_SEEDS)
+def test_silence_of_sound_engines_ends_no_response(seed: int, tmp_path: Path) -> None:
+    """No connection is closed without an answer because engines pause for about a second."""
+    outcome = asyncio.run(SoakRun(seed, SECONDS, tmp_path, Scenario.PAUSES).async_run())
+    assert outcome.violations == [], outcome.faults
