The soak crashes endpoints, also under a part of the prompt, and checks who is kept from them

The soak had no endpoint that crashes and no such requests.

Change: an endpoint can crash; its connections are aborted, its port refuses for 1 to 4 s, and a new incarnation comes back empty at the same address. Each request now has a body of its own.

Ruled out: sound requests with the same path, caller and body as the crashing ones.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -9,6 +9,7 @@
 from lagoonwing_platform.const import HEADER_SIGNATURE
 from soak.client import async_send_request
 from soak.const import ANSWER_TIMEOUT_S, EVENTS, MAX_ROUTING_DELAY_AFTER_DRAIN_S
+from soak.crashing_part import CRASHING_SHARE, prompt_parts
 from soak.models import SoakContext
 
 _NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
@@ -31,11 +32,19 @@
             process = self._context.rng.choice(self._context.processes.gateways)
             sent_at = asyncio.get_running_loop().time()
             had_recovered = self._context.has_recovered
-            answer = await async_send_request(process, kind, attempt_id)
+            if self._context.sends_crashing_part and self._context.rng.random() < CRASHING_SHARE:
+                parts = prompt_parts(self._next_id, is_crashing=True)
+                await async_send_request(process, "stream", attempt_id, parts)
+                continue
+            parts = prompt_parts(self._next_id, is_crashing=False)
+            answer = await async_send_request(process, kind, attempt_id, parts)
             self._context.outcome.sent += 1
+            if kind == "stream" and (had_recovered or self._context.sends_crashing_part):
+                is_served = answer is not None and answer.code == 200
+                self._context.requests.crashing_part.is_served_by_time[sent_at] = is_served
             if answer is not None:
                 self._check_response(kind, attempt_id, answer)
-            elif had_recovered:
+            elif had_recovered and self._context.has_recovered:
                 self._record_unanswered(attempt_id, sent_at)
 
     def _record_unanswered(self, attempt_id: str, sent_at: float) -> None:
--- a/soak/client.py
+++ b/soak/client.py
@@ -8,6 +8,7 @@
 from lagoonwing_fakes.platform import SystemProcess, make_caller_headers
 from lagoonwing_fakes.platform.const import CALLER_PORT
 from soak.const import CALL_TIMEOUT_S, DEADLINE_MS, EVENTS
+from soak.crashing_part import HEADER_PROMPT_PARTS
 
 
 async def async_fetch(
@@ -34,9 +35,11 @@
 
 
 async def async_send_request(
-    process: SystemProcess, kind: str, attempt_id: str
+    process: SystemProcess, kind: str, attempt_id: str, parts: str
 ) -> HTTPResponse | None:
     """Send a caller's request to a gateway; return `None` if no response arrives."""
     headers = make_caller_headers(kind, attempt_id, DEADLINE_MS, EVENTS)
-    body = None if kind == "safe" else b"question"
+    if kind == "stream":
+        headers[HEADER_PROMPT_PARTS] = parts
+    body = None if kind == "safe" else f"question {attempt_id}".encode()
     return await async_fetch(process, CALLER_PORT, f"/{kind}/x", body, headers)
--- a/soak/const.py
+++ b/soak/const.py
@@ -16,7 +16,10 @@
 EVENTS = 12
 EVENT_PAUSE_S = 0.02
 
-SCENARIO_S = 10.0
+PAUSES_S = 10.0
+CRASHING_PART_S = 18.0
+MIN_RESTART_S = 1.0
+MAX_RESTART_S = 4.0
 MIN_PAUSE_S = 0.8
 MAX_PAUSE_S = 1.6
 # Less than the timeout of the routes, at which a gateway may abort a response.
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -23,7 +23,8 @@
     PATH_ORDER,
     PATH_REPORT,
 )
-from soak.const import EVENT_PAUSE_S, EVENTS
+from soak.const import EVENT_PAUSE_S, EVENTS, MAX_RESTART_S, MIN_RESTART_S
+from soak.crashing_part import CRASHING_PART, HEADER_PROMPT_PARTS, CrashingPartRecord
 
 
 class LinkFault(Enum):
@@ -36,6 +37,7 @@
     LOST_ANSWER = "lost_answer"
     PROCESS_PAUSE = "process_pause"
     HOST_PAUSE = "host_pause"
+    CRASH = "crash"
 
 
 PAUSES = (LinkFault.PROCESS_PAUSE, LinkFault.HOST_PAUSE)
@@ -49,25 +51,36 @@
     Attributes:
         runs_by_id: Number of executions of each request.
         reached: Endpoint, id and time of each request that reached an endpoint.
+        crashing_part: Crashes and requests with a prompt part that crashes engines.
     """
 
     runs_by_id: Counter[str] = field(default_factory=Counter)
     reached: list[tuple[str, str, float]] = field(default_factory=list)
+    crashing_part: CrashingPartRecord = field(default_factory=CrashingPartRecord)
 
 
 class SoakEndpoint:
-    """One simulated endpoint; the soak test sets its fault."""
+    """One simulated endpoint; the soak test sets its fault.
+
+    Attributes:
+        endpoint_id: Id of the current incarnation.
+        incarnation: Number of the current incarnation, from 1.
+        is_up: Whether it is running; if not, the next incarnation starts soon.
+    """
 
     def __init__(
-        self, endpoint_id: str, service: str, requests: RequestRecord, rng: random.Random
+        self, name: str, service: str, requests: RequestRecord, rng: random.Random
     ) -> None:
-        self.endpoint_id = endpoint_id
+        self.endpoint_id = name
+        self.incarnation = 1
+        self.is_up = False
         self.service = service
         self.fault = LinkFault.NONE
         self.is_engine = service == "engines"
         self.layers: tuple[int, int] | None = None
         self.sequence = 0
         self.port = 0
+        self._name = name
         self._orders = 0
         self._requests = requests
         self._rng = rng
@@ -79,22 +92,64 @@
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def async_setup(self) -> None:
-        """Listen on a free port, or on the previous one."""
-        self._listener = socket.create_server((ADDRESS, self.port), backlog=_BACKLOG)
-        self._listener.setblocking(False)
-        self.port = self._listener.getsockname()[1]
-        self._start(self._async_accept(self._listener))
+        """Listen on a free port."""
+        self._listen(self._bind())
 
     async def async_unload(self) -> None:
         """Stop listening and abort all connections."""
         self.set_fault(LinkFault.NONE)
+        self._stop()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def crash(self) -> None:
+        """Abort everything; the next incarnation starts after some seconds at the same address."""
+        if not self.is_up:
+            return
+        self.set_fault(LinkFault.NONE)
+        self._stop()
+        # A bound port refuses connections, and no other socket gets it.
+        self._start(self._async_restart(self._bind()))
+
+    def _bind(self) -> socket.socket:
+        """Return a socket that is bound to the port of the endpoint, or to a free one."""
+        listener = socket.socket()
+        listener.setblocking(False)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((ADDRESS, self.port))
+        self.port = listener.getsockname()[1]
+        return listener
+
+    def _listen(self, listener: socket.socket) -> None:
+        """Start accepting connections."""
+        listener.listen(_BACKLOG)
+        self._listener = listener
+        self.is_up = True
+        self._start(self._async_accept(listener))
+
+    def _stop(self) -> None:
+        """Stop listening and abort all connections."""
+        self.is_up = False
         for task in list(self._tasks):
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
         if self._listener is not None:
             self._listener.close()
+            self._listener = None
         self.reset_connections()
 
+    async def _async_restart(self, listener: socket.socket) -> None:
+        """Start the next incarnation, which holds nothing."""
+        try:
+            await asyncio.sleep(self._rng.uniform(MIN_RESTART_S, MAX_RESTART_S))
+        except asyncio.CancelledError:
+            listener.close()
+            raise
+        self.incarnation += 1
+        self.endpoint_id = f"{self._name}-{self.incarnation}"
+        self.layers = None
+        self.sequence = 0
+        self._orders = 0
+        self._listen(listener)
+
     def set_fault(self, fault: LinkFault) -> None:
         """Set the active fault; `NONE` clears it."""
         self.fault = fault
@@ -183,6 +238,8 @@
         self._requests.reached.append(
             (self.endpoint_id, attempt_id, asyncio.get_running_loop().time())
         )
+        if _has_crashing_part(headers):
+            self._requests.crashing_part.reached_at.append(asyncio.get_running_loop().time())
         if headers.get(HEADER_EXPECTED_ENDPOINT.lower(), self.endpoint_id) != self.endpoint_id:
             _write(writer, 421, echo, b"")
             return
@@ -220,6 +277,12 @@
         """Stream the events that follow the last event id received by the caller."""
         head = {**echo, "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
         _write(writer, 200, head, None)
+        if _has_crashing_part(headers):
+            await writer.drain()
+            await asyncio.sleep(EVENT_PAUSE_S)
+            self._requests.crashing_part.crashed_at.append(asyncio.get_running_loop().time())
+            self.crash()
+            raise ConnectionError
         first = int(headers.get(HEADER_LAST_EVENT.lower(), "0")) + 1
         for number in range(first, EVENTS + 1):
             event = f"id: {number}\ndata: {headers[HEADER_ATTEMPT_ID.lower()]}\n\n".encode()
@@ -244,6 +307,11 @@
         _write(writer, 202, {}, b"{}")
 
 
+def _has_crashing_part(headers: dict[str, str]) -> bool:
+    """Return whether the prompt of a request has the part that crashes engines."""
+    return f",{CRASHING_PART}:" in headers.get(HEADER_PROMPT_PARTS.lower(), "")
+
+
 def _write(
     writer: asyncio.StreamWriter, status: int, headers: dict[str, str], body: bytes | None
 ) -> None:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -89,6 +89,9 @@
         """Inject a fault into the connections of an endpoint for a random time."""
         fault = self._context.rng.choice([item for item in LinkFault if item is not LinkFault.NONE])
         self._context.outcome.record_fault(f"{fault.value} {endpoint.endpoint_id}")
+        if fault is LinkFault.CRASH:
+            endpoint.crash()
+            return
         endpoint.set_fault(fault)
         await asyncio.sleep(self._context.rng.uniform(0.2, 3.0))
         endpoint.set_fault(LinkFault.NONE)
--- a/soak/models.py
+++ b/soak/models.py
@@ -17,6 +17,7 @@
 
     NONE = "none"
     PAUSES = "pauses"
+    CRASHING_PART = "crashing_part"
 
 
 @dataclass
@@ -49,6 +50,7 @@
         drained_at_by_id: Time at which the drain of an endpoint was accepted.
         accepted_version: Highest accepted version of the document.
         has_recovered: Whether all faults are cleared and the recovery time has passed.
+        sends_crashing_part: Whether callers also send requests that crash engines.
     """
 
     rng: random.Random
@@ -60,3 +62,4 @@
     drained_at_by_id: dict[str, float] = field(default_factory=dict)
     accepted_version: int = 0
     has_recovered: bool = False
+    sends_crashing_part: bool = False
--- a/soak/operators.py
+++ b/soak/operators.py
@@ -65,16 +65,19 @@
         """Announce every endpoint periodically; one endpoint starts to drain at random."""
         while True:
             for endpoint in self._context.endpoints:
-                if endpoint.endpoint_id not in self._context.drained_at_by_id:
+                if endpoint.is_up and endpoint.endpoint_id not in self._context.drained_at_by_id:
                     await self.async_announce(endpoint, "ready")
             if self._context.rng.random() < 0.05 and not self._context.drained_at_by_id:
-                endpoint = self._context.endpoints[0]
-                if await self.async_announce(endpoint, "draining"):
-                    now = asyncio.get_running_loop().time()
-                    self._context.drained_at_by_id[endpoint.endpoint_id] = now
-                    self._context.outcome.record_fault(f"drained {endpoint.endpoint_id}")
+                await self._async_drain(self._context.endpoints[0])
             await asyncio.sleep(ANNOUNCE_INTERVAL_S)
 
+    async def _async_drain(self, endpoint: SoakEndpoint) -> None:
+        """Announce that an endpoint drains, unless it is down."""
+        endpoint_id = endpoint.endpoint_id
+        if endpoint.is_up and await self.async_announce(endpoint, "draining"):
+            self._context.drained_at_by_id[endpoint_id] = asyncio.get_running_loop().time()
+            self._context.outcome.record_fault(f"drained {endpoint_id}")
+
     async def async_announce(self, endpoint: SoakEndpoint, state: str) -> bool:
         """Send one announcement; return whether it was accepted."""
         endpoint.sequence += 1
@@ -85,6 +88,7 @@
             "small" if endpoint.is_engine else None,
             endpoint.layers,
             state=state,
+            born=endpoint.incarnation,
         )
         path = heartbeat_path(endpoint.endpoint_id)
         for process in self._shuffled(self._context.processes.registries):
--- a/soak/run.py
+++ b/soak/run.py
@@ -12,12 +12,13 @@
 from soak.callers import Callers
 from soak.const import (
     CALLERS,
+    CRASHING_PART_S,
     ENDPOINTS,
     ENGINES,
     GATEWAYS,
+    PAUSES_S,
     RECOVERY_S,
     REGISTRIES,
-    SCENARIO_S,
     START_TIMEOUT_S,
 )
 from soak.endpoints import SoakEndpoint
@@ -113,7 +114,20 @@
                 return
             case Scenario.PAUSES:
                 self._tasks.append(asyncio.ensure_future(self._faults.async_pause_engines()))
-        await asyncio.sleep(SCENARIO_S)
+                await asyncio.sleep(PAUSES_S)
+            case Scenario.CRASHING_PART:
+                await self._async_play_crashing_part()
+
+    async def _async_play_crashing_part(self) -> None:
+        """Let callers also send requests that crash engines, and check how they are handled."""
+        context = self.context
+        record = context.requests.crashing_part
+        record.calm_until = asyncio.get_running_loop().time()
+        context.has_recovered = False
+        context.sends_crashing_part = True
+        await asyncio.sleep(CRASHING_PART_S)
+        context.outcome.faults += [f"{time:.2f} crashed by the part" for time in record.crashed_at]
+        context.outcome.violations += record.violations()
 
     async def async_stop(self) -> None:
         """Stop all tasks, processes, proxies and endpoints."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -28,3 +28,9 @@
     """No connection is closed without an answer because engines pause for about a second."""
     outcome = asyncio.run(SoakRun(seed, SECONDS, tmp_path, Scenario.PAUSES).async_run())
     assert outcome.violations == [], outcome.faults
+
+
+def test_prompt_part_that_crashes_engines_is_kept_from_them(tmp_path: Path) -> None:
+    """Engines get few requests with a part that crashed five, and streams without it are served."""
+    outcome = asyncio.run(SoakRun(1, SECONDS, tmp_path, Scenario.CRASHING_PART).async_run())
+    assert outcome.violations == [], outcome.faults
