--- a/soak/run.py
+++ b/soak/run.py
@@ -146,5 +146,5 @@
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     outcome = asyncio.run(SoakRun(seed, seconds, folder, scenario).async_run())
     if outcome.violations:
-        outcome.violations.append(f"logs: {folder.name}")
+        outcome.violations.insert(0, f"logs: {folder.name}")
     return outcome
