--- a/soak/models.py
+++ b/soak/models.py
@@ -5,12 +5,21 @@
 import asyncio
 import random
 from dataclasses import dataclass, field
+from enum import Enum
 
 from lagoonwing_fakes.platform import Processes
 from soak.endpoints import RequestRecord, SoakEndpoint
 from soak.proxy import Proxy
 
 
+class Scenario(Enum):
+    """What happens after recovery from the random faults."""
+
+    NONE = "none"
+    PAUSES = "pauses"
+    CRASHING_PART = "crashing_part"
+
+
 @dataclass
 class Outcome:
     """Result of one run.
@@ -41,6 +50,7 @@
         drained_at_by_id: Time at which the drain of an endpoint was accepted.
         accepted_version: Highest accepted version of the document.
         has_recovered: Whether all faults are cleared and the recovery time has passed.
+        sends_crashing_part: Whether callers also send requests that crash engines.
     """
 
     rng: random.Random
@@ -52,3 +62,4 @@
     drained_at_by_id: dict[str, float] = field(default_factory=dict)
     accepted_version: int = 0
     has_recovered: bool = False
+    sends_crashing_part: bool = False
