Status and recovery of the replicated log get their own modules

`_directory.py` held addresses and the status.

Change: `_status.py` reads the status, `_recovery.py` opens the storage at startup and after a full disk; `_directory.py` keeps addresses and membership.

Ruled out: a module for the output of messages, because inbox, links and output need each other and the log only connects them.

--- a/packages/replication/src/lagoonwing_replication/_raft_log.py
+++ b/packages/replication/src/lagoonwing_replication/_raft_log.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import secrets
 from collections.abc import Callable, Sequence
 
@@ -31,28 +30,20 @@
 from lagoonwing_replication._bootstrap import Bootstrap, MembershipState
 from lagoonwing_replication._changes import ChangeSignal
 from lagoonwing_replication._clock import BootClock
-from lagoonwing_replication._directory import (
-    Directory,
-    commit_index_of,
-    membership_state_of,
-    status_of,
-    status_without_disk,
-)
+from lagoonwing_replication._directory import Directory, membership_state_of
 from lagoonwing_replication._identity_store import IdentityStore
 from lagoonwing_replication._inbox import Inbox
 from lagoonwing_replication._leadership import Leadership
 from lagoonwing_replication._peers import Peers
 from lagoonwing_replication._proposals import Proposals
 from lagoonwing_replication._proposer import Proposer
+from lagoonwing_replication._recovery import Recovery, log_recovered
 from lagoonwing_replication._snapshotter import Snapshotter
-from lagoonwing_replication._storage import Recovered, Storage, log_recovered
+from lagoonwing_replication._status import StatusReader
+from lagoonwing_replication._storage import Recovered, Storage
 from lagoonwing_replication._writer import Writer
-from lagoonwing_replication.const import (
-    PACKET_VERSION,
-    STORAGE_RETRY_S,
-    TICK_S,
-)
-from lagoonwing_replication.errors import CorruptStorageError, StorageError
+from lagoonwing_replication.const import PACKET_VERSION, TICK_S
+from lagoonwing_replication.errors import StorageError
 from lagoonwing_replication.messages import JoinRequest, Packet
 from lagoonwing_replication.models import LogStatus, StateMachine
 from lagoonwing_replication.settings import LogSettings
@@ -93,10 +84,14 @@
             self._storage,
             self._handle_synced,
             self._handle_storage_failure,
-            lambda: commit_index_of(self.core),
+            lambda: self._status.commit_index(),
         )
+        self._recovery = Recovery(settings, self._storage, self._writer)
         self._identity_store = IdentityStore(self._storage, self._writer)
         self._applier = Applier(state_machine, self._proposals, self.ensure_link)
+        self._status = StatusReader(
+            self, self._applier, self._leadership, self._directory, self._clock
+        )
         self._snapshotter = Snapshotter(
             settings, self._storage, self._writer, self._applier, self._tasks.spawn
         )
@@ -115,12 +110,7 @@
             CorruptStorageError: Synced data is corrupt or missing; the folder must be emptied.
             StorageError: The folder can't be used.
         """
-        try:
-            recovered = await self._writer.async_run(self._storage.open)
-        except StorageError as error:
-            log_event(EventCode.STORAGE_FAILED, folder=self._settings.folder.name, error=error)
-            raise
-        self._start_core(recovered)
+        self._start_core(await self._recovery.async_open())
         for host in self._settings.initial_hosts:
             await self._peers.async_add(host.host_id, host.address, host.port)
         self._tasks.spawn(self._async_tick())
@@ -161,22 +151,14 @@
 
     def lease_term(self) -> Term | None:
         """Return the term in which this replica may act as leader now."""
-        core = self.core
-        if core is None or self._leadership.term != core.term:
-            return None
-        return core.term if core.is_lease_valid(self._clock.now()) else None
+        return self._status.lease_term()
 
     def staleness_s(self) -> float:
         """Return the age of the last time at which all committed commands were applied here.
 
         Infinite if there was no such time since startup.
         """
-        core = self.core
-        now = self._clock.now()
-        current_at = None if core is None else core.current_at(now)
-        if core is None or current_at is None or self._applier.applied < core.commit:
-            return math.inf
-        return max(0.0, now - current_at)
+        return self._status.staleness_s()
 
     @property
     def sync_count(self) -> int:
@@ -185,13 +167,7 @@
 
     def status(self) -> LogStatus:
         """Return the status of the log as known to this replica."""
-        core = self.core
-        applied = self._applier.applied
-        if core is None:
-            return status_without_disk(self._applier.committed_replica_set, applied)
-        leader = self._directory.leader_host(core)
-        is_lease_valid = self.lease_term() is not None
-        return status_of(core, leader, applied, self._clock.now(), is_lease_valid=is_lease_valid)
+        return self._status.status()
 
     @callback
     def _start_core(self, recovered: Recovered) -> None:
@@ -279,25 +255,16 @@
     @callback
     def _handle_storage_failure(self, error: StorageError) -> None:
         """Stop acknowledging and leading; retry later if the disk is full."""
-        log_event(EventCode.STORAGE_FAILED, folder=self._settings.folder.name, error=error)
+        self._recovery.log_failure(error)
         self._stop_core()
         if error.is_full:
             self._tasks.spawn(self._async_reopen())
 
     async def _async_reopen(self) -> None:
-        """Recover as after a restart once the disk is writable again."""
-        while True:
-            await asyncio.sleep(STORAGE_RETRY_S)
-            try:
-                recovered = await self._writer.async_run(self._storage.open)
-                await self._writer.async_run(self._storage.probe)
-            except CorruptStorageError as error:
-                log_event(EventCode.STORAGE_FAILED, folder=self._settings.folder.name, error=error)
-                return
-            except StorageError:
-                continue
+        """Participate again once the disk is writable."""
+        recovered = await self._recovery.async_reopen()
+        if recovered is not None:
             self._start_core(recovered)
-            return
 
     async def _async_tick(self) -> None:
         """Tick the core periodically."""
--- a/packages/replication/src/lagoonwing_replication/_storage.py
+++ b/packages/replication/src/lagoonwing_replication/_storage.py
@@ -21,7 +21,6 @@
     Snapshot,
     encode_replica_set,
 )
-from lagoonwing_core.events import EventCode, log_event
 from lagoonwing_core.ids import HostId, LogIndex, ReplicaId, Term
 from lagoonwing_replication._files import read_file, replace_file, sync_folder
 from lagoonwing_replication._records import DiskIdentity, LogChange, LogFrame, LogReset
@@ -244,18 +243,3 @@
         if self._identity is None:
             raise StorageError("the folder has no identity yet")
         return self._identity
-
-
-def log_recovered(recovered: Recovered) -> None:
-    """Log the recovered state."""
-    state = recovered.state
-    log_event(
-        EventCode.LOG_RECOVERED,
-        replica=recovered.identity.replica_id,
-        cluster=recovered.identity.cluster_id,
-        is_new=recovered.is_new,
-        term=state.hard_state.term,
-        snapshot=state.snapshot.index,
-        entries=len(state.entries),
-        torn_bytes=recovered.torn_bytes,
-    )
