The follower's contacts with the leader get their own module

Cause: `_coordinator.py` of the follower had 352 lines; next to the public calls it held the loop of contacts and the eight fields that only this loop uses.

Change: `_contacts.py` (`LeaderContacts`) contacts the leader, checks its reply and keeps what it reported; the coordinator renews the lease from a reply and has 277 lines. A test that waited for a private field of the coordinator waits for the same value under its new name.

Ruled out: a module for claims, because each call is three lines and the coordinator would only repeat its signature.

--- a/packages/follower/src/lagoonwing_follower/_coordinator.py
+++ b/packages/follower/src/lagoonwing_follower/_coordinator.py
@@ -11,20 +11,18 @@
 from lagoonwing_core.callback import callback
 from lagoonwing_core.clock import Clock
 from lagoonwing_core.errors import Refusal
-from lagoonwing_core.events import EventCode, log_event
 from lagoonwing_core.ids import (
     EndpointId,
     Fingerprint,
-    HostId,
     IdempotencyKey,
     Incarnation,
     MemberId,
     RequestId,
     StopId,
-    Term,
 )
 from lagoonwing_core.result_codes import ResultCode
 from lagoonwing_follower._allotment_holder import AllotmentHolder
+from lagoonwing_follower._contacts import LeaderContacts
 from lagoonwing_follower._leader_link import LeaderLink
 from lagoonwing_follower._lease import (
     ConfigurationLease,
@@ -39,11 +37,7 @@
 from lagoonwing_follower._watch import Watcher
 from lagoonwing_follower.const import (
     CANCEL_RETRY_S,
-    CONTACT_INTERVAL_S,
-    CONTACT_TIMEOUT_S,
-    LEADER_TIMEOUT_S,
     PROBE_INTERVAL_S,
-    RETRY_INTERVAL_S,
 )
 from lagoonwing_follower.models import ControlView, FollowerSettings
 from lagoonwing_policy.models import AllotmentGrant, MemberDemand
@@ -52,7 +46,6 @@
     Allotments,
     ClaimDecision,
     ClearSuspect,
-    Contact,
     ContactReply,
     EndpointSummary,
     ReleaseClaim,
@@ -80,16 +73,16 @@
             self._select_channel, self._publisher.notify_tables_changed, settings.seed
         )
         self._prober = VoterProber(self._links, clock)
-        self._voters: tuple[HostId, ...] = ()
-        self._term = Term(0)
-        self._last_contact: float | None = None
-        self._contact_answered = False
-        self._leader_host: HostId | None = None
-        self._in_flight_by_stop: dict[StopId, int] = {}
-        self._endpoints: tuple[EndpointSummary, ...] = ()
-        self._endpoints_sent: tuple[Term, tuple[EndpointSummary, ...]] | None = None
         self._releases = PendingReleases(self._links)
-        self._contact_now = asyncio.Event()
+        self._contacts = LeaderContacts(
+            settings.incarnation,
+            clock,
+            self._links,
+            self._releases,
+            self._publisher,
+            self._on_contact_reply,
+            self._watcher.wake,
+        )
         self._tasks: list[asyncio.Task[None]] = []
 
     async def async_setup(self) -> None:
@@ -98,7 +91,7 @@
         await self._links.async_setup()
         loop = asyncio.get_running_loop()
         self._tasks = [
-            loop.create_task(self._async_run_contacts()),
+            loop.create_task(self._contacts.async_run()),
             loop.create_task(self._watcher.async_run()),
             loop.create_task(self._publisher.async_run(self._watcher)),
             loop.create_task(self._async_run_probes()),
@@ -127,15 +120,13 @@
         )
         if in_force != self._was_in_force:
             self._was_in_force = in_force
-            log_lease(in_force, self.view.revision, self._leader_host)
+            log_lease(in_force, self.view.revision, self._contacts.leader_host)
         return in_force
 
     @callback
     def has_leader(self) -> bool:
         """Return whether a leader answered the last contact, so that claims can be made."""
-        if self._last_contact is None or not self._contact_answered:
-            return False
-        return self._clock.now() - self._last_contact < LEADER_TIMEOUT_S
+        return self._contacts.has_leader()
 
     @callback
     def add_listener(self, listener: ViewListener) -> Callable[[], None]:
@@ -145,15 +136,12 @@
     @callback
     def set_endpoints(self, endpoints: Iterable[EndpointSummary]) -> None:
         """Set the endpoints that this entry host knows, for the check of planned stops."""
-        self._endpoints = tuple(sorted(endpoints, key=lambda item: item.endpoint_id))
+        self._contacts.endpoints = tuple(sorted(endpoints, key=lambda item: item.endpoint_id))
 
     @callback
     def report_stop(self, stop_id: StopId, in_flight: int) -> None:
         """Report how many requests are in flight on a stop's target."""
-        changed = self._in_flight_by_stop.get(stop_id) != in_flight
-        self._in_flight_by_stop[stop_id] = in_flight
-        if changed and in_flight == 0:
-            self._contact_now.set()
+        self._contacts.report_stop(stop_id, in_flight)
 
     async def async_claim(self, claim: TakeClaim, timeout: float) -> Result[ClaimDecision, Refusal]:
         """Claim the right to dispatch a request at most once.
@@ -246,101 +234,35 @@
     def _on_closed(self, channel: Channel[Any]) -> None:
         """Notify the watcher and contact the leader at once."""
         self._watcher.on_closed(channel)
-        self._contact_now.set()
+        self._contacts.contact_now()
 
     @callback
     def _select_channel(self) -> Channel[Any] | None:
         """Return the channel to watch: the leader's, or else the most advanced voter's."""
-        host_id = self._leader_host or self._prober.most_advanced_voter()
+        host_id = self._contacts.leader_host or self._prober.most_advanced_voter()
         if host_id is None:
             return None
         # If that replica can't be reached, any other that the leader reaches is equivalent.
         return self._links.responsive_channel(host_id) or self._links.any_responsive_channel()
 
-    async def _async_run_contacts(self) -> None:
-        """Contact the leader periodically, and at once when requested."""
-        while True:
-            self._contact_now.clear()
-            answered = await self._async_contact()
-            self._contact_answered = answered
-            if answered:
-                await self._releases.async_send()
-            delay = CONTACT_INTERVAL_S if answered else RETRY_INTERVAL_S
-            try:
-                async with asyncio.timeout(delay):
-                    await self._contact_now.wait()
-            except TimeoutError:
-                continue
-            if not answered:
-                await asyncio.sleep(RETRY_INTERVAL_S)
-
-    async def _async_contact(self) -> bool:
-        """Contact the leader once; return whether it replied."""
-        sent = self._clock.now()
-        endpoints = self._endpoints
-        target = self._links.target
-        already_sent = (self._term, endpoints) == self._endpoints_sent
-        message = Contact(
-            incarnation=self._settings.incarnation,
-            term=self._term,
-            applied=self.view.revision,
-            in_flight_by_stop=self._live_stop_reports(),
-            endpoints=None if already_sent else endpoints,
-        )
-        result = await self._links.async_call_once(message, CONTACT_TIMEOUT_S)
-        match result:
-            case Result(tag="ok", ok=ContactReply() as reply):
-                self._handle_contact_reply(target, sent, reply)
-                # A new leader needs the endpoints again.
-                self._endpoints_sent = (message.term, endpoints)
-                return True
-            case _:
-                if self._last_contact is None or sent - self._last_contact > LEADER_TIMEOUT_S:
-                    self._leader_host = None
-                return False
-
-    def _handle_contact_reply(self, host_id: HostId, sent: float, reply: ContactReply) -> None:
-        """Apply a leader's reply."""
-        if reply.term < self._term:
-            return
-        if reply.revision < max(self.view.revision, self._publisher.min_revision):
-            # A state that has lost revisions must not be applied.
-            log_event(
-                EventCode.CONFIGURATION_LEASE_LAPSED,
-                revision=self.view.revision,
-                leader=host_id,
-                reason=f"leader revision {reply.revision} is lower than the applied revision",
-            )
-            return
-        self._term = reply.term
-        self._voters = reply.voters
-        self._last_contact = sent
+    def _on_contact_reply(self, sent: float, reply: ContactReply) -> None:
+        """Renew the lease from a leader's reply; evidence from the voters is no longer needed."""
         self._holder.observe_term(reply.term)
         self._lease.record_contact(sent, reply.revision)
         self._prober.clear()
-        if self._leader_host != host_id:
-            self._leader_host = host_id
-            self._watcher.wake()
-
-    def _live_stop_reports(self) -> dict[StopId, int]:
-        """Return the reports of stops in the current view and drop the others."""
-        known = self._in_flight_by_stop
-        live = self.view.stop_by_id
-        self._in_flight_by_stop = {stop: known[stop] for stop in known if stop in live}
-        return dict(self._in_flight_by_stop)
 
     async def _async_run_probes(self) -> None:
         """Probe the voters while no leader answers; extend leases if no unseen leader can exist."""
         while True:
             await asyncio.sleep(PROBE_INTERVAL_S)
-            if self._last_contact is None or self.has_leader():
+            if not self._contacts.was_ever_answered or self.has_leader():
                 continue
-            await self._prober.async_probe(self._voters)
+            await self._prober.async_probe(self._contacts.voters)
             leaderless_time = self._leaderless_until()
             if leaderless_time is not None and not self.has_leader():
                 now = self._clock.now()
                 operator_confirmed = is_operator_confirmed(
-                    self._voters, self._prober.evidence_by_voter, now
+                    self._contacts.voters, self._prober.evidence_by_voter, now
                 )
                 self._lease.extend(leaderless_time, now, operator_confirmed=operator_confirmed)
                 self._holder.extend(leaderless_time, now, operator_confirmed=operator_confirmed)
@@ -348,5 +270,8 @@
     def _leaderless_until(self) -> float | None:
         """Return the time up to which no unseen leader can exist, if that is proven."""
         return leaderless_until(
-            self._voters, self._prober.evidence_by_voter, self.view.revision, self._clock.now()
+            self._contacts.voters,
+            self._prober.evidence_by_voter,
+            self.view.revision,
+            self._clock.now(),
         )
--- a/tests/follower/test_following.py
+++ b/tests/follower/test_following.py
@@ -113,7 +113,7 @@
         replica.service.state_machine.restore(type(replica.service.state_machine)().snapshot())
     restarted = make_follower(addresses, data_folder=tmp_path, incarnation=2)
     async with run_component(restarted):
-        await async_until(lambda: restarted._contact_answered)
+        await async_until(lambda: restarted._contacts.is_answered)
         assert not restarted.may_take_work()
         assert restarted.view.revision == 0
         await async_set(replicas[0], "a", "1")
