The entry host tests get modules for the state in memory and for the client

Cause: `tests/entry/entry_cluster.py` had 554 lines and three jobs.

Change: `entry_control.py` holds the replicated state in memory, `entry_client.py` the requests of callers and the announcements, `entry_const.py` keys and limits; the cluster has 253 lines. Its sequence number is set in `__init__`, and a list that nothing used is gone. Tests change only in their imports.

--- a/tests/entry/entry_cluster.py
+++ b/tests/entry/entry_cluster.py
@@ -7,36 +7,28 @@
 import json
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
 import msgspec
-from expression import Error, Ok, Result
-from tornado.httpclient import AsyncHTTPClient, HTTPResponse
+from entry_client import (
+    StreamedResponse,
+    async_announce,
+    async_fetch,
+    chat,
+    parse_streamed_response,
+    request_bytes,
+)
+from entry_const import ADDRESS, ENDPOINT_KEY, HANG_TIMEOUT_S, MEMBER_KEY
+from entry_control import InMemoryFollower, SharedControlState
+from tornado.httpclient import HTTPResponse
 from tornado.iostream import StreamClosedError
 from tornado.tcpclient import TCPClient
 
 from lagoonwing_core.clock import LoopClock
-from lagoonwing_core.errors import Refusal
-from lagoonwing_core.ids import (
-    AgreementId,
-    FailureDomainId,
-    Fingerprint,
-    HostId,
-    Incarnation,
-    MemberId,
-    Revision,
-)
-from lagoonwing_core.models import (
-    Agreement,
-    EntityState,
-    HostAddress,
-    Member,
-    Quarantine,
-    QuarantineState,
-)
-from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_core.ids import FailureDomainId, HostId, Incarnation
+from lagoonwing_core.models import HostAddress
 from lagoonwing_entry import (
     AdapterSettings,
     AnnounceServerSettings,
@@ -50,215 +42,10 @@
 from lagoonwing_membership import Membership, MembershipMessage, MembershipSettings
 from lagoonwing_policy import Scheduler, SchedulerSettings
 from lagoonwing_wire import ChannelServer, Identity
-from lagoonwing_wire.control_messages import (
-    ClaimDecision,
-    ClaimGranted,
-    ClaimInProgress,
-    ClaimMismatch,
-    ClaimReplay,
-    StoredResponse,
-    TakeClaim,
-)
 
-MEMBER_KEY = "member-key"
-ENDPOINT_KEY = "endpoint-key"
-ADDRESS = "127.0.0.1"
-# Ends a test that hangs.
-HANG_TIMEOUT_S = 20.0
 _DECODER: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(MembershipMessage)
 
 
-@dataclass
-class SharedControlState:
-    """In-memory claims and quarantines, shared by all hosts of a cluster."""
-
-    claim_by_key: dict[tuple[str, str], TakeClaim] = field(default_factory=dict)
-    answer_by_key: dict[tuple[str, str], StoredResponse] = field(default_factory=dict)
-    lose_claim_replies: bool = False
-    refuse_stores: bool = False
-    suspects: list[tuple[Fingerprint, ...]] = field(default_factory=list)
-    quarantine_by_fingerprint: dict[Fingerprint, Quarantine] = field(default_factory=dict)
-    listeners: list[Callable[[], None]] = field(default_factory=list)
-
-    def record_crash(self, fingerprints: Any, endpoint_id: Any, incarnation: Any) -> None:
-        """Record suspects; a fingerprint is quarantined after it has crashed two endpoints."""
-        self.suspects.append(fingerprints)
-        for fingerprint in fingerprints:
-            existing = self.quarantine_by_fingerprint.get(fingerprint)
-            deaths = {*(existing.deaths if existing else ()), (endpoint_id, incarnation)}
-            self.quarantine_by_fingerprint[fingerprint] = Quarantine(
-                fingerprint=fingerprint,
-                state=QuarantineState.SUSPECT if len(deaths) < 2 else QuarantineState.QUARANTINED,
-                deaths=tuple(deaths),
-                revision=Revision(2),
-            )
-        self._notify_listeners()
-
-    def clear(self, fingerprint: Any) -> None:
-        """Remove a suspect that completed in isolation."""
-        self.quarantine_by_fingerprint.pop(fingerprint, None)
-        self._notify_listeners()
-
-    def _notify_listeners(self) -> None:
-        """Notify all hosts of a change."""
-        for listener in list(self.listeners):
-            listener()
-
-    def claim(self, claim: TakeClaim) -> ClaimDecision:
-        """Decide on a claim."""
-        key = (claim.member_id, claim.key)
-        existing = self.claim_by_key.get(key)
-        if existing is None:
-            self.claim_by_key[key] = claim
-            return ClaimGranted()
-        if existing.fingerprint != claim.fingerprint:
-            return ClaimMismatch()
-        if key in self.answer_by_key:
-            return ClaimReplay(self.answer_by_key[key])
-        return ClaimInProgress()
-
-
-@dataclass
-class InMemoryView:
-    """In-memory copy of the replicated state."""
-
-    revision: Revision = Revision(1)
-    member_by_id: dict[Any, Any] = field(default_factory=dict)
-    member_by_key_hash: dict[str, Any] = field(default_factory=dict)
-    agreement_by_member: dict[Any, Any] = field(default_factory=dict)
-    configuration_by_key: dict[Any, Any] = field(default_factory=dict)
-    stop_by_id: dict[Any, Any] = field(default_factory=dict)
-    quarantine_by_fingerprint: dict[Any, Any] = field(default_factory=dict)
-
-
-class InMemoryFollower:
-    """Follower of an in-memory replicated state."""
-
-    def __init__(self, shared_state: SharedControlState) -> None:
-        self.shared_state = shared_state
-        self.view = InMemoryView(quarantine_by_fingerprint=shared_state.quarantine_by_fingerprint)
-        self.lease_valid = True
-        self.stop_reports: list[tuple[str, int]] = []
-        self.add_member("m", MEMBER_KEY)
-
-    def add_member(self, name: str, key: str) -> None:
-        """Add a member with an agreement that sets no limits."""
-        key_hash = hashlib.sha256(key.encode()).hexdigest()
-        revision = Revision(1)
-        member = Member(
-            member_id=MemberId(name),
-            name=name,
-            key_hashes=(key_hash,),
-            state=EntityState.ACTIVE,
-            revision=revision,
-        )
-        self.view.member_by_id[member.member_id] = member
-        self.view.member_by_key_hash[key_hash] = member
-        self.view.agreement_by_member[member.member_id] = Agreement(
-            agreement_id=AgreementId(f"a-{name}"),
-            member_id=member.member_id,
-            weight=1.0,
-            max_concurrency=None,
-            max_requests_per_s=None,
-            max_tokens_per_s=None,
-            state=EntityState.ACTIVE,
-            revision=revision,
-        )
-
-    def may_take_work(self) -> bool:
-        """Return whether the lease is valid."""
-        return self.lease_valid
-
-    def add_listener(self, listener: Callable[[], None]) -> Callable[[], None]:
-        """Add a listener."""
-        self.shared_state.listeners.append(listener)
-        return lambda: self.shared_state.listeners.remove(listener)
-
-    async def async_claim(self, claim: TakeClaim, timeout: float) -> Result[ClaimDecision, Refusal]:
-        """Decide on a claim."""
-        decision = self.shared_state.claim(claim)
-        if self.shared_state.lose_claim_replies:
-            return Error(Refusal(ResultCode.NO_QUORUM, "the reply was lost"))
-        return Ok(decision)
-
-    async def async_store_outcome(
-        self, member_id: Any, key: Any, request_id: Any, answer: StoredResponse, timeout: float
-    ) -> Result[None, Refusal]:
-        """Store an outcome."""
-        if self.shared_state.refuse_stores:
-            return Error(Refusal(ResultCode.NO_QUORUM, "no quorum"))
-        assert self.shared_state.claim_by_key[(member_id, key)].request_id == request_id
-        self.shared_state.answer_by_key[(member_id, key)] = answer
-        return Ok(None)
-
-    async def async_release_claim(
-        self, member_id: Any, key: Any, request_id: Any, timeout: float
-    ) -> Result[None, Refusal]:
-        """Release a claim."""
-        existing = self.shared_state.claim_by_key.get((member_id, key))
-        if existing is not None and existing.request_id == request_id:
-            del self.shared_state.claim_by_key[(member_id, key)]
-        return Ok(None)
-
-    async def async_request_allotments(
-        self, demands: Any, timeout: float
-    ) -> Result[tuple[Any, ...], Refusal]:
-        """Grant no allotments."""
-        return Ok(())
-
-    async def async_report_suspects(
-        self, fingerprints: Any, endpoint_id: Any, incarnation: Any, timeout: float
-    ) -> Result[None, Refusal]:
-        """Record suspects."""
-        self.shared_state.record_crash(fingerprints, endpoint_id, incarnation)
-        return Ok(None)
-
-    async def async_clear_suspect(self, fingerprint: Any, timeout: float) -> Result[None, Refusal]:
-        """Clear a suspect."""
-        self.shared_state.clear(fingerprint)
-        return Ok(None)
-
-    def set_endpoints(self, endpoints: Any) -> None:
-        """Ignore the endpoints; planned stops are checked in the tests of control."""
-
-    def report_stop(self, stop_id: Any, in_flight: int) -> None:
-        """Record a stop report."""
-        self.stop_reports.append((stop_id, in_flight))
-
-
-@dataclass(frozen=True)
-class StreamedResponse:
-    """Parsed streamed response.
-
-    Attributes:
-        complete: Whether the chunked framing ended properly.
-    """
-
-    status: int
-    headers: dict[str, str]
-    events: list[Any]
-    complete: bool
-
-    @property
-    def text(self) -> str:
-        """Text of all tokens."""
-        deltas = [event["choices"][0] for event in self.events if _has_choice(event)]
-        return "".join(
-            choice.get("text", "") or choice.get("delta", {}).get("content", "")
-            for choice in deltas
-        )
-
-    @property
-    def done(self) -> bool:
-        """Whether the `[DONE]` event was received."""
-        return "[DONE]" in self.events
-
-    @property
-    def last(self) -> Any:
-        """Last event before `[DONE]`."""
-        return [event for event in self.events if event != "[DONE]"][-1]
-
-
 async def async_wait_until(condition: Callable[[], Any]) -> None:
     """Wait until a condition on state in the event loop or a fake endpoint's log holds.
 
@@ -377,37 +164,6 @@
             stream.close()
 
 
-async def async_fetch(
-    port: int,
-    path: str,
-    body: Any = None,
-    method: str = "POST",
-    headers: dict[str, str] | None = None,
-    key: str = MEMBER_KEY,
-) -> HTTPResponse:
-    """Send a request to a caller port and return the complete response."""
-    data = body if isinstance(body, bytes | None) else json.dumps(body).encode()
-    return await AsyncHTTPClient().fetch(
-        f"http://{ADDRESS}:{port}{path}",
-        method=method,
-        body=data,
-        headers={"Authorization": f"Bearer {key}", **(headers or {})},
-        raise_error=False,
-        allow_nonstandard_methods=True,
-    )
-
-
-async def async_announce(address: str, record: dict[str, Any]) -> None:
-    """Announce a record to a host."""
-    response = await AsyncHTTPClient().fetch(
-        f"http://{address}/announce",
-        method="POST",
-        body=json.dumps(record),
-        headers={"Authorization": f"Bearer {ENDPOINT_KEY}"},
-    )
-    assert response.code == 200
-
-
 class Cluster:
     """Entry hosts and fake endpoints; announcements are sent to every host."""
 
@@ -416,7 +172,7 @@
         self.shared_state = SharedControlState()
         self.hosts: list[Host] = []
         self.fakes: dict[str, FakeEndpoint] = {}
-        self._announcers: list[FakeEndpoint] = []
+        self._sequence = 0
 
     async def async_add_host(self, **options: Any) -> Host:
         """Start another host."""
@@ -453,7 +209,7 @@
 
     async def async_announce(self, fake: FakeEndpoint, state: str = "serving") -> None:
         """Announce a fake endpoint to every host and refresh the hosts' records."""
-        self._sequence = getattr(self, "_sequence", 0) + 1
+        self._sequence += 1
         await self.async_announce_record(
             {**fake.announcement_record(state), "sequence": self._sequence}
         )
@@ -495,60 +251,3 @@
             await fake.async_unload()
         # Lets the servers' connection tasks notice that their streams are closed.
         await asyncio.sleep(0)
-
-
-def chat(prompt: str, **fields: Any) -> dict[str, Any]:
-    """Return the body of a chat completion."""
-    return {"model": "m1", "messages": [{"role": "user", "content": prompt}], **fields}
-
-
-def chat_prompt(prompt: str) -> str:
-    """Return the prompt as the endpoints receive it."""
-    return f"user: {prompt}"
-
-
-def request_bytes(path: str, body: bytes, *headers: str, key: str = MEMBER_KEY) -> bytes:
-    """Return a request that closes its connection."""
-    lines = [
-        f"POST {path} HTTP/1.1",
-        "Host: x",
-        "Connection: close",
-        f"Authorization: Bearer {key}",
-        f"Content-Length: {len(body)}",
-        *headers,
-    ]
-    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
-
-
-def parse_streamed_response(raw: bytes) -> StreamedResponse:
-    """Return a parsed raw response."""
-    head, _, body = raw.partition(b"\r\n\r\n")
-    lines = head.decode().split("\r\n")
-    headers = {name.lower(): value for name, _, value in (line.partition(": ") for line in lines)}
-    complete = True
-    if headers.get("transfer-encoding") == "chunked":
-        body, complete = _dechunk(body)
-    events = [
-        payload if payload == "[DONE]" else json.loads(payload)
-        for payload in (
-            line[len("data: ") :] for line in body.decode().split("\n") if line.startswith("data: ")
-        )
-    ]
-    return StreamedResponse(int(lines[0].split()[1]), headers, events, complete)
-
-
-def _dechunk(body: bytes) -> tuple[bytes, bool]:
-    """Return the data of a chunked body and whether the framing ended properly."""
-    data = b""
-    while body:
-        size, _, body = body.partition(b"\r\n")
-        if int(size, 16) == 0:
-            return data, body == b"\r\n"
-        data += body[: int(size, 16)]
-        body = body[int(size, 16) + 2 :]
-    return data, False
-
-
-def _has_choice(event: Any) -> bool:
-    """Return whether an event has a choice."""
-    return isinstance(event, dict) and bool(event.get("choices"))
--- a/tests/entry/entry_process.py
+++ b/tests/entry/entry_process.py
@@ -12,7 +12,8 @@
 import sys
 
 from control_support import make_follower
-from entry_cluster import Host, SharedControlState, async_wait_until
+from entry_cluster import Host, async_wait_until
+from entry_control import SharedControlState
 
 from lagoonwing_core.ids import FailureDomainId, HostId
 from lagoonwing_core.models import HostAddress
--- a/tests/entry/test_endpoint_poller.py
+++ b/tests/entry/test_endpoint_poller.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from entry_cluster import Cluster, async_wait_until, chat_prompt
+from entry_client import chat_prompt
+from entry_cluster import Cluster, async_wait_until
 
 from lagoonwing_core.clock import ManualClock
 from lagoonwing_entry._endpoint_poller import EndpointPoller
--- a/tests/entry/test_entry_checks.py
+++ b/tests/entry/test_entry_checks.py
@@ -7,7 +7,8 @@
 
 import msgspec
 import pytest
-from entry_cluster import Cluster, async_wait_until, chat_prompt
+from entry_client import chat_prompt
+from entry_cluster import Cluster, async_wait_until
 from tornado.httputil import HTTPHeaders
 
 from lagoonwing_core.ids import Attempt, RequestId
--- a/tests/entry/test_entry_crashes.py
+++ b/tests/entry/test_entry_crashes.py
@@ -9,14 +9,9 @@
 from typing import Any
 
 import pytest
-from entry_cluster import (
-    ADDRESS,
-    ENDPOINT_KEY,
-    HANG_TIMEOUT_S,
-    Cluster,
-    async_wait_until,
-    chat_prompt,
-)
+from entry_client import chat_prompt
+from entry_cluster import Cluster, async_wait_until
+from entry_const import ADDRESS, ENDPOINT_KEY, HANG_TIMEOUT_S
 
 from lagoonwing_fakes import expected_text
 
--- a/tests/entry/test_entry_drain.py
+++ b/tests/entry/test_entry_drain.py
@@ -4,7 +4,8 @@
 
 import asyncio
 
-from entry_cluster import Cluster, async_wait_until, chat_prompt
+from entry_client import chat_prompt
+from entry_cluster import Cluster, async_wait_until
 
 from lagoonwing_core.ids import Revision, StopId
 from lagoonwing_core.models import PlannedStop, StopState, StopTarget
--- a/tests/entry/test_entry_input.py
+++ b/tests/entry/test_entry_input.py
@@ -8,7 +8,9 @@
 
 import msgspec
 import pytest
-from entry_cluster import ADDRESS, ENDPOINT_KEY, Cluster, Host, chat, request_bytes
+from entry_client import chat, request_bytes
+from entry_cluster import Cluster, Host
+from entry_const import ADDRESS, ENDPOINT_KEY
 from tornado.httpclient import AsyncHTTPClient, HTTPResponse
 from tornado.iostream import StreamClosedError
 from tornado.tcpclient import TCPClient
--- a/tests/entry/test_entry_kills.py
+++ b/tests/entry/test_entry_kills.py
@@ -16,14 +16,9 @@
 
 import pytest
 from control_support import AUTHORIZED, Replica, async_start_replica, operator_stub
-from entry_cluster import (
-    HANG_TIMEOUT_S,
-    MEMBER_KEY,
-    Cluster,
-    async_announce,
-    async_fetch,
-    async_wait_until,
-)
+from entry_client import async_announce, async_fetch
+from entry_cluster import Cluster, async_wait_until
+from entry_const import HANG_TIMEOUT_S, MEMBER_KEY
 from tornado.httpclient import HTTPError, HTTPResponse
 
 from lagoonwing_core.ids import Incarnation
--- a/tests/entry/test_entry_membership.py
+++ b/tests/entry/test_entry_membership.py
@@ -7,15 +7,9 @@
 from pathlib import Path
 
 import pytest
-from entry_cluster import (
-    ADDRESS,
-    Cluster,
-    Host,
-    PeerPorts,
-    async_announce,
-    async_wait_until,
-    chat_prompt,
-)
+from entry_client import async_announce, chat_prompt
+from entry_cluster import Cluster, Host, PeerPorts, async_wait_until
+from entry_const import ADDRESS
 from ports import reserve_port
 from tornado.iostream import StreamClosedError
 from tornado.tcpclient import TCPClient
--- a/tests/entry/test_entry_path.py
+++ b/tests/entry/test_entry_path.py
@@ -4,7 +4,8 @@
 
 import json
 
-from entry_cluster import Cluster, chat_prompt
+from entry_client import chat_prompt
+from entry_cluster import Cluster
 
 from lagoonwing_fakes import FakeKind, expected_text
 
--- a/tests/entry/test_entry_pipeline.py
+++ b/tests/entry/test_entry_pipeline.py
@@ -8,7 +8,8 @@
 from typing import Any
 
 import pytest
-from entry_cluster import Cluster, Host, async_wait_until, chat_prompt
+from entry_client import chat_prompt
+from entry_cluster import Cluster, Host, async_wait_until
 
 from lagoonwing_entry import AdapterSettings
 from lagoonwing_fakes import FakeKind, Fault, FaultPlan, expected_text
--- a/tests/entry/test_entry_responses.py
+++ b/tests/entry/test_entry_responses.py
@@ -7,15 +7,9 @@
 from typing import Any
 
 import pytest
-from entry_cluster import (
-    ADDRESS,
-    HANG_TIMEOUT_S,
-    Cluster,
-    async_wait_until,
-    chat,
-    chat_prompt,
-    request_bytes,
-)
+from entry_client import chat, chat_prompt, request_bytes
+from entry_cluster import Cluster, async_wait_until
+from entry_const import ADDRESS, HANG_TIMEOUT_S
 from tornado.tcpclient import TCPClient
 
 from lagoonwing_entry import AdapterSettings
--- a/tests/entry/test_entry_services.py
+++ b/tests/entry/test_entry_services.py
@@ -6,7 +6,9 @@
 import json
 
 import pytest
-from entry_cluster import ADDRESS, Cluster, Host, async_wait_until, request_bytes
+from entry_client import request_bytes
+from entry_cluster import Cluster, Host, async_wait_until
+from entry_const import ADDRESS
 from tornado.httpclient import HTTPResponse
 from tornado.tcpclient import TCPClient
 
