The consensus simulation is split into hosts, faults, invariants and schedule

The names that the other modules call lose their underscore.

Ruled out: mixins, because every part would still see every field.

--- a/tests/consensus/consensus_mutations.py
+++ b/tests/consensus/consensus_mutations.py
@@ -9,8 +9,9 @@
 from typing import Any
 from unittest.mock import patch
 
+from consensus_nodes import InjectedBugs, ViolationError
 from consensus_scenarios import SCENARIOS
-from consensus_simulation import InjectedBugs, Simulation, ViolationError
+from consensus_simulation import Simulation
 
 from lagoonwing_consensus import (
     _commit,
--- a/tests/consensus/consensus_scenarios.py
+++ b/tests/consensus/consensus_scenarios.py
@@ -5,15 +5,9 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from consensus_simulation import (
-    HOSTS,
-    SETTINGS,
-    Disk,
-    Faults,
-    InjectedBugs,
-    Simulation,
-    ViolationError,
-)
+from consensus_faults import Faults
+from consensus_nodes import Disk, InjectedBugs, ViolationError
+from consensus_simulation import HOSTS, SETTINGS, Simulation
 
 from lagoonwing_consensus import (
     AppendRequest,
@@ -42,14 +36,14 @@
 
     def __init__(self, seed: int, bugs: InjectedBugs) -> None:
         super().__init__(seed, bugs)
-        self._faults = NO_FAULTS
+        self.faults = NO_FAULTS
         for host in HOSTS:
-            self._start(host)
+            self.start(host)
 
     def run_for(self, seconds: float) -> None:
         """Run the schedule for some time."""
         end = self.now + seconds
-        self._schedule(seconds, lambda: None)
+        self.schedule(seconds, lambda: None)
         while self.now < end:
             self.step()
 
--- a/tests/consensus/test_consensus_schedules.py
+++ b/tests/consensus/test_consensus_schedules.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import pytest
+from consensus_nodes import InjectedBugs
 from consensus_scenarios import SCENARIOS
-from consensus_simulation import FiveVoterSimulation, InjectedBugs, Simulation
+from consensus_simulation import FiveVoterSimulation, Simulation
 
 # Outside the seed range of the cases. Stalled before non-voters could campaign.
 REGRESSION_SEEDS = (211985,)
