The commands that end an entity share one base class

Cause: `member retire`, `agreement retire`, `stop cancel` and `quarantine clear` repeated the same three lines with other names, and two `change` commands repeated the choice of the expected revision.

Change: `RetireCommand` takes the kind and the method as `GetCommand` takes the kind; `expected_revision_of` chooses between the option and a fetched entity. Names, options and requests stay.

--- a/packages/lagoonctl/src/lagoonctl/_commands/_agreement.py
+++ b/packages/lagoonctl/src/lagoonctl/_commands/_agreement.py
@@ -9,6 +9,7 @@
     ChangeCommand,
     GetCommand,
     ListCommand,
+    RetireCommand,
 )
 from lagoonctl.client import OperatorClient
 from lagoonctl.const import ExitCode
@@ -64,26 +65,21 @@
     def run_with(self, client: OperatorClient) -> ExitCode:
         """Change the agreement at the expected revision."""
         agreement = self.get_entity(client, "agreement", self.argument("id"))
-        given_revision = self.int_option("expect-revision")
-        expected_revision = agreement.revision if given_revision is None else given_revision
+        expected_revision = self.expected_revision_of(agreement)
         agreement.ClearField("revision")
         agreement.ClearField("state")
         _apply_options(self, agreement)
         return self.submit_change(client, "ChangeAgreement", expected_revision, agreement=agreement)
 
 
-class AgreementRetire(ChangeCommand):
+class AgreementRetire(RetireCommand):
     """Retires an agreement."""
 
     name = "agreement retire"
     description = "Retire an agreement permanently."
     arguments = [_ID]
-
-    def run_with(self, client: OperatorClient) -> ExitCode:
-        """Retire the agreement at the expected revision."""
-        agreement_id = self.argument("id")
-        expected_revision = self.expected_revision(client, "agreement", agreement_id)
-        return self.submit_change(client, "RetireAgreement", expected_revision, id=agreement_id)
+    kind = "agreement"
+    method = "RetireAgreement"
 
 
 class AgreementGet(GetCommand):
--- a/packages/lagoonctl/src/lagoonctl/_commands/_base.py
+++ b/packages/lagoonctl/src/lagoonctl/_commands/_base.py
@@ -179,6 +179,12 @@
         revision: int = self.get_entity(client, kind, entity_id).revision
         return revision
 
+    def expected_revision_of(self, entity: Any) -> int:
+        """Return the `--expect-revision` option, or the revision of a fetched entity."""
+        given_revision = self.int_option("expect-revision")
+        revision: int = entity.revision if given_revision is None else given_revision
+        return revision
+
     def _print_resend_hint(
         self, error: CommandError, change_id: str, expected_revision: int
     ) -> None:
@@ -190,6 +196,19 @@
             )
 
 
+class RetireCommand(ChangeCommand):
+    """Command that ends one entity."""
+
+    kind = ""
+    method = ""
+
+    def run_with(self, client: OperatorClient) -> ExitCode:
+        """End the entity at the expected revision."""
+        entity_id = self.argument("id")
+        expected_revision = self.expected_revision(client, self.kind, entity_id)
+        return self.submit_change(client, self.method, expected_revision, id=entity_id)
+
+
 class ListCommand(LagoonCommand):
     """Command that lists the entities of one kind."""
 
--- a/packages/lagoonctl/src/lagoonctl/_commands/_member.py
+++ b/packages/lagoonctl/src/lagoonctl/_commands/_member.py
@@ -11,6 +11,7 @@
     ChangeCommand,
     GetCommand,
     ListCommand,
+    RetireCommand,
 )
 from lagoonctl.client import OperatorClient
 from lagoonctl.const import ExitCode
@@ -56,28 +57,23 @@
     def run_with(self, client: OperatorClient) -> ExitCode:
         """Change the member at the expected revision."""
         current = self.get_entity(client, "member", self.argument("id"))
-        given_revision = self.int_option("expect-revision")
         member = pb.Member(
             member_id=self.argument("id"),
             name=self.text_option("name") or current.name,
             key_hashes=_key_hashes(self) or list(current.key_hashes),
         )
-        expected_revision = current.revision if given_revision is None else given_revision
+        expected_revision = self.expected_revision_of(current)
         return self.submit_change(client, "ChangeMember", expected_revision, member=member)
 
 
-class MemberRetire(ChangeCommand):
+class MemberRetire(RetireCommand):
     """Retires a member."""
 
     name = "member retire"
     description = "Retire a member permanently; its requests are no longer accepted."
     arguments = [_ID]
-
-    def run_with(self, client: OperatorClient) -> ExitCode:
-        """Retire the member at the expected revision."""
-        member_id = self.argument("id")
-        expected_revision = self.expected_revision(client, "member", member_id)
-        return self.submit_change(client, "RetireMember", expected_revision, id=member_id)
+    kind = "member"
+    method = "RetireMember"
 
 
 class MemberGet(GetCommand):
--- a/packages/lagoonctl/src/lagoonctl/_commands/_stop.py
+++ b/packages/lagoonctl/src/lagoonctl/_commands/_stop.py
@@ -9,6 +9,7 @@
     ChangeCommand,
     GetCommand,
     ListCommand,
+    RetireCommand,
 )
 from lagoonctl.client import OperatorClient
 from lagoonctl.const import ExitCode
@@ -49,19 +50,14 @@
         return self.submit_change(client, "OrderStop", expected_revision, stop=stop)
 
 
-class StopCancel(ChangeCommand):
+class StopCancel(RetireCommand):
     """Cancels a planned stop."""
 
     name = "stop cancel"
     description = "Cancel a planned stop; the target accepts work again."
     arguments = [_ID]
-
-    def run_with(self, client: OperatorClient) -> ExitCode:
-        """Cancel the stop at the expected revision."""
-        stop_id = self.argument("id")
-        return self.submit_change(
-            client, "CancelStop", self.expected_revision(client, "stop", stop_id), id=stop_id
-        )
+    kind = "stop"
+    method = "CancelStop"
 
 
 class StopGet(GetCommand):
@@ -89,15 +85,11 @@
     kind = "quarantine"
 
 
-class QuarantineClear(ChangeCommand):
+class QuarantineClear(RetireCommand):
     """Lifts a quarantine."""
 
     name = "quarantine clear"
     description = "Lift the quarantine of a request."
     arguments = [argument("id", "Fingerprint of the request")]
-
-    def run_with(self, client: OperatorClient) -> ExitCode:
-        """Lift the quarantine at the expected revision."""
-        fingerprint = self.argument("id")
-        expected_revision = self.expected_revision(client, "quarantine", fingerprint)
-        return self.submit_change(client, "ClearQuarantine", expected_revision, id=fingerprint)
+    kind = "quarantine"
+    method = "ClearQuarantine"
