Callers' handlers share how a call ends; the entry host builds the caller server apart

Cause: the handlers of completions and of services repeated the five lines that await a call, treat a caller that has gone and log the result. Two places built the result of an attempt that failed on this host.

Change: `CallerHandler.async_finish_call`, `_failed_result` with the dispatch as an argument, and `_make_caller_server`.

Ruled out: a common builder for the constructors of attempt runner and pipeline, which only share the shape of their assignments.

--- a/packages/entry/src/lagoonwing_entry/_caller_handlers.py
+++ b/packages/entry/src/lagoonwing_entry/_caller_handlers.py
@@ -5,6 +5,7 @@
 import asyncio
 import hashlib
 import itertools
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -164,7 +165,17 @@
             idempotent=idempotent,
         )
 
-    def log_finished(self, finished: RequestResult) -> None:
+    async def async_finish_call(self, call: Coroutine[Any, Any, RequestResult]) -> RequestResult:
+        """Run a call until it ends or the caller disconnects; log, count and return its result."""
+        self.call_task = asyncio.ensure_future(call)
+        try:
+            finished = await self.call_task
+        except asyncio.CancelledError:
+            finished = RequestResult(Outcome.UNKNOWN, ResultCode.CALLER_GONE)
+        self._log_finished(finished)
+        return finished
+
+    def _log_finished(self, finished: RequestResult) -> None:
         """Log and count a finished request."""
         self.count_finished(finished.outcome, finished.code)
         log_event(
--- a/packages/entry/src/lagoonwing_entry/_completion_handlers.py
+++ b/packages/entry/src/lagoonwing_entry/_completion_handlers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import Any
 
 from expression import Error, Ok, Result
@@ -67,12 +66,7 @@
             sink = StreamSink(self, self.request_id, call, timeout_s)
         else:
             sink = BufferedSink(self.request_id, call)
-        self.call_task = asyncio.ensure_future(self.context.runner.async_run(profile, call, sink))
-        try:
-            finished = await self.call_task
-        except asyncio.CancelledError:
-            finished = RequestResult(Outcome.UNKNOWN, ResultCode.CALLER_GONE)
-        self.log_finished(finished)
+        finished = await self.async_finish_call(self.context.runner.async_run(profile, call, sink))
         try:
             await self._async_send_response(finished, sink)
         except StreamClosedError:
--- a/packages/entry/src/lagoonwing_entry/_entry_host.py
+++ b/packages/entry/src/lagoonwing_entry/_entry_host.py
@@ -90,18 +90,7 @@
         self._services = ServiceCaller(
             self.runner, control, faults or NoFaultHook(), clock, settings.claim_timeout_s
         )
-        context = CallerContext(
-            settings=settings,
-            runner=self.runner,
-            services=self._services,
-            control=control,
-            directory=self.directory,
-            readiness=self.readiness,
-            metrics=self.metrics,
-            clock=clock,
-            budget=BodyBudget(settings.caller.max_buffered_bytes),
-        )
-        self.caller_server = CallerServer(settings.caller, context)
+        self.caller_server = self._make_caller_server(control, clock)
         self.announce_server = AnnounceServer(settings.announce, membership, clock)
         self.membership_service = MembershipService(
             membership,
@@ -139,6 +128,22 @@
         for component in components:
             self._runtime.register(component)
 
+    def _make_caller_server(self, control: ControlPort, clock: Clock) -> CallerServer:
+        """Return the server for requests from callers."""
+        caller = self.settings.caller
+        context = CallerContext(
+            settings=self.settings,
+            runner=self.runner,
+            services=self._services,
+            control=control,
+            directory=self.directory,
+            readiness=self.readiness,
+            metrics=self.metrics,
+            clock=clock,
+            budget=BodyBudget(caller.max_buffered_bytes),
+        )
+        return CallerServer(caller, context)
+
     async def async_setup(self) -> None:
         """Start all components."""
         await self._runtime.async_setup()
--- a/packages/entry/src/lagoonwing_entry/_request_runner.py
+++ b/packages/entry/src/lagoonwing_entry/_request_runner.py
@@ -224,7 +224,9 @@
         if len(current) != len(records):
             missing = command.route.stages[records.index(None)]
             refusal = Refusal(ResultCode.ENDPOINT_LOST, f"{missing.endpoint_id} is no longer known")
-            self._end_attempt(command, _not_sent_result(active, command, refusal))
+            self._end_attempt(
+                command, _failed_result(active, command, Dispatch.NO_BYTE_SENT, refusal)
+            )
             return
         active.attempt = command.attempt
         active.records = current
@@ -239,14 +241,7 @@
         except Exception as error:
             log_event(EventCode.COMPONENT_FAILED, component=self.name, error=repr(error))
             refusal = Refusal(ResultCode.ANSWER_INCOMPLETE, "the attempt failed")
-            result = AttemptFailed(
-                stage=command.route.stages[0],
-                dispatch=Dispatch.MAY_HAVE_RUN,
-                endpoint_crashed=False,
-                bytes_reached_caller=active.sink.started,
-                resumable_tokens=len(active.token_texts),
-                refusal=refusal,
-            )
+            result = _failed_result(active, command, Dispatch.MAY_HAVE_RUN, refusal)
         active.task = None
         active.records = ()
         self._apply_result(active, result)
@@ -336,13 +331,13 @@
         self._execute(self._scheduler.suspects_recorded(command.fingerprints, now))
 
 
-def _not_sent_result(
-    active: ActiveRequest, command: StartAttempt, refusal: Refusal
+def _failed_result(
+    active: ActiveRequest, command: StartAttempt, dispatch: Dispatch, refusal: Refusal
 ) -> AttemptFailed:
-    """Return the result of an attempt that failed before any byte was sent."""
+    """Return the result of an attempt that failed on this host."""
     return AttemptFailed(
         stage=command.route.stages[0],
-        dispatch=Dispatch.NO_BYTE_SENT,
+        dispatch=dispatch,
         endpoint_crashed=False,
         bytes_reached_caller=active.sink.started,
         resumable_tokens=len(active.token_texts),
--- a/packages/entry/src/lagoonwing_entry/_service_handlers.py
+++ b/packages/entry/src/lagoonwing_entry/_service_handlers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from urllib.parse import unquote
 
 from expression import Error, Ok, Result
@@ -109,12 +108,7 @@
             self.refuse(refusal, Outcome.NOT_RUN if call.key is None else Outcome.UNKNOWN)
             return
         profile = self.profile(call, deadline, idempotent)
-        self.call_task = asyncio.ensure_future(self.context.services.async_call(profile, call))
-        try:
-            finished = await self.call_task
-        except asyncio.CancelledError:
-            finished = RequestResult(Outcome.UNKNOWN, ResultCode.CALLER_GONE)
-        self.log_finished(finished)
+        finished = await self.async_finish_call(self.context.services.async_call(profile, call))
         try:
             self._send_response(finished)
         except StreamClosedError:
