--- a/packages/control/src/lagoonwing_control/_changes.py
+++ b/packages/control/src/lagoonwing_control/_changes.py
@@ -54,9 +54,15 @@
         refusal = _check_body(state, command.change, current)
     if refusal is not None:
         return Error(refusal)
-    revision = Revision(state.revision + 1)
-    match command.change:
-        case PutMember() as change:
+    return _apply_change(command.change, current, Revision(state.revision + 1))
+
+
+def _apply_change(
+    change: Change, current: Entity | None, revision: Revision
+) -> Result[Entity, Refused]:
+    """Return the entity that results from a valid change."""
+    match change:
+        case PutMember():
             return Ok(
                 Member(
                     member_id=change.member_id,
@@ -66,7 +72,7 @@
                     revision=revision,
                 )
             )
-        case PutAgreement() as change:
+        case PutAgreement():
             return Ok(
                 Agreement(
                     agreement_id=change.agreement_id,
@@ -79,9 +85,9 @@
                     revision=revision,
                 )
             )
-        case SetConfiguration() as change:
+        case SetConfiguration():
             return Ok(ConfigurationEntry(key=change.key, value=change.value, revision=revision))
-        case OrderStop() as change:
+        case OrderStop():
             return Ok(
                 PlannedStop(
                     stop_id=change.stop_id,
