A test ends an entity of each kind from the command line

Cause: only `member retire` was run by a test; `agreement retire`, `stop cancel` and `quarantine clear` now share its code.

Change: one test ends an entity of each kind and checks the refusals of an unknown entity and of an outdated revision.

--- a/tests/lagoonctl/test_commands.py
+++ b/tests/lagoonctl/test_commands.py
@@ -115,6 +115,26 @@
     assert watched == history
 
 
+async def test_entities_of_each_kind_are_ended_at_their_revision(cli) -> None:
+    """Ending an entity keeps it in a final state; an unknown or changed one is refused."""
+    await cli.async_run("member create m1")
+    await cli.async_run("agreement create a1 --member m1")
+    await cli.async_run("stop order s1 --endpoint e1")
+    code, _, errors = await cli.async_run("agreement retire a1 --expect-revision 1")
+    assert (code, json.loads(errors)["name"]) == (4, "revision_conflict")
+    for line, state in (
+        ("agreement retire a1", "retired"),
+        ("member retire m1", "retired"),
+        ("stop cancel s1", "cancelled"),
+    ):
+        code, rows, _ = await cli.async_run(line)
+        assert (code, rows[0]["state"]) == (0, state), line
+    code, _, errors = await cli.async_run("quarantine clear f1")
+    assert (code, json.loads(errors)["name"]) == (1, "unknown_entity")
+    code, _, errors = await cli.async_run("quarantine clear f1 --expect-revision 0")
+    assert (code, json.loads(errors)["name"]) == (1, "invalid_change")
+
+
 async def test_stop_becomes_safe_and_status_shows_the_replica(cli) -> None:
     """A stop of an idle target becomes safe; stopping the host of the last voter is refused."""
     code, rows, _ = await cli.async_run("stop order s1 --endpoint e1")
