The control replica passes its components on as one value; each entity has its own conversion

Change: `PeerProtocol` takes `ReplicaComponents`, as the operator server and the metrics do; the metrics server is built in a function of its own; each entity is converted by its own function.

--- a/packages/control/src/lagoonwing_control/_conversion.py
+++ b/packages/control/src/lagoonwing_control/_conversion.py
@@ -26,57 +26,68 @@
     """Convert an entity to its API message."""
     match entity:
         case Member():
-            return pb.Entity(
-                member=pb.Member(
-                    member_id=entity.member_id,
-                    name=entity.name,
-                    key_hashes=entity.key_hashes,
-                    state=entity.state.value,
-                    revision=entity.revision,
-                )
-            )
+            return pb.Entity(member=_member_message(entity))
         case Agreement():
-            return pb.Entity(
-                agreement=pb.Agreement(
-                    agreement_id=entity.agreement_id,
-                    member_id=entity.member_id,
-                    weight=entity.weight,
-                    max_concurrency=entity.max_concurrency,
-                    max_requests_per_s=entity.max_requests_per_s,
-                    max_tokens_per_s=entity.max_tokens_per_s,
-                    state=entity.state.value,
-                    revision=entity.revision,
-                )
-            )
+            return pb.Entity(agreement=_agreement_message(entity))
         case ConfigurationEntry():
-            return pb.Entity(
-                configuration=pb.ConfigurationEntry(
-                    key=entity.key, value=entity.value, revision=entity.revision
-                )
+            message = pb.ConfigurationEntry(
+                key=entity.key, value=entity.value, revision=entity.revision
             )
+            return pb.Entity(configuration=message)
         case PlannedStop():
-            return pb.Entity(
-                stop=pb.PlannedStop(
-                    stop_id=entity.stop_id,
-                    target=entity.target.value,
-                    target_id=entity.target_id,
-                    state=entity.state.value,
-                    revision=entity.revision,
-                )
-            )
+            return pb.Entity(stop=_stop_message(entity))
         case Quarantine():
-            return pb.Entity(
-                quarantine=pb.Quarantine(
-                    fingerprint=entity.fingerprint,
-                    state=entity.state.value,
-                    deaths=[f"{endpoint}@{incarnation}" for endpoint, incarnation in entity.deaths],
-                    revision=entity.revision,
-                )
-            )
+            return pb.Entity(quarantine=_quarantine_message(entity))
         case None:
             return pb.Entity()
 
 
+def _member_message(member: Member) -> pb.Member:
+    """Convert a member to its API message."""
+    return pb.Member(
+        member_id=member.member_id,
+        name=member.name,
+        key_hashes=member.key_hashes,
+        state=member.state.value,
+        revision=member.revision,
+    )
+
+
+def _agreement_message(agreement: Agreement) -> pb.Agreement:
+    """Convert an agreement to its API message."""
+    return pb.Agreement(
+        agreement_id=agreement.agreement_id,
+        member_id=agreement.member_id,
+        weight=agreement.weight,
+        max_concurrency=agreement.max_concurrency,
+        max_requests_per_s=agreement.max_requests_per_s,
+        max_tokens_per_s=agreement.max_tokens_per_s,
+        state=agreement.state.value,
+        revision=agreement.revision,
+    )
+
+
+def _stop_message(stop: PlannedStop) -> pb.PlannedStop:
+    """Convert a planned stop to its API message."""
+    return pb.PlannedStop(
+        stop_id=stop.stop_id,
+        target=stop.target.value,
+        target_id=stop.target_id,
+        state=stop.state.value,
+        revision=stop.revision,
+    )
+
+
+def _quarantine_message(quarantine: Quarantine) -> pb.Quarantine:
+    """Convert a quarantine to its API message."""
+    return pb.Quarantine(
+        fingerprint=quarantine.fingerprint,
+        state=quarantine.state.value,
+        deaths=[f"{endpoint}@{incarnation}" for endpoint, incarnation in quarantine.deaths],
+        revision=quarantine.revision,
+    )
+
+
 def member_change(message: pb.Member) -> PutMember:
     """Convert a member message to a change."""
     return PutMember(MemberId(message.member_id), message.name, tuple(message.key_hashes))
--- a/packages/control/src/lagoonwing_control/_coordinator.py
+++ b/packages/control/src/lagoonwing_control/_coordinator.py
@@ -60,17 +60,6 @@
         self.leader = Leader(settings, state_machine, log, self._clock, self.lost_hosts)
         self.proposer = Proposer(log, self._link_by_host, wall_clock_ms, self.leader.check_stop)
         self.reads = LinearizableReads(log, state_machine, self.watchers, self._link_by_host)
-        peers = PeerProtocol(
-            settings.host_id,
-            state_machine,
-            log,
-            self.leader,
-            self.proposer,
-            self.watchers,
-            self.lost_hosts,
-            self._link_by_host,
-        )
-        server.register(PROTOCOL, peers.handlers())
         components = ReplicaComponents(
             state_machine,
             log,
@@ -80,16 +69,10 @@
             self.watchers,
             self.lost_hosts,
         )
+        peers = PeerProtocol(settings.host_id, components, self._link_by_host)
+        server.register(PROTOCOL, peers.handlers())
         self._operator_server = OperatorServer(settings, components, self._clock)
-        self._metrics_server: MetricsServer | None = None
-        if settings.metrics_port is not None:
-            metrics = ControlMetrics(settings, components, self._clock)
-            self._metrics_server = MetricsServer(
-                settings.grpc_address,
-                settings.metrics_port,
-                metrics.collect,
-                metrics.why_not_ready,
-            )
+        self._metrics_server = _make_metrics_server(settings, components, self._clock)
         self._tick_task: asyncio.Task[None] | None = None
         state_machine.on_applied = self.watchers.schedule_push
         log.on_leadership_change = self._on_leadership
@@ -127,6 +110,18 @@
             await asyncio.sleep(TICK_INTERVAL_S)
 
 
+def _make_metrics_server(
+    settings: ControlSettings, components: ReplicaComponents, clock: Clock
+) -> MetricsServer | None:
+    """Return the server of the metrics, if a port is configured for it."""
+    if settings.metrics_port is None:
+        return None
+    metrics = ControlMetrics(settings, components, clock)
+    return MetricsServer(
+        settings.grpc_address, settings.metrics_port, metrics.collect, metrics.why_not_ready
+    )
+
+
 def wall_clock_ms() -> int:
     """Return the time since the epoch in milliseconds."""
     return time.time_ns() // 1_000_000
--- a/packages/control/src/lagoonwing_control/_peers.py
+++ b/packages/control/src/lagoonwing_control/_peers.py
@@ -5,12 +5,10 @@
 import msgspec
 from expression import Result
 
-from lagoonwing_control._leader import Leader
+from lagoonwing_control._components import ReplicaComponents
 from lagoonwing_control._paging import page_of_all_kinds
-from lagoonwing_control._proposer import Proposer, refusal_reply
-from lagoonwing_control._state_machine import ControlStateMachine
+from lagoonwing_control._proposer import refusal_reply
 from lagoonwing_control._status import knows_leader
-from lagoonwing_control._watchers import Watchers
 from lagoonwing_control.const import BARRIER_TIMEOUT_S, ENTITIES_PER_PAGE, FORWARD_TIMEOUT_S
 from lagoonwing_control.models import Claim, Command
 from lagoonwing_core.callback import callback
@@ -18,7 +16,6 @@
 from lagoonwing_core.events import EventCode, log_event
 from lagoonwing_core.ids import HostId
 from lagoonwing_core.result_codes import ResultCode
-from lagoonwing_replication import ReplicatedLog
 from lagoonwing_wire import Channel, Handlers, Link
 from lagoonwing_wire.control_messages import (
     CONTROL_DECODER,
@@ -53,22 +50,17 @@
     def __init__(
         self,
         host_id: HostId,
-        state_machine: ControlStateMachine,
-        log: ReplicatedLog,
-        leader: Leader,
-        proposer: Proposer,
-        watchers: Watchers,
-        lost_hosts: set[HostId],
+        components: ReplicaComponents,
         link_by_host: dict[HostId, Link],
     ) -> None:
-        self._link_by_host = link_by_host
         self._host_id = host_id
-        self._state_machine = state_machine
-        self._log = log
-        self._leader = leader
-        self._proposer = proposer
-        self._watchers = watchers
-        self._lost_hosts = lost_hosts
+        self._link_by_host = link_by_host
+        self._state_machine = components.state_machine
+        self._log = components.log
+        self._leader = components.leader
+        self._proposer = components.proposer
+        self._watchers = components.watchers
+        self._lost_hosts = components.lost_hosts
 
     def handlers(self) -> Handlers[ControlMessage]:
         """Return the handlers to register with the channel server."""
