The entry host builds its request runner in a function of its own

Cause: `EntryHost.__init__` still had 57 lines of code after the caller server had left it.

Change: `_make_runner`; 46 lines are left, one assignment for each component.

--- a/packages/entry/src/lagoonwing_entry/_entry_host.py
+++ b/packages/entry/src/lagoonwing_entry/_entry_host.py
@@ -75,18 +75,7 @@
         self.metrics = EntryMetrics()
         self.readiness = HostReadiness(control)
         adapter = adapter or HttpEndpointAdapter(settings.adapter, clock)
-        suspects = SuspectReporter(control, settings.control_timeout_s)
-        attempts = AttemptRunner(adapter, scheduler, self.directory, suspects, self.metrics, clock)
-        self.runner = RequestRunner(
-            scheduler,
-            attempts,
-            self.directory,
-            suspects,
-            self.metrics,
-            self.readiness,
-            clock,
-            settings.tick_s,
-        )
+        self.runner = self._make_runner(adapter, scheduler, control, clock)
         self._services = ServiceCaller(
             self.runner, control, faults or NoFaultHook(), clock, settings.claim_timeout_s
         )
@@ -128,6 +117,27 @@
         for component in components:
             self._runtime.register(component)
 
+    def _make_runner(
+        self,
+        adapter: EndpointAdapter,
+        scheduler: SchedulerPort,
+        control: ControlPort,
+        clock: Clock,
+    ) -> RequestRunner:
+        """Return the component that runs the attempts of requests."""
+        suspects = SuspectReporter(control, self.settings.control_timeout_s)
+        attempts = AttemptRunner(adapter, scheduler, self.directory, suspects, self.metrics, clock)
+        return RequestRunner(
+            scheduler,
+            attempts,
+            self.directory,
+            suspects,
+            self.metrics,
+            self.readiness,
+            clock,
+            self.settings.tick_s,
+        )
+
     def _make_caller_server(self, control: ControlPort, clock: Clock) -> CallerServer:
         """Return the server for requests from callers."""
         caller = self.settings.caller
