--- a/packages/consensus/src/lagoonwing_consensus/_membership.py
+++ b/packages/consensus/src/lagoonwing_consensus/_membership.py
@@ -43,7 +43,9 @@
     lost_voter = next((voter for voter in current.voters if is_voter_lost(state, voter, now)), None)
     if len(current.voters) > target_count:
         return demote_voter(current, lost_voter or _newest_follower(state))
-    learner = next((one for one in current.learners if is_caught_up(state, one, now)), None)
+    learner = next(
+        (learner for learner in current.learners if is_caught_up(state, learner, now)), None
+    )
     if learner is None:
         return None
     if len(current.voters) < target_count:
@@ -72,7 +74,7 @@
     voter with a later replica on its host is never kept as a learner (see `demote_voter`).
     """
     later_voters = current.voters[current.voters.index(voter) + 1 :]
-    return any(other.host_id == voter.host_id for other in (*later_voters, *current.learners))
+    return any(replica.host_id == voter.host_id for replica in (*later_voters, *current.learners))
 
 
 def is_caught_up(state: ReplicaState, learner: Replica, now: float) -> bool:
@@ -87,13 +89,13 @@
 
 def promote_learner(current: ReplicaSet, learner: Replica) -> ReplicaSet:
     """Return the set with a learner promoted to voter."""
-    learners = tuple(other for other in current.learners if other != learner)
+    learners = tuple(kept for kept in current.learners if kept != learner)
     return ReplicaSet((*current.voters, learner), learners)
 
 
 def demote_voter(current: ReplicaSet, voter: Replica) -> ReplicaSet:
     """Return the set with a voter demoted to learner, or removed if its disk was replaced."""
-    voters = tuple(other for other in current.voters if other != voter)
+    voters = tuple(kept for kept in current.voters if kept != voter)
     if has_replaced_disk(current, voter):
         return ReplicaSet(voters, current.learners)
     return ReplicaSet(voters, (*current.learners, voter))
@@ -106,7 +108,7 @@
     if replica.replica_id in known_ids or not may_change_replica_set(state):
         return
     # A host has one disk, so its previous replica will not come back.
-    learners = [other for other in current.learners if other.host_id != replica.host_id]
+    learners = [learner for learner in current.learners if learner.host_id != replica.host_id]
     propose_replica_set(state, ReplicaSet(current.voters, (*learners, replica)), now)
 
 
--- a/packages/control/src/lagoonwing_control/_changes.py
+++ b/packages/control/src/lagoonwing_control/_changes.py
@@ -212,11 +212,11 @@
         return "the member does not exist or is retired"
     if isinstance(current, Agreement) and current.member_id != change.member_id:
         return "an agreement stays with its member"
-    for other in state.agreements():
-        same_member = other.member_id == change.member_id
-        is_other = other.agreement_id != change.agreement_id
-        if same_member and is_other and other.state is EntityState.ACTIVE:
-            return f"the member has the agreement {other.agreement_id} already"
+    for agreement in state.agreements():
+        same_member = agreement.member_id == change.member_id
+        is_other = agreement.agreement_id != change.agreement_id
+        if same_member and is_other and agreement.state is EntityState.ACTIVE:
+            return f"the member has the agreement {agreement.agreement_id} already"
     return None
 
 
--- a/packages/lagoonwing/src/lagoonwing/_logging.py
+++ b/packages/lagoonwing/src/lagoonwing/_logging.py
@@ -97,13 +97,13 @@
     handler = RateLimitedHandler(descriptor, settings.log_lines_per_s)
     handler.setFormatter(JsonFormatter(settings))
     root = python_logging.getLogger()
-    for other in list(root.handlers):
-        root.removeHandler(other)
+    for default_handler in list(root.handlers):
+        root.removeHandler(default_handler)
     root.addHandler(handler)
     logger = logging.get_absl_logger()
     logger.propagate = True
-    for other in list(logger.handlers):
-        logger.removeHandler(other)
+    for default_handler in list(logger.handlers):
+        logger.removeHandler(default_handler)
     logging.set_verbosity(_VERBOSITY_BY_LEVEL[settings.log_level])
 
 
--- a/packages/policy/src/lagoonwing_policy/_scheduler.py
+++ b/packages/policy/src/lagoonwing_policy/_scheduler.py
@@ -106,7 +106,7 @@
             configuration: Configuration keys set by operators.
             now: Time in seconds.
         """
-        active = {m.member_id for m in members if m.state is EntityState.ACTIVE}
+        active = {member.member_id for member in members if member.state is EntityState.ACTIVE}
         in_force = [
             agreement
             for agreement in agreements
--- a/packages/policy/src/lagoonwing_policy/quarantine/_correlation.py
+++ b/packages/policy/src/lagoonwing_policy/quarantine/_correlation.py
@@ -43,5 +43,5 @@
             crashes.append(_Crash(stage, running, now))
         if len(crashes) < const.MIN_CORRELATED_CRASHES:
             return False
-        others = (crash.running for crash in crashes if crash.stage != stage)
-        return all(running.isdisjoint(other) for other in others)
+        earlier = (crash for crash in crashes if crash.stage != stage)
+        return all(running.isdisjoint(crash.running) for crash in earlier)
--- a/packages/policy/src/lagoonwing_policy/routing/_pools.py
+++ b/packages/policy/src/lagoonwing_policy/routing/_pools.py
@@ -92,7 +92,8 @@
         if record.kind is EndpointKind.STAGE and record.layers is not None:
             stages_by_count[record.layer_count].append(record)
     splits = tuple(
-        _build_split(stages_by_count[n], n, links, policy) for n in sorted(stages_by_count)
+        _build_split(stages, layer_count, links, policy)
+        for layer_count, stages in sorted(stages_by_count.items())
     )
     pool = RoutePool(whole, splits)
     pool.candidate_by_id = {candidate.endpoint_id: candidate for candidate in whole}
--- a/packages/policy/src/lagoonwing_policy/sharing/_spans.py
+++ b/packages/policy/src/lagoonwing_policy/sharing/_spans.py
@@ -70,9 +70,9 @@
     def span(self, pool: str, host_id: HostId) -> CapacitySpan:
         """Return the span of one host in a pool."""
         start = 0.0
-        for other in self._hosts:
-            end = start + self._applied_by_pool[pool][other]
-            if other == host_id:
+        for current_id in self._hosts:
+            end = start + self._applied_by_pool[pool][current_id]
+            if current_id == host_id:
                 return CapacitySpan(start, min(1.0, end))
             start = end
         raise KeyError(host_id)
