--- a/packages/control/src/lagoonwing_control/_changes.py
+++ b/packages/control/src/lagoonwing_control/_changes.py
@@ -54,9 +54,15 @@
         refusal = _check_body(state, command.change, current)
     if refusal is not None:
         return Error(refusal)
-    revision = Revision(state.revision + 1)
-    match command.change:
-        case PutMember() as change:
+    return _apply_change(command.change, current, Revision(state.revision + 1))
+
+
+def _apply_change(
+    change: Change, current: Entity | None, revision: Revision
+) -> Result[Entity, Refused]:
+    """Return the entity that results from a valid change."""
+    match change:
+        case PutMember():
             return Ok(
                 Member(
                     member_id=change.member_id,
@@ -66,7 +72,7 @@
                     revision=revision,
                 )
             )
-        case PutAgreement() as change:
+        case PutAgreement():
             return Ok(
                 Agreement(
                     agreement_id=change.agreement_id,
@@ -79,9 +85,9 @@
                     revision=revision,
                 )
             )
-        case SetConfiguration() as change:
+        case SetConfiguration():
             return Ok(ConfigurationEntry(key=change.key, value=change.value, revision=revision))
-        case OrderStop() as change:
+        case OrderStop():
             return Ok(
                 PlannedStop(
                     stop_id=change.stop_id,
@@ -206,11 +212,11 @@
         return "the member does not exist or is retired"
     if isinstance(current, Agreement) and current.member_id != change.member_id:
         return "an agreement stays with its member"
-    for other in state.agreements():
-        same_member = other.member_id == change.member_id
-        is_other = other.agreement_id != change.agreement_id
-        if same_member and is_other and other.state is EntityState.ACTIVE:
-            return f"the member has the agreement {other.agreement_id} already"
+    for agreement in state.agreements():
+        same_member = agreement.member_id == change.member_id
+        is_other = agreement.agreement_id != change.agreement_id
+        if same_member and is_other and agreement.state is EntityState.ACTIVE:
+            return f"the member has the agreement {agreement.agreement_id} already"
     return None
 
 
