Crashes are counted by prompt part, and what is known outlives the gateway that saw them

Cause: the quarantine knew a request by its path, caller and body, a key that never recurs if only one part of the prompt is the cause. Two faults hid it further: an endpoint that crashes ends its own connections, which was never counted as a crash (only what the watchdog interrupted was), and counts lived in the report of the gateway that saw them and vanished with it. Class: evidence is kept under the wrong identity and by the wrong owner.

Change: a crash is counted for each trait of the requests that had just begun on the endpoint: the request itself and each part of its prompt but the last. Three crashes without a service in between quarantine a trait for ten minutes. Sound traits are told apart: requests with them are served (a trait served before needs five crashes over 3 s that no other trait explains), traits only seen together are refused only together, several crashes of one request count once for its parts, and endpoints lost at one moment in one failure domain, or mostly without the trait, count once. A connection that ends is followed by one shared probe; only a refused connection is a crash.

--- a/packages/catalog/src/lagoonwing_catalog/__init__.py
+++ b/packages/catalog/src/lagoonwing_catalog/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from lagoonwing_catalog._crash_ledger import CrashLedger, crash_id_of, domain_digest
 from lagoonwing_catalog._endpoints import is_unchanged, supersedes
 from lagoonwing_catalog._routes import RouteTable
 from lagoonwing_catalog._state import (
@@ -17,10 +18,13 @@
 __all__ = [
     "CatalogState",
     "CatalogStateMachine",
+    "CrashLedger",
     "RouteTable",
     "StoredDocument",
     "ValidationIssue",
+    "crash_id_of",
     "decompress_document",
+    "domain_digest",
     "encode_command",
     "find_validation_issues",
     "is_unchanged",
--- a/packages/catalog/src/lagoonwing_catalog/messages.py
+++ b/packages/catalog/src/lagoonwing_catalog/messages.py
@@ -6,7 +6,7 @@
 
 from lagoonwing_catalog._state import StoredDocument
 from lagoonwing_catalog.models import EndpointRecord
-from lagoonwing_core.ids import EndpointId, FailureDomainId, Fingerprint, HostId, Revision
+from lagoonwing_core.ids import CrashId, EndpointId, FailureDomainId, Fingerprint, HostId, Revision
 from lagoonwing_core.result_codes import ResultCode
 
 
@@ -160,12 +160,10 @@
 
     Attributes:
         suspects: Endpoints to which the gateway sends no requests.
-        crashes_by_request: Recent endpoint crashes by fingerprint of the request.
     """
 
     load_by_id: dict[EndpointId, EndpointLoad]
     suspects: tuple[EndpointId, ...] = ()
-    crashes_by_request: dict[Fingerprint, int] = {}
 
 
 class LoadSummary(msgspec.Struct, frozen=True, array_like=True, tag=25):
@@ -173,7 +171,6 @@
 
     load_by_id: dict[EndpointId, EndpointLoad]
     suspects: tuple[EndpointId, ...] = ()
-    crashes_by_request: dict[Fingerprint, int] = {}
 
 
 class ReplicaLoad(msgspec.Struct, frozen=True, array_like=True, tag=26):
@@ -182,7 +179,26 @@
     gateways: int
     load_by_id: dict[EndpointId, EndpointLoad]
     suspects: tuple[EndpointId, ...] = ()
-    crashes_by_request: dict[Fingerprint, int] = {}
+
+
+class TraitCrashes(msgspec.Struct, frozen=True, array_like=True):
+    """Endpoint crashes under requests with one trait.
+
+    Attributes:
+        trait: Fingerprint of a request, or of a part of its prompt.
+        age_s_by_crash: Seconds since each crash.
+        served_age_s: Seconds since a request with the trait was served; None if unknown.
+    """
+
+    trait: Fingerprint
+    age_s_by_crash: dict[CrashId, float]
+    served_age_s: float | None
+
+
+class CrashExtract(msgspec.Struct, frozen=True, array_like=True, tag=27):
+    """Bounded extract of a crash ledger, exchanged between gateways and replicas."""
+
+    entries: tuple[TraitCrashes, ...]
 
 
 CatalogMessage = (
@@ -199,5 +215,6 @@
     | LoadReport
     | LoadSummary
     | ReplicaLoad
+    | CrashExtract
 )
 CATALOG_DECODER = msgspec.msgpack.Decoder(CatalogMessage)
--- a/packages/core/src/lagoonwing_core/ids.py
+++ b/packages/core/src/lagoonwing_core/ids.py
@@ -35,5 +35,7 @@
 FencingNumber = NewType("FencingNumber", int)
 # Digest of the normalised request body.
 Fingerprint = NewType("Fingerprint", str)
+# Identifies the crash of one incarnation of an endpoint.
+CrashId = NewType("CrashId", str)
 # Operator-assigned version of a configuration document; the highest one is active.
 DocumentVersion = NewType("DocumentVersion", int)
--- a/packages/gateway/src/lagoonwing_gateway/_call_handler.py
+++ b/packages/gateway/src/lagoonwing_gateway/_call_handler.py
@@ -179,6 +179,8 @@
         is_unsafe = call.context.route.kind is RequestKind.UNSAFE
         if is_unsafe and not isinstance(last_outcome, NotRun):
             return False
+        if self._crash_tracker.is_quarantined(call.context):
+            return False
         return self._budget.try_acquire(call.service.service_id, self._follower.gateways)
 
     async def _async_open(self, call: _Call, record: EndpointRecord) -> OpenExchange | None:
@@ -219,7 +221,10 @@
             return response
         elapsed = self._clock.now() - open_exchange.sent_at
         self._slowdown.observe(endpoint_id, elapsed, call.context.route.objective_s / 2)
-        return self._judge(record, response, call.responder)
+        outcome = self._judge(record, response, call.responder)
+        if isinstance(outcome, Completed):
+            self._crash_tracker.record_served(call.context)
+        return outcome
 
     async def _async_response(
         self, call: _Call, record: EndpointRecord, open_exchange: OpenExchange
@@ -253,9 +258,9 @@
         reason = str(error) or "no answer in time"
         self._suspicions.record_soft_failure(record.endpoint_id, reason, failure_evidence(error))
         if isinstance(error, AnswerBrokenError):
-            evidence = await self._watchdog.async_find_failure(record)
-            if evidence is FailureEvidence.REFUSED:
-                self._crash_tracker.record_crash(context)
+            evidence = await self._watchdog.async_probe(record)
+            if evidence is FailureEvidence.REFUSED and self._directory.has_crashed(record):
+                self._crash_tracker.record_crash(context, record)
         return Failed(reason, (record.endpoint_id,))
 
     def _judge(
--- a/packages/gateway/src/lagoonwing_gateway/_directory.py
+++ b/packages/gateway/src/lagoonwing_gateway/_directory.py
@@ -52,6 +52,13 @@
             return None
         return record
 
+    def has_crashed(self, record: EndpointRecord) -> bool:
+        """Return whether an incarnation that is gone has crashed; it did not announce its end."""
+        current = self._follower.endpoint_by_id.get(record.endpoint_id)
+        if current is None or current.started_ms != record.started_ms:
+            return True
+        return current.state in (EndpointState.READY, EndpointState.LOST)
+
     def id_at_address(self, address: str | None) -> EndpointId | None:
         """Return the id of the endpoint at an address and port, if known."""
         return None if address is None else self._id_by_address.get(address)
--- a/packages/gateway/src/lagoonwing_gateway/_follower.py
+++ b/packages/gateway/src/lagoonwing_gateway/_follower.py
@@ -14,6 +14,7 @@
 from lagoonwing_catalog.messages import (
     CATALOG_DECODER,
     CatalogMessage,
+    CrashExtract,
     Delta,
     Freshness,
     LoadReport,
@@ -28,7 +29,9 @@
 from lagoonwing_core.clock import Clock
 from lagoonwing_core.events import EventCode, log_event
 from lagoonwing_core.ids import EndpointId, HostId, Revision
+from lagoonwing_gateway._crash_tracker import CrashTracker
 from lagoonwing_gateway.const import (
+    CRASH_PUSH_INTERVAL_S,
     FOLLOW_INTERVAL_S,
     INITIAL_GATEWAY_COUNT,
     LOAD_SUMMARY_TTL_S,
@@ -60,6 +63,7 @@
         identity: Identity,
         clock: Clock,
         make_report: Callable[[], LoadReport],
+        crash_tracker: CrashTracker,
     ) -> None:
         self.routes: RouteTable | None = None
         self.endpoint_by_id: dict[EndpointId, EndpointRecord] = {}
@@ -68,6 +72,8 @@
         self._identity = identity
         self._clock = clock
         self._make_report = make_report
+        self._crash_tracker = crash_tracker
+        self._crash_receiver: Channel[Any] | None = None
         self._revision = Revision(0)
         self._listeners: list[Callable[[], None]] = []
         self._link_by_address: dict[tuple[str, int], Link] = {}
@@ -87,6 +93,7 @@
         self._tasks = [
             loop.create_task(self._async_follow()),
             loop.create_task(self._async_report()),
+            loop.create_task(self._async_report_crashes()),
         ]
 
     async def async_unload(self) -> None:
@@ -163,6 +170,8 @@
             case LoadSummary():
                 self._summary = message
                 self._summary_received_at = self._clock.now()
+            case CrashExtract():
+                self._crash_tracker.merge(message)
             case _:
                 log_event(
                     EventCode.PEER_REFUSED, peer=channel.peer_id, reason="unexpected push message"
@@ -259,3 +268,17 @@
             if self._source is not None:
                 self._source.push(self._make_report())
             await asyncio.sleep(REPORT_INTERVAL_S)
+
+    async def _async_report_crashes(self) -> None:
+        """Report known crashes when they change, and all of them to a new source."""
+        while True:
+            await asyncio.sleep(CRASH_PUSH_INTERVAL_S)
+            source = self._source
+            if source is None:
+                continue
+            extract = self._crash_tracker.take_extract(
+                is_new_receiver=source is not self._crash_receiver
+            )
+            if extract is not None:
+                source.push(extract)
+            self._crash_receiver = source
--- a/packages/gateway/src/lagoonwing_gateway/_gateway.py
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -81,7 +81,9 @@
         self._suspicions = SuspicionTracker(clock)
         self._load_tracker = LoadTracker()
         self._crash_tracker = CrashTracker(clock)
-        self.follower = CatalogFollower(settings, identity, clock, self._load_report)
+        self.follower = CatalogFollower(
+            settings, identity, clock, self._load_report, self._crash_tracker
+        )
         self._connection_pool = EndpointConnectionPool(clock)
         slowdown = SlowdownTracker()
         directory = EndpointDirectory(self.follower, self._suspicions)
@@ -149,6 +151,7 @@
         self.metrics.set_gauge("current_age_seconds", -1.0 if math.isinf(age) else age)
         self.metrics.set_gauge("gateways", self.follower.gateways)
         self.metrics.set_gauge("suspected_endpoints", len(self._suspicions.suspected()))
+        self.metrics.set_gauge("traits_with_crashes", self._crash_tracker.trait_count)
         self.metrics.set_gauge("active_requests", self._active_requests)
         return self.metrics.registry
 
@@ -275,8 +278,7 @@
         self, context: RequestContext, responder: Responder
     ) -> GatewayRefusal | None:
         """Dispatch a request to the handler for its kind."""
-        remote_crashes = self.follower.load_summary().crashes_by_request
-        if self._crash_tracker.is_quarantined(context, remote_crashes):
+        if self._crash_tracker.is_quarantined(context):
             return quarantine_refusal()
         service = self._service(context.route)
         if service is None:
@@ -305,7 +307,6 @@
         return LoadReport(
             self._load_tracker.local_loads(),
             self._suspicions.suspected(),
-            self._crash_tracker.counts(),
         )
 
     async def _async_prune(self) -> None:
--- a/packages/gateway/src/lagoonwing_gateway/_patient_reader.py
+++ b/packages/gateway/src/lagoonwing_gateway/_patient_reader.py
@@ -13,6 +13,7 @@
 from lagoonwing_gateway._stream_failover import StreamFailover
 from lagoonwing_gateway.const import (
     DEADLINE_MARGIN_S,
+    MAX_WRITING_BEFORE_CRASH_S,
     SILENCE_RECHECK_INTERVAL_S,
     STREAM_STALL_TIMEOUT_S,
 )
@@ -48,6 +49,7 @@
     ) -> None:
         self.has_events = False
         self._waiting_since = components.clock.now()
+        self._first_event_at = 0.0
         self._components = components
         self._deadline = call.context.deadline - DEADLINE_MARGIN_S
         self._failover = failover
@@ -61,7 +63,14 @@
     def record_progress(self, *, is_event: bool = False) -> None:
         """Record that the path has just made progress."""
         self._waiting_since = self._components.clock.now()
-        self.has_events = self.has_events or is_event
+        if is_event and not self.has_events:
+            self.has_events = True
+            self._first_event_at = self._waiting_since
+
+    def has_just_begun(self) -> bool:
+        """Return whether the endpoints have written for a short time only, or not yet."""
+        now = self._components.clock.now()
+        return not self.has_events or now <= self._first_event_at + MAX_WRITING_BEFORE_CRASH_S
 
     async def async_head(self) -> tuple[ResponseHead, ResponseInfo]:
         """Wait for the response head.
--- a/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
+
+from lagoonwing_catalog.models import EndpointRecord
+from lagoonwing_core.callback import callback
 from lagoonwing_core.ids import EndpointId
 from lagoonwing_gateway._components import GatewayComponents
 from lagoonwing_gateway._disconnect import async_run_until_disconnect
@@ -17,6 +21,7 @@
 from lagoonwing_gateway._stream_failover import StreamFailover
 from lagoonwing_gateway._watchdog import WatchedStream
 from lagoonwing_gateway.const import (
+    CRASH_CONFIRM_TIMEOUT_S,
     DEADLINE_MARGIN_S,
     MAX_EVENT_BYTES,
     MISDIRECTED_STATUS,
@@ -57,7 +62,7 @@
         self._path = path
         self._endpoint_ids = tuple(segment.endpoint_id for segment in path.segments)
         self._down_ids: list[EndpointId] = []
-        self._is_crash = False
+        self._first_record: EndpointRecord | None = None
 
     async def async_run(self) -> AttemptOutcome:
         """Reserve the path, send the request and relay its events."""
@@ -87,6 +92,7 @@
         context = self._context
         record = components.directory.record(self._endpoint_ids[0])
         assert record is not None
+        self._first_record = record
         outgoing = EndpointRequest(
             context.request,
             record,
@@ -120,8 +126,9 @@
             self._components, self._call, self._failover, self._path, open_exchange
         )
 
-        def interrupt(endpoint_id: EndpointId, evidence: FailureEvidence) -> None:
-            if self._leaves(endpoint_id, evidence, reader):
+        def interrupt(record: EndpointRecord, evidence: FailureEvidence) -> None:
+            self._record_if_crash(record, evidence, reader)
+            if self._leaves(record.endpoint_id, evidence, reader):
                 open_exchange.close()
 
         now = self._components.clock.now()
@@ -135,11 +142,7 @@
             outcome = await async_run_until_disconnect(relay, self._responder)
         finally:
             self._components.watchdog.unwatch(stream)
-        if not isinstance(outcome, Failed):
-            return outcome
-        if self._is_crash:
-            self._components.crash_tracker.record_crash(self._context)
-        if self._down_ids:
+        if self._down_ids and isinstance(outcome, Failed):
             return Failed(f"{self._down_ids[0]} is down", tuple(self._down_ids))
         return outcome
 
@@ -150,15 +153,27 @@
 
         A stream that has begun to arrive gains nothing by leaving an endpoint that may go on.
         """
-        if evidence is FailureEvidence.REFUSED:
-            self._is_crash = True
-        elif reader.has_events:
+        if evidence is not FailureEvidence.REFUSED and reader.has_events:
             return False
         if not self._failover.try_reserve((endpoint_id,)):
             return False
         self._down_ids.append(endpoint_id)
         return True
 
+    @callback
+    def _record_if_crash(
+        self, record: EndpointRecord, evidence: FailureEvidence | None, reader: PatientReader
+    ) -> None:
+        """Record an endpoint that is gone, and that this request may be the cause."""
+        if evidence is not FailureEvidence.REFUSED:
+            return
+        if not self._components.directory.has_crashed(record):
+            return
+        if reader.has_just_begun():
+            self._components.crash_tracker.record_crash(self._context, record)
+        else:
+            self._components.crash_tracker.record_loss(record)
+
     async def _async_relay(
         self,
         open_exchange: OpenExchange,
@@ -191,7 +206,8 @@
                 elif len(splitter.rest) > MAX_EVENT_BYTES:
                     return Failed("an event of the stream is too large", self._endpoint_ids[:1])
         except AnswerBrokenError as error:
-            return self._blame_first_endpoint(str(error))
+            await self._async_examine_first_endpoint(reader)
+            return Failed(str(error), self._endpoint_ids[:1])
         except GivenUpError as error:
             return error.outcome
         if splitter.rest:
@@ -217,6 +233,7 @@
         if not progress.started:
             self._send(head, b"")
         self._responder.finish()
+        self._components.crash_tracker.record_served(self._context)
         log_late_stream(
             self._context,
             self._endpoint_ids,
@@ -245,11 +262,20 @@
             progress.longest_pause_s = max(progress.longest_pause_s, now - progress.last_event_at)
         progress.last_event_at = now
 
-    def _blame_first_endpoint(self, reason: str) -> Failed:
-        """Blame the first endpoint of the path for a connection that it ended."""
-        first_ids = self._endpoint_ids[:1]
-        self._components.watchdog.probe_all(first_ids)
-        return Failed(reason, first_ids)
+    async def _async_examine_first_endpoint(self, reader: PatientReader) -> None:
+        """Find out whether the endpoint that ended the connection has crashed.
+
+        A connection to a crashed endpoint is refused at once; nothing waits for a silent one.
+        """
+        record = self._first_record
+        if record is None or self._down_ids:
+            return
+        probe = asyncio.ensure_future(self._components.watchdog.async_probe(record))
+        await asyncio.wait((probe,), timeout=CRASH_CONFIRM_TIMEOUT_S)
+        if probe.done():
+            self._record_if_crash(record, probe.result(), reader)
+        else:
+            probe.cancel()
 
     async def _async_read_failure(
         self, open_exchange: OpenExchange, head: ResponseHead
@@ -271,7 +297,8 @@
             components.suspicions.avoid_briefly(at_fault)
             return NotRun(f"{at_fault} refused it with {info.status}", (at_fault,))
         if body is None:
-            return self._blame_first_endpoint("the error response was not complete")
+            components.watchdog.probe_all(self._endpoint_ids[:1])
+            return Failed("the error response was not complete", self._endpoint_ids[:1])
         response = CompleteResponse(info, components.dialect.caller_headers(head), body)
         return Failed(f"the endpoint answered {info.status}", (at_fault,), response)
 
--- a/packages/gateway/src/lagoonwing_gateway/_stream_failover.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_failover.py
@@ -80,8 +80,7 @@
         """Return the condition that forbids another attempt, apart from the retry budget."""
         components = self._components
         context = self._call.context
-        remote_crashes = components.follower.load_summary().crashes_by_request
-        if components.crash_tracker.is_quarantined(context, remote_crashes):
+        if not components.crash_tracker.may_send_again(context):
             return ResendObstacle.QUARANTINED
         if may_have_run and not context.route.is_resumable:
             return ResendObstacle.NOT_RESUMABLE
--- a/packages/gateway/src/lagoonwing_gateway/_stream_handler.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_handler.py
@@ -11,6 +11,7 @@
 from lagoonwing_catalog.models import Engine, Service
 from lagoonwing_gateway._components import GatewayComponents
 from lagoonwing_gateway._final_response import respond_unserved
+from lagoonwing_gateway._refusals import quarantine_refusal
 from lagoonwing_gateway._request_log import log_attempt, log_unserved_stream
 from lagoonwing_gateway._stream_attempt import StreamAttempt
 from lagoonwing_gateway._stream_call import StreamCall, StreamProgress
@@ -67,6 +68,8 @@
             if path is None:
                 obstacle = ResendObstacle.NO_PATH
                 break
+            if progress.send_count == 0 and self._components.crash_tracker.is_quarantined(context):
+                return quarantine_refusal()
             last_outcome = await StreamAttempt(self._components, call, failover, path).async_run()
             log_attempt(context, path.segments[0].endpoint_id, progress.send_count, last_outcome)
             self._components.metrics.attempt_ended(type(last_outcome).__name__)
--- a/packages/gateway/src/lagoonwing_gateway/_watchdog.py
+++ b/packages/gateway/src/lagoonwing_gateway/_watchdog.py
@@ -31,6 +31,8 @@
 from lagoonwing_gateway.models import FailureEvidence
 from lagoonwing_http import ConnectError, async_open_connection
 
+_Incarnation = tuple[EndpointId, int]
+
 
 @dataclass(eq=False, slots=True)
 class WatchedStream:
@@ -42,7 +44,7 @@
     """
 
     endpoint_ids: tuple[EndpointId, ...]
-    interrupt: Callable[[EndpointId, FailureEvidence], None]
+    interrupt: Callable[[EndpointRecord, FailureEvidence], None]
     silence_allowed_until: float
     last_event_at: float
 
@@ -58,6 +60,7 @@
         self._clock = clock
         self._streams: set[WatchedStream] = set()
         self._probed_at_by_id: dict[EndpointId, float] = {}
+        self._probe_by_incarnation: dict[_Incarnation, asyncio.Task[FailureEvidence | None]] = {}
         self._tasks = TaskSet("watchdog")
 
     async def async_run(self) -> None:
@@ -75,6 +78,8 @@
     async def async_unload(self) -> None:
         """Cancel running probes."""
         await self._tasks.async_cancel()
+        for probe in list(self._probe_by_incarnation.values()):
+            probe.cancel()
 
     @callback
     def watch(self, stream: WatchedStream) -> None:
@@ -111,13 +116,30 @@
         if now < self._probed_at_by_id.get(endpoint_id, 0.0) + MIN_PROBE_INTERVAL_S:
             return
         self._probed_at_by_id[endpoint_id] = now
-        self._tasks.spawn(self._async_probe(endpoint_id))
+        record = self._directory.record(endpoint_id)
+        if record is not None:
+            self._tasks.spawn(self._async_probe_silent(record))
 
-    async def async_find_failure(self, record: EndpointRecord) -> FailureEvidence | None:
+    async def async_probe(self, record: EndpointRecord) -> FailureEvidence | None:
         """Probe an endpoint; return what shows that it is down, or None if it accepts connections.
 
-        An endpoint that seems to be down is suspected.
+        An endpoint that seems to be down is suspected, and its streams are told. Concurrent callers
+        share one probe.
         """
+        incarnation = (record.endpoint_id, record.started_ms)
+        probe = self._probe_by_incarnation.get(incarnation)
+        if probe is None:
+            probe = asyncio.ensure_future(self._async_find_failure(record))
+            self._probe_by_incarnation[incarnation] = probe
+            probe.add_done_callback(lambda done: self._probe_by_incarnation.pop(incarnation))
+        return await asyncio.shield(probe)
+
+    async def _async_probe_silent(self, record: EndpointRecord) -> None:
+        """Probe an endpoint through which no events arrive."""
+        await self.async_probe(record)
+
+    async def _async_find_failure(self, record: EndpointRecord) -> FailureEvidence | None:
+        """Try to connect to an endpoint; tell its streams if it seems to be down."""
         started_at = self._clock.now()
         for _ in range(PROBE_ATTEMPTS):
             try:
@@ -135,14 +157,7 @@
         if is_silent and self._suspicions.has_progress_since(record.endpoint_id, started_at):
             return None
         self._suspicions.record_failure(record.endpoint_id, reason, evidence)
-        return evidence
-
-    async def _async_probe(self, endpoint_id: EndpointId) -> None:
-        """Probe an endpoint; tell its streams if it seems to be down."""
-        record = self._directory.record(endpoint_id)
-        evidence = None if record is None else await self.async_find_failure(record)
-        if evidence is None:
-            return
         for stream in list(self._streams):
-            if endpoint_id in stream.endpoint_ids:
-                stream.interrupt(endpoint_id, evidence)
+            if record.endpoint_id in stream.endpoint_ids:
+                stream.interrupt(record, evidence)
+        return evidence
--- a/packages/gateway/src/lagoonwing_gateway/const.py
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -84,9 +84,38 @@
 # Cost of sending a call to another failure domain, in calls in flight per slot.
 CROSS_DOMAIN_CALL_COST = 0.15
 
-# Endpoint crashes after which a request is quarantined, and the window in which they count.
+# Endpoint crashes after which requests with a trait are quarantined, unless a request with the
+# trait was served since, and the time without another crash until they are tried again.
 MAX_CRASHES = 3
-CRASH_WINDOW_S = 60.0
+QUARANTINE_S = 600.0
+# Number of crashes, and time that they must span, for a trait that was served before the first one.
+MAX_CRASHES_AFTER_SERVICE = 5
+MIN_CRASH_SPAN_AFTER_SERVICE_S = 3.0
+SERVICE_MEMORY_S = 60.0
+# Requests whose first crash is kept: further crashes of one request say no more about its parts.
+MAX_CRASHED_REQUESTS = 512
+# Traits that were served this shortly before a crash are not associated with it.
+RECENT_SERVICE_S = 2.0
+MAX_SERVED_TRAITS = 2_048
+# Time after a trait's first crash within which other gateways report that they have served it.
+CRASH_SETTLE_S = 0.8
+# Endpoints lost within this time that are taken for one event with a common cause: if this share of
+# a few was lost in one failure domain, or if less than that share of many was lost under one trait.
+MASS_LOSS_WINDOW_S = 0.15
+DOMAIN_LOSS_ENDPOINTS = 3
+DOMAIN_LOSS_SHARE = 0.8
+MASS_LOSS_ENDPOINTS = 5
+MASS_LOSS_SHARE = 0.4
+# Time for which a request has been writing its answer when it no longer counts as the cause of a
+# crash.
+MAX_WRITING_BEFORE_CRASH_S = 0.5
+# Time to find out that an endpoint has crashed before its request is sent elsewhere.
+CRASH_CONFIRM_TIMEOUT_S = 0.05
+# Minimum interval between two extracts of the crash ledger, and the interval of unchanged ones.
+CRASH_PUSH_INTERVAL_S = 0.1
+CRASH_REFRESH_INTERVAL_S = 2.0
+# Prompt parts of a request that are considered at most.
+MAX_PROMPT_PARTS = 32
 # Retry-After for a quarantined request.
 QUARANTINE_RETRY_S = 10.0
 # Share of the retry budget that all gateways use together; the rest is a margin for state that
--- a/packages/gateway/src/lagoonwing_gateway/models.py
+++ b/packages/gateway/src/lagoonwing_gateway/models.py
@@ -23,6 +23,7 @@
         key: Key that the caller sent, if any.
         budget_s: Seconds for which the caller waits, if specified.
         size: Size of the generation, if the request is one.
+        prompt_parts: Ids of the parts of the prompt in order; the last one is the request's own.
         last_event_id: Id of the last stream event received by the caller, if it resumes a stream.
         received_at: Time at which the request was completely read.
     """
@@ -39,6 +40,7 @@
     size: RequestSize | None
     last_event_id: str | None
     received_at: float
+    prompt_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/registry/src/lagoonwing_registry/_service.py
+++ b/packages/registry/src/lagoonwing_registry/_service.py
@@ -16,6 +16,7 @@
     AnnouncementReport,
     ApplyResult,
     CatalogMessage,
+    CrashExtract,
     LoadReport,
     PutDocument,
     PutEndpoint,
@@ -34,6 +35,7 @@
 from lagoonwing_core.events import EventCode, log_event
 from lagoonwing_core.ids import EndpointId, HostId, Revision, Term
 from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_registry._crash_relay import CrashRelay
 from lagoonwing_registry._liveness import Liveness
 from lagoonwing_registry._peers import Peers
 from lagoonwing_registry._placement_executor import PlacementExecutor
@@ -75,6 +77,7 @@
         self._proposer = Proposer(log, self._peers)
         self._liveness = Liveness(settings.announce_interval_s)
         self._subscribers = Subscribers(state_machine, log.staleness_s, self._clock)
+        self._crash_relay = CrashRelay(self._subscribers, self._peers, self._clock)
         self.metrics = RegistryMetrics(state_machine, log)
         self._executor = PlacementExecutor(
             state_machine,
@@ -96,6 +99,7 @@
         self._tasks = [
             loop.create_task(self._async_push_loads()),
             loop.create_task(self._async_check_liveness()),
+            loop.create_task(self._crash_relay.async_run()),
             loop.create_task(self._executor.async_run()),
         ]
 
@@ -226,6 +230,8 @@
                 self._subscribers.update_report(channel, message)
             case ReplicaLoad():
                 self._subscribers.update_remote(channel.peer_id, message)
+            case CrashExtract():
+                self._crash_relay.merge(message)
             case AnnouncementReport():
                 self._liveness.record_remote(message, self._clock.now())
             case _:
@@ -254,9 +260,15 @@
         if age > MAX_SUBSCRIBE_AGE_S or self.state_machine.state.revision < message.after:
             detail = "never" if math.isinf(age) else f"{age:.2f} s ago"
             return Refused(ResultCode.NO_QUORUM, f"the replica was last current {detail}")
-        asyncio.get_running_loop().call_soon(self._subscribers.add, channel, message.after)
+        asyncio.get_running_loop().call_soon(self._add_subscriber, channel, message.after)
         return Subscribed(self._peers.replicas(), self._subscribers.gateways())
 
+    @callback
+    def _add_subscriber(self, channel: Channel[Any], after: Revision) -> None:
+        """Push known crashes, which take effect before the first document, then all changes."""
+        self._crash_relay.push_all_to(channel)
+        self._subscribers.add(channel, after)
+
     async def _async_answer_read_index(self) -> ReadIndexReply | Refused:
         """Answer a read-index request of another replica."""
         barrier = await self.log.async_read_barrier(READ_TIMEOUT_S)
--- a/packages/registry/src/lagoonwing_registry/_subscribers.py
+++ b/packages/registry/src/lagoonwing_registry/_subscribers.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from collections import Counter as Tally
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
 from lagoonwing_catalog import CatalogStateMachine
 from lagoonwing_catalog.messages import (
+    CrashExtract,
     Delta,
     EndpointLoad,
     Freshness,
@@ -18,7 +18,7 @@
 )
 from lagoonwing_core.callback import callback
 from lagoonwing_core.clock import Clock
-from lagoonwing_core.ids import EndpointId, Fingerprint, HostId, Revision
+from lagoonwing_core.ids import EndpointId, HostId, Revision
 from lagoonwing_registry.const import GATEWAY_TIMEOUT_S
 from lagoonwing_wire import Channel
 
@@ -117,6 +117,12 @@
         remote_gateways = sum(remote.load.gateways for remote in self._remote_by_host.values())
         return len(self._subscriber_by_channel) + remote_gateways
 
+    @callback
+    def push_crashes(self, extract: CrashExtract) -> None:
+        """Push known crashes to all gateways."""
+        for channel in self._subscriber_by_channel:
+            channel.push(extract)
+
     @callback
     def push_changes(self) -> None:
         """Push pending changes to all gateways."""
@@ -131,22 +137,16 @@
         totals = LoadTotals()
         for subscriber in self._subscriber_by_channel.values():
             totals.add(subscriber.report.load_by_id)
-        local_load = ReplicaLoad(
-            len(self._subscriber_by_channel), totals.loads(), self._suspects(), self._crashes()
-        )
+        local_load = ReplicaLoad(len(self._subscriber_by_channel), totals.loads(), self._suspects())
         remote_loads = [remote.load for remote in self._remote_by_host.values()]
         suspects = _union(local_load.suspects, *(load.suspects for load in remote_loads))
-        crashes = Tally(local_load.crashes_by_request)
-        for load in remote_loads:
-            crashes.update(load.crashes_by_request)
         freshness = Freshness(self._state_machine.state.revision, self._age(), self.gateways())
         for load in remote_loads:
             totals.add(load.load_by_id)
         for channel, subscriber in list(self._subscriber_by_channel.items()):
             totals.add(subscriber.report.load_by_id, -1)
             channel.push(freshness)
-            other_crashes = crashes - Tally(subscriber.report.crashes_by_request)
-            channel.push(LoadSummary(totals.loads(), suspects, dict(other_crashes)))
+            channel.push(LoadSummary(totals.loads(), suspects))
             totals.add(subscriber.report.load_by_id)
         return local_load
 
@@ -156,13 +156,6 @@
             *(subscriber.report.suspects for subscriber in self._subscriber_by_channel.values())
         )
 
-    def _crashes(self) -> dict[Fingerprint, int]:
-        """Return the endpoint crashes by request, as reported by the gateways subscribed here."""
-        crashes: Tally[Fingerprint] = Tally()
-        for subscriber in self._subscriber_by_channel.values():
-            crashes.update(subscriber.report.crashes_by_request)
-        return dict(crashes)
-
     def _drop_unresponsive(self, now: float) -> None:
         """Close channels of unresponsive gateways and drop loads of unresponsive replicas."""
         for channel, subscriber in list(self._subscriber_by_channel.items()):
--- a/packages/registry/src/lagoonwing_registry/const.py
+++ b/packages/registry/src/lagoonwing_registry/const.py
@@ -23,3 +23,6 @@
 PLACEMENT_INTERVAL_S = 0.25
 # Maximum age of a replica's state at which it accepts subscriptions.
 MAX_SUBSCRIBE_AGE_S = 0.9
+# Minimum interval between two pushes of known crashes, and the interval of unchanged ones.
+CRASH_PUSH_INTERVAL_S = 0.1
+CRASH_REFRESH_INTERVAL_S = 2.0
