--- a/soak/client.py
+++ b/soak/client.py
@@ -35,7 +35,7 @@
 
 
 async def async_send_request(
-    process: SystemProcess, kind: str, attempt_id: str, parts: str
+    process: SystemProcess, kind: str, attempt_id: str, parts: str = ""
 ) -> HTTPResponse | None:
     """Send a caller's request to a gateway; return `None` if no response arrives."""
     headers = make_caller_headers(kind, attempt_id, DEADLINE_MS, EVENTS)
