An identical request is quarantined however fast it crashes endpoints

Only parts of prompts are judged by lost domains now: many requests share a part, hardly any two are the same. What was served is remembered for whole requests too, so that popular identical ones are not taken for the cause.

--- a/packages/catalog/src/lagoonwing_catalog/_crash_ledger.py
+++ b/packages/catalog/src/lagoonwing_catalog/_crash_ledger.py
@@ -83,6 +83,11 @@
         record = self._record_by_trait.get(trait)
         return {} if record is None else record.unserved()
 
+    def crash_count(self, trait: Fingerprint) -> int:
+        """Return the number of known crashes of a trait."""
+        record = self._record_by_trait.get(trait)
+        return 0 if record is None else len(record.crashed_at_by_id)
+
     def served_at(self, trait: Fingerprint) -> float:
         """Return when a request with the trait was last served; minus infinity if unknown."""
         record = self._record_by_trait.get(trait)
--- a/packages/gateway/src/lagoonwing_gateway/_crash_tracker.py
+++ b/packages/gateway/src/lagoonwing_gateway/_crash_tracker.py
@@ -12,7 +12,7 @@
 from lagoonwing_core.events import EventCode, log_event
 from lagoonwing_core.ids import AttemptId, CrashId, Fingerprint
 from lagoonwing_gateway._crash_verdict import CrashVerdict
-from lagoonwing_gateway._traits import part_traits, request_fingerprint, request_traits
+from lagoonwing_gateway._traits import is_part, part_traits, request_traits
 from lagoonwing_gateway.const import (
     CRASH_REFRESH_INTERVAL_S,
     MASS_LOSS_ENDPOINTS,
@@ -32,18 +32,15 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._ledger = CrashLedger()
-        self._served_at_by_part: OrderedDict[Fingerprint, float] = OrderedDict()
+        self._served_at_by_trait: OrderedDict[Fingerprint, float] = OrderedDict()
         self._first_crash_by_attempt: OrderedDict[AttemptId, CrashId] = OrderedDict()
         self._losses: deque[tuple[CrashId, float]] = deque(maxlen=_MAX_LOSSES)
         self._sent_version = 0
         self._sent_at = 0.0
 
     def counts(self) -> dict[Fingerprint, int]:
-        """Return the crashes by trait since a request with the trait was last served."""
-        counts = {
-            trait: len(self._ledger.unserved_crashes(trait)) for trait in self._ledger.traits()
-        }
-        return {trait: count for trait, count in counts.items() if count}
+        """Return the number of known crashes by trait."""
+        return {trait: self._ledger.crash_count(trait) for trait in self._ledger.traits()}
 
     @property
     def trait_count(self) -> int:
@@ -63,13 +60,12 @@
         """Record that an endpoint crashed while it began to run a request."""
         now = self._clock.now()
         crash_id = self.record_loss(endpoint)
-        self._ledger.record_crash(request_fingerprint(context), crash_id, now)
         first_crash_id = self._first_crash_id(context, crash_id)
-        for trait in part_traits(context):
-            served_at = self._served_at_by_part.get(trait)
+        for trait in request_traits(context):
+            served_at = self._served_at_by_trait.get(trait)
             if served_at is not None and now < served_at + RECENT_SERVICE_S:
                 continue
-            self._ledger.record_crash(trait, first_crash_id, now)
+            self._ledger.record_crash(trait, first_crash_id if is_part(trait) else crash_id, now)
             if served_at is not None:
                 self._ledger.record_served(trait, served_at)
         log_event(
@@ -84,21 +80,19 @@
     def record_served(self, context: RequestContext) -> None:
         """Record that a request was served."""
         now = self._clock.now()
-        for trait in part_traits(context):
-            self._served_at_by_part[trait] = now
-            self._served_at_by_part.move_to_end(trait)
+        for trait in request_traits(context):
+            self._served_at_by_trait[trait] = now
+            self._served_at_by_trait.move_to_end(trait)
             self._ledger.record_served(trait, now)
-        while len(self._served_at_by_part) > MAX_SERVED_TRAITS:
-            self._served_at_by_part.popitem(last=False)
-        if len(self._ledger):
-            self._ledger.record_served(request_fingerprint(context), now)
+        while len(self._served_at_by_trait) > MAX_SERVED_TRAITS:
+            self._served_at_by_trait.popitem(last=False)
 
     @callback
     def merge(self, extract: CrashExtract) -> None:
         """Merge what other gateways know."""
         self._ledger.merge(extract.entries, self._clock.now())
         for entry in extract.entries:
-            served_at = self._served_at_by_part.get(entry.trait)
+            served_at = self._served_at_by_trait.get(entry.trait)
             if served_at is not None:
                 self._ledger.record_served(entry.trait, served_at)
 
--- a/packages/gateway/src/lagoonwing_gateway/_crash_verdict.py
+++ b/packages/gateway/src/lagoonwing_gateway/_crash_verdict.py
@@ -61,7 +61,8 @@
             return False
         if self._now >= max(crashes.values()) + QUARANTINE_S:
             return False
-        if count_separate_crashes(crashes, self._find_losses()) < MAX_CRASHES:
+        # Endpoints that are lost together run many requests with one part, but hardly the same one.
+        if is_part(trait) and count_separate_crashes(crashes, self._find_losses()) < MAX_CRASHES:
             return False
         return all(companion in request_traits for companion in self._companions(trait, crashes))
 
--- a/packages/gateway/src/lagoonwing_gateway/const.py
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -96,7 +96,7 @@
 MAX_CRASHED_REQUESTS = 512
 # Traits that were served this shortly before a crash are not associated with it.
 RECENT_SERVICE_S = 2.0
-MAX_SERVED_TRAITS = 2_048
+MAX_SERVED_TRAITS = 4_096
 # Time after a trait's first crash within which other gateways report that they have served it.
 CRASH_SETTLE_S = 0.8
 # Endpoints lost within this time that are taken for one event with a common cause: if this share of
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -258,7 +258,7 @@
         raise ConnectError("no reply in time") from TimeoutError()
 
     monkeypatch.setattr(_watchdog, "async_open_connection", async_time_out)
-    assert await gateway._watchdog.async_find_failure(record) is None
+    assert await gateway._watchdog.async_probe(record) is None
     assert gateway._suspicions.suspected() == ()
 
 
--- a/tests/support/crash_cluster.py
+++ b/tests/support/crash_cluster.py
@@ -139,7 +139,7 @@
         self.endpoints = [
             make_record(f"e-{number}", 0, number % DOMAINS) for number in range(endpoints)
         ]
-        self.runs: set[Run] = set()
+        self.runs: dict[Run, None] = {}
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self._numbers = itertools.count()
@@ -204,7 +204,7 @@
         self.endpoints.remove(endpoint)
         lost_runs = [run for run in self.runs if run.endpoint is endpoint]
         for run in lost_runs:
-            self.runs.discard(run)
+            self.runs.pop(run, None)
             self._observe_crash(run, endpoint)
         for run in lost_runs:
             if run.attempts == MAX_ATTEMPTS:
@@ -231,7 +231,7 @@
         run.attempts += 1
         run.began_at = self.clock.now()
         run.endpoint = endpoint = self.rng.choice(self.endpoints)
-        self.runs.add(run)
+        self.runs[run] = None
         self.reached.append((run.began_at, parts))
         attempt = run.attempts
         deadly = self.deadly_parts.intersection(parts[:-1])
@@ -243,13 +243,13 @@
     def _crash_by(self, run: Run, attempt: int, endpoint: EndpointRecord, deadly: set[str]) -> None:
         """Crash an endpoint on which a request has begun to write."""
         if run in self.runs and run.attempts == attempt:
-            self.crashes.extend((self.clock.now(), part) for part in deadly)
+            self.crashes.extend((self.clock.now(), part) for part in sorted(deadly))
             self.crash(endpoint)
 
     def _finish(self, run: Run, attempt: int) -> None:
         """End a request well."""
         if run in self.runs and run.attempts == attempt:
-            self.runs.discard(run)
+            self.runs.pop(run, None)
             run.is_served = True
             run.gateway.tracker.record_served(run.context)
 
