A stream leaves a silent endpoint only with a connection to the next one

Cause: what was reserved before an attempt was given up was a path, not a connection; if the first endpoint of that path refused or was silent as well, the started answer was aborted although the endpoint that was left would have gone on. Change: the connection is part of the reservation; without one the stream stays and looks again.

The same for calls stays open (test_call_stays_if_the_other_endpoint_refuses_it).

--- a/packages/gateway/src/lagoonwing_gateway/_endpoint_client.py
+++ b/packages/gateway/src/lagoonwing_gateway/_endpoint_client.py
@@ -7,6 +7,8 @@
 
 from tornado.httputil import RequestStartLine
 
+from lagoonwing_catalog.models import EndpointRecord
+from lagoonwing_core.callback import callback
 from lagoonwing_core.clock import Clock
 from lagoonwing_gateway._connection_pool import EndpointConnectionPool
 from lagoonwing_gateway.const import MAX_RESPONSE_BODY_BYTES
@@ -55,14 +57,30 @@
         self._connection_pool = connection_pool
         self._clock = clock
 
+    async def async_connect(self, record: EndpointRecord, fresh: bool) -> ClientConnection:
+        """Return a connection to an endpoint.
+
+        Raises:
+            ConnectError: No connection could be opened.
+        """
+        return await self._connection_pool.async_take_for(record, fresh)
+
     async def async_send(self, outgoing: EndpointRequest, fresh: bool) -> OpenExchange:
         """Connect to an endpoint and send a request.
 
         Raises:
             ConnectError: The connection failed; nothing was sent.
         """
+        return self.send(outgoing, await self.async_connect(outgoing.endpoint, fresh))
+
+    @callback
+    def send(self, outgoing: EndpointRequest, connection: ClientConnection) -> OpenExchange:
+        """Send a request over a connection to its endpoint.
+
+        Raises:
+            ConnectError: The connection had ended; nothing was sent.
+        """
         request = outgoing.request
-        connection = await self._connection_pool.async_take_for(outgoing.endpoint, fresh)
         exchange = connection.send(
             RequestStartLine(request.method, request.target, "HTTP/1.1"),
             self._dialect.outgoing_headers(outgoing),
--- a/packages/gateway/src/lagoonwing_gateway/_patient_reader.py
+++ b/packages/gateway/src/lagoonwing_gateway/_patient_reader.py
@@ -104,10 +104,10 @@
             try:
                 return await read(max(0.0, min(self._deadline, give_up_at) - now))
             except TimeoutError:
-                self._give_up_if_certain()
+                await self._async_give_up_if_certain()
                 give_up_at = self._components.clock.now() + SILENCE_RECHECK_INTERVAL_S
 
-    def _give_up_if_certain(self) -> None:
+    async def _async_give_up_if_certain(self) -> None:
         """Look for another path, since this one is silent.
 
         Raises:
@@ -119,5 +119,5 @@
         )
         components.watchdog.probe_all(silent_ids)
         blamed_ids = silent_ids or self._endpoint_ids
-        if self._failover.try_reserve(blamed_ids):
+        if await self._failover.async_try_reserve(blamed_ids):
             raise GivenUpError(Failed("the path fell silent", blamed_ids))
--- a/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
@@ -7,6 +7,7 @@
 from lagoonwing_catalog.models import EndpointRecord
 from lagoonwing_core.callback import callback
 from lagoonwing_core.ids import EndpointId
+from lagoonwing_core.tasks import TaskSet
 from lagoonwing_gateway._components import GatewayComponents
 from lagoonwing_gateway._disconnect import async_run_until_disconnect
 from lagoonwing_gateway._endpoint_client import (
@@ -37,7 +38,7 @@
     NotRun,
     StreamEvent,
 )
-from lagoonwing_http import AnswerBrokenError, ConnectError, ResponseHead
+from lagoonwing_http import AnswerBrokenError, ClientConnection, ConnectError, ResponseHead
 from lagoonwing_placement import Path, prefill_ms, transfer_ms
 
 _STREAM_STATUS = 200
@@ -52,7 +53,9 @@
         call: StreamCall,
         failover: StreamFailover,
         path: Path,
+        connection: ClientConnection | None = None,
     ) -> None:
+        """Create an attempt; without a connection to the first endpoint, it opens one."""
         self._components = components
         self._failover = failover
         self._call = call
@@ -60,6 +63,7 @@
         self._progress = call.progress
         self._responder = call.responder
         self._path = path
+        self._connection = connection
         self._endpoint_ids = tuple(segment.endpoint_id for segment in path.segments)
         self._down_ids: list[EndpointId] = []
         self._first_record: EndpointRecord | None = None
@@ -104,9 +108,11 @@
         )
         is_first = self._progress.send_count == 0
         try:
-            open_exchange = await components.endpoint_client.async_send(
-                outgoing, fresh=not is_first
-            )
+            if self._connection is None:
+                self._connection = await components.endpoint_client.async_connect(
+                    record, fresh=not is_first
+                )
+            open_exchange = components.endpoint_client.send(outgoing, self._connection)
         except ConnectError as error:
             components.suspicions.record_failure(
                 record.endpoint_id, str(error), failure_evidence(error)
@@ -128,9 +134,10 @@
 
         def interrupt(record: EndpointRecord, evidence: FailureEvidence) -> None:
             self._record_if_crash(record, evidence, reader)
-            if self._leaves(record.endpoint_id, evidence, reader):
-                open_exchange.close()
+            if evidence is FailureEvidence.REFUSED or not reader.has_events:
+                moves.spawn(self._async_leave(record.endpoint_id, open_exchange))
 
+        moves = TaskSet("stream_attempt")
         now = self._components.clock.now()
         silence_allowed_until = now + 2 * self._path.first_token_ms / 1_000
         stream = WatchedStream(
@@ -142,23 +149,19 @@
             outcome = await async_run_until_disconnect(relay, self._responder)
         finally:
             self._components.watchdog.unwatch(stream)
+            await moves.async_cancel()
         if self._down_ids and isinstance(outcome, Failed):
             return Failed(f"{self._down_ids[0]} is down", tuple(self._down_ids))
         return outcome
 
-    def _leaves(
-        self, endpoint_id: EndpointId, evidence: FailureEvidence, reader: PatientReader
-    ) -> bool:
-        """Return whether to continue elsewhere since an endpoint of the path seems to be down.
+    async def _async_leave(self, endpoint_id: EndpointId, open_exchange: OpenExchange) -> None:
+        """Continue elsewhere, if possible, since an endpoint of the path seems to be down.
 
         A stream that has begun to arrive gains nothing by leaving an endpoint that may go on.
         """
-        if evidence is not FailureEvidence.REFUSED and reader.has_events:
-            return False
-        if not self._failover.try_reserve((endpoint_id,)):
-            return False
-        self._down_ids.append(endpoint_id)
-        return True
+        if await self._failover.async_try_reserve((endpoint_id,)):
+            self._down_ids.append(endpoint_id)
+            open_exchange.close()
 
     @callback
     def _record_if_crash(
--- a/packages/gateway/src/lagoonwing_gateway/_stream_handler.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_handler.py
@@ -54,23 +54,36 @@
         progress = StreamProgress(last_event_id=context.request.last_event_id)
         call = StreamCall(context, service, engine, size, responder, progress)
         failover = StreamFailover(self._components, call)
+        try:
+            return await self._async_run_attempts(call, failover)
+        finally:
+            failover.discard_reservation()
+
+    async def _async_run_attempts(
+        self, call: StreamCall, failover: StreamFailover
+    ) -> GatewayRefusal | None:
+        """Run attempts until one completes; return the refusal to send, if any."""
+        context, progress = call.context, call.progress
         last_outcome: AttemptOutcome = NotRun("no path has room", ())
         obstacle: ResendObstacle | None = None
         for _ in range(MAX_CONNECT_ATTEMPTS + context.route.max_attempts):
-            path = failover.take_reserved_path()
-            if path is None:
+            reservation = failover.take_reservation()
+            path = None if reservation is None else reservation.path
+            if reservation is None:
                 obstacle = failover.find_obstacle(last_outcome)
                 if obstacle is not None:
                     break
                 path = await self._async_path(call, failover)
-            if responder.is_disconnected:
+            if call.responder.is_disconnected:
                 return None
             if path is None:
                 obstacle = ResendObstacle.NO_PATH
                 break
             if progress.send_count == 0 and self._components.crash_tracker.is_quarantined(context):
                 return quarantine_refusal()
-            last_outcome = await StreamAttempt(self._components, call, failover, path).async_run()
+            connection = None if reservation is None else reservation.connection
+            attempt = StreamAttempt(self._components, call, failover, path, connection)
+            last_outcome = await attempt.async_run()
             log_attempt(context, path.segments[0].endpoint_id, progress.send_count, last_outcome)
             self._components.metrics.attempt_ended(type(last_outcome).__name__)
             match last_outcome:
