Requests with prompt parts do not push the parts out of the table of what was served

Read-through of: each served request entered its own fingerprint into the bounded table, where it never recurs if the request has parts, so that at 100 requests a second a part served 40 s ago would have been forgotten. Only requests without parts are remembered whole now. tests/gateway and the tests of crashing prompts pass (one listed red as before); the loss was found by reading, no test shows it.

--- a/packages/gateway/src/lagoonwing_gateway/_crash_tracker.py
+++ b/packages/gateway/src/lagoonwing_gateway/_crash_tracker.py
@@ -80,10 +80,13 @@
     def record_served(self, context: RequestContext) -> None:
         """Record that a request was served."""
         now = self._clock.now()
-        for trait in request_traits(context):
+        # Requests with prompt parts are hardly alike; they would push the parts out of the table.
+        for trait in part_traits(context) or request_traits(context):
             self._served_at_by_trait[trait] = now
             self._served_at_by_trait.move_to_end(trait)
-            self._ledger.record_served(trait, now)
+        if len(self._ledger):
+            for trait in request_traits(context):
+                self._ledger.record_served(trait, now)
         while len(self._served_at_by_trait) > MAX_SERVED_TRAITS:
             self._served_at_by_trait.popitem(last=False)
 
