A call leaves a late endpoint only with a connection to another one

Cause, as for streams: what was reserved was an endpoint, not a connection. Change: the reservation holds the connection, and only an endpoint that is not suspected is reserved; a reservation that is not used is closed; an answer that came while it was made is taken.

--- a/packages/gateway/src/lagoonwing_gateway/_call_handler.py
+++ b/packages/gateway/src/lagoonwing_gateway/_call_handler.py
@@ -46,13 +46,22 @@
     RequestContext,
 )
 from lagoonwing_gateway.ports import Responder
-from lagoonwing_http import AnswerBrokenError, ConnectError
+from lagoonwing_http import AnswerBrokenError, ClientConnection, ConnectError
 
+_LATE = Failed("no answer in time", ())
 _NO_LOAD = EndpointLoad(0, 0, 0)
 # Lowest status after which another endpoint may succeed.
 _FIRST_FAILURE_STATUS = 500
 
 
+@dataclass(frozen=True, slots=True)
+class _Reservation:
+    """The next attempt of a call: its endpoint, and a connection to it."""
+
+    record: EndpointRecord
+    connection: ClientConnection
+
+
 @dataclass(slots=True)
 class _Call:
     """A call and its attempts.
@@ -60,7 +69,7 @@
     Attributes:
         send_count: Number of times that the call was sent to an endpoint.
         excluded: Endpoints that must not be used again for the call.
-        reserved: Endpoint of the next attempt, which is certain to be made.
+        reservation: The next attempt, which is certain to be made.
     """
 
     context: RequestContext
@@ -68,7 +77,12 @@
     responder: Responder
     send_count: int = 0
     excluded: set[EndpointId] = field(default_factory=set)
-    reserved: EndpointRecord | None = None
+    reservation: _Reservation | None = None
+
+    def take_connection(self) -> ClientConnection | None:
+        """Return the connection of the reservation, if any; it may be used once."""
+        reservation, self.reservation = self.reservation, None
+        return None if reservation is None else reservation.connection
 
 
 class CallHandler:
@@ -94,11 +108,32 @@
     ) -> GatewayRefusal | None:
         """Serve one call; return the refusal to send, or None if the call was answered."""
         call = _Call(context, service, responder)
+        try:
+            last_outcome = await self._async_run_attempts(call)
+        finally:
+            unused_connection = call.take_connection()
+            if unused_connection is not None:
+                unused_connection.close()
+        if isinstance(last_outcome, Completed | CallerGone):
+            return None
+        return respond_unserved(
+            context,
+            last_outcome,
+            responder,
+            was_sent=call.send_count > 0,
+            no_capacity_detail="no endpoint can take the call",
+            now=self._clock.now(),
+            rng=self._rng,
+        )
+
+    async def _async_run_attempts(self, call: _Call) -> AttemptOutcome:
+        """Run attempts until one completes; return the outcome of the last one."""
+        context = call.context
         last_outcome: AttemptOutcome = NotRun("no endpoint has room", ())
         connect_attempts = 0
         while connect_attempts < MAX_CONNECT_ATTEMPTS + context.route.max_attempts:
-            if responder.is_disconnected:
-                return None
+            if call.responder.is_disconnected:
+                return CallerGone()
             record = self._next_endpoint(call, last_outcome)
             if record is None:
                 break
@@ -113,26 +148,17 @@
             self._metrics.attempt_ended(type(last_outcome).__name__)
             match last_outcome:
                 case Completed() | CallerGone():
-                    return None
+                    return last_outcome
                 case NotRun() | Failed():
                     call.excluded.add(record.endpoint_id)
             if call.send_count >= context.route.max_attempts:
                 break
-        return respond_unserved(
-            context,
-            last_outcome,
-            responder,
-            was_sent=call.send_count > 0,
-            no_capacity_detail="no endpoint can take the call",
-            now=self._clock.now(),
-            rng=self._rng,
-        )
+        return last_outcome
 
     def _next_endpoint(self, call: _Call, last_outcome: AttemptOutcome) -> EndpointRecord | None:
         """Return the endpoint to try next, or None if the call may not be sent."""
-        record, call.reserved = call.reserved, None
-        if record is not None:
-            return record
+        if call.reservation is not None:
+            return call.reservation.record
         record = self._choose_endpoint(call.service, call.excluded)
         if record is None or call.context.deadline - self._clock.now() < MIN_TIME_TO_SEND_S:
             return None
@@ -140,19 +166,30 @@
             return None
         return record
 
-    def _try_reserve(self, call: _Call, silent: EndpointRecord) -> bool:
+    async def _async_try_reserve(self, call: _Call, silent: EndpointRecord) -> bool:
         """Reserve an attempt at another endpoint; return whether there is one."""
-        excluded = {*call.excluded, silent.endpoint_id}
-        record = self._choose_endpoint(call.service, excluded)
-        if record is None or call.send_count >= call.context.route.max_attempts:
+        record = self._choose_endpoint(call.service, {*call.excluded, silent.endpoint_id})
+        if record is None or not self._suspicions.is_usable(record.endpoint_id):
+            return False
+        if not self._may_reserve(call):
             return False
-        if call.context.deadline - self._clock.now() < MIN_TIME_TO_SEND_S:
+        connection = await self._async_connect(call, record)
+        if connection is None:
             return False
-        if not self._may_send_again(call, Failed("no answer in time", ())):
+        if not self._may_reserve(call) or not self._may_send_again(call, _LATE):
+            connection.close()
             return False
-        call.reserved = record
+        call.reservation = _Reservation(record, connection)
         return True
 
+    def _may_reserve(self, call: _Call) -> bool:
+        """Return whether attempts and time are left for another attempt."""
+        if call.context.route.kind is RequestKind.UNSAFE:
+            return False
+        if call.send_count >= call.context.route.max_attempts:
+            return False
+        return call.context.deadline - self._clock.now() >= MIN_TIME_TO_SEND_S
+
     def _choose_endpoint(
         self, service: Service, excluded: Iterable[EndpointId]
     ) -> EndpointRecord | None:
@@ -190,17 +227,27 @@
         outgoing = EndpointRequest(
             context.request, record, context.member, budget_s, context.route.priority
         )
+        connection = call.take_connection() or await self._async_connect(call, record)
+        if connection is None:
+            return None
+        try:
+            open_exchange = self._endpoint_client.send(outgoing, connection)
+        except ConnectError:
+            return None
+        if call.send_count == 0:
+            self._budget.record_first_send(call.service.service_id)
+        return open_exchange
+
+    async def _async_connect(self, call: _Call, record: EndpointRecord) -> ClientConnection | None:
+        """Connect to an endpoint; return None if it can't be reached."""
         # A pooled connection may be closed while the request is written, which leaves unknown
         # whether the request was executed.
-        fresh = context.route.kind is RequestKind.UNSAFE
+        fresh = call.context.route.kind is RequestKind.UNSAFE
         try:
-            open_exchange = await self._endpoint_client.async_send(outgoing, fresh)
+            return await self._endpoint_client.async_connect(record, fresh)
         except ConnectError as error:
             self._suspicions.record_failure(record.endpoint_id, str(error), failure_evidence(error))
             return None
-        if call.send_count == 0:
-            self._budget.record_first_send(call.service.service_id)
-        return open_exchange
 
     async def _async_attempt(
         self, call: _Call, record: EndpointRecord, open_exchange: OpenExchange
@@ -242,9 +289,11 @@
         )
         patience_s = self._patience_s(call.context)
         try:
-            while not response.done():
+            while True:
                 await asyncio.wait((response,), timeout=patience_s)
-                if not response.done() and self._try_reserve(call, record):
+                if response.done():
+                    break
+                if await self._async_try_reserve(call, record) and not response.done():
                     raise TimeoutError
                 patience_s = SILENCE_RECHECK_INTERVAL_S
             return response.result()
