The test of reset streams accepts what its trace shows: nothing was sent to the caller yet

Trace (its gateway's log): attempt 1 of stream-8 "ended in the middle of the answer" with events=0, attempt 2 "ended before an answer", stream_unserved outcome=refused, 502 unknown. The reset overtook the first event, so no byte had been sent to the caller, and 502 is the truthful answer; the test took for granted that the event arrives first. It now demands that the caller's view matches the log (aborted with a closed connection, refused with 502), which it did not check before; a success still fails it.

--- a/tests/lagoonctl/test_explain_processes.py
+++ b/tests/lagoonctl/test_explain_processes.py
@@ -136,8 +136,11 @@
     for endpoint in deployment.endpoints("engines"):
         endpoint.fault = LinkFault.RESET
     attempt_id, response = await pending
-    assert response is None
+    assert response is None or response.code == 502
     timeline = deployment.explain(attempt_id, capsys)
+    (unserved,) = [line for line in timeline if line["name"] == "stream_unserved"]
+    # A reset may overtake the first event; then nothing was sent to the caller yet.
+    assert unserved["outcome"] == ("aborted" if response is None else "refused")
     ended = [line for line in timeline if line["name"] == "attempt_ended"]
     engines = {one.endpoint_id for one in deployment.endpoints("engines")}
     assert ended
