A started stream that is refused where it moved to waits for a path

Cause: being full or silent for a moment was treated as having failed. Change: a started stream may come back to endpoints that were only full or silent (they are avoided or suspected for a while anyway), and waits for a path for two seconds, as long as its caller does.

test_started_stream_that_is_refused_elsewhere_is_not_aborted failed before (connection closed) and passes; tests/platform and tests/lagoonctl/test_explain_processes.py pass.

--- a/packages/gateway/src/lagoonwing_gateway/_patient_reader.py
+++ b/packages/gateway/src/lagoonwing_gateway/_patient_reader.py
@@ -120,4 +120,4 @@
         components.watchdog.probe_all(silent_ids)
         blamed_ids = silent_ids or self._endpoint_ids
         if await self._failover.async_try_reserve(blamed_ids):
-            raise GivenUpError(Failed("the path fell silent", blamed_ids))
+            raise GivenUpError(Failed("the path fell silent", blamed_ids, is_silence=True))
--- a/packages/gateway/src/lagoonwing_gateway/_stream_handler.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_handler.py
@@ -22,6 +22,7 @@
     MAX_CONNECT_ATTEMPTS,
     MAX_WAITING_STREAMS,
     MIN_TIME_TO_SEND_S,
+    STARTED_STREAM_WAIT_S,
 )
 from lagoonwing_gateway.models import (
     AttemptOutcome,
@@ -90,7 +91,10 @@
                 case Completed() | CallerGone():
                     return None
                 case NotRun(blamed_ids=blamed_ids) | Failed(blamed_ids=blamed_ids):
-                    progress.excluded.update(blamed_ids)
+                    # A started stream may come back to endpoints that were only full or silent;
+                    # they are avoided or suspected for a while.
+                    if not progress.started or not _may_recover(last_outcome):
+                        progress.excluded.update(blamed_ids)
         return self._finish_unserved(
             call, last_outcome, obstacle or ResendObstacle.CONNECT_ATTEMPTS
         )
@@ -99,6 +103,8 @@
         """Return a path; wait for capacity if there is none."""
         clock = self._components.clock
         capacity_wait_s = call.context.route.objective_s * CAPACITY_WAIT_SHARE
+        if call.progress.started:
+            capacity_wait_s = max(capacity_wait_s, STARTED_STREAM_WAIT_S)
         wait_deadline = min(
             call.context.deadline - MIN_TIME_TO_SEND_S, clock.now() + capacity_wait_s
         )
@@ -142,3 +148,8 @@
             now=self._components.clock.now(),
             rng=self._components.rng,
         )
+
+
+def _may_recover(outcome: NotRun | Failed) -> bool:
+    """Return whether the blamed endpoints did not fail, but were full or silent."""
+    return isinstance(outcome, NotRun) or outcome.is_silence
--- a/packages/gateway/src/lagoonwing_gateway/const.py
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -68,6 +68,8 @@
 CAPACITY_WAIT_SHARE = 0.7
 CAPACITY_POLL_INTERVAL_S = 0.02
 MAX_WAITING_STREAMS = 256
+# Minimum time for which a stream that has been started waits for a path; callers leave after it.
+STARTED_STREAM_WAIT_S = 2.0
 # Minimum Retry-After for refused callers, and its random part.
 RETRY_AFTER_S = 0.3
 RETRY_AFTER_JITTER_S = 0.6
--- a/packages/gateway/src/lagoonwing_gateway/models.py
+++ b/packages/gateway/src/lagoonwing_gateway/models.py
@@ -155,11 +155,13 @@
     Attributes:
         blamed_ids: Endpoints that must not be used again for the request.
         response: Error response of the endpoint, if it sent one.
+        is_silence: Whether the blamed endpoints were only silent.
     """
 
     reason: str
     blamed_ids: tuple[EndpointId, ...]
     response: CompleteResponse | None = None
+    is_silence: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -15,7 +15,12 @@
 from lagoonwing_fakes.platform.const import ADDRESS, EVENTS
 from lagoonwing_gateway import _watchdog
 from lagoonwing_http import ConnectError
-from lagoonwing_platform.const import HEADER_ATTEMPT_ID, HEADER_PATH, HEADER_SIGNATURE
+from lagoonwing_platform.const import (
+    HEADER_ATTEMPT_ID,
+    HEADER_NOT_EXECUTED,
+    HEADER_PATH,
+    HEADER_SIGNATURE,
+)
 
 EVENT_CONTENTS = [b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, EVENTS + 1)]
 COMPLETE_STREAM = b"".join(EVENT_CONTENTS)
@@ -161,6 +166,29 @@
     assert (response.code, response.body) == (200, COMPLETE_STREAM)
 
 
+async def test_started_stream_that_is_refused_elsewhere_is_not_aborted(
+    deployment: Deployment,
+) -> None:
+    """A stream that left a silent path waits until the only other one, which is full, takes it."""
+    await async_start_engines(deployment, 4)
+    sends: list[str] = []
+
+    async def handle(handler: WorkHandler) -> None:
+        sends.append(handler.endpoint.endpoint_id)
+        if len(sends) == 1:
+            handler.set_header(HEADER_SIGNATURE, "stamp-first")
+            await handler.send_events(2)
+            await asyncio.sleep(SILENCE_S)
+        elif len(sends) == 2:
+            handler.set_status(503)
+            handler.set_header(HEADER_NOT_EXECUTED, "1")
+            handler.finish()
+
+    _override_all(deployment, handle)
+    response = await deployment.async_send_request("stream", "a-1")
+    assert (response.code, response.body) == (200, COMPLETE_STREAM)
+
+
 async def _async_send_unframed(handler: WorkHandler, contents: list[bytes]) -> Any:
     """Send a stream without length and chunks; return the connection, which is still open."""
     connection: Any = handler.request.connection
