--- a/tests/gateway/test_crash_tracker.py
+++ b/tests/gateway/test_crash_tracker.py
@@ -31,17 +31,17 @@
     seconds: float,
     sound_per_s: float,
     make_sound: Callable[[], tuple[str, ...]],
-    deadly_per_s: float = 0.0,
-    make_deadly: Callable[[], tuple[str, ...]] = tuple,
+    crashing_per_s: float = 0.0,
+    make_crashing: Callable[[], tuple[str, ...]] = tuple,
 ) -> list[Run]:
-    """Send sound and deadly requests for some time; return the sound ones."""
+    """Send sound and crashing requests for some time; return the sound ones."""
     runs = []
     end = cluster.clock.now() + seconds
-    total = sound_per_s + deadly_per_s
+    total = sound_per_s + crashing_per_s
     while cluster.clock.now() < end:
         cluster.advance(cluster.rng.expovariate(total))
-        if cluster.rng.random() < deadly_per_s / total:
-            cluster.send(*make_deadly())
+        if cluster.rng.random() < crashing_per_s / total:
+            cluster.send(*make_crashing())
         else:
             runs.append(cluster.send(*make_sound()))
     return runs
@@ -72,28 +72,28 @@
 ) -> None:
     """Wherever it stands, and while sound requests share all the other parts."""
     cluster = CrashCluster(seed, gateways, endpoints)
-    cluster.deadly_parts = {"deadly"}
+    cluster.crashing_parts = {"crashing"}
 
-    def make_deadly() -> tuple[str, ...]:
+    def make_crashing() -> tuple[str, ...]:
         parts = ["first", _rare_part(cluster)]
-        parts.insert(position, "deadly")
+        parts.insert(position, "crashing")
         return tuple(parts)
 
     scale = gateways / 4
     _run_traffic(cluster, 5.0, 10.0 * scale, lambda: ("first", _rare_part(cluster)))
     sound = _run_traffic(
-        cluster, 20.0, 10.0 * scale, lambda: ("first", _rare_part(cluster)), scale, make_deadly
+        cluster, 20.0, 10.0 * scale, lambda: ("first", _rare_part(cluster)), scale, make_crashing
     )
-    _assert_within_rule(cluster, "deadly")
+    _assert_within_rule(cluster, "crashing")
     assert _refused_prompts(sound) == []
 
 
 @pytest.mark.parametrize("seed", SEEDS)
-def test_several_deadly_parts_are_told_apart(seed: int) -> None:
+def test_several_crashing_parts_are_told_apart(seed: int) -> None:
     """Each of five parts is found; sound requests with the same first part are served."""
     cluster = CrashCluster(seed, gateways=8, endpoints=120)
-    cluster.deadly_parts = {f"deadly-{number}" for number in range(5)}
-    parts = sorted(cluster.deadly_parts)
+    cluster.crashing_parts = {f"crashing-{number}" for number in range(5)}
+    parts = sorted(cluster.crashing_parts)
     _run_traffic(cluster, 5.0, 20.0, lambda: ("first", _rare_part(cluster)))
     sound = _run_traffic(
         cluster,
@@ -109,10 +109,10 @@
 
 
 @pytest.mark.parametrize("seed", SEEDS)
-def test_deadly_part_that_returns_after_a_pause_is_still_known(seed: int) -> None:
+def test_crashing_part_that_returns_after_a_pause_is_still_known(seed: int) -> None:
     """A pause of minutes gives it no new allowance."""
     cluster = CrashCluster(seed)
-    cluster.deadly_parts = {"deadly"}
+    cluster.crashing_parts = {"crashing"}
     for pause_s in (0.0, 30.0, 200.0):
         cluster.advance(pause_s)
         _run_traffic(
@@ -121,19 +121,19 @@
             10.0,
             lambda: ("first",),
             1.0,
-            lambda: ("first", "deadly", _rare_part(cluster)),
+            lambda: ("first", "crashing", _rare_part(cluster)),
         )
-    _assert_within_rule(cluster, "deadly")
+    _assert_within_rule(cluster, "crashing")
 
 
 @pytest.mark.parametrize("seed", SEEDS)
-def test_deadly_parts_in_one_burst_and_then_one_by_one(seed: int) -> None:
+def test_crashing_parts_in_one_burst_and_then_one_by_one(seed: int) -> None:
     """A burst looks like a mass loss; the few requests after it find the part all the same."""
     cluster = CrashCluster(seed, gateways=4, endpoints=60)
-    cluster.deadly_parts = {"deadly"}
+    cluster.crashing_parts = {"crashing"}
     _run_traffic(cluster, 5.0, 20.0, lambda: ("first", _rare_part(cluster)))
     for _ in range(8):
-        cluster.send("first", "deadly", _rare_part(cluster))
+        cluster.send("first", "crashing", _rare_part(cluster))
     _run_traffic(cluster, 10.0, 20.0, lambda: ("first", _rare_part(cluster)))
     _run_traffic(
         cluster,
@@ -141,23 +141,23 @@
         20.0,
         lambda: ("first", _rare_part(cluster)),
         0.5,
-        lambda: ("first", "deadly", _rare_part(cluster)),
+        lambda: ("first", "crashing", _rare_part(cluster)),
     )
-    _assert_within_rule(cluster, "deadly")
+    _assert_within_rule(cluster, "crashing")
 
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_quarantine_outlives_the_gateways_that_saw_the_crashes(seed: int) -> None:
     """New gateways know it from the replicas, and one that was cut off keeps it."""
     cluster = CrashCluster(seed)
-    cluster.deadly_parts = {"deadly"}
+    cluster.crashing_parts = {"crashing"}
     _run_traffic(
         cluster,
         15.0,
         10.0,
         lambda: ("first",),
         1.0,
-        lambda: ("first", "deadly", _rare_part(cluster)),
+        lambda: ("first", "crashing", _rare_part(cluster)),
     )
     cut_off, *others = cluster.gateways
     cut_off.is_connected = False
@@ -167,7 +167,7 @@
         cluster.advance(1.0)
     cluster.advance(60.0)
     for gateway in cluster.gateways:
-        assert cluster.send("first", "deadly", "y", gateway=gateway).is_refused
+        assert cluster.send("first", "crashing", "y", gateway=gateway).is_refused
         assert not cluster.send("first", "y", gateway=gateway).is_refused
 
 
--- a/tests/support/crash_cluster.py
+++ b/tests/support/crash_cluster.py
@@ -129,7 +129,7 @@
         self.messages = 0
         self.reached: list[tuple[float, tuple[str, ...]]] = []
         self.crashes: list[tuple[float, str]] = []
-        self.deadly_parts: set[str] = set()
+        self.crashing_parts: set[str] = set()
         self.replicas = [SimulatedReplica(self) for _ in range(5)]
         for replica in self.replicas:
             replica.relay = CrashRelay(cast(Any, replica), cast(Any, replica), self.clock)
@@ -234,16 +234,18 @@
         self.runs[run] = None
         self.reached.append((run.began_at, parts))
         attempt = run.attempts
-        deadly = self.deadly_parts.intersection(parts[:-1])
-        if deadly:
-            self.schedule(CRASH_AFTER_S, lambda: self._crash_by(run, attempt, endpoint, deadly))
+        crashing = self.crashing_parts.intersection(parts[:-1])
+        if crashing:
+            self.schedule(CRASH_AFTER_S, lambda: self._crash_by(run, attempt, endpoint, crashing))
         else:
             self.schedule(RUN_S, lambda: self._finish(run, attempt))
 
-    def _crash_by(self, run: Run, attempt: int, endpoint: EndpointRecord, deadly: set[str]) -> None:
+    def _crash_by(
+        self, run: Run, attempt: int, endpoint: EndpointRecord, crashing: set[str]
+    ) -> None:
         """Crash an endpoint on which a request has begun to write."""
         if run in self.runs and run.attempts == attempt:
-            self.crashes.extend((self.clock.now(), part) for part in sorted(deadly))
+            self.crashes.extend((self.clock.now(), part) for part in sorted(crashing))
             self.crash(endpoint)
 
     def _finish(self, run: Run, attempt: int) -> None:
