--- a/packages/gateway/src/lagoonwing_gateway/__init__.py
+++ b/packages/gateway/src/lagoonwing_gateway/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from lagoonwing_gateway._gateway import Gateway
+from lagoonwing_gateway._server_sent_events import ServerSentEvents
 from lagoonwing_gateway.settings import GatewaySettings, RetryBudgetSettings
 
-__all__ = ["Gateway", "GatewaySettings", "RetryBudgetSettings"]
+__all__ = ["Gateway", "GatewaySettings", "RetryBudgetSettings", "ServerSentEvents"]
--- a/platform/src/lagoonwing_platform/events.py
+++ b/packages/gateway/src/lagoonwing_gateway/_server_sent_events.py
@@ -1,4 +1,4 @@
-"""Parser for server-sent event streams."""
+"""Parser for streams of server-sent events, a format that no platform owns."""
 
 from __future__ import annotations
 
