--- a/packages/catalog/src/lagoonwing_catalog/__init__.py
+++ b/packages/catalog/src/lagoonwing_catalog/__init__.py
@@ -4,6 +4,7 @@
 
 from lagoonwing_catalog._crash_ledger import CrashLedger, crash_id_of, domain_digest
 from lagoonwing_catalog._endpoints import is_unchanged, supersedes
+from lagoonwing_catalog._limit_ledger import LimitLedger
 from lagoonwing_catalog._routes import RouteTable
 from lagoonwing_catalog._state import (
     CatalogState,
@@ -19,6 +20,7 @@
     "CatalogState",
     "CatalogStateMachine",
     "CrashLedger",
+    "LimitLedger",
     "RouteTable",
     "StoredDocument",
     "ValidationIssue",
--- a/packages/catalog/src/lagoonwing_catalog/const.py
+++ b/packages/catalog/src/lagoonwing_catalog/const.py
@@ -16,5 +16,7 @@
 MAX_EXTRACT_TRAITS = 64
 # One in so many traits is discarded when a ledger is full.
 EVICTED_SHARE = 4
+# Time for which the end of a limit is remembered, so that older news of the limit don't revive it.
+LIFTED_LIMIT_TTL_S = 60.0
 # Time that a message between gateways and replicas takes at most, unless a link is disrupted.
 MAX_MESSAGE_DELAY_S = 0.5
--- a/packages/catalog/src/lagoonwing_catalog/messages.py
+++ b/packages/catalog/src/lagoonwing_catalog/messages.py
@@ -201,6 +201,26 @@
     entries: tuple[TraitCrashes, ...]
 
 
+class LimitObservation(msgspec.Struct, frozen=True, array_like=True):
+    """What the latest response of an endpoint said about its limit.
+
+    Attributes:
+        started_ms: Start time of the endpoint's incarnation.
+        rate: Requests per second that it takes from all gateways; None if it named no limit.
+        age_s: Seconds since the response.
+    """
+
+    started_ms: int
+    rate: float | None
+    age_s: float
+
+
+class LimitExtract(msgspec.Struct, frozen=True, array_like=True, tag=28):
+    """Limits that endpoints named, exchanged between gateways and replicas."""
+
+    observation_by_id: dict[EndpointId, LimitObservation]
+
+
 CatalogMessage = (
     Submit
     | Submitted
@@ -216,5 +236,6 @@
     | LoadSummary
     | ReplicaLoad
     | CrashExtract
+    | LimitExtract
 )
 CATALOG_DECODER = msgspec.msgpack.Decoder(CatalogMessage)
--- a/packages/fakes/src/lagoonwing_fakes/platform/_endpoint.py
+++ b/packages/fakes/src/lagoonwing_fakes/platform/_endpoint.py
@@ -20,6 +20,7 @@
     HEADER_ATTEMPT_ID,
     HEADER_EXPECTED_ENDPOINT,
     HEADER_LAST_EVENT,
+    HEADER_LIMIT,
     HEADER_SIGNATURE,
     HEADER_TOKENS,
     PATH_ORDER,
@@ -59,6 +60,8 @@
     Attributes:
         handler_override: Overrides the handling of a request; by default it succeeds.
         executed_ids: Ids of the requests that were executed.
+        request_limit: Requests per second that it names as its limit, if any.
+        arrived_at: Time of each request that reached it.
     """
 
     endpoint_id: str
@@ -68,6 +71,8 @@
     layers: tuple[int, int] | None = None
     handler_override: RequestBehavior | None = None
     executed_ids: list[str] = field(default_factory=list)
+    request_limit: float | None = None
+    arrived_at: list[float] = field(default_factory=list)
     headers_by_attempt_id: dict[str, dict[str, str]] = field(default_factory=dict)
     orders: int = 0
     sequence: int = 0
@@ -100,7 +105,10 @@
         """Record the request and handle it."""
         self.attempt_id = self.request.headers[HEADER_ATTEMPT_ID]
         self.endpoint.headers_by_attempt_id[self.attempt_id] = dict(self.request.headers.get_all())
+        self.endpoint.arrived_at.append(asyncio.get_running_loop().time())
         self.set_header(HEADER_ATTEMPT_ID, self.attempt_id)
+        if self.endpoint.request_limit is not None:
+            self.set_header(HEADER_LIMIT, f"{self.endpoint.request_limit:g}")
         expected_id = self.request.headers.get(HEADER_EXPECTED_ENDPOINT, self.endpoint.endpoint_id)
         if expected_id != self.endpoint.endpoint_id:
             self.set_status(_MISDIRECTED_STATUS)
--- a/packages/gateway/src/lagoonwing_gateway/_endpoint_client.py
+++ b/packages/gateway/src/lagoonwing_gateway/_endpoint_client.py
@@ -11,6 +11,7 @@
 from lagoonwing_core.callback import callback
 from lagoonwing_core.clock import Clock
 from lagoonwing_gateway._connection_pool import EndpointConnectionPool
+from lagoonwing_gateway._limit_tracker import LimitTracker
 from lagoonwing_gateway.const import MAX_RESPONSE_BODY_BYTES
 from lagoonwing_gateway.models import (
     CompleteResponse,
@@ -33,11 +34,13 @@
     """An active exchange; it must be closed or read to the end.
 
     Attributes:
+        endpoint: The endpoint to which the request was sent.
         sent_at: Time at which the request was written.
     """
 
     connection: ClientConnection
     exchange: Exchange
+    endpoint: EndpointRecord
     sent_at: float
 
     def close(self) -> None:
@@ -51,9 +54,14 @@
     """Sends requests to endpoints."""
 
     def __init__(
-        self, dialect: Dialect, connection_pool: EndpointConnectionPool, clock: Clock
+        self,
+        dialect: Dialect,
+        connection_pool: EndpointConnectionPool,
+        limits: LimitTracker,
+        clock: Clock,
     ) -> None:
         self._dialect = dialect
+        self._limits = limits
         self._connection_pool = connection_pool
         self._clock = clock
 
@@ -87,7 +95,7 @@
             request.body,
             self._dialect.accepts(request),
         )
-        return OpenExchange(connection, exchange, self._clock.now())
+        return OpenExchange(connection, exchange, outgoing.endpoint, self._clock.now())
 
     async def async_head(
         self, open_exchange: OpenExchange, timeout: float
@@ -100,7 +108,9 @@
         """
         async with asyncio.timeout(timeout):
             head = await open_exchange.exchange.async_read_head()
-        return head, self._dialect.response_info(head)
+        info = self._dialect.response_info(head)
+        self._limits.record_response(open_exchange.endpoint, info)
+        return head, info
 
     async def async_complete_response(
         self, open_exchange: OpenExchange, deadline: float
--- a/packages/gateway/src/lagoonwing_gateway/_gateway.py
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -24,6 +24,7 @@
 from lagoonwing_gateway._directory import EndpointDirectory
 from lagoonwing_gateway._endpoint_client import EndpointClient
 from lagoonwing_gateway._follower import CatalogFollower
+from lagoonwing_gateway._limit_tracker import LimitTracker
 from lagoonwing_gateway._load_tracker import LoadTracker
 from lagoonwing_gateway._refusals import (
     not_run_refusal,
@@ -85,6 +86,7 @@
             settings, identity, clock, self._load_report, self._crash_tracker
         )
         self._connection_pool = EndpointConnectionPool(clock)
+        self._limits = LimitTracker(clock)
         slowdown = SlowdownTracker()
         directory = EndpointDirectory(self.follower, self._suspicions)
         self._watchdog = Watchdog(directory, self._suspicions, clock)
@@ -99,7 +101,7 @@
             backlog_estimator=BacklogEstimator(clock),
             budget=RetryBudget(settings.retry_budget, clock),
             crash_tracker=self._crash_tracker,
-            endpoint_client=EndpointClient(dialect, self._connection_pool, clock),
+            endpoint_client=EndpointClient(dialect, self._connection_pool, self._limits, clock),
             dialect=dialect,
             metrics=self.metrics,
             clock=clock,
@@ -152,6 +154,7 @@
         self.metrics.set_gauge("gateways", self.follower.gateways)
         self.metrics.set_gauge("suspected_endpoints", len(self._suspicions.suspected()))
         self.metrics.set_gauge("traits_with_crashes", self._crash_tracker.trait_count)
+        self.metrics.set_gauge("limited_endpoints", len(self._limits.rate_by_id()))
         self.metrics.set_gauge("active_requests", self._active_requests)
         return self.metrics.registry
 
--- a/packages/gateway/src/lagoonwing_gateway/models.py
+++ b/packages/gateway/src/lagoonwing_gateway/models.py
@@ -62,6 +62,17 @@
     last_event_id: str | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class NamedLimit:
+    """Limit that an endpoint names in a response.
+
+    Attributes:
+        rate: Requests per second that it takes from all gateways; None if it names no limit.
+    """
+
+    rate: float | None
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseInfo:
     """Status and metadata from the head of an endpoint's response.
@@ -71,6 +82,7 @@
         is_signed: Whether the response carries the endpoint's signature.
         is_encoded: Whether a content encoding was applied to the body.
         at_fault: Address and port of the endpoint on the path that failed, if named.
+        named_limit: What the response says of the endpoint's limit; None if that can't be read.
     """
 
     status: int
@@ -78,6 +90,7 @@
     is_signed: bool
     is_encoded: bool
     at_fault: str | None
+    named_limit: NamedLimit | None = None
 
     @property
     def is_success(self) -> bool:
