A refusal without an id on a kept connection belongs to no later request

Report of another operator: a faulty server wrote an earlier refusal once more on a kept connection, and clients were told 'not run' for requests that it ran. Cause here: a response without an attempt id was taken for the open request's on any connection. With an id the repeated refusal was recognised already. Change: on a connection that was used before, a response must carry the attempt's id; one without it ends the attempt as unknown.

--- a/packages/gateway/src/lagoonwing_gateway/_endpoint_client.py
+++ b/packages/gateway/src/lagoonwing_gateway/_endpoint_client.py
@@ -89,11 +89,12 @@
             ConnectError: The connection had ended; nothing was sent.
         """
         request = outgoing.request
+        accepts = self._dialect.accepts(request, is_reused=connection.was_used)
         exchange = connection.send(
             RequestStartLine(request.method, request.target, "HTTP/1.1"),
             self._dialect.outgoing_headers(outgoing),
             request.body,
-            self._dialect.accepts(request),
+            accepts,
         )
         return OpenExchange(connection, exchange, outgoing.endpoint, self._clock.now())
 
--- a/packages/gateway/src/lagoonwing_gateway/ports.py
+++ b/packages/gateway/src/lagoonwing_gateway/ports.py
@@ -63,8 +63,11 @@
     def outgoing_headers(self, outgoing: EndpointRequest) -> HTTPHeaders:
         """Return the headers of a request to an endpoint."""
 
-    def accepts(self, request: CallerRequest) -> Callable[[HTTPHeaders], bool]:
-        """Return a predicate that checks whether a response belongs to a request."""
+    def accepts(self, request: CallerRequest, *, is_reused: bool) -> Callable[[HTTPHeaders], bool]:
+        """Return a predicate that checks whether a response belongs to a request.
+
+        On a connection that was used before, a response may belong to an earlier request.
+        """
 
     def response_info(self, head: ResponseHead) -> ResponseInfo:
         """Return the metadata from a response head."""
--- a/packages/http/src/lagoonwing_http/_client.py
+++ b/packages/http/src/lagoonwing_http/_client.py
@@ -34,12 +34,17 @@
 
 
 class ClientConnection(HTTPMessageDelegate):
-    """Connection to an endpoint that carries one exchange at a time."""
+    """Connection to an endpoint that carries one exchange at a time.
+
+    Attributes:
+        was_used: Whether a request has been sent on it.
+    """
 
     def __init__(
         self, stream: IOStream, peer: str, on_idle: Callable[[ClientConnection], None]
     ) -> None:
         self.idle_since = 0.0
+        self.was_used = False
         self._stream = stream
         self._peer = peer
         self._on_idle = on_idle
@@ -82,6 +87,7 @@
             raise ConnectError(f"{self._peer}: the connection had ended")
         exchange = Exchange(accepts)
         self._exchange = exchange
+        self.was_used = True
         headers["Content-Length"] = str(len(body))
         written = self._http.write_headers(start_line, headers, body)
         # The reader detects a broken stream; retrieving the exception avoids asyncio's warning.
