A begun stream goes on with events only: another success elsewhere ends it incomplete

Report of another operator: a stream had begun and broke off, and the next server's error stood in the middle of it, or the stream ended as if it were complete. Cause here: any 2xx answer was read as further events, so a 204 or 206 at the next endpoint completed the stream, with that answer's text in it. Errors (400, 500, 503) ended it incomplete already. Change: once a part was sent to the caller, only a 200 is relayed; everything else is a failure. A first answer keeps its own status (204 was sent on as 200). Evidence: test_error_after_a_begun_stream_is_not_part_of_it[204 and 206, two and three attempts] failed before (4 failed, 32 passed) and passes (36 passed). Heads cut in the middle never completed a stream: 24 cases pass before and after.

--- a/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
@@ -36,12 +36,14 @@
     Failed,
     FailureEvidence,
     NotRun,
+    ResponseInfo,
     StreamEvent,
 )
 from lagoonwing_http import AnswerBrokenError, ConnectError, ResponseHead
 from lagoonwing_placement import prefill_ms, transfer_ms
 
-_STREAM_STATUS = 200
+# Status of a response whose body consists of events.
+_EVENTS_STATUS = 200
 
 
 class StreamAttempt:
@@ -198,7 +200,7 @@
         components = self._components
         try:
             head, info = await reader.async_head()
-            if not info.is_success:
+            if not self._may_forward(info):
                 return await self._async_read_failure(open_exchange, head)
             if not info.is_signed or info.is_encoded:
                 components.suspicions.record_failure(
@@ -228,6 +230,10 @@
         self._finish(head)
         return Completed()
 
+    def _may_forward(self, info: ResponseInfo) -> bool:
+        """Return whether a response may be forwarded: a begun stream goes on with events only."""
+        return info.status == _EVENTS_STATUS if self._progress.started else info.is_success
+
     def _forward_events(
         self, head: ResponseHead, events: list[StreamEvent], stream: WatchedStream
     ) -> None:
@@ -262,7 +268,7 @@
             return
         self._progress.started = True
         headers = self._components.dialect.caller_headers(head)
-        self._responder.start_stream(_STREAM_STATUS, headers, content)
+        self._responder.start_stream(head.status, headers, content)
 
     def _record_event_timing(self) -> None:
         """Record how long the caller waited for an event."""
--- a/tests/platform/test_misleading_answers.py
+++ b/tests/platform/test_misleading_answers.py
@@ -89,7 +89,7 @@
     assert code_by_id[ran_ids[0]] not in NOT_RUN_STATUSES
 
 
-@pytest.mark.parametrize("status", [400, 500, 503])
+@pytest.mark.parametrize("status", [204, 206, 400, 500, 503])
 @pytest.mark.parametrize("max_attempts", [2, 3])
 async def test_error_after_a_begun_stream_is_not_part_of_it(
     deployment: Deployment, status: int, max_attempts: int
@@ -107,7 +107,7 @@
             _raw_stream(handler).close()
             return
         handler.set_status(status)
-        handler.finish(ERROR_TEXT + b"\n\n")
+        handler.finish(None if status == 204 else ERROR_TEXT + b"\n\n")
 
     _override_all(deployment, handle)
     body = await _async_incomplete_body(deployment)
