An endpoint that makes progress here is used though another gateway suspects it

Cause: what other gateways suspect was taken over without regard to what is seen here. Change: a foreign suspicion does not count while an event arrived over the endpoint in the last 0.25 s. Own suspicions (refused connections, silence) are not touched.

--- a/packages/gateway/src/lagoonwing_gateway/_directory.py
+++ b/packages/gateway/src/lagoonwing_gateway/_directory.py
@@ -12,18 +12,23 @@
     Service,
 )
 from lagoonwing_core.callback import callback
+from lagoonwing_core.clock import Clock
 from lagoonwing_core.ids import EndpointId, ServiceId
 from lagoonwing_gateway._follower import CatalogFollower
 from lagoonwing_gateway._suspicions import SuspicionTracker
+from lagoonwing_gateway.const import OWN_PROGRESS_S
 from lagoonwing_placement import Holder, HolderGroup, group_holders
 
 
 class EndpointDirectory:
     """Index of the catalog's endpoint records, rebuilt after each change."""
 
-    def __init__(self, follower: CatalogFollower, suspicions: SuspicionTracker) -> None:
+    def __init__(
+        self, follower: CatalogFollower, suspicions: SuspicionTracker, clock: Clock
+    ) -> None:
         self._follower = follower
         self._suspicions = suspicions
+        self._clock = clock
         self._ready_by_service: dict[ServiceId, list[EndpointRecord]] = {}
         self._entry_ids_by_service: dict[ServiceId, tuple[EndpointId, ...]] = {}
         self._id_by_address: dict[str, EndpointId] = {}
@@ -82,7 +87,7 @@
             for record in self._ready_by_service.get(service_id, ())
             if record.endpoint_id not in unusable
         ]
-        suspected = set(self._follower.load_summary().suspects)
+        suspected = self._suspected_elsewhere()
         unsuspected = [
             record
             for record in records
@@ -101,13 +106,19 @@
 
     def usability_check(self, excluded: Iterable[EndpointId]) -> Callable[[EndpointId], bool]:
         """Return a predicate that checks whether an endpoint may get requests."""
-        unusable = {*excluded, *self._follower.load_summary().suspects}
+        unusable = {*excluded, *self._suspected_elsewhere()}
 
         def is_usable(endpoint_id: EndpointId) -> bool:
             return endpoint_id not in unusable and self._suspicions.is_usable(endpoint_id)
 
         return is_usable
 
+    def _suspected_elsewhere(self) -> set[EndpointId]:
+        """Return the endpoints that other gateways suspect and that make no progress here."""
+        since = self._clock.now() - OWN_PROGRESS_S
+        suspects = self._follower.load_summary().suspects
+        return set(self._suspicions.without_progress_since(suspects, since))
+
     def _holders(self, service: Service, engine: Engine) -> Iterator[Holder]:
         """Yield the ready holders of a service's layers."""
         for record in self._ready_by_service.get(service.service_id, ()):
--- a/packages/gateway/src/lagoonwing_gateway/_gateway.py
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -98,7 +98,7 @@
         )
         self._limit_reporter = LimitReporter(self.follower, self._limits, limiter)
         slowdown = SlowdownTracker()
-        directory = EndpointDirectory(self.follower, self._suspicions)
+        directory = EndpointDirectory(self.follower, self._suspicions, clock)
         self._watchdog = Watchdog(directory, self._suspicions, clock)
         components = GatewayComponents(
             failure_domain=settings.failure_domain,
--- a/packages/gateway/src/lagoonwing_gateway/const.py
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -28,6 +28,8 @@
 MAX_SUSPICION_S = 8.0
 # The suspicion duration is reset after this time without another failure.
 SUSPICION_RESET_S = 15.0
+# Time for which progress here outweighs that another gateway suspects an endpoint.
+OWN_PROGRESS_S = 0.25
 # Time for which an endpoint is avoided after it refused a request for lack of memory or layers.
 AVOIDANCE_S = 0.4
 
