--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -18,6 +18,7 @@
     HEADER_ATTEMPT_ID,
     HEADER_EXPECTED_ENDPOINT,
     HEADER_LAST_EVENT,
+    HEADER_LIMIT,
     HEADER_NOT_EXECUTED,
     HEADER_SIGNATURE,
     PATH_ORDER,
@@ -66,6 +67,7 @@
         endpoint_id: Id of the current incarnation.
         incarnation: Number of the current incarnation, from 1.
         is_up: Whether it is running; if not, the next incarnation starts soon.
+        request_limit: Requests per second that it names as its limit, if any.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         self.is_up = False
         self.service = service
         self.fault = LinkFault.NONE
+        self.request_limit: float | None = None
         self.is_engine = service == "engines"
         self.layers: tuple[int, int] | None = None
         self.sequence = 0
@@ -235,6 +238,8 @@
             return
         attempt_id = headers[HEADER_ATTEMPT_ID.lower()]
         echo = {HEADER_ATTEMPT_ID: attempt_id}
+        if self.request_limit is not None:
+            echo[HEADER_LIMIT] = f"{self.request_limit:g}"
         self._requests.reached.append(
             (self.endpoint_id, attempt_id, asyncio.get_running_loop().time())
         )
--- a/soak/models.py
+++ b/soak/models.py
@@ -18,6 +18,7 @@
     NONE = "none"
     PAUSES = "pauses"
     CRASHING_PART = "crashing_part"
+    LIMITS = "limits"
 
 
 @dataclass
--- a/soak/run.py
+++ b/soak/run.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import random
+import signal
 import tempfile
+from collections import defaultdict
 from pathlib import Path
 
 from lagoonwing_fakes.platform import make_processes
@@ -24,6 +26,7 @@
 from soak.endpoints import SoakEndpoint
 from soak.faults import Faults
 from soak.models import Outcome, Scenario, SoakContext
+from soak.named_limits import LIMIT, LIMITS_S, limit_violations
 from soak.operators import Operators
 from soak.proxy import Proxy
 
@@ -117,6 +120,33 @@
                 await asyncio.sleep(PAUSES_S)
             case Scenario.CRASHING_PART:
                 await self._async_play_crashing_part()
+            case Scenario.LIMITS:
+                await self._async_play_limits()
+
+    async def _async_play_limits(self) -> None:
+        """Let all endpoints name a limit, kill a gateway and a replica meanwhile, and check."""
+        context = self.context
+        loop = asyncio.get_running_loop()
+        named_at = loop.time()
+        context.has_recovered = False
+        for endpoint in context.endpoints:
+            endpoint.request_limit = LIMIT
+        for processes in (context.processes.gateways, context.processes.registries):
+            await asyncio.sleep(LIMITS_S / 3)
+            victim = context.rng.choice(processes)
+            context.outcome.record_fault(f"SIGKILL {victim.name}")
+            victim.signal(signal.SIGKILL)
+        await asyncio.sleep(LIMITS_S / 3)
+        times_by_endpoint: defaultdict[str, list[float]] = defaultdict(list)
+        for endpoint_id, _, reached_at in context.requests.reached:
+            times_by_endpoint[endpoint_id].append(reached_at)
+        entries: defaultdict[str, list[str]] = defaultdict(list)
+        for endpoint in context.endpoints:
+            if not endpoint.is_engine or (endpoint.layers is not None and endpoint.layers[0] == 0):
+                entries[endpoint.service].append(endpoint.endpoint_id)
+        context.outcome.violations += limit_violations(
+            times_by_endpoint, entries, named_at, loop.time()
+        )
 
     async def _async_play_crashing_part(self) -> None:
         """Let callers also send requests that crash engines, and check how they are handled."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -14,6 +14,7 @@
 # 31: a gateway is draining when fault injection ends and must still be restarted afterwards.
 SEEDS = (1, 31)
 PAUSE_SEEDS = (1, 2)
+LIMIT_SEEDS = (1, 2)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -34,3 +35,10 @@
     """Engines get few requests with a part that crashed five, and streams without it are served."""
     outcome = asyncio.run(SoakRun(1, SECONDS, tmp_path, Scenario.CRASHING_PART).async_run())
     assert outcome.violations == [], outcome.faults
+
+
+@pytest.mark.parametrize("seed", LIMIT_SEEDS)
+def test_limits_are_kept_and_used_while_processes_are_killed(seed: int, tmp_path: Path) -> None:
+    """Endpoints get no more than they name and not much less, beside kills of processes."""
+    outcome = asyncio.run(SoakRun(seed, SECONDS, tmp_path, Scenario.LIMITS).async_run())
+    assert outcome.violations == [], outcome.faults
