The test of callers that leave delays the connection that calls really open

It patched EndpointClient.async_send, which nothing called any more since connections are reserved first, so the delay never took place. It now delays async_connect (as strict: same bound), and the unused method is gone.

--- a/packages/gateway/src/lagoonwing_gateway/_endpoint_client.py
+++ b/packages/gateway/src/lagoonwing_gateway/_endpoint_client.py
@@ -73,14 +73,6 @@
         """
         return await self._connection_pool.async_take_for(record, fresh)
 
-    async def async_send(self, outgoing: EndpointRequest, fresh: bool) -> OpenExchange:
-        """Connect to an endpoint and send a request.
-
-        Raises:
-            ConnectError: The connection failed; nothing was sent.
-        """
-        return self.send(outgoing, await self.async_connect(outgoing.endpoint, fresh))
-
     @callback
     def send(self, outgoing: EndpointRequest, connection: ClientConnection) -> OpenExchange:
         """Send a request over a connection to its endpoint.
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -245,13 +245,13 @@
     await deployment.async_set_document()
     endpoint = await deployment.async_add_endpoint("p-1", "plain")
     client = deployment.gateway._call_handler._endpoint_client
-    async_send = client.async_send
+    async_connect = client.async_connect
 
-    async def async_send_late(outgoing: Any, fresh: bool) -> Any:
+    async def async_connect_late(record: Any, fresh: bool) -> Any:
         await asyncio.sleep(STALL_S)
-        return await async_send(outgoing, fresh)
+        return await async_connect(record, fresh)
 
-    client.async_send = async_send_late  # type: ignore[method-assign]
+    client.async_connect = async_connect_late  # type: ignore[method-assign]
 
     async def handle(handler: WorkHandler) -> None:
         await asyncio.sleep(SILENCE_S)
