--- a/tests/support/crash_cluster.py
+++ b/tests/support/crash_cluster.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import heapq
 import itertools
 import random
 from collections.abc import Callable
@@ -10,11 +9,11 @@
 from typing import Any, cast
 
 import msgspec
+from simulated_time import SimulatedTime
 from tornado.httputil import HTTPHeaders
 
 from lagoonwing_catalog.messages import CrashExtract
 from lagoonwing_catalog.models import EndpointRecord, EndpointState, RequestKind, Route
-from lagoonwing_core.clock import ManualClock
 from lagoonwing_core.ids import AttemptId, EndpointId, FailureDomainId, RouteId, ServiceId
 from lagoonwing_gateway._crash_tracker import CrashTracker
 from lagoonwing_gateway.const import CRASH_PUSH_INTERVAL_S, MAX_WRITING_BEFORE_CRASH_S
@@ -118,11 +117,11 @@
         self.cluster.deliver(self.gateways[-1], extract)
 
 
-class CrashCluster:
+class CrashCluster(SimulatedTime):
     """Runs requests at random gateways and endpoints."""
 
     def __init__(self, seed: int, gateways: int = 4, endpoints: int = 33, lag_s: float = 0.2):
-        self.clock = ManualClock()
+        super().__init__()
         self.rng = random.Random(seed)
         self.lag_s = lag_s
         self.largest_message = 0
@@ -140,8 +139,6 @@
             make_record(f"e-{number}", 0, number % DOMAINS) for number in range(endpoints)
         ]
         self.runs: dict[Run, None] = {}
-        self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self._order = itertools.count()
         self._numbers = itertools.count()
         self.schedule(CRASH_PUSH_INTERVAL_S, self._exchange)
 
@@ -159,11 +156,6 @@
         self.gateways.remove(gateway)
         gateway.replica.gateways.remove(gateway)
 
-    def schedule(self, delay_s: float, action: Callable[[], None]) -> None:
-        """Schedule an action."""
-        event = (self.clock.now() + delay_s, next(self._order), action)
-        heapq.heappush(self._events, event)
-
     def schedule_message(self, action: Callable[[], None]) -> None:
         """Schedule the arrival of a message."""
         self.schedule(self.rng.uniform(0.0, self.lag_s), action)
@@ -178,15 +170,6 @@
         self.messages += receivers
         self.largest_message = max(self.largest_message, len(msgspec.msgpack.encode(extract)))
 
-    def advance(self, seconds: float) -> None:
-        """Run all events of the next seconds."""
-        end = self.clock.now() + seconds
-        while self._events and self._events[0][0] <= end:
-            at, _, action = heapq.heappop(self._events)
-            self.clock.advance(max(0.0, at - self.clock.now()))
-            action()
-        self.clock.advance(max(0.0, end - self.clock.now()))
-
     def send(self, *parts: str, gateway: SimulatedGateway | None = None) -> Run:
         """Send a new request with the given shared parts and a part of its own."""
         number = f"q-{next(self._numbers)}"
--- a/tests/support/limit_cluster.py
+++ b/tests/support/limit_cluster.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import heapq
 import itertools
 import math
 import random
@@ -11,6 +10,8 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
+from simulated_time import SimulatedTime
+
 from lagoonwing_catalog.messages import (
     CatalogMessage,
     LimitExtract,
@@ -19,7 +20,6 @@
     RelayedGrant,
 )
 from lagoonwing_catalog.models import EndpointRecord, EndpointState
-from lagoonwing_core.clock import ManualClock
 from lagoonwing_core.ids import EndpointId, FailureDomainId, HostId, MemberId, ServiceId
 from lagoonwing_gateway._endpoint_limiter import EndpointLimiter
 from lagoonwing_gateway._limit_tracker import LimitTracker
@@ -152,11 +152,11 @@
         return ()
 
 
-class LimitCluster:
+class LimitCluster(SimulatedTime):
     """Sends requests at random gateways to the endpoint that has the fewest."""
 
     def __init__(self, seed: int, gateways: int, endpoints: int) -> None:
-        self.clock = ManualClock(100.0)
+        super().__init__(start=100.0)
         self.rng = random.Random(seed)
         self.endpoint_by_id = {
             EndpointId(f"e-{number}"): SimulatedEndpoint(_make_record(number))
@@ -166,8 +166,6 @@
             endpoint_id: endpoint.record for endpoint_id, endpoint in self.endpoint_by_id.items()
         }
         self.requests: list[SimulatedRequest] = []
-        self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self._order = itertools.count()
         self._numbers = itertools.count()
         self.replicas = [
             SimulatedReplica(self, HostId(f"r-{number}")) for number in range(REPLICAS)
@@ -225,20 +223,6 @@
         for endpoint in self.endpoints[:count]:
             endpoint.limit = rate
 
-    def schedule(self, delay_s: float, action: Callable[[], None]) -> None:
-        """Schedule an action."""
-        event = (self.clock.now() + delay_s, next(self._order), action)
-        heapq.heappush(self._events, event)
-
-    def advance(self, seconds: float) -> None:
-        """Run all events of the next seconds."""
-        end = self.clock.now() + seconds
-        while self._events and self._events[0][0] <= end:
-            at, _, action = heapq.heappop(self._events)
-            self.clock.advance(max(0.0, at - self.clock.now()))
-            action()
-        self.clock.advance(max(0.0, end - self.clock.now()))
-
     def run(
         self,
         seconds: float,
