--- a/packages/placement/src/lagoonwing_placement/_paths.py
+++ b/packages/placement/src/lagoonwing_placement/_paths.py
@@ -131,9 +131,9 @@
             may_enter: Returns whether the request may be sent to an endpoint; the others of its
                 path get it from there.
         """
-        candidate_by_group = self._candidates(groups, size, is_usable)
-        candidates = list(candidate_by_group.values())
-        entries = self._entries(candidate_by_group, size, is_usable, may_enter)
+        grouped = self._candidates(groups, size, is_usable)
+        candidates = [candidate for _, candidate in grouped]
+        entries = self._entries(grouped, size, is_usable, may_enter)
         boundaries = sorted(
             {0, self.engine.layer_count}.union(
                 *((candidate.layers.first, candidate.layers.end) for candidate in candidates)
@@ -235,18 +235,18 @@
         groups: Iterable[HolderGroup],
         size: RequestSize,
         is_usable: Callable[[EndpointId], bool],
-    ) -> dict[HolderGroup, _Candidate]:
-        """Return the best endpoint with capacity from each group that has one."""
-        candidates: dict[HolderGroup, _Candidate] = {}
+    ) -> list[tuple[HolderGroup, _Candidate]]:
+        """Return each group that has an endpoint with capacity, with the best one."""
+        grouped: list[tuple[HolderGroup, _Candidate]] = []
         for group in groups:
             best = self._least_loaded(group, size, is_usable)
             if best is not None:
-                candidates[group] = self._make_candidate(group, best, size)
-        return candidates
+                grouped.append((group, self._make_candidate(group, best, size)))
+        return grouped
 
     def _entries(
         self,
-        candidate_by_group: Mapping[HolderGroup, _Candidate],
+        grouped: Sequence[tuple[HolderGroup, _Candidate]],
         size: RequestSize,
         is_usable: Callable[[EndpointId], bool],
         may_enter: Callable[[EndpointId], bool],
@@ -254,7 +254,7 @@
         """Return the best endpoint at which the request may enter from each group."""
         entries: list[_Candidate] = []
         refusing: list[HolderGroup] = []
-        for group, candidate in candidate_by_group.items():
+        for group, candidate in grouped:
             if group.layers.first > 0:
                 continue
             if may_enter(candidate.endpoint_id):
@@ -266,7 +266,7 @@
             size,
             lambda endpoint_id: may_enter(endpoint_id) and is_usable(endpoint_id),
         )
-        return [*entries, *others.values()]
+        return [*entries, *(candidate for _, candidate in others)]
 
     def _least_loaded(
         self, group: HolderGroup, size: RequestSize, is_usable: Callable[[EndpointId], bool]
