--- a/packages/catalog/src/lagoonwing_catalog/_limit_ledger.py
+++ b/packages/catalog/src/lagoonwing_catalog/_limit_ledger.py
@@ -62,7 +62,7 @@
         self, record_by_id: Mapping[EndpointId, EndpointRecord]
     ) -> dict[EndpointId, float]:
         """Return the limits in force, in requests per second, of endpoints that are known."""
-        known = self._latest_by_id.keys() & record_by_id.keys()
+        known = sorted(self._latest_by_id.keys() & record_by_id.keys())
         rates = ((endpoint_id, self.rate(record_by_id[endpoint_id])) for endpoint_id in known)
         return {endpoint_id: rate for endpoint_id, rate in rates if rate is not None}
 
--- a/packages/registry/src/lagoonwing_registry/_permit_issuer.py
+++ b/packages/registry/src/lagoonwing_registry/_permit_issuer.py
@@ -127,7 +127,7 @@
                 continue
             promises = demands.promises(self._due_s(endpoints, demands.longest_patience_s))
             backlog_s = self._backlog_s(demands.total() + 1, endpoints)
-            for gateway_id in receivers:
+            for gateway_id in sorted(receivers):
                 grants[gateway_id][service_id] = ServiceGrant(
                     tuple(permits_by_gateway.get(gateway_id, ())),
                     promises.get(gateway_id, {}),
