--- a/tests/gateway/test_endpoint_limiter.py
+++ b/tests/gateway/test_endpoint_limiter.py
@@ -107,6 +107,18 @@
     assert all(endpoint.times()[-1] >= start for endpoint in cluster.endpoints[:3])
 
 
+@pytest.mark.parametrize(("seed", "gateways"), CLUSTERS)
+def test_limited_endpoints_beside_sound_ones_are_used(seed: int, gateways: int) -> None:
+    """A limited endpoint takes a part of the work, so that the end of its limit is heard soon."""
+    cluster = LimitCluster(seed, gateways, ENDPOINTS)
+    cluster.name_limit(1.0, 3)
+    cluster.run(STABLE_WINDOW_S, {"a": 60.0})
+    start = cluster.clock.now()
+    cluster.run(RUN_S, {"a": 60.0})
+    for endpoint in cluster.endpoints[:3]:
+        assert sum(time >= start for time in endpoint.times()) >= 0.3 * RUN_S
+
+
 @pytest.mark.parametrize(("seed", "gateways"), CLUSTERS)
 def test_the_end_of_a_limit_is_heard_beside_sound_endpoints(seed: int, gateways: int) -> None:
     """An endpoint gets its part of the requests again though others could take them all."""
