--- a/review/1/case.py
+++ b/review/1/case.py
@@ -28,8 +28,8 @@
     cores: list[Process] = []
     for zone, address in zip(_ZONES, addresses, strict=True):
         cores.append(site.add("registry", zone, seeds, bootstrap=True, address=address))
-    gateway = site.add("gateway", "quito-norte", seeds, bootstrap=True)
-    for process in (*cores, gateway):
+    gateways = [site.add("gateway", zone, seeds, bootstrap=True) for zone in _ZONES[:4]]
+    for process in (*cores, *gateways):
         site.start(process)
 
     def controls() -> list[str]:
@@ -47,11 +47,13 @@
         ).async_start()
     if not await operator.async_put(controls(), _configuration(1, "service-old"), site.record):
         raise UnavailableError("the first configuration was not acknowledged")
-    await async_wait_ready(site, gateway)
-    front = f"{gateway.address}:{site.ports['front']}"
+    for gateway in gateways:
+        await async_wait_ready(site, gateway)
+    fronts = [f"{gateway.address}:{site.ports['front']}" for gateway in gateways]
     await asyncio.sleep(5.0)
-    if not await _async_is_run_by(site, front, "service-old"):
-        raise UnavailableError("the first configuration is not in force")
+    for front in fronts:
+        if not await _async_is_run_by(site, front, "service-old"):
+            raise UnavailableError("the first configuration is not in force")
 
     for number in (2, 1, 0):
         if with_trouble:
@@ -66,11 +68,12 @@
     await asyncio.sleep(_APPLIED_S)
     breaks = []
     for second in range(5):
-        if not await _async_is_run_by(site, front, "service-new"):
-            breaks.append(
-                f"CONFIG: {_APPLIED_S + second:g} s after the acknowledgement of version 2, "
-                "a request was handled as only version 1 allows"
-            )
+        for gateway, front in zip(gateways, fronts, strict=True):
+            if not await _async_is_run_by(site, front, "service-new"):
+                breaks.append(
+                    f"CONFIG: {_APPLIED_S + second:g} s after the acknowledgement of version 2, "
+                    f"a request at {gateway.name} was handled as only version 1 allows"
+                )
         await asyncio.sleep(1.0)
     return breaks
 
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -16,11 +16,14 @@
 from standins.http import Message, encode, encode_head
 from standins.site import Site, UnavailableError
 
-_STREAMS = 24
+_STREAMS = 16
 _EVENTS = 20
 _EVENT_INTERVAL_S = 0.1
 _KILLED_AFTER_S = 1.0
 _DEADLINE_MS = 20_000
+# A client repeats a refused attempt after the longest `Retry-After` of a gateway.
+_RETRIES = 3
+_RETRY_AFTER_S = 1.0
 
 
 @dataclass
@@ -48,7 +51,7 @@
     gateways = [site.add("gateway", zone, controls, bootstrap=True) for zone in zones[:2]]
     for gateway in gateways:
         site.start(gateway)
-    for number, service in enumerate(("models", "models", "models", "bodega", "bodega")):
+    for number, service in enumerate(["models"] * 3 + ["bodega"] * 3):
         await servers.Server(
             f"i-{service}-{number}",
             service,
@@ -88,8 +91,10 @@
     begun = [stream for stream in streams if stream.pieces]
     if not begun:
         raise UnavailableError("no stream had begun")
-    broken = [stream for stream in streams if not stream.is_complete]
-    await asyncio.gather(*(_async_attempt(site, fronts[1], stream) for stream in broken))
+    for _ in range(_RETRIES):
+        broken = [stream for stream in streams if not stream.is_complete]
+        await asyncio.gather(*(_async_attempt(site, fronts[1], stream) for stream in broken))
+        await asyncio.sleep(_RETRY_AFTER_S)
     breaks = []
     for number, stream in enumerate(streams):
         again = [
--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -76,7 +76,7 @@
                 "address": f"{self._address}:{self._port}",
                 "zone": self._zone,
                 "version": "v1",
-                "slots": 6,
+                "slots": 6 if self._kind is None else 96,
                 "state": "ready",
                 "cold-remaining-ms": 0,
                 "sequence": self._sequence,
