--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -54,11 +54,6 @@
     bootstrap: bool
     popen: subprocess.Popen[bytes] | None = None
 
-    @property
-    def is_running(self) -> bool:
-        """Whether the process runs."""
-        return self.popen is not None and self.popen.poll() is None
-
 
 @dataclass
 class Site:
@@ -136,15 +131,6 @@
         self.kill(process)
         shutil.rmtree(self._data_folder(process), ignore_errors=True)
 
-    def log(self, process: Process) -> str:
-        """Return what a process wrote to its standard output."""
-        return (self.folder / f"{process.name}.log").read_text(errors="replace")
-
-    def events(self, process: Process, name: str) -> list[dict[str, Any]]:
-        """Return the log events of a process by name."""
-        lines = (line for line in self.log(process).splitlines() if f'"name":"{name}"' in line)
-        return [json.loads(line) for line in lines]
-
     def close(self) -> None:
         """End every process and remove the folder."""
         for process in self.processes:
@@ -154,9 +140,6 @@
         for process in self.processes:
             if process.popen is not None:
                 process.popen.wait()
-        if os.environ.get("KEEP"):
-            print(self.folder)
-            return
         shutil.rmtree(self.folder, ignore_errors=True)
 
     def _data_folder(self, process: Process) -> Path:
