Settings: a deeply nested file is an error like any other

Cause: json.loads raises RecursionError, which is no ValueError, so check and run ended with a trace. Change: the load reports it as an error of line 1. The new test failed before with RecursionError for all three texts.

--- a/packages/core/src/lagoonwing_core/settings/_load.py
+++ b/packages/core/src/lagoonwing_core/settings/_load.py
@@ -46,6 +46,19 @@
         file: Path shown in error messages.
         text: Contents of the file.
     """
+    try:
+        return _check_text(file, text)
+    except RecursionError:
+        error = SettingsError(file, 1, "", "values that are nested too deeply", "an object")
+        return Error((error,))
+
+
+def _check_text(file: str, text: str) -> Result[HostSettings, tuple[SettingsError, ...]]:
+    """Validate a text.
+
+    Raises:
+        RecursionError: Its values are nested too deeply.
+    """
     unlocated = ParsedSettings(file, parse_without_line_numbers(text), {(): 1})
     if unlocated.value is not None and not [*_schema_errors(unlocated), *_role_errors(unlocated)]:
         return Ok(msgspec.convert(unlocated.value, HostSettings))
--- a/tests/core/settings/test_settings.py
+++ b/tests/core/settings/test_settings.py
@@ -117,3 +117,13 @@
 def test_documentation_contains_settings_table() -> None:
     """`docs/SETTINGS.md` contains the table generated from the models."""
     assert render_settings() in (ROOT / "docs" / "SETTINGS.md").read_text(encoding="utf-8")
+
+
+# Guards against a process that ends at its start, or in the middle of its work, on such a file.
+@pytest.mark.parametrize("text", ["[" * 100_000, '{"role": ' * 100_000, '{"seeds": ' + "[" * 9_000])
+def test_deeply_nested_file_is_an_error(text: str) -> None:
+    """Values that are nested too deeply are reported like any other fault."""
+    ((line, _, _),) = _errors(text)
+    assert line == 1
+    closed = text + "]" * text.count("[") + " 1}" * text.count("{")
+    assert _errors(closed)
