Gateways learn of replicas that join later, and try the seeds while none answers

Callers saw: after the replicas that a gateway knew at its start had been replaced one by one, it served by the old configuration for good (old service, 404 on new routes) and said that it was ready. A gateway whose replica stays current never subscribes again; when that one goes as the last of the list, no address is left. Change: a replica pushes its list to its gateways whenever it has changed (ReplicaList). While no replica is followed the seeds are tried as well, and they are read from the settings file anew if that has changed, since all known replicas may be gone. The links stand in a module of their own.

--- a/packages/catalog/src/lagoonwing_catalog/messages.py
+++ b/packages/catalog/src/lagoonwing_catalog/messages.py
@@ -307,6 +307,12 @@
     grant_by_gateway: dict[HostId, PermitGrant]
 
 
+class ReplicaList(msgspec.Struct, frozen=True, array_like=True, tag=33):
+    """All replicas of the catalog, pushed to a gateway whenever they have changed."""
+
+    replicas: tuple[ReplicaAddress, ...]
+
+
 CatalogMessage = (
     Submit
     | Submitted
@@ -327,5 +333,6 @@
     | RelayedDemand
     | PermitGrant
     | RelayedGrant
+    | ReplicaList
 )
 CATALOG_DECODER = msgspec.msgpack.Decoder(CatalogMessage)
--- a/packages/gateway/src/lagoonwing_gateway/_follower.py
+++ b/packages/gateway/src/lagoonwing_gateway/_follower.py
@@ -10,7 +10,6 @@
 from expression import Result
 
 from lagoonwing_catalog import RouteTable, decompress_document
-from lagoonwing_catalog.const import PROTOCOL
 from lagoonwing_catalog.messages import (
     CATALOG_DECODER,
     CatalogMessage,
@@ -22,7 +21,7 @@
     LoadSummary,
     PermitGrant,
     Refused,
-    ReplicaAddress,
+    ReplicaList,
     Subscribe,
     Subscribed,
 )
@@ -32,6 +31,7 @@
 from lagoonwing_core.events import EventCode, log_event
 from lagoonwing_core.ids import EndpointId, HostId, Revision
 from lagoonwing_gateway._crash_tracker import CrashTracker
+from lagoonwing_gateway._replica_links import ReplicaLinks
 from lagoonwing_gateway.const import (
     CRASH_PUSH_INTERVAL_S,
     FOLLOW_INTERVAL_S,
@@ -43,7 +43,7 @@
     SUBSCRIBE_TIMEOUT_S,
 )
 from lagoonwing_gateway.settings import GatewaySettings
-from lagoonwing_wire import Channel, Handlers, Identity, Link
+from lagoonwing_wire import Channel, Handlers, Identity
 
 _NO_SUMMARY = LoadSummary({})
 
@@ -71,7 +71,6 @@
         self.endpoint_by_id: dict[EndpointId, EndpointRecord] = {}
         self.gateways = INITIAL_GATEWAY_COUNT
         self._settings = settings
-        self._identity = identity
         self._clock = clock
         self._make_report = make_report
         self._crash_tracker = crash_tracker
@@ -79,7 +78,7 @@
         self._on_limit_message: Callable[[CatalogMessage], None] = _ignore_message
         self._revision = Revision(0)
         self._listeners: list[Callable[[], None]] = []
-        self._link_by_address: dict[tuple[str, int], Link] = {}
+        self._links = ReplicaLinks(identity, self._handlers(), settings.read_seeds)
         self._source: Channel[Any] | None = None
         self._source_last_message_at = -math.inf
         self._source_age = math.inf
@@ -91,7 +90,7 @@
 
     async def async_setup(self) -> None:
         """Start following."""
-        await self._async_open_links(self._settings.seeds)
+        await self._links.async_refresh(with_seeds=True)
         loop = asyncio.get_running_loop()
         self._tasks = [
             loop.create_task(self._async_follow()),
@@ -103,8 +102,7 @@
         """Stop following."""
         for task in self._tasks:
             task.cancel()
-        for link in self._link_by_address.values():
-            await link.async_unload()
+        await self._links.async_unload()
 
     async def async_wait_for_routes(self, timeout: float) -> None:
         """Wait until a document is available, or until the timeout expires."""
@@ -148,17 +146,6 @@
             return _NO_SUMMARY
         return self._summary
 
-    async def _async_open_links(self, replicas: tuple[ReplicaAddress, ...]) -> None:
-        """Open links to the given replicas and close all others."""
-        wanted = {(replica.address, replica.port) for replica in replicas}
-        for replica_address in list(self._link_by_address.keys() - wanted):
-            link = self._link_by_address.pop(replica_address)
-            await link.async_unload()
-        for address, port in sorted(wanted - self._link_by_address.keys()):
-            link = Link(self._identity, address, port, PROTOCOL, self._handlers())
-            self._link_by_address[(address, port)] = link
-            await link.async_setup()
-
     def _handlers(self) -> Handlers[CatalogMessage]:
         """Return the message handlers for a link."""
 
@@ -184,6 +171,8 @@
                 self.gateways = max(1, gateways)
             case Delta():
                 self._apply(message)
+            case ReplicaList(replicas=replicas):
+                self._links.set_replicas(replicas)
             case LoadSummary():
                 self._summary = message
                 self._summary_received_at = self._clock.now()
@@ -227,7 +216,9 @@
     async def _async_follow(self) -> None:
         """Keep a subscription to a current replica until cancelled."""
         while True:
-            if not self._is_source_current():
+            is_current = self._is_source_current()
+            await self._links.async_refresh(with_seeds=not is_current)
+            if not is_current:
                 await self._async_change_source()
             await asyncio.sleep(FOLLOW_INTERVAL_S)
 
@@ -254,10 +245,9 @@
             )
             # Ends the previous subscription; the link then reopens the channel.
             previous.close()
-        channels = [link.channel for link in self._link_by_address.values()]
-        usable = [channel for channel in channels if channel is not None]
-        usable.sort(key=lambda channel: self._rejected_at_by_peer.get(channel.peer_id, -math.inf))
-        for channel in usable:
+        channels = self._links.channels()
+        channels.sort(key=lambda channel: self._rejected_at_by_peer.get(channel.peer_id, -math.inf))
+        for channel in channels:
             if await self._async_subscribe(channel):
                 return
 
@@ -272,8 +262,7 @@
             case Result(tag="ok", ok=Subscribed(replicas=replicas, gateways=gateways)):
                 self.gateways = max(1, gateways)
                 log_event(EventCode.SOURCE_CHANGED, peer=channel.peer_id, after=message.after)
-                if replicas:
-                    await self._async_open_links(replicas)
+                self._links.set_replicas(replicas)
                 return self._source is channel
             case _:
                 self._rejected_at_by_peer[channel.peer_id] = self._clock.now()
--- a/packages/gateway/src/lagoonwing_gateway/settings.py
+++ b/packages/gateway/src/lagoonwing_gateway/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from lagoonwing_catalog.messages import ReplicaAddress
@@ -28,11 +29,12 @@
     """Settings of one gateway.
 
     Attributes:
-        seeds: Catalog replicas to connect to at startup.
+        read_seeds: Returns the catalog replicas to connect to at startup, and whenever no known one
+            answers; they may change.
         drain_grace_s: Time after SIGTERM within which the process must exit.
     """
 
     failure_domain: FailureDomainId
-    seeds: tuple[ReplicaAddress, ...]
+    read_seeds: Callable[[], tuple[ReplicaAddress, ...]]
     retry_budget: RetryBudgetSettings
     drain_grace_s: float
--- a/packages/lagoonwing/src/lagoonwing/_gateway_role.py
+++ b/packages/lagoonwing/src/lagoonwing/_gateway_role.py
@@ -5,7 +5,8 @@
 import random
 import time
 
-from lagoonwing._addresses import seed_addresses, split_listen_address
+from lagoonwing._addresses import split_listen_address
+from lagoonwing._seeds import SeedReader
 from lagoonwing_core.clock import LoopClock
 from lagoonwing_core.diagnostics import MetricsServer
 from lagoonwing_core.ids import FailureDomainId, HostId
@@ -29,12 +30,13 @@
         await self._gateway.async_drain()
 
 
-def build_gateway(settings: HostSettings, key: bytes) -> GatewayProcess:
+def build_gateway(settings: HostSettings, key: bytes, file: str) -> GatewayProcess:
     """Return the process of a gateway.
 
     Args:
         settings: Validated settings with a `gateway` section.
         key: Key shared by all processes.
+        file: Path of the settings file, whose seeds may change.
     """
     section = settings.gateway
     assert section is not None
@@ -42,7 +44,7 @@
     identity = Identity(HostId(settings.host_id), key)
     gateway_settings = GatewaySettings(
         failure_domain=FailureDomainId(settings.failure_domain),
-        seeds=seed_addresses(settings),
+        read_seeds=SeedReader(file, settings).read,
         retry_budget=RetryBudgetSettings(
             section.retry_ratio, section.retry_slack, section.retry_window_s
         ),
--- a/packages/lagoonwing/src/lagoonwing/_process.py
+++ b/packages/lagoonwing/src/lagoonwing/_process.py
@@ -21,17 +21,18 @@
         """Finish running work within the configured grace period."""
 
 
-async def async_run_process(settings: HostSettings, key: bytes) -> bool:
+async def async_run_process(settings: HostSettings, key: bytes, file: str) -> bool:
     """Run one process until SIGTERM or SIGINT.
 
     Args:
         settings: Validated settings.
         key: Key shared by all processes.
+        file: Path of the settings file.
 
     Returns:
         Whether the process started and shut down cleanly.
     """
-    process = _build(settings, key)
+    process = _build(settings, key, file)
     stop = _stop_on_signal()
     try:
         await process.runtime.async_setup()
@@ -71,7 +72,7 @@
     log_event(EventCode.SETTINGS_RELOADED, effect="at the next start")
 
 
-def _build(settings: HostSettings, key: bytes) -> RoleProcess:
+def _build(settings: HostSettings, key: bytes, file: str) -> RoleProcess:
     """Return the process of the role in the settings."""
     # Import lazily, so that each role loads only its own packages.
     match settings.role:
@@ -86,7 +87,7 @@
         case Role.GATEWAY:
             from lagoonwing._gateway_role import build_gateway
 
-            return build_gateway(settings, key)
+            return build_gateway(settings, key, file)
         case Role.REGISTRY:
             from lagoonwing._registry_role import build_registry
 
--- a/packages/lagoonwing/src/lagoonwing/_run.py
+++ b/packages/lagoonwing/src/lagoonwing/_run.py
@@ -25,7 +25,8 @@
     Returns:
         Process exit code.
     """
-    settings = load_settings_or_print_errors(settings_path(file))
+    path = settings_path(file)
+    settings = load_settings_or_print_errors(path)
     if settings is None:
         return EXIT_SETTINGS
     match load_system_key(settings):
@@ -36,7 +37,7 @@
             return EXIT_SETTINGS
     set_up_logging(settings)
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        stopped_cleanly = runner.run(async_run_process(settings, key))
+        stopped_cleanly = runner.run(async_run_process(settings, key, path))
     return EXIT_OK if stopped_cleanly else EXIT_FAILED
 
 
--- a/packages/registry/src/lagoonwing_registry/_service.py
+++ b/packages/registry/src/lagoonwing_registry/_service.py
@@ -82,7 +82,9 @@
         self._peers = Peers(identity, log)
         self._proposer = Proposer(log, self._peers)
         self._liveness = Liveness(settings.announce_interval_s)
-        self._subscribers = Subscribers(state_machine, log.staleness_s, self._clock)
+        self._subscribers = Subscribers(
+            state_machine, log.staleness_s, self._peers.replicas, self._clock
+        )
         self._crash_relay = CrashRelay(self._subscribers, self._peers, self._clock)
         self._limit_relay = LimitRelay(state_machine, self._subscribers, self._peers, self._clock)
         self._permit_relay = PermitRelay(
@@ -323,6 +325,7 @@
         while True:
             await asyncio.sleep(PUSH_INTERVAL_S)
             self._peers.push_all(self._subscribers.push_loads())
+            self._subscribers.push_replicas()
 
     async def _async_check_liveness(self) -> None:
         """Report announcements to the leader; as the leader, mark lost endpoints."""
--- a/packages/registry/src/lagoonwing_registry/_subscribers.py
+++ b/packages/registry/src/lagoonwing_registry/_subscribers.py
@@ -14,6 +14,8 @@
     Freshness,
     LoadReport,
     LoadSummary,
+    ReplicaAddress,
+    ReplicaList,
     ReplicaLoad,
 )
 from lagoonwing_core.callback import callback
@@ -32,12 +34,14 @@
     Attributes:
         pushed_revision: Last revision sent to the gateway.
         report: Last load report of the gateway.
+        pushed_replicas: Last list of replicas sent to the gateway.
     """
 
     pushed_revision: Revision
     failure_domain: FailureDomainId
     last_message_at: float
     report: LoadReport = _EMPTY_REPORT
+    pushed_replicas: tuple[ReplicaAddress, ...] = ()
 
 
 @dataclass(slots=True)
@@ -81,10 +85,15 @@
     """Pushes catalog changes and loads to subscribed gateways."""
 
     def __init__(
-        self, state_machine: CatalogStateMachine, age: Callable[[], float], clock: Clock
+        self,
+        state_machine: CatalogStateMachine,
+        age: Callable[[], float],
+        replicas: Callable[[], tuple[ReplicaAddress, ...]],
+        clock: Clock,
     ) -> None:
         self._state_machine = state_machine
         self._age = age
+        self._replicas = replicas
         self._clock = clock
         self._subscriber_by_channel: dict[Channel[Any], _Subscriber] = {}
         self._remote_by_host: dict[HostId, _RemoteLoad] = {}
@@ -169,6 +178,14 @@
             totals.add(subscriber.report.load_by_id)
         return local_load
 
+    @callback
+    def push_replicas(self) -> None:
+        """Push the list of replicas to each gateway that has another one."""
+        replicas = self._replicas()
+        for channel, subscriber in self._subscriber_by_channel.items():
+            if subscriber.pushed_replicas != replicas and channel.push(ReplicaList(replicas)):
+                subscriber.pushed_replicas = replicas
+
     def _suspects(self) -> tuple[EndpointId, ...]:
         """Return the endpoints suspected by any gateway subscribed here."""
         return _union(
--- a/tests/platform/gateway_fleet.py
+++ b/tests/platform/gateway_fleet.py
@@ -77,7 +77,10 @@
         identity = Identity(HostId(f"gateway-node-{number}"), KEY)
         dialect = PlatformDialect(lambda endpoint_id: self.gateway.endpoint_address(endpoint_id))
         settings = GatewaySettings(
-            FailureDomainId("d-1"), (registry,), RetryBudgetSettings(0.2, RETRY_SLACK, 10.0), 2.0
+            FailureDomainId("d-1"),
+            lambda: (registry,),
+            RetryBudgetSettings(0.2, RETRY_SLACK, 10.0),
+            2.0,
         )
         self.gateway = Gateway(settings, identity, dialect, LoopClock(), random.Random(number))
         self._front = FrontServer(
@@ -96,9 +99,7 @@
 
     async def async_cut_off(self) -> None:
         """Cut the gateway off from the registry."""
-        follower = self.gateway.follower
-        await follower.async_unload()
-        follower._link_by_address.clear()
+        await self.gateway.follower.async_unload()
 
     async def async_reconnect(self) -> None:
         """End a cut."""
--- a/tests/platform/platform_deployment.py
+++ b/tests/platform/platform_deployment.py
@@ -139,7 +139,7 @@
     gateway = Gateway(
         GatewaySettings(
             FailureDomainId("d-1"),
-            (ReplicaAddress(host_id, ADDRESS, peer_port),),
+            lambda: (ReplicaAddress(host_id, ADDRESS, peer_port),),
             retry_budget,
             2.0,
         ),
