A push of changes after an unknown revision is not applied

If the answer to Subscribe came after its time-out, the replica had subscribed the gateway all the same, and the gateway dropped what it pushed meanwhile. When it then subscribed at the same replica again, the next change moved its revision forward without the changes before it, and the full answer that followed looked old: the configuration in it was lost until the next one. Change: a delta names the revision that it follows; one that follows a later revision than the gateway's ends the channel, and a new subscription brings everything. A call without an answer ends its channel too.

--- a/packages/catalog/src/lagoonwing_catalog/messages.py
+++ b/packages/catalog/src/lagoonwing_catalog/messages.py
@@ -129,12 +129,14 @@
     Attributes:
         is_full: Whether the delta replaces the full state, so that omitted records don't exist.
         document: Compressed document, if it changed.
+        after: Revision that the changes follow; 0 for the full state.
     """
 
     revision: Revision
     is_full: bool
     document: bytes | None
     endpoints: tuple[EndpointRecord, ...]
+    after: Revision
 
 
 class Freshness(msgspec.Struct, frozen=True, array_like=True, tag=23):
--- a/packages/gateway/src/lagoonwing_gateway/_follower.py
+++ b/packages/gateway/src/lagoonwing_gateway/_follower.py
@@ -169,6 +169,10 @@
                 self._source_last_message_at = self._clock.now()
                 self._source_age = age_s
                 self.gateways = max(1, gateways)
+            case Delta(after=after) if after > self._revision:
+                # A change in between was not received; a new subscription brings all of them.
+                log_event(EventCode.PEER_LOST, peer=channel.peer_id, reason="changes are missing")
+                channel.close()
             case Delta():
                 self._apply(message)
             case ReplicaList(replicas=replicas):
@@ -264,11 +268,13 @@
                 log_event(EventCode.SOURCE_CHANGED, peer=channel.peer_id, after=message.after)
                 self._links.set_replicas(replicas)
                 return self._source is channel
-            case _:
-                self._rejected_at_by_peer[channel.peer_id] = self._clock.now()
-                if self._source is channel:
-                    self._source = None
-                return False
+            case Result(tag="error"):
+                # The replica may have subscribed the gateway all the same.
+                channel.close()
+        self._rejected_at_by_peer[channel.peer_id] = self._clock.now()
+        if self._source is channel:
+            self._source = None
+        return False
 
     async def _async_report(self) -> None:
         """Report the local load periodically."""
--- a/packages/registry/src/lagoonwing_registry/_subscribers.py
+++ b/packages/registry/src/lagoonwing_registry/_subscribers.py
@@ -213,7 +213,7 @@
         document = None
         if state.stored is not None and state.stored.revision > after:
             document = state.stored.compressed_document
-        delta = Delta(state.revision, is_full, document, state.changed_after(after))
+        delta = Delta(state.revision, is_full, document, state.changed_after(after), after)
         if channel.push(delta):
             subscriber.pushed_revision = state.revision
 
