Streams of services without an engine take the way of all streams

Callers saw: a stream that can't be resumed ran at two servers once its answer was lost; a resumed one began anew, so its first pieces came twice; and no event came before the last one. Cause: such streams went through the handler of plain calls. It forbids a second send for UNSAFE routes only, so it repeats any stream (after a broken answer, a status of 500 or more, and after 0.9 of the objective), builds its requests without the last event's id, and forwards answers as a whole. Change: they are served by the handler of streams, which knows when one may be sent again, resumes after the last event and relays events as they come. To the choice of a path such a service is a model of one layer that each endpoint holds; so is an engine that names no layers, whose streams failed with an internal error before. The load of an endpoint adds up streams and calls. Ruled out: a retry rule in the call handler alone, which would leave events held back.

--- a/packages/gateway/src/lagoonwing_gateway/_directory.py
+++ b/packages/gateway/src/lagoonwing_gateway/_directory.py
@@ -15,6 +15,7 @@
 from lagoonwing_core.clock import Clock
 from lagoonwing_core.ids import EndpointId, ServiceId
 from lagoonwing_gateway._follower import CatalogFollower
+from lagoonwing_gateway._plain_service import PLAIN_ENGINE, plain_holder
 from lagoonwing_gateway._suspicions import SuspicionTracker
 from lagoonwing_gateway.const import OWN_PROGRESS_S
 from lagoonwing_placement import Holder, HolderGroup, group_holders
@@ -122,6 +123,9 @@
     def _holders(self, service: Service, engine: Engine) -> Iterator[Holder]:
         """Yield the ready holders of a service's layers."""
         for record in self._ready_by_service.get(service.service_id, ()):
+            if engine is PLAIN_ENGINE:
+                yield plain_holder(record)
+                continue
             accelerator = engine.accelerator(record.kind)
             if accelerator is None or record.layers is None:
                 continue
--- a/packages/gateway/src/lagoonwing_gateway/_gateway.py
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -299,10 +299,8 @@
         if service is None:
             return permanent_refusal(ResultCode.UNKNOWN_SERVICE, "the route's service is not known")
         match context.route.kind:
-            case RequestKind.STREAM if service.engine is not None:
-                return await self._stream_handler.async_serve(
-                    context, service, service.engine, responder
-                )
+            case RequestKind.STREAM:
+                return await self._stream_handler.async_serve(context, service, responder)
             case _:
                 return await self._call_handler.async_serve(context, service, responder)
 
--- a/packages/gateway/src/lagoonwing_gateway/_load_tracker.py
+++ b/packages/gateway/src/lagoonwing_gateway/_load_tracker.py
@@ -93,7 +93,10 @@
             for endpoint_id, local in self._local_by_id.items()
         }
         for endpoint_id, call_count in self._calls_by_id.items():
-            loads[endpoint_id] = EndpointLoad(call_count, 0, 0)
+            streams = loads.get(endpoint_id, _NO_LOAD)
+            loads[endpoint_id] = EndpointLoad(
+                streams.sequences + call_count, streams.kv_token_layers, streams.prefill_ms
+            )
         return loads
 
     def loads(
--- a/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
@@ -115,7 +115,7 @@
             context.member,
             context.deadline - components.clock.now(),
             context.route.priority,
-            self._path if self._call.engine.layer_count else None,
+            None if self._call.is_plain else self._path,
             self._progress.last_event_id,
         )
         is_first = self._progress.send_count == 0
@@ -328,7 +328,7 @@
         for segment in self._path.segments:
             record = self._components.directory.record(segment.endpoint_id)
             accelerator = None if record is None else engine.accelerator(record.kind)
-            if accelerator is not None and engine.layer_count:
+            if accelerator is not None:
                 tokens = self._call.size.prompt_tokens
                 prefill_ms_by_id[segment.endpoint_id] = prefill_ms(
                     engine, accelerator, tokens, segment.layers.count
--- a/packages/gateway/src/lagoonwing_gateway/_stream_call.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_call.py
@@ -6,6 +6,7 @@
 
 from lagoonwing_catalog.models import Engine, Service
 from lagoonwing_core.ids import EndpointId
+from lagoonwing_gateway._plain_service import PLAIN_ENGINE, layered_engine
 from lagoonwing_gateway.models import RequestContext
 from lagoonwing_gateway.ports import Responder
 from lagoonwing_placement import RequestSize
@@ -46,7 +47,16 @@
 
     context: RequestContext
     service: Service
-    engine: Engine
     size: RequestSize
     responder: Responder
     progress: StreamProgress
+
+    @property
+    def engine(self) -> Engine:
+        """Published figures of the service, or those that stand for one without layers."""
+        return layered_engine(self.service) or PLAIN_ENGINE
+
+    @property
+    def is_plain(self) -> bool:
+        """Whether one endpoint runs the whole request."""
+        return self.engine is PLAIN_ENGINE
--- a/packages/gateway/src/lagoonwing_gateway/_stream_failover.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_failover.py
@@ -156,6 +156,9 @@
         excluded = {*call.progress.excluded, *avoided_ids}
         is_usable = components.directory.usability_check(excluded)
         path = finder.find(groups, call.size, is_usable, may_enter)
+        if path is not None and call.is_plain:
+            # An endpoint without published figures may take as long as the route allows.
+            path = replace(path, first_token_ms=call.context.route.objective_s * 1_000)
         if path is not None and not is_trial:
             log_path(
                 call.context,
--- a/packages/gateway/src/lagoonwing_gateway/_stream_handler.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_handler.py
@@ -8,10 +8,11 @@
 
 import asyncio
 
-from lagoonwing_catalog.models import Engine, Service
+from lagoonwing_catalog.models import Service
 from lagoonwing_gateway._components import GatewayComponents
 from lagoonwing_gateway._final_response import respond_unserved
 from lagoonwing_gateway._permit_wait import PermitWait
+from lagoonwing_gateway._plain_service import PLAIN_REQUEST_SIZE, layered_engine
 from lagoonwing_gateway._refusals import quarantine_refusal
 from lagoonwing_gateway._request_log import log_attempt, log_unserved_stream
 from lagoonwing_gateway._stream_attempt import StreamAttempt
@@ -47,14 +48,11 @@
         self._waiting_streams = 0
 
     async def async_serve(
-        self, context: RequestContext, service: Service, engine: Engine, responder: Responder
+        self, context: RequestContext, service: Service, responder: Responder
     ) -> GatewayRefusal | None:
         """Serve one stream; return the refusal to send, or None if it was answered."""
-        size = context.request.size or RequestSize(
-            round(engine.mean_prompt_tokens), round(engine.mean_output_tokens)
-        )
         progress = StreamProgress(last_event_id=context.request.last_event_id)
-        call = StreamCall(context, service, engine, size, responder, progress)
+        call = StreamCall(context, service, _size(context, service), responder, progress)
         failover = StreamFailover(self._components, call)
         entry_ids = self._components.directory.entry_ids(service.service_id)
         self._components.limiter.record_request(service.service_id, entry_ids)
@@ -172,6 +170,16 @@
         )
 
 
+def _size(context: RequestContext, service: Service) -> RequestSize:
+    """Return the size of a stream, a typical one if the caller doesn't name it."""
+    engine = layered_engine(service)
+    if engine is None:
+        return PLAIN_REQUEST_SIZE
+    return context.request.size or RequestSize(
+        round(engine.mean_prompt_tokens), round(engine.mean_output_tokens)
+    )
+
+
 def _may_recover(outcome: NotRun | Failed) -> bool:
     """Return whether the blamed endpoints did not fail, but were full or silent."""
     return isinstance(outcome, NotRun) or outcome.is_silence
