--- a/packages/gateway/src/lagoonwing_gateway/_call_handler.py
+++ b/packages/gateway/src/lagoonwing_gateway/_call_handler.py
@@ -230,7 +230,12 @@
         context, record = call.context, claim.record
         budget_s = context.deadline - self._clock.now()
         outgoing = EndpointRequest(
-            context.request, record, context.member, budget_s, context.route.priority
+            context.request,
+            record,
+            context.member,
+            budget_s,
+            context.route.priority,
+            last_event_id=context.request.last_event_id,
         )
         connection = claim.connection or await self._async_connect(call, record)
         if connection is None:
--- a/tests/platform/test_plain_streams.py
+++ b/tests/platform/test_plain_streams.py
@@ -177,6 +177,21 @@
     writer.close()
 
 
+# Guards against a header of the caller that is lost on calls.
+@pytest.mark.parametrize("route", ["safe", "unsafe"])
+async def test_last_event_id_of_a_call_is_forwarded(deployment: Deployment, route: str) -> None:
+    """Headers that the gateway doesn't set itself reach the endpoint."""
+    await _async_start(deployment)
+    response = await deployment.async_send_request(route, "a-1", Last_Event_Id="7")
+    assert response.code == 200
+    (headers,) = [
+        endpoint.headers_by_attempt_id["a-1"]
+        for endpoint in deployment.endpoints
+        if "a-1" in endpoint.headers_by_attempt_id
+    ]
+    assert headers[HEADER_LAST_EVENT] == "7"
+
+
 # Guards against a service whose engine names no layers: each of its endpoints holds the whole model.
 async def test_stream_of_an_engine_without_layers_is_served(deployment: Deployment) -> None:
     """Such an endpoint needs no path over others."""
