Answers to earlier requests are read past, within a bound

Callers saw: their request failed, or ran a second time, because an older answer stood where theirs was expected; theirs was dropped with the connection. Cause, by trace (event 304, reason 'not of this attempt', in the soak with second answers): a response that names another request ended the exchange, though the due one follows on the same connection. Connections tell own, stale and unknown responses apart; the product's own entry does too.

--- a/packages/entry/src/lagoonwing_entry/_dispatch.py
+++ b/packages/entry/src/lagoonwing_entry/_dispatch.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from functools import partial
 from types import TracebackType
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
@@ -28,6 +29,7 @@
     Exchange,
     ForeignAnswerError,
     ResponseHead,
+    ResponseMatch,
 )
 from lagoonwing_policy.models import Dispatch
 
@@ -76,7 +78,7 @@
                 RequestStartLine(self._request.method, self._request.path, "HTTP/1.1"),
                 self._headers(),
                 self._request.body,
-                self._echoes_dispatch,
+                partial(self._match_response, is_reused=connection.was_used),
             )
         except ConnectError as error:
             refusal = Refusal(ResultCode.ENDPOINT_LOST, str(error))
@@ -194,14 +196,17 @@
         refusal = Refusal(code, f"{self._record.endpoint_id}: {detail}")
         return DispatchError(DispatchFailure(Dispatch.MAY_HAVE_RUN, refusal, endpoint_crashed=died))
 
-    def _echoes_dispatch(self, headers: HTTPHeaders) -> bool:
+    def _match_response(self, headers: HTTPHeaders, *, is_reused: bool) -> ResponseMatch:
         """Return whether a response echoes the ids of this dispatch."""
         request_id = headers.get(HEADER_REQUEST_ID)
         attempt = headers.get(HEADER_ATTEMPT)
         if not self._request.require_echo and request_id is None and attempt is None:
-            return True
+            return ResponseMatch.OWN
         dispatch_id = self._request.dispatch_id
-        return request_id == dispatch_id.request_id and attempt == str(dispatch_id.attempt)
+        if request_id == dispatch_id.request_id and attempt == str(dispatch_id.attempt):
+            return ResponseMatch.OWN
+        is_stale = is_reused and request_id is not None and attempt is not None
+        return ResponseMatch.STALE if is_stale else ResponseMatch.UNKNOWN
 
     def _headers(self) -> HTTPHeaders:
         """Return the headers, with the ids that the response must echo."""
--- a/packages/gateway/src/lagoonwing_gateway/_endpoint_client.py
+++ b/packages/gateway/src/lagoonwing_gateway/_endpoint_client.py
@@ -81,12 +81,12 @@
             ConnectError: The connection had ended; nothing was sent.
         """
         request = outgoing.request
-        accepts = self._dialect.accepts(request, is_reused=connection.was_used)
+        match_response = self._dialect.response_matcher(request, is_reused=connection.was_used)
         exchange = connection.send(
             RequestStartLine(request.method, request.target, "HTTP/1.1"),
             self._dialect.outgoing_headers(outgoing),
             request.body,
-            accepts,
+            match_response,
         )
         return OpenExchange(connection, exchange, outgoing.endpoint, self._clock.now())
 
--- a/packages/gateway/src/lagoonwing_gateway/ports.py
+++ b/packages/gateway/src/lagoonwing_gateway/ports.py
@@ -14,7 +14,7 @@
     ResponseInfo,
     StreamEvent,
 )
-from lagoonwing_http import ResponseHead
+from lagoonwing_http import ResponseHead, ResponseMatcher
 
 
 class Responder(Protocol):
@@ -63,8 +63,8 @@
     def outgoing_headers(self, outgoing: EndpointRequest) -> HTTPHeaders:
         """Return the headers of a request to an endpoint."""
 
-    def accepts(self, request: CallerRequest, *, is_reused: bool) -> Callable[[HTTPHeaders], bool]:
-        """Return a predicate that checks whether a response belongs to a request.
+    def response_matcher(self, request: CallerRequest, *, is_reused: bool) -> ResponseMatcher:
+        """Return a function that checks whether a response belongs to a request.
 
         On a connection that was used before, a response may belong to an earlier request.
         """
--- a/packages/http/src/lagoonwing_http/__init__.py
+++ b/packages/http/src/lagoonwing_http/__init__.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from lagoonwing_http._client import ClientConnection, async_open_connection
-from lagoonwing_http._exchange import Exchange, ResponseHead
+from lagoonwing_http._exchange import Exchange, ResponseHead, ResponseMatch, ResponseMatcher
 from lagoonwing_http._pool import ConnectionPool, PoolSettings
 from lagoonwing_http.errors import (
     AnswerBrokenError,
@@ -22,5 +22,7 @@
     "ForeignAnswerError",
     "PoolSettings",
     "ResponseHead",
+    "ResponseMatch",
+    "ResponseMatcher",
     "async_open_connection",
 ]
--- a/packages/http/src/lagoonwing_http/_client.py
+++ b/packages/http/src/lagoonwing_http/_client.py
@@ -22,10 +22,12 @@
 
 from lagoonwing_core.callback import callback
 from lagoonwing_core.events import EventCode, log_event
-from lagoonwing_http._exchange import Exchange, ResponseHead
+from lagoonwing_http._exchange import Exchange, ResponseHead, ResponseMatch, ResponseMatcher
 from lagoonwing_http.const import (
     CONNECTION_READ_CHUNK_BYTES,
     MAX_RESPONSE_HEADER_BYTES,
+    MAX_STALE_BYTES,
+    MAX_STALE_RESPONSES,
 )
 from lagoonwing_http.errors import ConnectError
 
@@ -51,6 +53,9 @@
         self._exchange: Exchange | None = None
         self._keep_alive = True
         self._is_framed = True
+        self._is_stale = False
+        self._stale_responses = 0
+        self._stale_bytes = 0
         self._http_parameters = HTTP1ConnectionParameters(
             chunk_size=CONNECTION_READ_CHUNK_BYTES,
             max_header_size=MAX_RESPONSE_HEADER_BYTES,
@@ -70,7 +75,7 @@
         start_line: RequestStartLine,
         headers: HTTPHeaders,
         body: bytes,
-        accepts: Callable[[HTTPHeaders], bool],
+        match_response: ResponseMatcher,
     ) -> Exchange:
         """Write a request; after this call, bytes may have been sent.
 
@@ -78,15 +83,16 @@
             start_line: Request line.
             headers: Request headers without `Content-Length`.
             body: Complete request body.
-            accepts: Returns whether response headers belong to this request.
+            match_response: Returns whether response headers belong to this request.
 
         Raises:
             ConnectError: The connection was already closed, so nothing was sent.
         """
         if self._stream.closed():
             raise ConnectError(f"{self._peer}: the connection had ended")
-        exchange = Exchange(accepts)
+        exchange = Exchange(match_response)
         self._exchange = exchange
+        self._stale_responses = self._stale_bytes = 0
         self.was_used = True
         headers["Content-Length"] = str(len(body))
         written = self._http.write_headers(start_line, headers, body)
@@ -113,26 +119,34 @@
         assert isinstance(start_line, ResponseStartLine)
         if 100 <= start_line.code < 200:
             return
-        if not self._exchange.accepts(headers):
-            log_event(EventCode.ANSWER_DISCARDED, peer=self._peer, reason="not of this attempt")
-            self._exchange.on_mismatch()
-            self.close()
-            return
         framed = "Content-Length" in headers or "Transfer-Encoding" in headers
         framed = framed or start_line.code in (204, 304)
         self._is_framed = framed
         must_close = headers.get("Connection", "").lower() == "close"
         self._keep_alive = framed and not must_close and start_line.version == "HTTP/1.1"
-        self._exchange.on_head(ResponseHead(start_line.code, headers, framed))
+        match self._exchange.match_response(headers):
+            case ResponseMatch.OWN:
+                self._exchange.on_head(ResponseHead(start_line.code, headers, framed))
+            case ResponseMatch.STALE if self._keep_alive:
+                self._begin_stale_response()
+            case _:
+                self._reject_response("not of this attempt")
 
     def data_received(self, chunk: bytes) -> asyncio.Future[None] | None:
         """Handle a chunk of the response body."""
+        if self._is_stale:
+            self._stale_bytes += len(chunk)
+            if self._stale_bytes > MAX_STALE_BYTES:
+                self._reject_response("too many bytes of earlier answers")
+            return None
         if self._exchange is None:
             return None
         return self._exchange.on_data(chunk)
 
     def finish(self) -> None:
         """Handle the end of the response; a reset of an unframed response is a failure."""
+        if self._is_stale:
+            return
         if not self._is_framed and self._stream.error is not None:
             self._fail_exchange()
             return
@@ -149,6 +163,10 @@
             while await self._http.read_response(self):
                 if not self._keep_alive or self._stream.closed():
                     break
+                if self._is_stale:
+                    # The same reader goes on: the request that waits was written through it.
+                    self._is_stale = False
+                    continue
                 self._exchange = None
                 self._http = HTTP1Connection(self._stream, True, self._http_parameters)
                 self._on_idle(self)
@@ -157,6 +175,22 @@
         finally:
             self.close()
 
+    def _begin_stale_response(self) -> None:
+        """Read past a response to an earlier request, unless there were too many."""
+        self._stale_responses += 1
+        if self._stale_responses > MAX_STALE_RESPONSES:
+            self._reject_response("too many earlier answers")
+            return
+        self._is_stale = True
+        log_event(EventCode.ANSWER_DISCARDED, peer=self._peer, reason="of an earlier attempt")
+
+    def _reject_response(self, reason: str) -> None:
+        """Fail the exchange because of a response that is not its own."""
+        log_event(EventCode.ANSWER_DISCARDED, peer=self._peer, reason=reason)
+        if self._exchange is not None:
+            self._exchange.on_mismatch()
+        self.close()
+
     def _fail_exchange(self) -> None:
         """Fail the exchange in progress."""
         if self._exchange is not None:
--- a/packages/http/src/lagoonwing_http/_exchange.py
+++ b/packages/http/src/lagoonwing_http/_exchange.py
@@ -6,6 +6,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 
 from tornado.httputil import HTTPHeaders
 
@@ -14,6 +15,21 @@
 from lagoonwing_http.errors import AnswerBrokenError, AnswerTooLargeError, ForeignAnswerError
 
 
+class ResponseMatch(Enum):
+    """Which request a response belongs to.
+
+    OWN: the one that waits for it. STALE: an earlier one on the connection, by the id that it
+    names. UNKNOWN: it doesn't say so.
+    """
+
+    OWN = "own"
+    STALE = "stale"
+    UNKNOWN = "unknown"
+
+
+ResponseMatcher = Callable[[HTTPHeaders], ResponseMatch]
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
     """Status and headers of a response.
@@ -31,11 +47,11 @@
     """One request and its response.
 
     Attributes:
-        accepts: Returns whether response headers belong to this request.
+        match_response: Returns whether response headers belong to this request.
     """
 
-    def __init__(self, accepts: Callable[[HTTPHeaders], bool]) -> None:
-        self.accepts = accepts
+    def __init__(self, match_response: ResponseMatcher) -> None:
+        self.match_response = match_response
         self._head: asyncio.Future[ResponseHead] = asyncio.get_running_loop().create_future()
         self._chunks: deque[bytes] = deque()
         self._buffered_bytes = 0
--- a/tests/platform/test_plain_streams.py
+++ b/tests/platform/test_plain_streams.py
@@ -192,7 +192,7 @@
     assert headers[HEADER_LAST_EVENT] == "7"
 
 
-# Guards against a service whose engine names no layers: each of its endpoints holds the whole model.
+# Guards against a service whose engine names no layers, as each endpoint holds the whole model.
 async def test_stream_of_an_engine_without_layers_is_served(deployment: Deployment) -> None:
     """Such an endpoint needs no path over others."""
     services = json.loads(make_document())["services"]
