A request that may have run is never answered as one that has not

Cause: the final answer was made from the last attempt only; a refusal by the second endpoint hid the failure of the first one. Unsafe requests held, as they are sent once more after refusals only. Change: calls and streams keep the most telling failure over all attempts: the endpoint's own answer, whole, else 502 or 504. Not looked at: the product's own entry.

--- a/packages/gateway/src/lagoonwing_gateway/_call_handler.py
+++ b/packages/gateway/src/lagoonwing_gateway/_call_handler.py
@@ -19,7 +19,7 @@
     OpenExchange,
     failure_evidence,
 )
-from lagoonwing_gateway._final_response import respond_unserved
+from lagoonwing_gateway._final_response import more_telling_failure, respond_unserved
 from lagoonwing_gateway._request_log import log_attempt
 from lagoonwing_gateway.const import (
     CALL_RETRY_TIMEOUT_SHARE,
@@ -59,6 +59,7 @@
         excluded: Endpoints that must not be used again for the call.
         reservation: The next attempt, which is certain to be made.
         limit_wait_s: Expected wait for a permit, if that kept the call from being sent.
+        failure: What an endpoint that may have run the call answered, if anything.
     """
 
     context: RequestContext
@@ -68,6 +69,7 @@
     excluded: set[EndpointId] = field(default_factory=set)
     reservation: EndpointClaim | None = None
     limit_wait_s: float | None = None
+    failure: Failed | None = None
 
     def take_reservation(self) -> EndpointClaim | None:
         """Return the reservation, if any; it may be used once."""
@@ -109,7 +111,7 @@
             return None
         return respond_unserved(
             context,
-            last_outcome,
+            call.failure or last_outcome,
             responder,
             was_sent=call.send_count > 0,
             no_capacity_detail="no endpoint can take the call",
@@ -144,6 +146,7 @@
                 case Completed() | CallerGone():
                     return last_outcome
                 case NotRun() | Failed():
+                    call.failure = more_telling_failure(call.failure, last_outcome)
                     call.excluded.add(record.endpoint_id)
             if call.send_count >= context.route.max_attempts:
                 break
--- a/packages/gateway/src/lagoonwing_gateway/_final_response.py
+++ b/packages/gateway/src/lagoonwing_gateway/_final_response.py
@@ -23,9 +23,24 @@
 from lagoonwing_gateway.ports import Responder
 
 
+def more_telling_failure(known: Failed | None, outcome: AttemptOutcome) -> Failed | None:
+    """Return what tells most about a request that may have run, over all of its attempts.
+
+    A later attempt that was not executed does not undo that an earlier one may have been.
+
+    Args:
+        known: The most telling failure of the attempts before.
+        outcome: Outcome of the next attempt.
+    """
+    if not isinstance(outcome, Failed):
+        return known
+    has_less = known is not None and known.response is not None and outcome.response is None
+    return known if has_less else outcome
+
+
 def respond_unserved(
     context: RequestContext,
-    last_outcome: AttemptOutcome,
+    outcome: AttemptOutcome,
     responder: Responder,
     *,
     was_sent: bool,
@@ -38,7 +53,7 @@
 
     Args:
         context: The request.
-        last_outcome: Outcome of its last attempt.
+        outcome: Its most telling failure, or the outcome of its last attempt if none may have run.
         responder: Sends the response to the caller.
         was_sent: Whether the request was sent to any endpoint.
         no_capacity_detail: Detail of the refusal if it was not sent.
@@ -46,7 +61,7 @@
         now: Current time in seconds.
         rng: Random source for the Retry-After jitter.
     """
-    match last_outcome:
+    match outcome:
         case Failed(response=CompleteResponse() as response):
             responder.send_response(response.info.status, response.headers, response.body)
             return None
--- a/packages/gateway/src/lagoonwing_gateway/_stream_handler.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_handler.py
@@ -10,7 +10,7 @@
 
 from lagoonwing_catalog.models import Service
 from lagoonwing_gateway._components import GatewayComponents
-from lagoonwing_gateway._final_response import respond_unserved
+from lagoonwing_gateway._final_response import more_telling_failure, respond_unserved
 from lagoonwing_gateway._permit_wait import PermitWait
 from lagoonwing_gateway._plain_service import PLAIN_REQUEST_SIZE, layered_engine
 from lagoonwing_gateway._refusals import quarantine_refusal
@@ -96,6 +96,7 @@
                 case Completed() | CallerGone():
                     return None
                 case NotRun(blamed_ids=blamed_ids) | Failed(blamed_ids=blamed_ids):
+                    progress.failure = more_telling_failure(progress.failure, last_outcome)
                     # A started stream may come back to endpoints that were only full or silent;
                     # they are avoided or suspected for a while.
                     if not progress.started or not _may_recover(last_outcome):
@@ -160,7 +161,7 @@
             return None
         return respond_unserved(
             call.context,
-            last_outcome,
+            progress.failure or last_outcome,
             call.responder,
             was_sent=progress.send_count > 0,
             no_capacity_detail="no path over the layers has room",
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -57,6 +57,11 @@
     def _check_response(self, kind: str, attempt_id: str, answer: HTTPResponse) -> None:
         """Check the response to one request."""
         violations = self._context.outcome.violations
+        wrong = self._context.requests.answers.find_violation(
+            attempt_id, answer.code, answer.headers.get(HEADER_SIGNATURE)
+        )
+        if wrong is not None:
+            violations.append(wrong)
         if answer.code == 200:
             self._context.outcome.served += 1
             self._context.outcome.served_after_recovery += self._context.has_recovered
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -26,6 +26,7 @@
 )
 from soak.const import EVENT_PAUSE_S, EVENTS, MAX_RESTART_S, MIN_RESTART_S
 from soak.crashing_part import CRASHING_PART, HEADER_PROMPT_PARTS, CrashingPartRecord
+from soak.second_answers import AnswerRecords, SecondAnswers
 
 
 class LinkFault(Enum):
@@ -53,11 +54,13 @@
         runs_by_id: Number of executions of each request.
         reached: Endpoint, id and time of each request that reached an endpoint.
         crashing_part: Crashes and requests with a prompt part that crashes engines.
+        answers: Signed answers.
     """
 
     runs_by_id: Counter[str] = field(default_factory=Counter)
     reached: list[tuple[str, str, float]] = field(default_factory=list)
     crashing_part: CrashingPartRecord = field(default_factory=CrashingPartRecord)
+    answers: AnswerRecords = field(default_factory=AnswerRecords)
 
 
 class SoakEndpoint:
@@ -68,6 +71,7 @@
         incarnation: Number of the current incarnation, from 1.
         is_up: Whether it is running; if not, the next incarnation starts soon.
         request_limit: Requests per second that it names as its limit, if any.
+        answers_twice: Whether it repeats some answers later; not for streams.
     """
 
     def __init__(
@@ -79,6 +83,7 @@
         self.service = service
         self.fault = LinkFault.NONE
         self.request_limit: float | None = None
+        self.answers_twice = False
         self.is_engine = service == "engines"
         self.layers: tuple[int, int] | None = None
         self.sequence = 0
@@ -212,6 +217,7 @@
     ) -> None:
         """Serve one connection."""
         self._writers.add(writer)
+        second_answers = SecondAnswers(self._rng, writer)
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
@@ -220,6 +226,9 @@
                 headers = {name.lower(): value for name, value in headers.items()}
                 body = await reader.readexactly(int(headers.get("content-length", "0")))
                 await self._is_running.wait()
+                if self.answers_twice and HEADER_ATTEMPT_ID.lower() in headers:
+                    await self._async_respond_twice(headers, second_answers)
+                    continue
                 await self._async_respond(lines[0].split()[1], headers, body, writer)
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             writer.transport.abort()
@@ -253,7 +262,7 @@
             return
         await self._async_apply_fault(writer)
         self._requests.runs_by_id[attempt_id] += 1
-        echo[HEADER_SIGNATURE] = f"signed-{self.endpoint_id}"
+        echo[HEADER_SIGNATURE] = self._requests.answers.sign(self.endpoint_id, attempt_id, 200)
         if self.fault is LinkFault.LOST_ANSWER:
             writer.transport.abort()
             return
@@ -263,6 +272,24 @@
             _write(writer, 200, echo, f"done {attempt_id}".encode())
             await writer.drain()
 
+    async def _async_respond_twice(
+        self, headers: dict[str, str], second_answers: SecondAnswers
+    ) -> None:
+        """Respond to a call, and perhaps once more."""
+        attempt_id = headers[HEADER_ATTEMPT_ID.lower()]
+        echo = {HEADER_ATTEMPT_ID: attempt_id}
+        status = second_answers.draw_status()
+        if headers.get(HEADER_EXPECTED_ENDPOINT.lower(), self.endpoint_id) != self.endpoint_id:
+            status = 421
+        if status in (421, 503):
+            second_answers.write(_encode(status, {**echo, HEADER_NOT_EXECUTED: "1"}, b""))
+            return
+        self._requests.runs_by_id[attempt_id] += 1
+        await second_answers.async_work()
+        signature = self._requests.answers.sign(self.endpoint_id, attempt_id, status)
+        body = f"done {attempt_id}".encode()
+        second_answers.write(_encode(status, {**echo, HEADER_SIGNATURE: signature}, body))
+
     async def _async_apply_fault(self, writer: asyncio.StreamWriter) -> None:
         """Apply the current link fault before the request runs."""
         match self.fault:
@@ -321,7 +348,12 @@
     writer: asyncio.StreamWriter, status: int, headers: dict[str, str], body: bytes | None
 ) -> None:
     """Write the response head and, except for a stream, the body."""
+    writer.write(_encode(status, headers, body))
+
+
+def _encode(status: int, headers: dict[str, str], body: bytes | None) -> bytes:
+    """Return the bytes of a response head and, except for a stream, the body."""
     if body is not None:
         headers = {**headers, "Content-Length": str(len(body))}
     lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-    writer.write(f"HTTP/1.1 {status} Status\r\n{lines}\r\n".encode() + (body or b""))
+    return f"HTTP/1.1 {status} Status\r\n{lines}\r\n".encode() + (body or b"")
--- a/soak/models.py
+++ b/soak/models.py
@@ -19,6 +19,7 @@
     PAUSES = "pauses"
     CRASHING_PART = "crashing_part"
     LIMITS = "limits"
+    SECOND_ANSWERS = "second_answers"
 
 
 @dataclass
--- a/soak/run.py
+++ b/soak/run.py
@@ -25,10 +25,12 @@
 )
 from soak.endpoints import SoakEndpoint
 from soak.faults import Faults
+from soak.kept_callers import KEPT_CALLERS, KeptCaller
 from soak.models import Outcome, Scenario, SoakContext
 from soak.named_limits import LIMIT, LIMITS_S, limit_violations
 from soak.operators import Operators
 from soak.proxy import Proxy
+from soak.second_answers import SECOND_ANSWERS_S
 
 
 class SoakRun:
@@ -122,6 +124,8 @@
                 await self._async_play_crashing_part()
             case Scenario.LIMITS:
                 await self._async_play_limits()
+            case Scenario.SECOND_ANSWERS:
+                await self._async_play_second_answers()
 
     async def _async_play_limits(self) -> None:
         """Let all endpoints name a limit, kill a gateway and a replica meanwhile, and check."""
@@ -148,6 +152,27 @@
             times_by_endpoint, entries, named_at, loop.time()
         )
 
+    async def _async_play_second_answers(self) -> None:
+        """Let all plain endpoints repeat answers; the callers check what they get."""
+        context = self.context
+        context.has_recovered = False
+        for endpoint in context.endpoints:
+            endpoint.answers_twice = not endpoint.is_engine
+        self._tasks += [
+            asyncio.ensure_future(KeptCaller(context, number).async_run())
+            for number in range(KEPT_CALLERS)
+        ]
+        first = context.outcome.sent
+        await asyncio.sleep(SECOND_ANSWERS_S / 2)
+        victim = context.rng.choice(context.processes.gateways)
+        context.outcome.record_fault(f"SIGSTOP {victim.name}")
+        victim.signal(signal.SIGSTOP)
+        await asyncio.sleep(1.0)
+        victim.signal(signal.SIGCONT)
+        await asyncio.sleep(SECOND_ANSWERS_S / 2)
+        if context.outcome.sent == first:
+            context.outcome.violations.append("no request was answered beside second answers")
+
     async def _async_play_crashing_part(self) -> None:
         """Let callers also send requests that crash engines, and check how they are handled."""
         context = self.context
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -15,6 +15,7 @@
 SEEDS = (1, 31)
 PAUSE_SEEDS = (1, 2)
 LIMIT_SEEDS = (1, 2)
+SECOND_ANSWER_SEEDS = (11,)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -42,3 +43,10 @@
     """Endpoints get no more than they name and not much less, beside kills of processes."""
     outcome = asyncio.run(SoakRun(seed, SECONDS, tmp_path, Scenario.LIMITS).async_run())
     assert outcome.violations == [], outcome.faults
+
+
+@pytest.mark.parametrize("seed", SECOND_ANSWER_SEEDS)
+def test_second_answers_of_endpoints_reach_no_caller(seed: int, tmp_path: Path) -> None:
+    """Callers get their own answers, and none is told that its request has not run if it has."""
+    outcome = asyncio.run(SoakRun(seed, 1.0, tmp_path, Scenario.SECOND_ANSWERS).async_run())
+    assert outcome.violations == [], outcome.faults
