--- a/packages/core/src/lagoonwing_core/tasks.py
+++ b/packages/core/src/lagoonwing_core/tasks.py
@@ -3,13 +3,31 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 from lagoonwing_core.callback import callback
 from lagoonwing_core.events import EventCode, log_event
 
 
+async def async_repeat(
+    component: str, interval_s: float, async_step: Callable[[], Awaitable[None]]
+) -> None:
+    """Run a step again and again, with a pause before each; a failed one is logged.
+
+    Args:
+        component: Component whose failure is logged.
+        interval_s: Pause in seconds.
+        async_step: The step.
+    """
+    while True:
+        await asyncio.sleep(interval_s)
+        try:
+            await async_step()
+        except Exception as error:
+            log_event(EventCode.COMPONENT_FAILED, component=component, error=repr(error))
+
+
 class TaskSet:
     """Background tasks of one component; task failures are logged."""
 
--- a/packages/http/src/lagoonwing_http/_client.py
+++ b/packages/http/src/lagoonwing_http/_client.py
@@ -219,7 +219,7 @@
     try:
         async with asyncio.timeout(timeout):
             await stream.connect((address, port))
-    except (OSError, StreamClosedError, TimeoutError) as error:
+    except (OSError, OverflowError, StreamClosedError, TimeoutError) as error:
         stream.close()
         detail = str(error) or type(error).__name__
         cause = error.real_error if isinstance(error, StreamClosedError) else error
--- a/packages/registry/src/lagoonwing_registry/_placement_executor.py
+++ b/packages/registry/src/lagoonwing_registry/_placement_executor.py
@@ -18,7 +18,7 @@
 from lagoonwing_core.clock import Clock
 from lagoonwing_core.events import EventCode, log_event
 from lagoonwing_core.ids import DocumentVersion, EndpointId, ServiceId, Term
-from lagoonwing_core.tasks import TaskSet
+from lagoonwing_core.tasks import TaskSet, async_repeat
 from lagoonwing_placement import (
     PlacementEndpoint,
     PlacementOrder,
@@ -80,23 +80,25 @@
 
     async def async_run(self) -> None:
         """Issue due orders until cancelled."""
+        await async_repeat("placement_executor", PLACEMENT_INTERVAL_S, self._async_issue_due_orders)
+
+    async def _async_issue_due_orders(self) -> None:
+        """Issue the orders that are due now."""
         loop = asyncio.get_running_loop()
-        while True:
-            await asyncio.sleep(PLACEMENT_INTERVAL_S)
-            term = self._log.lease_term()
-            if term != self._term:
-                self._term = term
-                self._engine_by_id.clear()
-                self._planner_by_service.clear()
-            if term is None:
+        term = self._log.lease_term()
+        if term != self._term:
+            self._term = term
+            self._engine_by_id.clear()
+            self._planner_by_service.clear()
+        if term is None:
+            return
+        for service, engine in self._layered_services():
+            endpoints = self._placement_endpoints(service.service_id, engine)
+            if not self._can_plan(endpoints):
                 continue
-            for service, engine in self._layered_services():
-                endpoints = self._placement_endpoints(service.service_id, engine)
-                if not self._can_plan(endpoints):
-                    continue
-                planner = self._planner_by_service[service.service_id]
-                orders = await loop.run_in_executor(None, planner.due_orders, engine, endpoints)
-                self._start_orders(engine, orders, term)
+            planner = self._planner_by_service[service.service_id]
+            orders = await loop.run_in_executor(None, planner.due_orders, engine, endpoints)
+            self._start_orders(engine, orders, term)
 
     async def async_unload(self) -> None:
         """Cancel running orders."""
--- a/packages/registry/src/lagoonwing_registry/_service.py
+++ b/packages/registry/src/lagoonwing_registry/_service.py
@@ -39,6 +39,7 @@
 from lagoonwing_core.events import EventCode, log_event
 from lagoonwing_core.ids import EndpointId, HostId, Revision, Term
 from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_core.tasks import async_repeat
 from lagoonwing_registry._crash_relay import CrashRelay
 from lagoonwing_registry._limit_relay import LimitRelay
 from lagoonwing_registry._liveness import Liveness
@@ -109,8 +110,10 @@
         """Start serving."""
         loop = asyncio.get_running_loop()
         self._tasks = [
-            loop.create_task(self._async_push_loads()),
-            loop.create_task(self._async_check_liveness()),
+            loop.create_task(async_repeat(self.name, PUSH_INTERVAL_S, self._async_push_loads)),
+            loop.create_task(
+                async_repeat(self.name, LIVENESS_INTERVAL_S, self._async_check_liveness)
+            ),
             loop.create_task(self._crash_relay.async_run()),
             loop.create_task(self._limit_relay.async_run()),
             loop.create_task(self._permit_relay.async_run()),
@@ -321,24 +324,20 @@
         self._subscribers.push_changes()
 
     async def _async_push_loads(self) -> None:
-        """Push loads to gateways and replicas periodically."""
-        while True:
-            await asyncio.sleep(PUSH_INTERVAL_S)
-            self._peers.push_all(self._subscribers.push_loads())
-            self._subscribers.push_replicas()
+        """Push loads to gateways and replicas."""
+        self._peers.push_all(self._subscribers.push_loads())
+        self._subscribers.push_replicas()
 
     async def _async_check_liveness(self) -> None:
         """Report announcements to the leader; as the leader, mark lost endpoints."""
-        while True:
-            await asyncio.sleep(LIVENESS_INTERVAL_S)
-            await self._peers.async_refresh()
-            report = self._liveness.take_report()
-            leader = self.log.status().leader
-            if report is not None and leader is not None:
-                self._peers.push(leader, report)
-            if self.log.lease_term() is None:
-                continue
-            records = self.state_machine.state.endpoint_by_id.values()
-            for command in self._liveness.find_lost(list(records), self._clock.now()):
-                log_event(EventCode.ENDPOINT_EXPIRED, endpoint=command.endpoint_id)
-                await self._proposer.async_submit(command)
+        await self._peers.async_refresh()
+        report = self._liveness.take_report()
+        leader = self.log.status().leader
+        if report is not None and leader is not None:
+            self._peers.push(leader, report)
+        if self.log.lease_term() is None:
+            return
+        records = self.state_machine.state.endpoint_by_id.values()
+        for command in self._liveness.find_lost(list(records), self._clock.now()):
+            log_event(EventCode.ENDPOINT_EXPIRED, endpoint=command.endpoint_id)
+            await self._proposer.async_submit(command)
