An entry of an unknown service takes the place of no sound endpoint

PROTOCOL: 'It names no server to use; the others hold.' Change: the registry refuses such an entry while an endpoint of a known service holds the id or the address; any other entry of an unknown service is kept, as its configuration may follow.

--- a/packages/catalog/src/lagoonwing_catalog/__init__.py
+++ b/packages/catalog/src/lagoonwing_catalog/__init__.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from lagoonwing_catalog._crash_ledger import CrashLedger, crash_id_of, domain_digest
-from lagoonwing_catalog._endpoints import is_unchanged, supersedes
+from lagoonwing_catalog._endpoints import is_unchanged, may_hold_address, supersedes
 from lagoonwing_catalog._limit_ledger import LimitLedger
 from lagoonwing_catalog._routes import RouteTable
 from lagoonwing_catalog._state import (
@@ -31,5 +31,6 @@
     "find_validation_issues",
     "is_unchanged",
     "make_stored_document",
+    "may_hold_address",
     "supersedes",
 ]
--- a/packages/registry/src/lagoonwing_registry/_service.py
+++ b/packages/registry/src/lagoonwing_registry/_service.py
@@ -41,6 +41,7 @@
 from lagoonwing_core.result_codes import ResultCode
 from lagoonwing_core.tasks import async_repeat
 from lagoonwing_registry._crash_relay import CrashRelay
+from lagoonwing_registry._known_services import KnownServices
 from lagoonwing_registry._limit_relay import LimitRelay
 from lagoonwing_registry._liveness import Liveness
 from lagoonwing_registry._peers import Peers
@@ -83,6 +84,7 @@
         self._peers = Peers(identity, log)
         self._proposer = Proposer(log, self._peers)
         self._liveness = Liveness(settings.announce_interval_s)
+        self._known_services = KnownServices(state_machine)
         self._subscribers = Subscribers(
             state_machine, log.staleness_s, self._peers.replicas, self._clock
         )
@@ -129,6 +131,11 @@
 
     async def async_announce(self, record: EndpointRecord) -> Result[None, Refusal]:
         """Process an endpoint's announcement; on success, any change is committed by a majority."""
+        displaced = self._known_services.find_displaced(record)
+        if displaced is not None:
+            reason = f"its service is not known, and it would displace {displaced.endpoint_id}"
+            log_event(EventCode.ENDPOINT_REFUSED, endpoint=record.endpoint_id, reason=reason)
+            return Error(Refusal(ResultCode.UNKNOWN_SERVICE, reason))
         self._liveness.record_announcement(
             record.endpoint_id, record.started_ms, record.sequence, self._clock.now()
         )
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -102,6 +102,23 @@
     assert response.code == 400
 
 
+# Guards against an entry of an unknown service that takes the place of a sound endpoint.
+@pytest.mark.parametrize("takes", ["id", "address"])
+async def test_entry_of_an_unknown_service_displaces_no_endpoint(
+    deployment: Deployment, takes: str
+) -> None:
+    """Neither the id nor the address of an endpoint passes to a service that is not known."""
+    await deployment.async_set_document()
+    endpoint = await deployment.async_add_endpoint("p-1", "plain")
+    changes: dict[str, Any] = {"service": "nobody", "sequence": 1_000, "born": 99}
+    if takes == "address":
+        changes["address"] = f"{ADDRESS}:{endpoint.port}"
+    await _async_announce(deployment, "p-1" if takes == "id" else "other", _entry(**changes))
+    await _async_expect_service(deployment)
+    assert (await deployment.async_send_heartbeat(endpoint)).code == 200
+    await _async_expect_service(deployment)
+
+
 async def test_entry_before_its_service_is_known_holds(deployment: Deployment) -> None:
     """An endpoint may announce itself before the configuration names its service."""
     endpoint = await deployment.async_add_endpoint("p-1", "plain")
