A planned stop waits until answers have been written, within the grace

Callers saw: an answer cut while they still read it, 2.7 s after a SIGTERM, with 4.6 s left of the grace. Cause: a request counted as ended once its answer stood in the write buffer of its connection; the drain found none active, and closing a connection drops its buffer. Change: a request is active until the caller's connection has taken all bytes, or is closed; the drain's deadline bounds it as before.

--- a/packages/gateway/src/lagoonwing_gateway/_gateway.py
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -217,9 +217,19 @@
         return self._clock.now() >= self._drain_started_at + DRAIN_REJECT_LONG_S
 
     async def async_serve(self, request: CallerRequest, responder: Responder) -> None:
-        """Serve one request of a caller."""
+        """Serve one request of a caller; it is active until its answer has been written."""
         self._active_requests += 1
         self._idle.clear()
+        try:
+            await self._async_answer(request, responder)
+            await responder.async_wait_written()
+        finally:
+            self._active_requests -= 1
+            if self._active_requests == 0:
+                self._idle.set()
+
+    async def _async_answer(self, request: CallerRequest, responder: Responder) -> None:
+        """Answer one request of a caller."""
         route_id = None
         try:
             await self._async_wait_for_routes(request)
@@ -230,10 +240,6 @@
         except Exception as error:
             log_event(EventCode.COMPONENT_FAILED, component=self.name, error=repr(error))
             refusal = unknown_outcome_refusal(ResultCode.OUTCOME_UNKNOWN, "internal error")
-        finally:
-            self._active_requests -= 1
-            if self._active_requests == 0:
-                self._idle.set()
         duration_s = self._clock.now() - request.received_at
         self.metrics.request_ended(route_id, refusal, duration_s)
         if refusal is not None and not responder.is_disconnected:
--- a/packages/gateway/src/lagoonwing_gateway/ports.py
+++ b/packages/gateway/src/lagoonwing_gateway/ports.py
@@ -45,6 +45,9 @@
     def abort(self) -> None:
         """Terminate a stream such that the caller can detect that it is incomplete."""
 
+    async def async_wait_written(self) -> None:
+        """Wait until all bytes of the response are written, or the connection is closed."""
+
 
 class EventSplitter(Protocol):
     """Splits the bytes of a stream into events."""
--- a/tests/platform/platform_deployment.py
+++ b/tests/platform/platform_deployment.py
@@ -115,6 +115,7 @@
     folder: Path,
     retry_budget: RetryBudgetSettings = RETRY_BUDGET,
     announce_interval_s: float = 30.0,
+    drain_grace_s: float = 2.0,
 ) -> AsyncIterator[Deployment]:
     """Run a single-voter registry and a gateway."""
     peer_port, control_port, caller_port, ready_port = (reserve_port(ADDRESS) for _ in range(4))
@@ -141,7 +142,7 @@
             FailureDomainId("d-1"),
             lambda: (ReplicaAddress(host_id, ADDRESS, peer_port),),
             retry_budget,
-            2.0,
+            drain_grace_s,
         ),
         Identity(HostId("gateway-1"), KEY),
         dialect,
