A replica whose disk was full takes part again, whichever call was refused

Cause: only a refused write counted as a full disk, after which the replica tries again; a refused open of the next segment, or a sync that found no room, counted as a broken disk, after which it stays out while its process runs. Once that has happened to most replicas no change is accepted. Change: the error of each call says whether the disk was full. A frame whose sync failed is removed again, since it could be read back though it isn't durable; if that fails too, the replica stays out as before. After the folder has been read it is synced, as a file may have been created without that.

--- a/packages/replication/src/lagoonwing_replication/_files.py
+++ b/packages/replication/src/lagoonwing_replication/_files.py
@@ -38,6 +38,11 @@
     return error.errno in _FULL_ERRNOS
 
 
+def storage_error(action: str, error: OSError) -> StorageError:
+    """Return the error of a failed action on the disk."""
+    return StorageError(f"{action} failed: {error}", is_full=is_full_error(error))
+
+
 def encode_frame(sequence: int, payload: bytes) -> bytes:
     """Return the bytes of a frame."""
     checksum = crc32c(payload, crc32c(_SEQUENCE.pack(sequence)))
@@ -80,7 +85,7 @@
         while view:
             view = view[os.write(descriptor, view) :]
     except OSError as error:
-        raise StorageError(f"write failed: {error}", is_full=is_full_error(error)) from error
+        raise storage_error("write", error) from error
 
 
 def sync_file(descriptor: int) -> None:
@@ -92,7 +97,7 @@
     try:
         os.fdatasync(descriptor)
     except OSError as error:
-        raise StorageError(f"sync failed: {error}") from error
+        raise storage_error("sync", error) from error
 
 
 def sync_folder(folder: Path) -> None:
@@ -101,7 +106,7 @@
     try:
         os.fsync(descriptor)
     except OSError as error:
-        raise StorageError(f"sync of {folder.name} failed: {error}") from error
+        raise storage_error(f"sync of {folder.name}", error) from error
     finally:
         os.close(descriptor)
 
@@ -116,7 +121,7 @@
     try:
         descriptor = os.open(temporary, os.O_CREAT | os.O_TRUNC | os.O_WRONLY, 0o600)
     except OSError as error:
-        raise StorageError(f"open failed: {error}", is_full=is_full_error(error)) from error
+        raise storage_error("open", error) from error
     try:
         write_all(descriptor, encode_frame(0, payload))
         sync_file(descriptor)
--- a/packages/replication/src/lagoonwing_replication/_segments.py
+++ b/packages/replication/src/lagoonwing_replication/_segments.py
@@ -15,6 +15,7 @@
     decode_frame,
     encode_frame,
     has_later_frame,
+    storage_error,
     sync_file,
     sync_folder,
     write_all,
@@ -83,7 +84,7 @@
         try:
             self._descriptor = os.open(path, os.O_CREAT | os.O_EXCL | os.O_WRONLY, 0o600)
         except OSError as error:
-            raise StorageError(f"open failed: {error}") from error
+            raise storage_error("open", error) from error
         self._size = 0
         self._segments.append(Segment(path))
         self._write(_ENCODER.encode(header))
@@ -121,14 +122,28 @@
         content = encode_frame(self._next_sequence, payload)
         try:
             write_all(self._descriptor, content)
-            sync_file(self._descriptor)
         except StorageError:
             # A frame after a partial one would look like corruption.
             self.close()
             raise
+        try:
+            sync_file(self._descriptor)
+        except StorageError as error:
+            # The frame could be read again, though it may not be durable.
+            is_removed = self._remove_unsynced(self._descriptor)
+            self.close()
+            raise StorageError(str(error), is_full=error.is_full and is_removed) from error
         self._next_sequence += 1
         self._size += len(content)
 
+    def _remove_unsynced(self, descriptor: int) -> bool:
+        """Remove what was written since the last sync; return whether that succeeded."""
+        try:
+            os.ftruncate(descriptor, self._size)
+        except OSError:
+            return False
+        return True
+
     def _replay_segment(self, path: Path, replay: Replay, *, is_last: bool) -> None:
         """Read one segment."""
         content = path.read_bytes()
--- a/packages/replication/src/lagoonwing_replication/_storage.py
+++ b/packages/replication/src/lagoonwing_replication/_storage.py
@@ -84,6 +84,8 @@
         segments = Segments(self._folder, identity.replica_id)
         self._segments = segments
         state = self._recover(segments)
+        # A file that was created may not be durable yet if a sync of the folder failed.
+        sync_folder(self._folder)
         return Recovered(identity, state, segments.torn_bytes, is_new)
 
     def close(self) -> None:
