A gateway holds a bounded number of bytes of request bodies

Seen: a burst of bodies of the allowed size took gateways of 300 MB over their memory, and none of the burst was answered. Change: a body is held once (its chunks are released when it is whole, and a large one is written apart from its headers, uncopied); all bodies together take 64 MiB at most. A request beyond that is read, discarded and refused with 503 and Retry-After, before any endpoint sees it. The budget of the product's own entry moved to lagoonwing_http and serves both. Not bounded yet: the bytes of responses, 16 MiB each.

--- a/packages/entry/src/lagoonwing_entry/_announce_server.py
+++ b/packages/entry/src/lagoonwing_entry/_announce_server.py
@@ -18,11 +18,12 @@
 from lagoonwing_core.ids import RequestId
 from lagoonwing_core.models import EndpointKind, EndpointRecord
 from lagoonwing_core.result_codes import Outcome, ResultCode
-from lagoonwing_entry._bounded_handler import BodyBudget, BodyLimits, BoundedHandler
+from lagoonwing_entry._bounded_handler import BodyLimits, BoundedHandler
 from lagoonwing_entry._bounded_server import BoundedHTTPServer, bounded_server
 from lagoonwing_entry.const import MAX_KEY_BYTES
 from lagoonwing_entry.models import AnnounceServerSettings
 from lagoonwing_entry.ports import MembershipPort
+from lagoonwing_http import BodyBudget
 
 _BEARER = "Bearer "
 _MAX_ID_CHARACTERS = 128
--- a/packages/entry/src/lagoonwing_entry/_bounded_handler.py
+++ b/packages/entry/src/lagoonwing_entry/_bounded_handler.py
@@ -25,30 +25,13 @@
     STATUS_BY_CODE,
 )
 from lagoonwing_entry.models import RequestResult
+from lagoonwing_http import BodyBudget
 
 # Bytes over the limit are read and discarded, so that clients which read no response before they
 # have sent the full body still receive the refusal. The body timeout bounds how long this takes.
 _MAX_DISCARDED_BYTES = 1 << 40
 
 
-class BodyBudget:
-    """Limit on the total bytes of request bodies buffered until their responses are sent."""
-
-    def __init__(self, max_bytes: int) -> None:
-        self._free_bytes = max_bytes
-
-    def try_reserve(self, count: int) -> bool:
-        """Reserve bytes; return whether enough were free."""
-        if count > self._free_bytes:
-            return False
-        self._free_bytes -= count
-        return True
-
-    def release(self, count: int) -> None:
-        """Release reserved bytes."""
-        self._free_bytes += count
-
-
 @dataclass(frozen=True, slots=True)
 class BodyLimits:
     """Limits of one request body and of all bodies in total."""
--- a/packages/entry/src/lagoonwing_entry/_caller_handlers.py
+++ b/packages/entry/src/lagoonwing_entry/_caller_handlers.py
@@ -18,7 +18,7 @@
 from lagoonwing_core.ids import RequestId
 from lagoonwing_core.models import EntityState, Member
 from lagoonwing_core.result_codes import Outcome, ResultCode
-from lagoonwing_entry._bounded_handler import BodyBudget, BodyLimits, BoundedHandler
+from lagoonwing_entry._bounded_handler import BodyLimits, BoundedHandler
 from lagoonwing_entry._directory import EndpointDirectory
 from lagoonwing_entry._host_readiness import HostReadiness
 from lagoonwing_entry._parsing import (
@@ -40,6 +40,7 @@
     ServiceCallRequest,
 )
 from lagoonwing_entry.ports import ControlPort
+from lagoonwing_http import BodyBudget
 from lagoonwing_policy.models import ModelWork, RequestProfile, ServiceWork
 
 _BEARER = "Bearer "
--- a/packages/entry/src/lagoonwing_entry/_entry_host.py
+++ b/packages/entry/src/lagoonwing_entry/_entry_host.py
@@ -12,7 +12,6 @@
 from lagoonwing_core.runtime import Component, Runtime
 from lagoonwing_entry._announce_server import AnnounceServer
 from lagoonwing_entry._attempts import AttemptRunner
-from lagoonwing_entry._bounded_handler import BodyBudget
 from lagoonwing_entry._caller_handlers import CallerContext
 from lagoonwing_entry._caller_server import CallerServer
 from lagoonwing_entry._capacity_sharing import CapacitySharing
@@ -30,6 +29,7 @@
 from lagoonwing_entry.faults import FaultHook, NoFaultHook
 from lagoonwing_entry.models import EntrySettings
 from lagoonwing_entry.ports import ControlPort, MembershipPort, SchedulerPort
+from lagoonwing_http import BodyBudget
 from lagoonwing_policy.sharing import SharingSystem
 from lagoonwing_wire import ChannelServer, Identity
 
--- a/packages/gateway/src/lagoonwing_gateway/_gateway.py
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -45,6 +45,7 @@
     DRAIN_IDLE_CLOSE_S,
     DRAIN_MARGIN_S,
     DRAIN_REJECT_LONG_S,
+    MAX_REQUEST_BODIES_BYTES,
     MAX_STARTUP_WAIT_S,
     STARTUP_HOLD_S,
     STARTUP_WAIT_SHARE,
@@ -53,6 +54,7 @@
 from lagoonwing_gateway.models import CallerRequest, GatewayRefusal, RequestContext
 from lagoonwing_gateway.ports import Dialect, Responder
 from lagoonwing_gateway.settings import GatewaySettings
+from lagoonwing_http import BodyBudget
 from lagoonwing_wire import Identity
 
 _PRUNE_INTERVAL_S = 1.0
@@ -64,6 +66,8 @@
     Attributes:
         follower: Local copy of the catalog.
         is_draining: Whether the process is shutting down.
+        body_budget: Limit on the bytes of all request bodies; those of a request that is served
+            are released when it ends.
     """
 
     name = "gateway"
@@ -77,6 +81,7 @@
         rng: random.Random,
     ) -> None:
         self.is_draining = False
+        self.body_budget = BodyBudget(MAX_REQUEST_BODIES_BYTES)
         self.metrics = GatewayMetrics()
         self._settings = settings
         self._clock = clock
@@ -224,10 +229,20 @@
             await self._async_answer(request, responder)
             await responder.async_wait_written()
         finally:
+            self.body_budget.release(len(request.body))
             self._active_requests -= 1
             if self._active_requests == 0:
                 self._idle.set()
 
+    @callback
+    def refuse_discarded(self, request: CallerRequest, responder: Responder) -> None:
+        """Refuse a request whose body was discarded, as the bodies of others take all memory."""
+        detail = "the bodies of other requests take all memory for them"
+        refusal = not_run_refusal(ResultCode.QUEUE_FULL, detail, self._rng)
+        self.metrics.request_ended(None, refusal, 0.0)
+        log_refusal(request.attempt_id, None, refusal, 0.0)
+        responder.refuse(request, refusal)
+
     async def _async_answer(self, request: CallerRequest, responder: Responder) -> None:
         """Answer one request of a caller."""
         route_id = None
--- a/packages/gateway/src/lagoonwing_gateway/const.py
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -129,6 +129,9 @@
 MAX_RESPONSE_BODY_BYTES = 16 * 1024 * 1024
 # Maximum size of one event of a stream.
 MAX_EVENT_BYTES = 256 * 1024
+# Bytes of request bodies that a gateway holds for all requests together; a process must stay within
+# the memory of a small host.
+MAX_REQUEST_BODIES_BYTES = 64 * 1024 * 1024
 # Maximum number of bytes buffered for a caller that reads slowly.
 MAX_CALLER_BUFFER_BYTES = 512 * 1024
 # Time after SIGTERM until idle connections are closed. By then the load balancer has stopped
--- a/packages/http/src/lagoonwing_http/__init__.py
+++ b/packages/http/src/lagoonwing_http/__init__.py
@@ -5,6 +5,7 @@
 from lagoonwing_http._client import ClientConnection, async_open_connection
 from lagoonwing_http._exchange import Exchange, ResponseHead, ResponseMatch, ResponseMatcher
 from lagoonwing_http._pool import ConnectionPool, PoolSettings
+from lagoonwing_http._request_body import BodyBudget, RequestBody
 from lagoonwing_http.errors import (
     AnswerBrokenError,
     AnswerTooLargeError,
@@ -15,12 +16,14 @@
 __all__ = [
     "AnswerBrokenError",
     "AnswerTooLargeError",
+    "BodyBudget",
     "ClientConnection",
     "ConnectError",
     "ConnectionPool",
     "Exchange",
     "ForeignAnswerError",
     "PoolSettings",
+    "RequestBody",
     "ResponseHead",
     "ResponseMatch",
     "ResponseMatcher",
--- a/packages/http/src/lagoonwing_http/_client.py
+++ b/packages/http/src/lagoonwing_http/_client.py
@@ -25,6 +25,7 @@
 from lagoonwing_http._exchange import Exchange, ResponseHead, ResponseMatch, ResponseMatcher
 from lagoonwing_http.const import (
     CONNECTION_READ_CHUNK_BYTES,
+    LARGE_BODY_BYTES,
     MAX_RESPONSE_HEADER_BYTES,
     MAX_STALE_BYTES,
     MAX_STALE_RESPONSES,
@@ -95,7 +96,11 @@
         self._stale_responses = self._stale_bytes = 0
         self.was_used = True
         headers["Content-Length"] = str(len(body))
-        written = self._http.write_headers(start_line, headers, body)
+        if len(body) > LARGE_BODY_BYTES:
+            self._http.write_headers(start_line, headers)
+            written = self._http.write(body)
+        else:
+            written = self._http.write_headers(start_line, headers, body)
         # The reader detects a broken stream; retrieving the exception avoids asyncio's warning.
         written.add_done_callback(lambda done: done.cancelled() or done.exception())
         self._http.finish()
--- /dev/null
+++ b/tests/platform/test_large_bodies.py
@@ -0,0 +1,102 @@
+"""Bursts of large request bodies stay within the memory that a gateway has for them."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from platform_deployment import Deployment
+
+from lagoonwing_fakes.platform import WorkHandler, make_caller_headers
+from lagoonwing_fakes.platform.const import ADDRESS
+from lagoonwing_http import BodyBudget
+
+BODY_BYTES = 256 * 1024
+BUDGET_BODIES = 5
+REQUESTS = 24
+WORK_S = 0.3
+
+
+class CountingBudget(BodyBudget):
+    """A budget that remembers how many bytes were held at most."""
+
+    def __init__(self, max_bytes: int) -> None:
+        super().__init__(max_bytes)
+        self.held = 0
+        self.max_held = 0
+
+    def try_reserve(self, count: int) -> bool:
+        """Reserve bytes; return whether enough were free."""
+        if not super().try_reserve(count):
+            return False
+        self.held += count
+        self.max_held = max(self.max_held, self.held)
+        return True
+
+    def release(self, count: int) -> None:
+        """Release reserved bytes."""
+        super().release(count)
+        self.held -= count
+
+
+@pytest.fixture
+async def budget(deployment: Deployment) -> CountingBudget:
+    """Start plain endpoints behind a gateway with a small budget."""
+    await deployment.async_set_document()
+    for number in range(3):
+        endpoint = await deployment.async_add_endpoint(f"p-{number}", "plain")
+        endpoint.handler_override = _async_work
+    deployment.gateway.body_budget = CountingBudget(BUDGET_BODIES * BODY_BYTES)
+    return deployment.gateway.body_budget
+
+
+async def _async_work(handler: WorkHandler) -> None:
+    """Take a while for a request."""
+    await asyncio.sleep(WORK_S)
+
+
+def _body(number: int) -> bytes:
+    """Return a body of its own."""
+    return f"{number:08d}".encode() * (BODY_BYTES // 8)
+
+
+# Guards against a burst of allowed bodies that takes the process over its memory.
+async def test_burst_of_bodies_stays_within_the_budget(
+    deployment: Deployment, budget: CountingBudget
+) -> None:
+    """What doesn't fit is refused with a time to come back; the others run with their own body."""
+    headers = [make_caller_headers("unsafe", f"a-{n}", 3_000) for n in range(REQUESTS)]
+    answers = await asyncio.gather(
+        *(
+            deployment.async_call(
+                deployment.caller_port, "/unsafe/x", "POST", _body(n), **headers[n]
+            )
+            for n in range(REQUESTS)
+        )
+    )
+    served = [n for n in range(REQUESTS) if answers[n].code == 200]
+    assert {answer.code for answer in answers} == {200, 503}
+    assert len(served) >= BUDGET_BODIES - 1
+    for number, answer in enumerate(answers):
+        if answer.code == 200:
+            assert answer.body == f"body of a-{number} ".encode() + _body(number)
+        else:
+            assert float(answer.headers["Retry-After"]) > 0
+    runs = [run for endpoint in deployment.endpoints for run in endpoint.executed_ids]
+    assert sorted(runs) == sorted(f"a-{number}" for number in served)
+    assert budget.max_held <= BUDGET_BODIES * BODY_BYTES
+    await deployment.async_wait_until(lambda: budget.held == 0)
+
+
+async def test_bytes_of_a_body_that_never_arrives_whole_are_released(
+    deployment: Deployment, budget: CountingBudget
+) -> None:
+    """A caller that leaves in the middle holds no memory."""
+    _, writer = await asyncio.open_connection(ADDRESS, deployment.caller_port)
+    headers = make_caller_headers("unsafe", "a-1", 3_000)
+    lines = ["POST /unsafe/x HTTP/1.1", *(f"{name}: {value}" for name, value in headers.items())]
+    head = "\r\n".join([*lines, f"Content-Length: {BODY_BYTES}", "", ""]).encode()
+    writer.write(head + bytes(BODY_BYTES // 2))
+    await deployment.async_wait_until(lambda: budget.held >= BODY_BYTES // 2)
+    writer.close()
+    await deployment.async_wait_until(lambda: budget.held == 0)
