At the end of a planned stop, requests that were just read get their refusal

Cause: at the end of the drain all connections were closed at once, also those whose request had been read in the same iteration of the event loop. Change: after the listener is closed, connections without a request are closed and the others get their answers, 0.2 s at most, within the margin of the grace.

--- a/packages/gateway/src/lagoonwing_gateway/_gateway.py
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
 import random
 from collections.abc import Callable
@@ -45,6 +46,7 @@
     DRAIN_IDLE_CLOSE_S,
     DRAIN_MARGIN_S,
     DRAIN_REJECT_LONG_S,
+    LAST_ANSWERS_S,
     MAX_REQUEST_BODIES_BYTES,
     MAX_STARTUP_WAIT_S,
     STARTUP_HOLD_S,
@@ -203,6 +205,15 @@
             seconds=loop.time() - drain_started_at,
         )
 
+    async def async_close_callers(self) -> None:
+        """Close connections without a request; let requests that were just read be answered."""
+        self._close_idle_callers()
+        # A request that was read in this iteration of the event loop becomes active in the next.
+        await asyncio.sleep(0)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LAST_ANSWERS_S):
+                await self._idle.wait()
+
     @callback
     def set_idle_close_callback(self, on_idle_close: Callable[[], None]) -> None:
         """Set the callback that closes idle caller connections while draining."""
--- a/packages/gateway/src/lagoonwing_gateway/const.py
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -141,6 +141,8 @@
 DRAIN_REJECT_LONG_S = 2.7
 # Margin reserved at the end of the grace period for a clean exit.
 DRAIN_MARGIN_S = 0.7
+# Part of that margin in which requests that were read last are answered.
+LAST_ANSWERS_S = 0.2
 # Smoothing factor of the exponential moving average of the slowdown.
 SLOWDOWN_SMOOTHING = 0.2
 MAX_SLOWDOWN = 12.0
