A caller that doesn't read its answer holds no bytes of its request's body

Change: the body is released, and let go of, once the request has been answered. The new test failed before (bytes still held after 15 s) and passes now.

--- a/packages/gateway/src/lagoonwing_gateway/_gateway.py
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -237,10 +237,14 @@
         self._active_requests += 1
         self._idle.clear()
         try:
-            await self._async_answer(request, responder)
+            try:
+                await self._async_answer(request, responder)
+            finally:
+                self.body_budget.release(len(request.body))
+            # A caller that reads slowly must not keep the body in memory.
+            del request
             await responder.async_wait_written()
         finally:
-            self.body_budget.release(len(request.body))
             self._active_requests -= 1
             if self._active_requests == 0:
                 self._idle.set()
--- a/tests/platform/test_large_bodies.py
+++ b/tests/platform/test_large_bodies.py
@@ -10,11 +10,14 @@
 from lagoonwing_fakes.platform import WorkHandler, make_caller_headers
 from lagoonwing_fakes.platform.const import ADDRESS
 from lagoonwing_http import BodyBudget
+from lagoonwing_platform.const import HEADER_SIGNATURE
 
 BODY_BYTES = 256 * 1024
 BUDGET_BODIES = 5
 REQUESTS = 24
 WORK_S = 0.3
+# More than the buffers of a connection take.
+LONG_ANSWER_BYTES = 12 * 1024 * 1024
 
 
 class CountingBudget(BodyBudget):
@@ -100,3 +103,27 @@
     await deployment.async_wait_until(lambda: budget.held >= BODY_BYTES // 2)
     writer.close()
     await deployment.async_wait_until(lambda: budget.held == 0)
+
+
+# Guards against callers that send bodies, read no answer, and so use up the budget for good.
+async def test_caller_that_reads_no_answer_holds_no_bytes_of_its_body(
+    deployment: Deployment, budget: CountingBudget
+) -> None:
+    """The bytes are released when the request has been answered, not when the answer was read."""
+
+    async def answer_at_length(handler: WorkHandler) -> None:
+        handler.set_header(HEADER_SIGNATURE, "stamp-long")
+        handler.finish(bytes(LONG_ANSWER_BYTES))
+
+    for endpoint in deployment.endpoints:
+        endpoint.handler_override = answer_at_length
+    _, writer = await asyncio.open_connection(ADDRESS, deployment.caller_port, limit=1_024)
+    headers = make_caller_headers("unsafe", "a-1", 3_000)
+    lines = ["POST /unsafe/x HTTP/1.1", *(f"{name}: {value}" for name, value in headers.items())]
+    head = "\r\n".join([*lines, f"Content-Length: {BODY_BYTES}", "", ""]).encode()
+    writer.write(head + bytes(BODY_BYTES))
+    await deployment.async_wait_until(lambda: budget.max_held == BODY_BYTES)
+    await deployment.async_wait_until(lambda: budget.held == 0)
+    assert deployment.gateway.active_requests == 1
+    writer.close()
+    await deployment.async_wait_until(lambda: deployment.gateway.active_requests == 0)
