A replica that waits to join tries the seeds that its settings name now

A registry replica that was started with seeds that have gone since asked only these to join, for good. Change: while it isn't a member it reads the seeds of its settings file anew, as gateways do, and links to them. The new test failed before (not a member after 15 s) and passes now, as do 22 others of replaced replicas, the log and the programs.

--- a/packages/lagoonwing/src/lagoonwing/_process.py
+++ b/packages/lagoonwing/src/lagoonwing/_process.py
@@ -91,4 +91,4 @@
         case Role.REGISTRY:
             from lagoonwing._registry_role import build_registry
 
-            return build_registry(settings, key)
+            return build_registry(settings, key, file)
--- a/packages/lagoonwing/src/lagoonwing/_registry_role.py
+++ b/packages/lagoonwing/src/lagoonwing/_registry_role.py
@@ -5,7 +5,9 @@
 from pathlib import Path
 
 from lagoonwing._addresses import seed_addresses, split_listen_address
+from lagoonwing._seeds import SeedReader
 from lagoonwing_catalog import CatalogStateMachine
+from lagoonwing_catalog.messages import ReplicaAddress
 from lagoonwing_consensus import CoreSettings
 from lagoonwing_core.clock import LoopClock
 from lagoonwing_core.diagnostics import MetricsServer
@@ -36,12 +38,13 @@
         """Return immediately: callers fail over to another replica."""
 
 
-def build_registry(settings: HostSettings, key: bytes) -> RegistryProcess:
+def build_registry(settings: HostSettings, key: bytes, file: str) -> RegistryProcess:
     """Return the process of one catalog replica.
 
     Args:
         settings: Validated settings with a `registry` section.
         key: Key shared by all processes.
+        file: Path of the settings file, whose seeds may change.
     """
     section = settings.registry
     assert section is not None
@@ -53,7 +56,7 @@
         identity, settings.peer_listen_address or settings.address, settings.peer_port
     )
     state_machine = CatalogStateMachine()
-    log = RaftLog(_log_settings(settings, section, host_id), state_machine, identity, server)
+    log = RaftLog(_log_settings(settings, section, host_id, file), state_machine, identity, server)
     registry = RegistryService(
         RegistrySettings(
             host_id=host_id,
@@ -81,18 +84,19 @@
     return RegistryProcess(runtime)
 
 
-def _log_settings(settings: HostSettings, section: RegistrySection, host_id: HostId) -> LogSettings:
-    """Return the settings of the replicated log; its initial hosts are the seeds."""
+def _log_settings(
+    settings: HostSettings, section: RegistrySection, host_id: HostId, file: str
+) -> LogSettings:
+    """Return the settings of the replicated log; its initial hosts are the seeds of the start."""
     # Settings validation rejects a registry without a data folder.
     assert settings.data_folder is not None
+    seeds = SeedReader(file, settings)
     own = ReplicaHost(host_id, settings.address, settings.peer_port, is_voter=True)
     return LogSettings(
         host_id=host_id,
         folder=Path(settings.data_folder) / LOG_FOLDER,
-        initial_hosts=tuple(
-            ReplicaHost(seed.host_id, seed.address, seed.port, is_voter=True)
-            for seed in seed_addresses(settings)
-        ),
+        initial_hosts=_replica_hosts(seed_addresses(settings)),
+        read_seeds=lambda: _replica_hosts(seeds.read()),
         joining_host=own,
         may_bootstrap=section.may_found,
         core=CoreSettings(
@@ -102,3 +106,10 @@
             voter_count=2 * section.tolerated_losses + 1,
         ),
     )
+
+
+def _replica_hosts(seeds: tuple[ReplicaAddress, ...]) -> tuple[ReplicaHost, ...]:
+    """Return seeds as hosts of the log; any of them may be a voter."""
+    return tuple(
+        ReplicaHost(seed.host_id, seed.address, seed.port, is_voter=True) for seed in seeds
+    )
--- a/packages/replication/src/lagoonwing_replication/_bootstrap.py
+++ b/packages/replication/src/lagoonwing_replication/_bootstrap.py
@@ -76,9 +76,11 @@
             await asyncio.sleep(BOOTSTRAP_INTERVAL_S)
 
     async def _async_bootstrap_or_join(self, peers: Peers, membership: MembershipState) -> None:
-        """Bootstrap a new log, or send a join request to every host."""
+        """Bootstrap a new log, or send a join request to every host, also to new seeds."""
         if self._may_bootstrap(membership) and await self._async_try_bootstrap(peers, membership):
             return
+        for seed in self._settings.read_seeds():
+            await peers.async_add(seed.host_id, seed.address, seed.port)
         request = JoinRequest(PACKET_VERSION, membership.identity.cluster_id, membership.replica)
         for host_id in peers.host_ids:
             peers.push(host_id, request)
--- a/packages/replication/src/lagoonwing_replication/settings.py
+++ b/packages/replication/src/lagoonwing_replication/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -35,6 +36,8 @@
         folder: Data folder, used by this replica only.
         initial_hosts: Initial hosts, the same on every host. A new log is bootstrapped once all of
             them are up, each with an empty folder; later they serve only as seeds to find the log.
+        read_seeds: Returns further hosts that may know the log; they may change while this host
+            waits to join.
         joining_host: This host, if it is not in `initial_hosts`; it can only join an existing log.
         may_bootstrap: Whether this host may bootstrap a new log.
         snapshot_entries: Number of applied entries between snapshots.
@@ -45,6 +48,7 @@
     host_id: HostId
     folder: Path
     initial_hosts: tuple[ReplicaHost, ...]
+    read_seeds: Callable[[], tuple[ReplicaHost, ...]] = tuple
     joining_host: ReplicaHost | None = None
     may_bootstrap: bool = True
     snapshot_entries: int = SNAPSHOT_ENTRIES
--- a/tests/registry/test_replaced_replicas.py
+++ b/tests/registry/test_replaced_replicas.py
@@ -74,3 +74,15 @@
             )
         finally:
             await follower.async_unload()
+
+
+# Guards against a replica that waits to join with seeds that are all gone, though its settings name
+# others meanwhile.
+async def test_joining_replica_finds_the_new_seeds(tmp_path: Path) -> None:
+    """It joins once the settings name a replica of the log."""
+    async with async_run_cluster(tmp_path) as cluster:
+        await cluster.nodes.pop().async_unload()
+        seeds: tuple[str, ...] = ()
+        await cluster.async_add(("127.0.8.250",), lambda: seeds)
+        seeds = (cluster.nodes[0].address,)
+        await async_wait_until(cluster.is_whole)
--- a/tests/support/registry_cluster.py
+++ b/tests/support/registry_cluster.py
@@ -32,7 +32,14 @@
 class RegistryNode:
     """One registry replica; its host is known by its address."""
 
-    def __init__(self, folder: Path, address: str, port: int, seeds: tuple[str, ...]) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        address: str,
+        port: int,
+        seeds: tuple[str, ...],
+        read_seeds: Callable[[], tuple[str, ...]] = tuple,
+    ) -> None:
         self.address = address
         self.port = port
         host_id = HostId(address)
@@ -42,7 +49,8 @@
         settings = LogSettings(
             host_id=host_id,
             folder=folder / address,
-            initial_hosts=tuple(ReplicaHost(HostId(seed), seed, port, True) for seed in seeds),
+            initial_hosts=_hosts(seeds, port),
+            read_seeds=lambda: _hosts(read_seeds(), port),
             joining_host=ReplicaHost(host_id, address, port, True),
             may_bootstrap=address in seeds,
             core=CoreSettings(
@@ -77,6 +85,11 @@
             await component.async_unload()
 
 
+def _hosts(addresses: tuple[str, ...], port: int) -> tuple[ReplicaHost, ...]:
+    """Return hosts of the log."""
+    return tuple(ReplicaHost(HostId(address), address, port, True) for address in addresses)
+
+
 class RegistryCluster:
     """Replicas of a registry that can be replaced.
 
@@ -102,13 +115,19 @@
     async def async_replace(self, number: int) -> RegistryNode:
         """Stop a replica for good; start an empty one at another address, and wait for it."""
         await self.nodes.pop(number).async_unload()
-        seeds = tuple(node.address for node in self.nodes)
+        node = await self.async_add(tuple(node.address for node in self.nodes))
+        await async_wait_until(self.is_whole)
+        return node
+
+    async def async_add(
+        self, seeds: tuple[str, ...], read_seeds: Callable[[], tuple[str, ...]] = tuple
+    ) -> RegistryNode:
+        """Start an empty replica at another address, with the seeds of its start and later ones."""
         self._started += 1
         address = f"127.0.8.{self._started}"
-        node = RegistryNode(self._folder, address, self._port, seeds)
+        node = RegistryNode(self._folder, address, self._port, seeds, read_seeds)
         await node.async_setup()
         self.nodes.append(node)
-        await async_wait_until(self._is_whole)
         return node
 
     async def async_put_document(self, version: int) -> None:
@@ -118,7 +137,7 @@
         result = await self.nodes[0].registry.async_put_document(document, source)
         assert result.is_ok()
 
-    def _is_whole(self) -> bool:
+    def is_whole(self) -> bool:
         """Return whether all running replicas vote, and no others, in the view of each."""
         addresses = {node.address for node in self.nodes}
         return all(
