--- a/tests/gateway/test_catalog_follower.py
+++ b/tests/gateway/test_catalog_follower.py
@@ -74,10 +74,6 @@
             task.cancel()
         await self._server.async_unload()
 
-    def is_subscribed_from(self, after: int) -> bool:
-        """Return whether a subscription from a revision has come."""
-        return any(message.after == after for _, message in self.subscribes)
-
     async def _async_on_call(self, channel: Channel[Any], message: Any) -> msgspec.Struct:
         """Answer a subscription, or keep silent."""
         assert isinstance(message, Subscribe)
--- a/tests/registry/test_replaced_replicas.py
+++ b/tests/registry/test_replaced_replicas.py
@@ -8,7 +8,7 @@
 
 from lagoonwing_gateway._follower import CatalogFollower
 
-# `config-apply-ms` of the deployments in force.
+# Time within which gateways have to apply what was committed.
 CONFIG_APPLY_S = 2.0
 
 
