--- a/soak/callers.py
+++ b/soak/callers.py
@@ -71,11 +71,8 @@
                 violations.append(
                     f"{attempt_id}: incomplete or wrong body, ends in {answer.body[-80:]!r}"
                 )
-        if (
-            answer.code in _NOT_EXECUTED_STATUSES
-            and self._context.requests.runs_by_id[attempt_id]
-            and kind == "unsafe"
-        ):
+        was_run = self._context.requests.runs_by_id[attempt_id] > 0
+        if answer.code in _NOT_EXECUTED_STATUSES and was_run:
             violations.append(f"{attempt_id}: response says not executed, but an endpoint ran it")
 
     def check_runs(self) -> None:
--- a/tests/platform/test_planned_stops.py
+++ b/tests/platform/test_planned_stops.py
@@ -39,6 +39,12 @@
         await deployment.async_add_endpoint(f"p-{number}", "plain")
 
 
+async def _async_answer_at_length(handler: WorkHandler) -> None:
+    """Answer with more than the buffers of a connection take."""
+    handler.set_header(HEADER_SIGNATURE, "stamp-large")
+    handler.finish(LARGE_BODY)
+
+
 async def _async_stop(deployment: Deployment) -> float:
     """Stop the gateway as its process does; return how long that took."""
     loop = asyncio.get_running_loop()
@@ -133,13 +139,8 @@
     """The stop waits for a caller that reads slowly, within the grace."""
     async with async_run_deployment(tmp_path / "log", drain_grace_s=GRACE_S) as deployment:
         await _async_start(deployment)
-
-        async def answer(handler: WorkHandler) -> None:
-            handler.set_header(HEADER_SIGNATURE, "stamp-large")
-            handler.finish(LARGE_BODY)
-
         for endpoint in deployment.endpoints:
-            endpoint.handler_override = answer
+            endpoint.handler_override = _async_answer_at_length
         with socket.socket() as sock:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, READ_BYTES)
             sock.setblocking(False)
@@ -163,13 +164,8 @@
     """The process ends in time."""
     async with async_run_deployment(tmp_path / "log", drain_grace_s=4.0) as deployment:
         await _async_start(deployment)
-
-        async def answer(handler: WorkHandler) -> None:
-            handler.set_header(HEADER_SIGNATURE, "stamp-large")
-            handler.finish(LARGE_BODY)
-
         for endpoint in deployment.endpoints:
-            endpoint.handler_override = answer
+            endpoint.handler_override = _async_answer_at_length
         _, writer = await asyncio.open_connection(ADDRESS, deployment.caller_port, limit=1_024)
         writer.write(_encode_request("safe", "a-1", 20_000))
         await deployment.async_wait_until(
--- a/tests/platform/test_second_answers.py
+++ b/tests/platform/test_second_answers.py
@@ -55,6 +55,7 @@
         is_late_when_idle: Whether it also comes while no request waits.
         runs: Ids of the requests that it ran.
         connections: Number of connections with a request so far.
+        writers: Open connections.
     """
 
     encode_stale: Encoder = _by_length
@@ -62,10 +63,12 @@
     is_late_when_idle: bool = False
     runs: list[str] = field(default_factory=list)
     connections: int = 0
+    writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
     async def async_serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection."""
         previous = ""
+        self.writers.add(writer)
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
@@ -82,6 +85,14 @@
                     await asyncio.sleep(0.05)
                     writer.write(self.encode_stale(previous))
         except (EOFError, ConnectionError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    def stop(self) -> None:
+        """Close all connections."""
+        for writer in list(self.writers):
             writer.close()
 
 
@@ -100,6 +111,8 @@
     await deployment.async_wait_until(lambda: "raw-1" in deployment.gateway.follower.endpoint_by_id)
     yield running
     server.close()
+    running.stop()
+    await server.wait_closed()
 
 
 # Guards against an answer that an endpoint had made and that is dropped, since an older one stood
