--- a/packages/entry/src/lagoonwing_entry/_dispatch.py
+++ b/packages/entry/src/lagoonwing_entry/_dispatch.py
@@ -79,6 +79,7 @@
                 self._headers(),
                 self._request.body,
                 partial(self._match_response, is_reused=connection.was_used),
+                self._request.dispatch_id.request_id,
             )
         except ConnectError as error:
             refusal = Refusal(ResultCode.ENDPOINT_LOST, str(error))
--- a/packages/gateway/src/lagoonwing_gateway/_endpoint_client.py
+++ b/packages/gateway/src/lagoonwing_gateway/_endpoint_client.py
@@ -87,6 +87,7 @@
             self._dialect.outgoing_headers(outgoing),
             request.body,
             match_response,
+            request.attempt_id,
         )
         return OpenExchange(connection, exchange, outgoing.endpoint, self._clock.now())
 
--- a/packages/gateway/src/lagoonwing_gateway/_gateway.py
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -94,7 +94,7 @@
         self.follower = CatalogFollower(
             settings, identity, clock, self._load_report, self._crash_tracker
         )
-        self._connection_pool = EndpointConnectionPool(clock)
+        self._connection_pool = EndpointConnectionPool(clock, self.metrics.unrequested_bytes)
         self._limits = LimitTracker(clock, lambda: self.follower.endpoint_by_id)
         limiter = EndpointLimiter(
             self._limits,
--- a/packages/gateway/src/lagoonwing_gateway/diagnostics.py
+++ b/packages/gateway/src/lagoonwing_gateway/diagnostics.py
@@ -5,6 +5,7 @@
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 
 from lagoonwing_gateway.models import GatewayRefusal
+from lagoonwing_http import UnrequestedBytes
 
 LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 6.0, 20.0)
 
@@ -30,6 +31,11 @@
             "Attempts at endpoints by how they ended.",
             registry=self.registry,
         )
+        self._unrequested_bytes = Counter(
+            "lagoonwing_gateway_unrequested_bytes_total",
+            "Arrivals of bytes from endpoints that no request asked for, by their moment.",
+            registry=self.registry,
+        )
         self._first_event = Histogram(
             "lagoonwing_gateway_first_event_seconds",
             "Time from a stream's arrival to its first event.",
@@ -52,6 +58,10 @@
         """Count a finished attempt at an endpoint."""
         self._attempts.inc({"outcome": outcome})
 
+    def unrequested_bytes(self, arrival: UnrequestedBytes) -> None:
+        """Count bytes from an endpoint that no request asked for."""
+        self._unrequested_bytes.inc({"moment": arrival.moment.value})
+
     def first_event(self, seconds: float) -> None:
         """Record the time to a stream's first event."""
         self._first_event.observe({}, seconds)
--- a/packages/http/src/lagoonwing_http/__init__.py
+++ b/packages/http/src/lagoonwing_http/__init__.py
@@ -6,6 +6,11 @@
 from lagoonwing_http._exchange import Exchange, ResponseHead, ResponseMatch, ResponseMatcher
 from lagoonwing_http._pool import ConnectionPool, PoolSettings
 from lagoonwing_http._request_body import BodyBudget, RequestBody
+from lagoonwing_http._unrequested_bytes import (
+    ArrivalMoment,
+    OnUnrequestedBytes,
+    UnrequestedBytes,
+)
 from lagoonwing_http.errors import (
     AnswerBrokenError,
     AnswerTooLargeError,
@@ -16,16 +21,19 @@
 __all__ = [
     "AnswerBrokenError",
     "AnswerTooLargeError",
+    "ArrivalMoment",
     "BodyBudget",
     "ClientConnection",
     "ConnectError",
     "ConnectionPool",
     "Exchange",
     "ForeignAnswerError",
+    "OnUnrequestedBytes",
     "PoolSettings",
     "RequestBody",
     "ResponseHead",
     "ResponseMatch",
     "ResponseMatcher",
+    "UnrequestedBytes",
     "async_open_connection",
 ]
--- a/packages/http/src/lagoonwing_http/_client.py
+++ b/packages/http/src/lagoonwing_http/_client.py
@@ -18,11 +18,18 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
+from tornado.iostream import StreamClosedError, UnsatisfiableReadError
 
 from lagoonwing_core.callback import callback
 from lagoonwing_core.events import EventCode, log_event
 from lagoonwing_http._exchange import Exchange, ResponseHead, ResponseMatch, ResponseMatcher
+from lagoonwing_http._unrequested_bytes import (
+    ArrivalObserver,
+    ObservedStream,
+    OnUnrequestedBytes,
+    UnrequestedBytes,
+    log_unrequested_bytes,
+)
 from lagoonwing_http.const import (
     CONNECTION_READ_CHUNK_BYTES,
     LARGE_BODY_BYTES,
@@ -44,13 +51,21 @@
     """
 
     def __init__(
-        self, stream: IOStream, peer: str, on_idle: Callable[[ClientConnection], None]
+        self,
+        stream: ObservedStream,
+        peer: str,
+        on_idle: Callable[[ClientConnection], None],
+        on_unrequested: OnUnrequestedBytes | None = None,
     ) -> None:
         self.idle_since = 0.0
         self.was_used = False
         self._stream = stream
         self._peer = peer
         self._on_idle = on_idle
+        self._on_unrequested = on_unrequested
+        self._request_id: str | None = None
+        self._observer = ArrivalObserver(peer, self._report_unrequested)
+        stream.on_bytes = self._observer.on_bytes
         self._exchange: Exchange | None = None
         self._keep_alive = True
         self._is_framed = True
@@ -77,6 +92,7 @@
         headers: HTTPHeaders,
         body: bytes,
         match_response: ResponseMatcher,
+        request_id: str | None = None,
     ) -> Exchange:
         """Write a request; after this call, bytes may have been sent.
 
@@ -85,6 +101,7 @@
             headers: Request headers without `Content-Length`.
             body: Complete request body.
             match_response: Returns whether response headers belong to this request.
+            request_id: Id that answers to the request repeat, for the log.
 
         Raises:
             ConnectError: The connection was already closed, so nothing was sent.
@@ -93,6 +110,8 @@
             raise ConnectError(f"{self._peer}: the connection had ended")
         exchange = Exchange(match_response)
         self._exchange = exchange
+        self._request_id = request_id
+        self._observer.on_request(request_id)
         self._stale_responses = self._stale_bytes = 0
         self.was_used = True
         headers["Content-Length"] = str(len(body))
@@ -118,7 +137,7 @@
     ) -> None:
         """Handle response headers; an unsolicited response closes the connection."""
         if self._exchange is None or self._exchange.finished:
-            log_event(EventCode.ANSWER_DISCARDED, peer=self._peer, reason="unsolicited")
+            self._log_discarded("unsolicited")
             self.close()
             return
         assert isinstance(start_line, ResponseStartLine)
@@ -173,6 +192,8 @@
                     self._is_stale = False
                     continue
                 self._exchange = None
+                self._request_id = None
+                self._observer.on_answer_end()
                 self._http = HTTP1Connection(self._stream, True, self._http_parameters)
                 self._on_idle(self)
         except (StreamClosedError, UnsatisfiableReadError):
@@ -187,15 +208,27 @@
             self._reject_response("too many earlier answers")
             return
         self._is_stale = True
-        log_event(EventCode.ANSWER_DISCARDED, peer=self._peer, reason="of an earlier attempt")
+        self._log_discarded("of an earlier attempt")
 
     def _reject_response(self, reason: str) -> None:
         """Fail the exchange because of a response that is not its own."""
-        log_event(EventCode.ANSWER_DISCARDED, peer=self._peer, reason=reason)
+        self._log_discarded(reason)
         if self._exchange is not None:
             self._exchange.on_mismatch()
         self.close()
 
+    def _log_discarded(self, reason: str) -> None:
+        """Log an answer that is not passed on."""
+        log_event(
+            EventCode.ANSWER_DISCARDED, peer=self._peer, reason=reason, request=self._request_id
+        )
+
+    def _report_unrequested(self, arrival: UnrequestedBytes) -> None:
+        """Log and count bytes that no request asked for."""
+        log_unrequested_bytes(arrival)
+        if self._on_unrequested is not None:
+            self._on_unrequested(arrival)
+
     def _fail_exchange(self) -> None:
         """Fail the exchange in progress."""
         if self._exchange is not None:
@@ -203,7 +236,11 @@
 
 
 async def async_open_connection(
-    address: str, port: int, timeout: float, on_idle: Callable[[ClientConnection], None]
+    address: str,
+    port: int,
+    timeout: float,
+    on_idle: Callable[[ClientConnection], None],
+    on_unrequested: OnUnrequestedBytes | None = None,
 ) -> ClientConnection:
     """Connect to an endpoint.
 
@@ -212,13 +249,14 @@
         port: TCP port.
         timeout: Connect timeout in seconds.
         on_idle: Called when a response is complete and the connection can be reused.
+        on_unrequested: Called when bytes arrive that no request asked for.
 
     Raises:
         ConnectError: The connection was refused or timed out.
     """
     family = socket.AF_INET6 if ":" in address else socket.AF_INET
     try:
-        stream = IOStream(socket.socket(family, socket.SOCK_STREAM))
+        stream = ObservedStream(socket.socket(family, socket.SOCK_STREAM))
     except OSError as error:
         raise ConnectError(str(error)) from error
     try:
@@ -233,4 +271,4 @@
     except asyncio.CancelledError:
         stream.close()
         raise
-    return ClientConnection(stream, f"{address}:{port}", on_idle)
+    return ClientConnection(stream, f"{address}:{port}", on_idle, on_unrequested)
--- a/packages/http/src/lagoonwing_http/_pool.py
+++ b/packages/http/src/lagoonwing_http/_pool.py
@@ -10,6 +10,7 @@
 from lagoonwing_core.callback import callback
 from lagoonwing_core.clock import Clock
 from lagoonwing_http._client import ClientConnection, async_open_connection
+from lagoonwing_http._unrequested_bytes import OnUnrequestedBytes
 
 KeyT = TypeVar("KeyT", bound=Hashable)
 
@@ -36,9 +37,22 @@
     was restarted or moved must not be reached through an old connection.
     """
 
-    def __init__(self, settings: PoolSettings, clock: Clock) -> None:
+    def __init__(
+        self,
+        settings: PoolSettings,
+        clock: Clock,
+        on_unrequested: OnUnrequestedBytes | None = None,
+    ) -> None:
+        """Create the pool.
+
+        Args:
+            settings: Limits of the pool.
+            clock: Time source.
+            on_unrequested: Called when bytes arrive that no request asked for.
+        """
         self._settings = settings
         self._clock = clock
+        self._on_unrequested = on_unrequested
         self._idle_by_key: dict[KeyT, list[ClientConnection]] = {}
         self._open: set[ClientConnection] = set()
 
@@ -67,7 +81,11 @@
                 return connection
             connection.close()
         connection = await async_open_connection(
-            address, port, self._settings.connect_timeout_s, partial(self._on_idle, key)
+            address,
+            port,
+            self._settings.connect_timeout_s,
+            partial(self._on_idle, key),
+            self._on_unrequested,
         )
         self._open.add(connection)
         return connection
--- a/packages/http/src/lagoonwing_http/const.py
+++ b/packages/http/src/lagoonwing_http/const.py
@@ -12,3 +12,5 @@
 # their bodies; an endpoint may send them without end.
 MAX_STALE_RESPONSES = 4
 MAX_STALE_BYTES = 256 * 1024
+# Of bytes that no request asked for, so many are shown in a log line.
+LOGGED_BYTES = 48
