--- a/packages/entry/src/lagoonwing_entry/_dispatch.py
+++ b/packages/entry/src/lagoonwing_entry/_dispatch.py
@@ -199,6 +199,8 @@
 
     def _match_response(self, headers: HTTPHeaders, *, is_reused: bool) -> ResponseMatch:
         """Return whether a response echoes the ids of this dispatch."""
+        if any(len(headers.get_list(name)) > 1 for name in (HEADER_REQUEST_ID, HEADER_ATTEMPT)):
+            return ResponseMatch.UNKNOWN
         request_id = headers.get(HEADER_REQUEST_ID)
         attempt = headers.get(HEADER_ATTEMPT)
         if not self._request.require_echo and request_id is None and attempt is None:
--- a/packages/http/src/lagoonwing_http/const.py
+++ b/packages/http/src/lagoonwing_http/const.py
@@ -14,3 +14,5 @@
 MAX_STALE_BYTES = 256 * 1024
 # Of bytes that no request asked for, so many are shown in a log line.
 LOGGED_BYTES = 48
+# Heads of interim (1xx) responses that are skipped before a response.
+MAX_INTERIM_RESPONSES = 4
