--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterator
 from types import FrameType
 
+from soak.faulty_answers import DEFAULT_ANSWER_FAULTS, AnswerFault
 from soak.models import Scenario
 from soak.run import run_seed
 
@@ -35,9 +36,15 @@
         "--scenario",
         default=Scenario.NONE.value,
         choices=[scenario.value for scenario in Scenario],
-        help="what happens after recovery",
+        help="what happens after recovery; faulty_answers: without other faults",
+    )
+    parser.add_argument(
+        "--answer-faults",
+        default=",".join(fault.value for fault in DEFAULT_ANSWER_FAULTS),
+        help="comma-separated faults of faulty_answers; default: all but cut_filled",
     )
     arguments = parser.parse_args()
+    answer_faults = [AnswerFault(value) for value in arguments.answer_faults.split(",") if value]
     # The HTTP client library logs every connection that an injected fault closes.
     logging.getLogger("tornado").setLevel(logging.CRITICAL)
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
@@ -45,12 +52,14 @@
     signal.signal(signal.SIGTERM, _interrupt)
     failed = 0
     for seed in _seeds(arguments.seeds, arguments.minutes):
-        outcome = run_seed(seed, arguments.seconds, Scenario(arguments.scenario))
+        outcome = run_seed(seed, arguments.seconds, Scenario(arguments.scenario), answer_faults)
         print(
             f"seed {seed}: {outcome.served} of {outcome.sent} served, "
             f"{len(outcome.faults)} faults, {len(outcome.violations)} violations",
             flush=True,
         )
+        for kind, count in sorted(outcome.count_by_kind.items()):
+            print(f"  {count} x {kind}", flush=True)
         for text in outcome.violations[:10]:
             print(f"  {text}", flush=True)
         if outcome.violations:
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -6,7 +6,7 @@
 import random
 import socket
 from collections import Counter
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
@@ -26,6 +26,7 @@
 )
 from soak.const import EVENT_PAUSE_S, EVENTS, MAX_RESTART_S, MIN_RESTART_S
 from soak.crashing_part import CRASHING_PART, HEADER_PROMPT_PARTS, CrashingPartRecord
+from soak.faulty_connections import FaultyConnection, ReceivedRequest
 from soak.second_answers import AnswerRecords, SecondAnswers
 
 
@@ -72,6 +73,7 @@
         is_up: Whether it is running; if not, the next incarnation starts soon.
         request_limit: Requests per second that it names as its limit, if any.
         answers_twice: Whether it repeats some answers later; not for streams.
+        make_faulty_connection: Returns what answers calls on a new connection, if set.
     """
 
     def __init__(
@@ -84,6 +86,8 @@
         self.fault = LinkFault.NONE
         self.request_limit: float | None = None
         self.answers_twice = False
+        self.make_faulty_connection: Callable[[asyncio.StreamWriter], FaultyConnection] | None
+        self.make_faulty_connection = None
         self.is_engine = service == "engines"
         self.layers: tuple[int, int] | None = None
         self.sequence = 0
@@ -218,6 +222,7 @@
         """Serve one connection."""
         self._writers.add(writer)
         second_answers = SecondAnswers(self._rng, writer)
+        faulty = self.make_faulty_connection and self.make_faulty_connection(writer)
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
@@ -226,6 +231,9 @@
                 headers = {name.lower(): value for name, value in headers.items()}
                 body = await reader.readexactly(int(headers.get("content-length", "0")))
                 await self._is_running.wait()
+                if faulty is not None:
+                    await self._async_respond_faultily(lines[0], headers, body, faulty)
+                    continue
                 if self.answers_twice and HEADER_ATTEMPT_ID.lower() in headers:
                     await self._async_respond_twice(headers, second_answers)
                     continue
@@ -290,6 +298,15 @@
         body = f"done {attempt_id}".encode()
         second_answers.write(_encode(status, {**echo, HEADER_SIGNATURE: signature}, body))
 
+    async def _async_respond_faultily(
+        self, request_line: str, headers: dict[str, str], body: bytes, faulty: FaultyConnection
+    ) -> None:
+        """Respond to a call on a connection with faulty answers."""
+        method, path, _ = request_line.split()
+        request = ReceivedRequest(headers[HEADER_ATTEMPT_ID.lower()], method, path, body)
+        expected_id = headers.get(HEADER_EXPECTED_ENDPOINT.lower(), self.endpoint_id)
+        await faulty.async_respond(request, is_misdirected=expected_id != self.endpoint_id)
+
     async def _async_apply_fault(self, writer: asyncio.StreamWriter) -> None:
         """Apply the current link fault before the request runs."""
         match self.fault:
--- a/soak/models.py
+++ b/soak/models.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -20,6 +21,7 @@
     CRASHING_PART = "crashing_part"
     LIMITS = "limits"
     SECOND_ANSWERS = "second_answers"
+    FAULTY_ANSWERS = "faulty_answers"
 
 
 @dataclass
@@ -29,6 +31,7 @@
     Attributes:
         violations: Descriptions of violated guarantees.
         faults: Injected faults in order, with their times, for debugging.
+        count_by_kind: Number of violations of each kind, where a scenario tells kinds apart.
     """
 
     seed: int
@@ -37,6 +40,7 @@
     served_after_recovery: int = 0
     violations: list[str] = field(default_factory=list)
     faults: list[str] = field(default_factory=list)
+    count_by_kind: Counter[str] = field(default_factory=Counter)
 
     def record_fault(self, text: str) -> None:
         """Record an injected fault with the time."""
--- a/soak/operators.py
+++ b/soak/operators.py
@@ -61,13 +61,14 @@
                 return int(msgspec.json.decode(answer.body)["version"])
         return None
 
-    async def async_announce_periodically(self) -> None:
-        """Announce every endpoint periodically; one endpoint starts to drain at random."""
+    async def async_announce_periodically(self, *, may_drain: bool = True) -> None:
+        """Announce every endpoint periodically; one endpoint may start to drain at random."""
         while True:
             for endpoint in self._context.endpoints:
                 if endpoint.is_up and endpoint.endpoint_id not in self._context.drained_at_by_id:
                     await self.async_announce(endpoint, "ready")
-            if self._context.rng.random() < 0.05 and not self._context.drained_at_by_id:
+            drains_now = may_drain and self._context.rng.random() < 0.05
+            if drains_now and not self._context.drained_at_by_id:
                 await self._async_drain(self._context.endpoints[0])
             await asyncio.sleep(ANNOUNCE_INTERVAL_S)
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -7,6 +7,7 @@
 import signal
 import tempfile
 from collections import defaultdict
+from collections.abc import Collection
 from pathlib import Path
 
 from lagoonwing_fakes.platform import make_processes
@@ -25,6 +26,8 @@
 )
 from soak.endpoints import SoakEndpoint
 from soak.faults import Faults
+from soak.faulty_answers import DEFAULT_ANSWER_FAULTS, AnswerFault
+from soak.faulty_callers import FAULTY_ENDPOINTS, FaultyAnswersPlay
 from soak.kept_callers import KEPT_CALLERS, KeptCaller
 from soak.models import Outcome, Scenario, SoakContext
 from soak.named_limits import LIMIT, LIMITS_S, limit_violations
@@ -37,7 +40,12 @@
     """Sets up, runs and checks one seed."""
 
     def __init__(
-        self, seed: int, seconds: float, folder: Path, scenario: Scenario = Scenario.NONE
+        self,
+        seed: int,
+        seconds: float,
+        folder: Path,
+        scenario: Scenario = Scenario.NONE,
+        answer_faults: Collection[AnswerFault] = DEFAULT_ANSWER_FAULTS,
     ) -> None:
         rng = random.Random(seed)
         processes = make_processes(
@@ -45,6 +53,7 @@
         )
         self._seconds = seconds
         self._scenario = scenario
+        self._answer_faults = answer_faults
         self.context = SoakContext(rng, Outcome(seed), processes)
         self.context.proxies = [
             Proxy(item.address, item.listen_address, PEER_PORT, rng)
@@ -57,6 +66,8 @@
 
     async def async_run(self) -> Outcome:
         """Run load and faults, wait for recovery and check the guarantees."""
+        if self._scenario is Scenario.FAULTY_ANSWERS:
+            return await self._async_run_faulty_answers()
         loop = asyncio.get_running_loop()
         try:
             await self.async_start()
@@ -80,11 +91,24 @@
         self._callers.check_runs()
         return self.context.outcome
 
-    async def async_start(self) -> None:
+    async def _async_run_faulty_answers(self) -> Outcome:
+        """Run callers of endpoints with faulty answers and check the guarantees."""
+        try:
+            await self.async_start(FAULTY_ENDPOINTS, engines=0)
+            play = FaultyAnswersPlay(self.context, self._answer_faults)
+            announcements = self.operators.async_announce_periodically(may_drain=False)
+            self._tasks = [asyncio.ensure_future(announcements)]
+            await play.async_run(self._seconds)
+        finally:
+            await self.async_stop()
+        play.check_runs()
+        return self.context.outcome
+
+    async def async_start(self, plain: int = ENDPOINTS, engines: int = ENGINES) -> None:
         """Start endpoints, proxies and processes; wait until a document is accepted."""
         context = self.context
-        for number in range(ENDPOINTS + ENGINES):
-            service = "plain" if number < ENDPOINTS else "engines"
+        for number in range(plain + engines):
+            service = "plain" if number < plain else "engines"
             endpoint = SoakEndpoint(f"e-{number}", service, context.requests, context.rng)
             await endpoint.async_setup()
             context.endpoints.append(endpoint)
@@ -196,10 +220,13 @@
             await endpoint.async_unload()
 
 
-def run_seed(seed: int, seconds: float, scenario: Scenario) -> Outcome:
+def run_seed(
+    seed: int, seconds: float, scenario: Scenario, answer_faults: Collection[AnswerFault]
+) -> Outcome:
     """Run one seed in its own temporary folder and add the folder name to any violations."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    outcome = asyncio.run(SoakRun(seed, seconds, folder, scenario).async_run())
+    run = SoakRun(seed, seconds, folder, scenario, answer_faults)
+    outcome = asyncio.run(run.async_run())
     if outcome.violations:
         outcome.violations.insert(0, f"logs: {folder.name}")
     return outcome
--- a/soak/second_answers.py
+++ b/soak/second_answers.py
@@ -18,10 +18,16 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerRecord:
-    """What an endpoint answered to one request."""
+    """What an endpoint answered to one request.
+
+    Attributes:
+        body: The whole body.
+    """
 
     attempt_id: str
     status: int
+    endpoint_id: str
+    body: bytes
 
 
 @dataclass
@@ -34,10 +40,10 @@
 
     by_signature: dict[str, AnswerRecord] = field(default_factory=dict)
 
-    def sign(self, endpoint_id: str, attempt_id: str, status: int) -> str:
+    def sign(self, endpoint_id: str, attempt_id: str, status: int, body: bytes = b"") -> str:
         """Record an answer and return its signature."""
         signature = f"signed-{endpoint_id}-{len(self.by_signature)}"
-        self.by_signature[signature] = AnswerRecord(attempt_id, status)
+        self.by_signature[signature] = AnswerRecord(attempt_id, status, endpoint_id, body)
         return signature
 
     def find_violation(self, attempt_id: str, status: int, signature: str | None) -> str | None:
@@ -45,7 +51,7 @@
         if signature is None:
             return None
         record = self.by_signature.get(signature)
-        if record == AnswerRecord(attempt_id, status):
+        if record is not None and (record.attempt_id, record.status) == (attempt_id, status):
             return None
         return f"{attempt_id}: got {status} with signature {signature} of {record}"
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,6 +16,9 @@
 PAUSE_SEEDS = (1, 2)
 LIMIT_SEEDS = (1, 2)
 SECOND_ANSWER_SEEDS = (11,)
+FAULTY_ANSWERS_S = 10.0
+# An odd seed stops no gateway, an even one does.
+FAULTY_ANSWER_SEEDS = (1, 2)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -50,3 +53,11 @@
     """Callers get their own answers, and none is told that its request has not run if it has."""
     outcome = asyncio.run(SoakRun(seed, 1.0, tmp_path, Scenario.SECOND_ANSWERS).async_run())
     assert outcome.violations == [], outcome.faults
+
+
+@pytest.mark.parametrize("seed", FAULTY_ANSWER_SEEDS)
+def test_cut_answers_are_not_joined_with_those_of_other_requests(seed: int, tmp_path: Path) -> None:
+    """Callers get their own whole answers, whatever endpoints cut, garble, repeat or add."""
+    run = SoakRun(seed, FAULTY_ANSWERS_S, tmp_path, Scenario.FAULTY_ANSWERS)
+    outcome = asyncio.run(run.async_run())
+    assert outcome.violations == [], outcome.count_by_kind
