--- a/soak/faulty_connections.py
+++ b/soak/faulty_connections.py
@@ -122,7 +122,8 @@
                 self._is_cut = True
                 self._writer.write(before + self._faults.cut(own))
                 await asyncio.sleep(self._rng.choice((0.0, _MAX_WRITE_PAUSE_S)))
-                self._writer.write(self._faults.make_extra(AnswerFault.EXTRA_WHOLE, parts))
+                if framing is not Framing.CONNECTION_END:
+                    self._writer.write(self._faults.make_extra(AnswerFault.EXTRA_WHOLE, parts))
             case AnswerFault.GARBAGE:
                 self._is_cut = True
                 self._writer.write(self._faults.make_garbage())
@@ -134,6 +135,8 @@
                 self._writer.write(before + own)
         if framing is Framing.CONNECTION_END and not self._is_cut:
             self._end(must_reset=False)
+        self._writer.write(self._late)
+        self._late = b""
 
     async def _async_write_twice(self, answer: bytes) -> None:
         """Write an answer in two parts; nothing comes between them."""
@@ -141,8 +144,7 @@
         middle = self._rng.randrange(1, len(answer))
         self._writer.write(answer[:middle])
         await asyncio.sleep(self._rng.uniform(0.0, _MAX_WRITE_PAUSE_S))
-        self._writer.write(answer[middle:] + self._late)
-        self._late = b""
+        self._writer.write(answer[middle:])
         self._is_writing = False
 
     def _send_extra(self, parts: AnswerParts) -> None:
