--- a/packages/http/src/lagoonwing_http/_pool.py
+++ b/packages/http/src/lagoonwing_http/_pool.py
@@ -10,7 +10,8 @@
 from lagoonwing_core.callback import callback
 from lagoonwing_core.clock import Clock
 from lagoonwing_http._client import ClientConnection, async_open_connection
-from lagoonwing_http._unrequested_bytes import OnUnrequestedBytes
+from lagoonwing_http._unrequested_bytes import OnUnrequestedBytes, UnrequestedBytes
+from lagoonwing_http.const import UNREQUESTED_BYTES_MEMORY_S
 
 KeyT = TypeVar("KeyT", bound=Hashable)
 
@@ -35,6 +36,9 @@
 
     The key should include the incarnation and the address of an endpoint, because an endpoint that
     was restarted or moved must not be reached through an old connection.
+
+    For a while, an endpoint that sent bytes that no request asked for gets a new connection for
+    each request, as no earlier answer can stand in front of the due one there.
     """
 
     def __init__(
@@ -55,6 +59,7 @@
         self._on_unrequested = on_unrequested
         self._idle_by_key: dict[KeyT, list[ClientConnection]] = {}
         self._open: set[ClientConnection] = set()
+        self._unreliable_until_by_key: dict[KeyT, float] = {}
 
     async def async_acquire(
         self, key: KeyT, address: str, port: int, fresh: bool
@@ -85,7 +90,7 @@
             port,
             self._settings.connect_timeout_s,
             partial(self._on_idle, key),
-            self._on_unrequested,
+            partial(self._on_unrequested_bytes, key),
         )
         self._open.add(connection)
         return connection
@@ -93,7 +98,11 @@
     @callback
     def prune(self) -> None:
         """Close connections that have exceeded the idle timeout."""
-        oldest_allowed = self._clock.now() - self._settings.idle_timeout_s
+        now = self._clock.now()
+        oldest_allowed = now - self._settings.idle_timeout_s
+        for key, until in list(self._unreliable_until_by_key.items()):
+            if until <= now:
+                del self._unreliable_until_by_key[key]
         for key, idle in list(self._idle_by_key.items()):
             for connection in idle:
                 if connection.idle_since < oldest_allowed:
@@ -117,8 +126,21 @@
     def _on_idle(self, key: KeyT, connection: ClientConnection) -> None:
         """Return a connection to the pool once its response is complete."""
         idle = self._idle_by_key.setdefault(key, [])
-        if len(idle) >= self._settings.max_idle:
+        if len(idle) >= self._settings.max_idle or self._is_unreliable(key):
             connection.close()
             return
         connection.idle_since = self._clock.now()
         idle.append(connection)
+
+    @callback
+    def _on_unrequested_bytes(self, key: KeyT, arrival: UnrequestedBytes) -> None:
+        """Handle bytes that no request asked for; no connection to the endpoint is kept."""
+        self._unreliable_until_by_key[key] = self._clock.now() + UNREQUESTED_BYTES_MEMORY_S
+        for connection in self._idle_by_key.pop(key, []):
+            connection.close()
+        if self._on_unrequested is not None:
+            self._on_unrequested(arrival)
+
+    def _is_unreliable(self, key: KeyT) -> bool:
+        """Return whether an endpoint has lately sent bytes that no request asked for."""
+        return self._clock.now() < self._unreliable_until_by_key.get(key, 0.0)
--- a/packages/http/src/lagoonwing_http/const.py
+++ b/packages/http/src/lagoonwing_http/const.py
@@ -16,3 +16,6 @@
 LOGGED_BYTES = 48
 # Heads of interim (1xx) responses that are skipped before a response.
 MAX_INTERIM_RESPONSES = 4
+# Time for which an endpoint gets a new connection for each request after it sent bytes that no
+# request asked for.
+UNREQUESTED_BYTES_MEMORY_S = 30.0
