--- a/packages/http/src/lagoonwing_http/_client.py
+++ b/packages/http/src/lagoonwing_http/_client.py
@@ -13,11 +13,12 @@
 from collections.abc import Callable
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import StreamClosedError
 
 from lagoonwing_core.callback import callback
 from lagoonwing_core.events import EventCode, log_event
 from lagoonwing_http._answer_reader import AnswerReader
+from lagoonwing_http._endpoint_stream import EndpointStream
 from lagoonwing_http._exchange import Exchange, ResponseMatcher
 from lagoonwing_http._unrequested_bytes import (
     ArrivalMoment,
@@ -38,7 +39,7 @@
 
     def __init__(
         self,
-        stream: IOStream,
+        stream: EndpointStream,
         peer: str,
         on_idle: Callable[[ClientConnection], None],
         on_unrequested: OnUnrequestedBytes | None = None,
@@ -52,6 +53,7 @@
         self._reader: AnswerReader | None = None
         self._request_id: str | None = None
         self._first_bytes = b""
+        self._handled_bytes = 0
         self._is_paused = False
         self._reader_task = asyncio.get_running_loop().create_task(self._async_read())
 
@@ -60,6 +62,19 @@
         """Whether the connection is closed."""
         return self._stream.closed()
 
+    @callback
+    def check_idle(self) -> bool:
+        """Return whether an idle connection can be used; one on which bytes wait is closed."""
+        if self.closed or self._stream.received_bytes != self._handled_bytes:
+            return False
+        waiting = self._stream.peek()
+        if waiting is None:
+            return True
+        if waiting:
+            self._report_unrequested(ArrivalMoment.IDLE, len(waiting), waiting)
+        self.close()
+        return False
+
     @callback
     def send(
         self,
@@ -129,6 +144,7 @@
 
     def _on_bytes(self, data: bytes) -> asyncio.Future[None] | None:
         """Handle received bytes; a returned future pauses reading until it is done."""
+        self._handled_bytes += len(data)
         reader = self._reader
         if reader is None:
             self._log_discarded("unsolicited")
@@ -238,7 +254,7 @@
     """
     family = socket.AF_INET6 if ":" in address else socket.AF_INET
     try:
-        stream = IOStream(socket.socket(family, socket.SOCK_STREAM))
+        stream = EndpointStream(socket.socket(family, socket.SOCK_STREAM))
     except OSError as error:
         raise ConnectError(str(error)) from error
     try:
--- a/packages/http/src/lagoonwing_http/_pool.py
+++ b/packages/http/src/lagoonwing_http/_pool.py
@@ -82,9 +82,10 @@
             if connection.closed:
                 self._open.discard(connection)
                 continue
-            if connection.idle_since >= oldest_allowed:
+            if connection.idle_since < oldest_allowed:
+                connection.close()
+            elif connection.check_idle():
                 return connection
-            connection.close()
         connection = await async_open_connection(
             address,
             port,
--- a/tests/http/test_unreliable_endpoints.py
+++ b/tests/http/test_unreliable_endpoints.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import time
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from functools import partial
@@ -107,3 +109,32 @@
     for number in range(4, 7):
         assert await endpoint.async_request(f"a-{number}") == 200
     assert len(endpoint.writers) == 6
+
+
+@pytest.mark.parametrize("late_bytes", [b"H", b""])
+async def test_request_is_not_sent_where_bytes_or_an_end_wait_unread(
+    endpoint: StutteringEndpoint, late_bytes: bytes
+) -> None:
+    """What came since the event loop last ran is found when a connection is taken."""
+    assert await endpoint.async_request("a-0") == 200
+    raw_socket = endpoint.writers[0].get_extra_info("socket")
+    with raw_socket.dup() as duplicate:
+        if late_bytes:
+            duplicate.sendall(late_bytes)
+        else:
+            duplicate.shutdown(socket.SHUT_WR)
+        # The event loop doesn't run in between.
+        time.sleep(SETTLE_S)  # noqa: ASYNC251
+        connection = await endpoint.async_acquire()
+    assert not connection.was_used
+
+
+async def test_request_is_not_sent_where_read_bytes_are_not_handled_yet(
+    endpoint: StutteringEndpoint,
+) -> None:
+    """Bytes between the socket and the reader count as waiting."""
+    assert await endpoint.async_request("a-0") == 200
+    connection = await endpoint.async_acquire()
+    assert connection.check_idle()
+    connection._stream.received_bytes += 1
+    assert not connection.check_idle()
