--- a/packages/http/src/lagoonwing_http/_answer_reader.py
+++ b/packages/http/src/lagoonwing_http/_answer_reader.py
@@ -5,13 +5,11 @@
 import asyncio
 
 from lagoonwing_core.callback import callback
+from lagoonwing_http._embedded_answer import EmbeddedAnswerFinder
 from lagoonwing_http._exchange import Exchange, ResponseHead, ResponseMatch
 from lagoonwing_http._response_parser import STATUS_LINE, ParsedHead, ResponseParser
-from lagoonwing_http.const import MAX_STALE_BYTES, MAX_STALE_RESPONSES
-from lagoonwing_http.errors import ForeignAnswerError
-
-# A status line that is cut by the end of a read may begin in so many bytes before it.
-_STATUS_LINE_BYTES = 16
+from lagoonwing_http.const import MAX_STALE_BYTES, MAX_STALE_RESPONSES, MAX_STATUS_LINE_START_BYTES
+from lagoonwing_http.errors import AnswerBrokenError, ForeignAnswerError
 
 
 class AnswerReader:
@@ -23,12 +21,20 @@
         received_bytes: Number of bytes so far.
     """
 
-    def __init__(self, exchange: Exchange, method: str) -> None:
+    def __init__(self, exchange: Exchange, method: str, request_ids: frozenset[str]) -> None:
+        """Create the reader.
+
+        Args:
+            exchange: The exchange whose answer is due.
+            method: Method of its request.
+            request_ids: Ids of its request and of earlier ones on the connection.
+        """
         self.exchange = exchange
         self.stale_responses = 0
         self.received_bytes = 0
         self._method = method
         self._parser = ResponseParser(method)
+        self._embedded_answer = EmbeddedAnswerFinder(request_ids)
         self._match: ResponseMatch | None = None
         self._stale_bytes = 0
         self._stale_tail = b""
@@ -58,7 +64,8 @@
         """Handle received bytes; a returned future pauses reading until it is done.
 
         Raises:
-            AnswerBrokenError: The bytes are not a sequence of answers.
+            AnswerBrokenError: The bytes are not a sequence of answers, or one begins in the body of
+                another.
             ForeignAnswerError: An answer is not of this request.
         """
         self.received_bytes += len(data)
@@ -108,7 +115,7 @@
         window = self._stale_tail + raw_body
         if STATUS_LINE.search(window):
             raise ForeignAnswerError("another answer begins inside an earlier answer")
-        self._stale_tail = window[-_STATUS_LINE_BYTES:]
+        self._stale_tail = window[-MAX_STATUS_LINE_START_BYTES:]
 
     def _next_answer(self) -> None:
         """Go on with the answer behind an earlier one."""
@@ -120,7 +127,9 @@
             self._parser.feed(remainder)
 
     def _pass_on(self) -> asyncio.Future[None] | None:
-        """Pass on a part of the due answer."""
+        """Pass on a part of the due answer, unless another one begins in it."""
+        if self._embedded_answer.feed(self._parser.raw_body, self._parser.remainder):
+            raise AnswerBrokenError("another answer begins inside the answer")
         pause = self.exchange.on_data(self._parser.body) if self._parser.body else None
         if self._parser.is_complete:
             self.exchange.on_finish()
--- a/packages/http/src/lagoonwing_http/_client.py
+++ b/packages/http/src/lagoonwing_http/_client.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import socket
+from collections import deque
 from collections.abc import Callable
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
@@ -26,7 +27,12 @@
     UnrequestedBytes,
     log_unrequested_bytes,
 )
-from lagoonwing_http.const import CONNECTION_READ_CHUNK_BYTES, LARGE_BODY_BYTES, LOGGED_BYTES
+from lagoonwing_http.const import (
+    CONNECTION_READ_CHUNK_BYTES,
+    LARGE_BODY_BYTES,
+    LOGGED_BYTES,
+    MAX_EARLIER_REQUESTS,
+)
 from lagoonwing_http.errors import AnswerBrokenError, ConnectError, ForeignAnswerError
 
 
@@ -52,6 +58,7 @@
         self._on_unrequested = on_unrequested
         self._reader: AnswerReader | None = None
         self._request_id: str | None = None
+        self._request_ids: deque[str] = deque(maxlen=MAX_EARLIER_REQUESTS + 1)
         self._first_bytes = b""
         self._handled_bytes = 0
         self._is_paused = False
@@ -91,7 +98,7 @@
             headers: Request headers without `Content-Length`.
             body: Complete request body.
             match_response: Returns whether response headers belong to this request.
-            request_id: Id that answers to the request repeat, for the log.
+            request_id: Id that answers to the request repeat, if they do.
 
         Raises:
             ConnectError: The connection was already closed, so nothing was sent.
@@ -101,7 +108,9 @@
         headers["Content-Length"] = str(len(body))
         head = _encode_head(start_line, headers)
         exchange = Exchange(match_response)
-        self._reader = AnswerReader(exchange, start_line.method)
+        if request_id:
+            self._request_ids.append(request_id)
+        self._reader = AnswerReader(exchange, start_line.method, frozenset(self._request_ids))
         self._request_id = request_id
         self._first_bytes = b""
         self.was_used = True
--- a/packages/http/src/lagoonwing_http/_response_parser.py
+++ b/packages/http/src/lagoonwing_http/_response_parser.py
@@ -8,7 +8,11 @@
 import h11
 from tornado.httputil import HTTPHeaders, HTTPInputError
 
-from lagoonwing_http.const import MAX_INTERIM_RESPONSES, MAX_RESPONSE_HEADER_BYTES
+from lagoonwing_http.const import (
+    MAX_DETAIL_CHARACTERS,
+    MAX_INTERIM_RESPONSES,
+    MAX_RESPONSE_HEADER_BYTES,
+)
 from lagoonwing_http.errors import AnswerBrokenError, ForeignAnswerError
 
 STATUS_LINE = re.compile(rb"HTTP/1\.[0-9][ \t]+[0-9]{3}")
@@ -79,7 +83,8 @@
         except (h11.ProtocolError, HTTPInputError) as error:
             if self.head is None:
                 self._check_head(bytes(self._raw_head))
-            raise AnswerBrokenError(f"the answer is malformed: {error}") from error
+            detail = str(error)[:MAX_DETAIL_CHARACTERS]
+            raise AnswerBrokenError(f"the answer is malformed: {detail}") from error
         if self.head is None:
             self._check_head(bytes(self._raw_head))
         if self.is_complete:
--- a/packages/http/src/lagoonwing_http/const.py
+++ b/packages/http/src/lagoonwing_http/const.py
@@ -19,3 +19,9 @@
 # Time for which an endpoint gets a new connection for each request after it sent bytes that no
 # request asked for.
 UNREQUESTED_BYTES_MEMORY_S = 30.0
+# A status line that a read has cut begins in so many bytes before the end of the read.
+MAX_STATUS_LINE_START_BYTES = 16
+# Requests of a connection whose answers may still come when a later one is due.
+MAX_EARLIER_REQUESTS = 16
+# Of what is wrong with an answer; it may quote the answer.
+MAX_DETAIL_CHARACTERS = 120
--- a/tests/http/raw_endpoint.py
+++ b/tests/http/raw_endpoint.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -57,9 +58,10 @@
         return exchange
 
     async def async_write(self, data: bytes) -> None:
-        """Write bytes as the endpoint, and let the client read them."""
-        self.writer.write(data)
-        await self.writer.drain()
+        """Write bytes as the endpoint, and let the client read them, unless it has closed."""
+        with contextlib.suppress(ConnectionError):
+            self.writer.write(data)
+            await self.writer.drain()
         await asyncio.sleep(0.02)
 
 
