--- a/packages/http/src/lagoonwing_http/_pool.py
+++ b/packages/http/src/lagoonwing_http/_pool.py
@@ -37,8 +37,8 @@
     The key should include the incarnation and the address of an endpoint, because an endpoint that
     was restarted or moved must not be reached through an old connection.
 
-    An endpoint that sent bytes that no request asked for gets a new connection for each request, for
-    a while, as no earlier answer can stand in front of the due one there.
+    For a while, an endpoint that sent bytes that no request asked for gets a new connection for
+    each request, as no earlier answer can stand in front of the due one there.
     """
 
     def __init__(
@@ -82,9 +82,10 @@
             if connection.closed:
                 self._open.discard(connection)
                 continue
-            if connection.idle_since >= oldest_allowed:
+            if connection.idle_since < oldest_allowed:
+                connection.close()
+            elif connection.check_idle():
                 return connection
-            connection.close()
         connection = await async_open_connection(
             address,
             port,
