The bytes of an answer are released when its exchange ends

What callers saw: answers without end filled the gateway's memory far beyond what the answers in progress explain (3.8 GB where 20 calls of at most 16 MiB make 320 MB; users' findings).

Cause, shown by a run (scratch script, collection of garbage switched off, tracemalloc): four calls whose answers were cut at 16 MiB left 16.7, 33.2, 49.8 and 66.5 MB behind, one answer each; gc.collect() then released all but 1.5 MB. The referrers of a list of chunks were the frame of Exchange.async_read_body, held by the traceback of its AnswerTooLargeError. That exception is the result of the task `response`, which the frame of CallHandler._async_response refers to, and the traceback refers to that frame: a cycle. Collections are triggered by counts of containers, not by bytes, so a few hundred such answers may wait.

Why this works: the chunks of a body now belong to the exchange, which drops them when reading ends in any way, and all bytes when the attempt closes it; no frame keeps them, whatever an exception refers to. The cycle itself is broken too (`del response`). A reader of a released exchange gets AnswerBrokenError, so nothing that was dropped can look complete. A stream that leaves for another path only breaks its exchange off, as before; what had arrived is still relayed.

Evidence: test_bytes_of_a_failed_answer_are_released_when_it_ends, without collections: before, 34.9 MB (too large) and 16.9 MB (late) held after two answers each, bound 4 MiB; after, both pass.

--- a/packages/gateway/src/lagoonwing_gateway/_call_handler.py
+++ b/packages/gateway/src/lagoonwing_gateway/_call_handler.py
@@ -312,6 +312,8 @@
             return response.result()
         finally:
             response.cancel()
+            # Its exception refers to this frame, which would refer to it in turn.
+            del response
 
     async def _async_record_failure(
         self, context: RequestContext, record: EndpointRecord, error: BaseException
--- a/packages/gateway/src/lagoonwing_gateway/_endpoint_client.py
+++ b/packages/gateway/src/lagoonwing_gateway/_endpoint_client.py
@@ -44,8 +44,12 @@
     sent_at: float
 
     def close(self) -> None:
-        """Close the exchange; an endpoint that hasn't responded completely drops the request."""
-        self.exchange.cancel_idle_timer()
+        """Close the exchange and drop the bytes of its response."""
+        self.break_off()
+        self.exchange.release()
+
+    def break_off(self) -> None:
+        """Fail an unfinished exchange; the endpoint drops its request."""
         if not self.exchange.finished:
             self.connection.close()
 
--- a/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
@@ -173,7 +173,7 @@
         """
         if await self._failover.async_try_reserve((endpoint_id,)):
             self._down_ids.append(endpoint_id)
-            open_exchange.close()
+            open_exchange.break_off()
 
     @callback
     def _record_if_crash(
--- a/packages/http/src/lagoonwing_http/_exchange.py
+++ b/packages/http/src/lagoonwing_http/_exchange.py
@@ -54,7 +54,9 @@
         self.match_response = match_response
         self._head: asyncio.Future[ResponseHead] = asyncio.get_running_loop().create_future()
         self._chunks: deque[bytes] = deque()
+        self._body: list[bytes] = []
         self._buffered_bytes = 0
+        self._is_released = False
         self._data_ready: asyncio.Future[None] | None = None
         self._buffer_drained: asyncio.Future[None] | None = None
         self._finished = False
@@ -87,6 +89,8 @@
             TimeoutError: No data was received within the timeout.
         """
         while not self._chunks:
+            if self._is_released:
+                raise AnswerBrokenError("the answer was given up")
             if self._finished:
                 return None
             if self._broken:
@@ -97,8 +101,7 @@
         data = b"".join(self._chunks) if len(self._chunks) > 1 else self._chunks[0]
         self._chunks.clear()
         self._buffered_bytes = 0
-        if self._buffer_drained is not None and not self._buffer_drained.done():
-            self._buffer_drained.set_result(None)
+        self._resume_reading()
         return data
 
     async def async_read_body(self, timeout: float, max_bytes: int) -> bytes:
@@ -113,15 +116,29 @@
             AnswerTooLargeError: The body exceeds `max_bytes`; the caller must close the connection.
             TimeoutError: The body was not complete in time.
         """
-        chunks: list[bytes] = []
         size = 0
-        async with asyncio.timeout(timeout):
-            while (chunk := await self.async_read_chunk(timeout)) is not None:
-                size += len(chunk)
-                if size > max_bytes:
-                    raise AnswerTooLargeError(f"the answer exceeds {max_bytes} bytes")
-                chunks.append(chunk)
-        return b"".join(chunks)
+        try:
+            async with asyncio.timeout(timeout):
+                while (chunk := await self.async_read_chunk(timeout)) is not None:
+                    size += len(chunk)
+                    if size > max_bytes:
+                        raise AnswerTooLargeError(f"the answer exceeds {max_bytes} bytes")
+                    # Not in a local variable: the traceback of an exception would keep it alive.
+                    self._body.append(chunk)
+            return b"".join(self._body)
+        finally:
+            self._body.clear()
+
+    @callback
+    def release(self) -> None:
+        """Drop the bytes of the response, those that still arrive too; nothing more can be read."""
+        self._is_released = True
+        self.cancel_idle_timer()
+        self._chunks.clear()
+        self._body.clear()
+        self._buffered_bytes = 0
+        self._resume_reading()
+        self._wake()
 
     @callback
     def cancel_idle_timer(self) -> None:
@@ -139,6 +156,8 @@
     @callback
     def on_data(self, data: bytes) -> asyncio.Future[None] | None:
         """Buffer a chunk of the body; a returned future pauses reading until it is done."""
+        if self._is_released:
+            return None
         self._chunks.append(data)
         self._buffered_bytes += len(data)
         self._wake()
@@ -176,6 +195,11 @@
             self._head.exception()
         self._wake()
 
+    def _resume_reading(self) -> None:
+        """Let the connection read on, if it was paused."""
+        if self._buffer_drained is not None and not self._buffer_drained.done():
+            self._buffer_drained.set_result(None)
+
     def _arm_idle_timer(self, timeout: float) -> None:
         """Arm the idle timeout; the timer is reused, because each token is a separate wait."""
         loop = asyncio.get_running_loop()
--- a/tests/platform/test_endless_responses.py
+++ b/tests/platform/test_endless_responses.py
@@ -7,15 +7,19 @@
 from __future__ import annotations
 
 import asyncio
+import gc
+import tracemalloc
+from collections.abc import Iterator
 from typing import Any
 
+import pytest
 from platform_deployment import Deployment, async_start_engines
 from tornado.iostream import IOStream, StreamClosedError
 
 from lagoonwing_fakes.platform.const import EVENTS
 from lagoonwing_gateway.const import MAX_EVENT_BYTES, MAX_RESPONSE_BODY_BYTES
 from lagoonwing_http.const import MAX_RESPONSE_HEADER_BYTES
-from lagoonwing_platform.const import HEADER_SIGNATURE
+from lagoonwing_platform.const import HEADER_DEADLINE_MS, HEADER_SIGNATURE
 
 CHUNK = b"x" * 65536
 CHUNK_FRAME = b"%x\r\n%s\r\n" % (len(CHUNK), CHUNK)
@@ -126,3 +130,50 @@
         endpoint.handler_override = trickle
     response = await deployment.async_send_request("stream", "a-1")
     assert (response.code, response.body) == (200, COMPLETE_STREAM)
+
+
+@pytest.fixture
+def no_collection() -> Iterator[None]:
+    """Trace memory, and let no collection of garbage release it."""
+    gc.collect()
+    gc.disable()
+    tracemalloc.start()
+    yield
+    tracemalloc.stop()
+    gc.enable()
+
+
+# Guards against exceptions and their frames that keep the bytes of answers until a collection.
+@pytest.mark.parametrize(
+    ("sent_bytes", "deadline_ms"),
+    [(MAX_RESPONSE_BODY_BYTES + BUFFERED_BYTES, 3_000), (MAX_RESPONSE_BODY_BYTES // 2, 500)],
+    ids=["too large", "late"],
+)
+@pytest.mark.usefixtures("no_collection")
+async def test_bytes_of_a_failed_answer_are_released_when_it_ends(
+    deployment: Deployment, sent_bytes: int, deadline_ms: int
+) -> None:
+    """Not when garbage is collected the next time."""
+
+    async def send_endless_body(handler: Any) -> None:
+        handler.set_header(HEADER_SIGNATURE, "stamp")
+        await handler.flush()
+        stream = handler.request.connection.stream
+        try:
+            for _ in range(sent_bytes // len(CHUNK)):
+                await stream.write(CHUNK_FRAME)
+            await stream.read_until_close()
+        except StreamClosedError:
+            pass
+        handler._finished = True
+
+    await deployment.async_set_document()
+    endpoint = await deployment.async_add_endpoint("p-1", "plain")
+    endpoint.handler_override = send_endless_body
+    held_before = tracemalloc.get_traced_memory()[0]
+    for number in range(2):
+        headers = {HEADER_DEADLINE_MS: str(deadline_ms)}
+        response = await deployment.async_send_request("unsafe", f"a-{number}", **headers)
+        assert response.code in (502, 504)
+    held_bytes = tracemalloc.get_traced_memory()[0] - held_before
+    assert held_bytes < MAX_RESPONSE_BODY_BYTES // 4
