All answers that a gateway holds have one common bound

Cause: only single answers were bounded. Nothing bounded their sum, nor what waits for callers that read slowly, nor the failures that are kept while a request is attempted again.

When 64 MiB are used up the largest gives way: an exchange fails as AnswerTooLargeError, its connection closes and its endpoint counts a failure as for any broken answer; the request may have run, so it gets 502 or, where it may be repeated, another attempt; a kept failure loses its answer but not the fact that the request may have run; an answer that is being written is broken off before its declared length. A response that gave way never looks complete, even if its end had arrived. A large body is written apart from its head, which saves a copy.

--- a/packages/gateway/src/lagoonwing_gateway/_call_handler.py
+++ b/packages/gateway/src/lagoonwing_gateway/_call_handler.py
@@ -19,7 +19,7 @@
     OpenExchange,
     failure_evidence,
 )
-from lagoonwing_gateway._final_response import more_telling_failure, respond_unserved
+from lagoonwing_gateway._final_response import KeptFailure, respond_unserved
 from lagoonwing_gateway._request_log import log_attempt
 from lagoonwing_gateway.const import (
     CALL_RETRY_TIMEOUT_SHARE,
@@ -55,21 +55,21 @@
     """A call and its attempts.
 
     Attributes:
+        failure: What an endpoint that may have run the call answered, if anything.
         send_count: Number of times that the call was sent to an endpoint.
         excluded: Endpoints that must not be used again for the call.
         reservation: The next attempt, which is certain to be made.
         limit_wait_s: Expected wait for a permit, if that kept the call from being sent.
-        failure: What an endpoint that may have run the call answered, if anything.
     """
 
     context: RequestContext
     service: Service
     responder: Responder
+    failure: KeptFailure
     send_count: int = 0
     excluded: set[EndpointId] = field(default_factory=set)
     reservation: EndpointClaim | None = None
     limit_wait_s: float | None = None
-    failure: Failed | None = None
 
     def take_reservation(self) -> EndpointClaim | None:
         """Return the reservation, if any; it may be used once."""
@@ -91,6 +91,7 @@
         self._crash_tracker = components.crash_tracker
         self._watchdog = components.watchdog
         self._endpoint_client = components.endpoint_client
+        self._response_budget = components.response_budget
         self._clock = components.clock
         self._rng = components.rng
         self._metrics = components.metrics
@@ -99,11 +100,12 @@
         self, context: RequestContext, service: Service, responder: Responder
     ) -> GatewayRefusal | None:
         """Serve one call; return the refusal to send, or None if the call was answered."""
-        call = _Call(context, service, responder)
+        call = _Call(context, service, responder, KeptFailure(self._response_budget))
         self._endpoints.record_call(service)
         try:
             last_outcome = await self._async_run_attempts(call)
         finally:
+            failure = call.failure.take()
             unused = call.take_reservation()
             if unused is not None:
                 self._endpoints.give_up(unused)
@@ -111,7 +113,7 @@
             return None
         return respond_unserved(
             context,
-            call.failure or last_outcome,
+            failure or last_outcome,
             responder,
             was_sent=call.send_count > 0,
             no_capacity_detail="no endpoint can take the call",
@@ -146,7 +148,7 @@
                 case Completed() | CallerGone():
                     return last_outcome
                 case NotRun() | Failed():
-                    call.failure = more_telling_failure(call.failure, last_outcome)
+                    last_outcome = call.failure.record(last_outcome)
                     call.excluded.add(record.endpoint_id)
             if call.send_count >= context.route.max_attempts:
                 break
--- a/packages/gateway/src/lagoonwing_gateway/_components.py
+++ b/packages/gateway/src/lagoonwing_gateway/_components.py
@@ -20,6 +20,7 @@
 from lagoonwing_gateway._watchdog import Watchdog
 from lagoonwing_gateway.diagnostics import GatewayMetrics
 from lagoonwing_gateway.ports import Dialect
+from lagoonwing_http import ResponseBudget
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +40,7 @@
     limiter: EndpointLimiter
     endpoint_client: EndpointClient
     dialect: Dialect
+    response_budget: ResponseBudget
     metrics: GatewayMetrics
     clock: Clock
     rng: random.Random
--- a/packages/gateway/src/lagoonwing_gateway/_endpoint_client.py
+++ b/packages/gateway/src/lagoonwing_gateway/_endpoint_client.py
@@ -25,6 +25,7 @@
     ClientConnection,
     ConnectError,
     Exchange,
+    ResponseBudget,
     ResponseHead,
 )
 
@@ -62,10 +63,12 @@
         dialect: Dialect,
         connection_pool: EndpointConnectionPool,
         limits: LimitTracker,
+        budget: ResponseBudget,
         clock: Clock,
     ) -> None:
         self._dialect = dialect
         self._limits = limits
+        self._budget = budget
         self._connection_pool = connection_pool
         self._clock = clock
 
@@ -92,6 +95,7 @@
             request.body,
             match_response,
         )
+        exchange.count_in(self._budget)
         return OpenExchange(connection, exchange, outgoing.endpoint, self._clock.now())
 
     async def async_head(
--- a/packages/gateway/src/lagoonwing_gateway/_final_response.py
+++ b/packages/gateway/src/lagoonwing_gateway/_final_response.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 
+from lagoonwing_core.callback import callback
 from lagoonwing_core.result_codes import ResultCode
 from lagoonwing_gateway._refusals import (
     limit_refusal,
@@ -21,6 +23,7 @@
     RequestContext,
 )
 from lagoonwing_gateway.ports import Responder
+from lagoonwing_http import HeldBytes, ResponseBudget
 
 
 def more_telling_failure(known: Failed | None, outcome: AttemptOutcome) -> Failed | None:
@@ -38,6 +41,45 @@
     return known if has_less else outcome
 
 
+class KeptFailure:
+    """The most telling failure of a request, kept while it is attempted again."""
+
+    def __init__(self, budget: ResponseBudget) -> None:
+        self._budget = budget
+        self._failure: Failed | None = None
+        self._held: HeldBytes | None = None
+
+    @callback
+    def record(self, outcome: AttemptOutcome) -> AttemptOutcome:
+        """Record the outcome of an attempt; return it without its response, which is kept here."""
+        failure = more_telling_failure(self._failure, outcome)
+        if failure is not self._failure:
+            self.take()
+            self._keep(failure)
+        return replace(outcome, response=None) if isinstance(outcome, Failed) else outcome
+
+    @callback
+    def take(self) -> Failed | None:
+        """Return the failure, if any; it isn't kept any longer."""
+        failure, self._failure = self._failure, None
+        if self._held is not None:
+            self._held.close()
+            self._held = None
+        return failure
+
+    def _keep(self, failure: Failed | None) -> None:
+        """Keep a failure; the bytes of its response count in the budget."""
+        self._failure = failure
+        if failure is not None and failure.response is not None:
+            self._held = self._budget.open(self._drop_response)
+            self._held.resize(len(failure.response.body))
+
+    def _drop_response(self) -> None:
+        """Forget the response; that the request may have run is still known."""
+        if self._failure is not None:
+            self._failure = replace(self._failure, response=None)
+
+
 def respond_unserved(
     context: RequestContext,
     outcome: AttemptOutcome,
--- a/packages/gateway/src/lagoonwing_gateway/_gateway.py
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -48,6 +48,7 @@
     DRAIN_REJECT_LONG_S,
     LAST_ANSWERS_S,
     MAX_REQUEST_BODIES_BYTES,
+    MAX_RESPONSES_BYTES,
     MAX_STARTUP_WAIT_S,
     STARTUP_HOLD_S,
     STARTUP_WAIT_SHARE,
@@ -56,7 +57,7 @@
 from lagoonwing_gateway.models import CallerRequest, GatewayRefusal, RequestContext
 from lagoonwing_gateway.ports import Dialect, Responder
 from lagoonwing_gateway.settings import GatewaySettings
-from lagoonwing_http import BodyBudget
+from lagoonwing_http import BodyBudget, ResponseBudget
 from lagoonwing_wire import Identity
 
 _PRUNE_INTERVAL_S = 1.0
@@ -70,6 +71,7 @@
         is_draining: Whether the process is shutting down.
         body_budget: Limit on the bytes of all request bodies; those of a request that is served
             are released when it ends.
+        response_budget: Limit on the bytes of all responses.
     """
 
     name = "gateway"
@@ -84,6 +86,7 @@
     ) -> None:
         self.is_draining = False
         self.body_budget = BodyBudget(MAX_REQUEST_BODIES_BYTES)
+        self.response_budget = ResponseBudget(MAX_RESPONSES_BYTES)
         self.metrics = GatewayMetrics()
         self._settings = settings
         self._clock = clock
@@ -119,8 +122,11 @@
             budget=RetryBudget(settings.retry_budget, clock),
             crash_tracker=self._crash_tracker,
             limiter=limiter,
-            endpoint_client=EndpointClient(dialect, self._connection_pool, self._limits, clock),
+            endpoint_client=EndpointClient(
+                dialect, self._connection_pool, self._limits, self.response_budget, clock
+            ),
             dialect=dialect,
+            response_budget=self.response_budget,
             metrics=self.metrics,
             clock=clock,
             rng=rng,
@@ -175,6 +181,7 @@
         self.metrics.set_gauge("traits_with_crashes", self._crash_tracker.trait_count)
         self.metrics.set_gauge("limited_endpoints", len(self._limits.rate_by_id()))
         self.metrics.set_gauge("active_requests", self._active_requests)
+        self.metrics.set_gauge("response_bytes", self.response_budget.held_bytes)
         return self.metrics.registry
 
     def endpoint_address(self, endpoint_id: str) -> str | None:
--- a/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
@@ -213,6 +213,7 @@
             reader.record_progress()
             while (chunk := await reader.async_chunk()) is not None:
                 events = splitter.feed(chunk)
+                open_exchange.exchange.set_rest(len(splitter.rest))
                 if events:
                     components.load_tracker.complete_prefill(reservation)
                     self._forward_events(head, events, stream)
--- a/packages/gateway/src/lagoonwing_gateway/_stream_call.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_call.py
@@ -6,8 +6,9 @@
 
 from lagoonwing_catalog.models import Engine, Service
 from lagoonwing_core.ids import EndpointId
+from lagoonwing_gateway._final_response import KeptFailure
 from lagoonwing_gateway._plain_service import PLAIN_ENGINE, layered_engine
-from lagoonwing_gateway.models import Failed, RequestContext
+from lagoonwing_gateway.models import RequestContext
 from lagoonwing_gateway.ports import Responder
 from lagoonwing_placement import RequestSize
 
@@ -17,6 +18,7 @@
     """Progress of a stream towards its caller.
 
     Attributes:
+        failure: What an endpoint that may have run the request answered, if anything.
         started: Whether the response head was sent to the caller.
         last_event_id: Id of the last event sent to the caller.
         events: Number of events sent to the caller.
@@ -27,9 +29,9 @@
         endpoint_ids: Endpoints of the path to which it was sent last.
         excluded: Endpoints that must not be used again for the request.
         limit_wait_s: Expected wait for a permit, if that kept the request from being sent.
-        failure: What an endpoint that may have run the request answered, if anything.
     """
 
+    failure: KeptFailure
     started: bool = False
     last_event_id: str | None = None
     events: int = 0
@@ -40,7 +42,6 @@
     endpoint_ids: tuple[EndpointId, ...] = ()
     excluded: set[EndpointId] = field(default_factory=set)
     limit_wait_s: float | None = None
-    failure: Failed | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/lagoonwing_gateway/_stream_handler.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_handler.py
@@ -10,7 +10,7 @@
 
 from lagoonwing_catalog.models import Service
 from lagoonwing_gateway._components import GatewayComponents
-from lagoonwing_gateway._final_response import more_telling_failure, respond_unserved
+from lagoonwing_gateway._final_response import KeptFailure, respond_unserved
 from lagoonwing_gateway._permit_wait import PermitWait
 from lagoonwing_gateway._plain_service import PLAIN_REQUEST_SIZE, layered_engine
 from lagoonwing_gateway._refusals import quarantine_refusal
@@ -51,7 +51,8 @@
         self, context: RequestContext, service: Service, responder: Responder
     ) -> GatewayRefusal | None:
         """Serve one stream; return the refusal to send, or None if it was answered."""
-        progress = StreamProgress(last_event_id=context.request.last_event_id)
+        failure = KeptFailure(self._components.response_budget)
+        progress = StreamProgress(failure, last_event_id=context.request.last_event_id)
         call = StreamCall(context, service, _size(context, service), responder, progress)
         failover = StreamFailover(self._components, call)
         entry_ids = self._components.directory.entry_ids(service.service_id)
@@ -59,6 +60,7 @@
         try:
             return await self._async_run_attempts(call, failover)
         finally:
+            failure.take()
             failover.discard_reservation()
 
     async def _async_run_attempts(
@@ -96,11 +98,11 @@
                 case Completed() | CallerGone():
                     return None
                 case NotRun(blamed_ids=blamed_ids) | Failed(blamed_ids=blamed_ids):
-                    progress.failure = more_telling_failure(progress.failure, last_outcome)
                     # A started stream may come back to endpoints that were only full or silent;
                     # they are avoided or suspected for a while.
                     if not progress.started or not _may_recover(last_outcome):
                         progress.excluded.update(blamed_ids)
+                    last_outcome = progress.failure.record(last_outcome)
         return self._finish_unserved(
             call, last_outcome, obstacle or ResendObstacle.CONNECT_ATTEMPTS
         )
@@ -161,7 +163,7 @@
             return None
         return respond_unserved(
             call.context,
-            progress.failure or last_outcome,
+            progress.failure.take() or last_outcome,
             call.responder,
             was_sent=progress.send_count > 0,
             no_capacity_detail="no path over the layers has room",
--- a/packages/gateway/src/lagoonwing_gateway/const.py
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -132,6 +132,9 @@
 # Bytes of request bodies that a gateway holds for all requests together; a process must stay within
 # the memory of a small host.
 MAX_REQUEST_BODIES_BYTES = 64 * 1024 * 1024
+# Bytes of responses that a gateway holds for all requests together, from their arrival until the
+# callers have taken them.
+MAX_RESPONSES_BYTES = 64 * 1024 * 1024
 # Maximum number of bytes buffered for a caller that reads slowly.
 MAX_CALLER_BUFFER_BYTES = 512 * 1024
 # Time after SIGTERM until idle connections are closed. By then the load balancer has stopped
--- a/packages/http/src/lagoonwing_http/__init__.py
+++ b/packages/http/src/lagoonwing_http/__init__.py
@@ -6,6 +6,8 @@
 from lagoonwing_http._exchange import Exchange, ResponseHead, ResponseMatch, ResponseMatcher
 from lagoonwing_http._pool import ConnectionPool, PoolSettings
 from lagoonwing_http._request_body import BodyBudget, RequestBody
+from lagoonwing_http._response_budget import HeldBytes, ResponseBudget
+from lagoonwing_http._response_writer import ResponseWriter, ignore_write_failure
 from lagoonwing_http.errors import (
     AnswerBrokenError,
     AnswerTooLargeError,
@@ -22,10 +24,14 @@
     "ConnectionPool",
     "Exchange",
     "ForeignAnswerError",
+    "HeldBytes",
     "PoolSettings",
     "RequestBody",
+    "ResponseBudget",
     "ResponseHead",
     "ResponseMatch",
     "ResponseMatcher",
+    "ResponseWriter",
     "async_open_connection",
+    "ignore_write_failure",
 ]
--- a/packages/http/src/lagoonwing_http/_exchange.py
+++ b/packages/http/src/lagoonwing_http/_exchange.py
@@ -11,6 +11,7 @@
 from tornado.httputil import HTTPHeaders
 
 from lagoonwing_core.callback import callback
+from lagoonwing_http._response_budget import HeldBytes, ResponseBudget
 from lagoonwing_http.const import MAX_BUFFERED_RESPONSE_BYTES
 from lagoonwing_http.errors import AnswerBrokenError, AnswerTooLargeError, ForeignAnswerError
 
@@ -56,7 +57,11 @@
         self._chunks: deque[bytes] = deque()
         self._body: list[bytes] = []
         self._buffered_bytes = 0
+        self._body_bytes = 0
+        self._rest_bytes = 0
+        self._held: HeldBytes | None = None
         self._is_released = False
+        self._gave_way = False
         self._data_ready: asyncio.Future[None] | None = None
         self._buffer_drained: asyncio.Future[None] | None = None
         self._finished = False
@@ -69,6 +74,17 @@
         """Whether the complete response has been received."""
         return self._finished
 
+    @callback
+    def count_in(self, budget: ResponseBudget) -> None:
+        """Count the bytes of the response in a budget until the exchange is released."""
+        self._held = budget.open(self._give_way)
+
+    @callback
+    def set_rest(self, count: int) -> None:
+        """Set the number of bytes that a reader of chunks still holds of the earlier ones."""
+        self._rest_bytes = count
+        self._update_held()
+
     async def async_read_head(self) -> ResponseHead:
         """Wait for the response status and headers.
 
@@ -86,9 +102,13 @@
 
         Raises:
             AnswerBrokenError: The connection closed before the body was complete.
+            AnswerTooLargeError: The response gave way to others; the caller must close the
+                connection.
             TimeoutError: No data was received within the timeout.
         """
         while not self._chunks:
+            if self._gave_way:
+                raise AnswerTooLargeError("the answer gave way, as answers take all memory")
             if self._is_released:
                 raise AnswerBrokenError("the answer was given up")
             if self._finished:
@@ -101,6 +121,7 @@
         data = b"".join(self._chunks) if len(self._chunks) > 1 else self._chunks[0]
         self._chunks.clear()
         self._buffered_bytes = 0
+        self._update_held()
         self._resume_reading()
         return data
 
@@ -113,18 +134,19 @@
 
         Raises:
             AnswerBrokenError: The connection closed before the body was complete.
-            AnswerTooLargeError: The body exceeds `max_bytes`; the caller must close the connection.
+            AnswerTooLargeError: The body exceeds `max_bytes`, or gave way to other responses; the
+                caller must close the connection.
             TimeoutError: The body was not complete in time.
         """
-        size = 0
         try:
             async with asyncio.timeout(timeout):
                 while (chunk := await self.async_read_chunk(timeout)) is not None:
-                    size += len(chunk)
-                    if size > max_bytes:
+                    self._body_bytes += len(chunk)
+                    if self._body_bytes > max_bytes:
                         raise AnswerTooLargeError(f"the answer exceeds {max_bytes} bytes")
                     # Not in a local variable: the traceback of an exception would keep it alive.
                     self._body.append(chunk)
+                    self._update_held()
             return b"".join(self._body)
         finally:
             self._body.clear()
@@ -137,6 +159,8 @@
         self._chunks.clear()
         self._body.clear()
         self._buffered_bytes = 0
+        if self._held is not None:
+            self._held.close()
         self._resume_reading()
         self._wake()
 
@@ -160,6 +184,7 @@
             return None
         self._chunks.append(data)
         self._buffered_bytes += len(data)
+        self._update_held()
         self._wake()
         if self._buffered_bytes < MAX_BUFFERED_RESPONSE_BYTES:
             return None
@@ -195,6 +220,16 @@
             self._head.exception()
         self._wake()
 
+    def _update_held(self) -> None:
+        """Count the bytes that are held now; the response may give way."""
+        if self._held is not None:
+            self._held.resize(self._buffered_bytes + self._body_bytes + self._rest_bytes)
+
+    def _give_way(self) -> None:
+        """Drop the response, since all responses together take too much memory."""
+        self._gave_way = True
+        self.release()
+
     def _resume_reading(self) -> None:
         """Let the connection read on, if it was paused."""
         if self._buffer_drained is not None and not self._buffer_drained.done():
--- /dev/null
+++ b/packages/http/src/lagoonwing_http/_response_writer.py
@@ -0,0 +1,110 @@
+"""Responses that are written to a caller, who may read slowly."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import HTTPHeaders, ResponseStartLine
+from tornado.iostream import StreamClosedError
+
+from lagoonwing_core.callback import callback
+from lagoonwing_http._response_budget import HeldBytes, ResponseBudget
+from lagoonwing_http.const import LARGE_BODY_BYTES
+
+
+class ResponseWriter:
+    """Writes one response; bytes that the caller hasn't taken count in the budget."""
+
+    def __init__(
+        self, connection: HTTP1Connection, budget: ResponseBudget, on_give_way: Callable[[], object]
+    ) -> None:
+        """Create a writer.
+
+        Args:
+            connection: Connection to the caller.
+            budget: Counts the bytes that wait.
+            on_give_way: Called when the response must give way, after its connection was closed.
+        """
+        self._connection = connection
+        self._budget = budget
+        self._on_give_way = on_give_way
+        self._held: HeldBytes | None = None
+
+    @property
+    def waiting_bytes(self) -> int:
+        """Number of bytes that the caller hasn't taken."""
+        stream = self._connection.stream
+        if stream is None or stream.closed():
+            return 0
+        return len(stream._write_buffer)
+
+    @callback
+    def write_headers(
+        self, start_line: ResponseStartLine, headers: HTTPHeaders, content: bytes | None
+    ) -> None:
+        """Write the head and the first bytes of the body."""
+        if content is None or len(content) <= LARGE_BODY_BYTES:
+            ignore_write_failure(self._connection.write_headers(start_line, headers, content))
+            self._count_waiting()
+            return
+        # Together with its head the body would be copied.
+        ignore_write_failure(self._connection.write_headers(start_line, headers))
+        self.write(content)
+
+    @callback
+    def write(self, content: bytes) -> None:
+        """Write bytes of the body."""
+        ignore_write_failure(self._connection.write(content))
+        self._count_waiting()
+
+    @callback
+    def abort(self) -> None:
+        """Close the connection, so that the response is recognisably incomplete."""
+        if self._connection.stream is not None:
+            self._connection.stream.close()
+
+    async def async_wait_written(self) -> None:
+        """Wait until the caller's connection has taken all bytes, or is closed."""
+        stream = self._connection.stream
+        if stream is None or not stream.writing():
+            return
+        with contextlib.suppress(StreamClosedError):
+            await stream.write(b"")
+
+    def _count_waiting(self) -> None:
+        """Count the bytes that wait, until they are written."""
+        count = self.waiting_bytes
+        if count == 0:
+            self._release()
+            return
+        if self._held is None:
+            self._held = self._budget.open(self._give_way)
+            written = self._connection.stream.write(b"")
+            written.add_done_callback(self._on_written)
+        self._held.resize(count)
+
+    def _on_written(self, written: asyncio.Future[None]) -> None:
+        """Count what was written since, if anything."""
+        if not written.cancelled():
+            written.exception()
+        self._release()
+        self._count_waiting()
+
+    def _release(self) -> None:
+        """Release the bytes that waited."""
+        if self._held is not None:
+            self._held.close()
+            self._held = None
+
+    def _give_way(self) -> None:
+        """Break the response off."""
+        self.abort()
+        self._on_give_way()
+
+
+def ignore_write_failure(written: asyncio.Future[None]) -> None:
+    """Ignore a failed write; the connection's close callback handles it."""
+    written.add_done_callback(lambda done: done.cancelled() or done.exception())
--- a/tests/platform/endless_answers.py
+++ b/tests/platform/endless_answers.py
@@ -47,6 +47,7 @@
         sound_failures: What callers of the sound service got other than their own answer.
         sound_served: Number of requests for the sound service that were served.
         faulty_answers: Number of answers to callers of the other service.
+        faulty_body: Body of the requests for the other service.
     """
 
     gateway: SystemProcess
@@ -56,6 +57,7 @@
     sound_failures: list[str] = field(default_factory=list)
     sound_served: int = 0
     faulty_answers: int = 0
+    faulty_body: bytes = b""
     _numbers: Iterator[int] = field(default_factory=itertools.count)
 
     def peak_mb(self) -> float:
@@ -79,15 +81,15 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    async def async_request(self, route: str, attempt_id: str) -> bytes:
+    async def async_request(self, route: str, attempt_id: str, body: bytes = b"") -> bytes:
         """Send a request on a connection of its own; return the first bytes of its answer."""
         headers = {**make_caller_headers(route, attempt_id, DEADLINE_MS), "Connection": "close"}
-        method = "POST" if route == "stream" else "GET"
+        method = "GET" if route == "safe" else "POST"
         lines = [f"{method} /{route}/x HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items())]
-        lines += ["Content-Length: 0"] if method == "POST" else []
+        lines += [f"Content-Length: {len(body)}"] if method == "POST" else []
         reader, writer = await asyncio.open_connection(self.gateway.address, CALLER_PORT)
         try:
-            writer.write("\r\n".join([*lines, "", ""]).encode())
+            writer.write("\r\n".join([*lines, "", ""]).encode() + body)
             answer = await reader.read(READ_BYTES)
             while await reader.read(READ_BYTES):
                 pass
@@ -117,7 +119,8 @@
         while True:
             with suppress(OSError, TimeoutError):
                 async with asyncio.timeout(CALL_TIMEOUT_S):
-                    await self.async_request(route, f"faulty-{next(self._numbers)}")
+                    attempt_id = f"faulty-{next(self._numbers)}"
+                    await self.async_request(route, attempt_id, self.faulty_body)
                 self.faulty_answers += 1
             await asyncio.sleep(RETRY_PAUSE_S)
 
--- a/tests/platform/test_large_bodies.py
+++ b/tests/platform/test_large_bodies.py
@@ -9,6 +9,7 @@
 
 from lagoonwing_fakes.platform import WorkHandler, make_caller_headers
 from lagoonwing_fakes.platform.const import ADDRESS
+from lagoonwing_gateway.const import MAX_RESPONSE_BODY_BYTES, MAX_RESPONSES_BYTES
 from lagoonwing_http import BodyBudget
 from lagoonwing_platform.const import HEADER_SIGNATURE
 
@@ -127,3 +128,49 @@
     assert deployment.gateway.active_requests == 1
     writer.close()
     await deployment.async_wait_until(lambda: deployment.gateway.active_requests == 0)
+
+
+# Guards against callers that read nothing, and whose answers take all memory.
+async def test_largest_answers_that_callers_do_not_take_are_broken_off(
+    deployment: Deployment,
+) -> None:
+    """They end before their length is reached; smaller answers are delivered whole."""
+    sizes = [MAX_RESPONSE_BODY_BYTES] * 4 + [MAX_RESPONSE_BODY_BYTES // 2] * 6
+
+    async def answer_at_length(handler: WorkHandler) -> None:
+        handler.set_header(HEADER_SIGNATURE, "stamp-long")
+        handler.finish(bytes(sizes[int(handler.attempt_id)]))
+
+    await deployment.async_set_document()
+    endpoint = await deployment.async_add_endpoint("p-1", "plain")
+    endpoint.handler_override = answer_at_length
+    budget = deployment.gateway.response_budget
+    callers = []
+    for number in range(len(sizes)):
+        callers.append(await _async_ask_without_reading(deployment, str(number)))
+        await asyncio.sleep(WORK_S)
+        assert budget.held_bytes <= MAX_RESPONSES_BYTES
+    endpoint.handler_override = None
+    assert (await deployment.async_send_request("safe", "sound")).code == 200
+    answers = [await reader.read() for reader, _ in callers]
+    for answer, size in zip(answers, sizes, strict=True):
+        assert answer.startswith(b"HTTP/1.1 200 ")
+        assert f"Content-Length: {size}\r\n".encode() in answer
+    bodies = [answer.partition(b"\r\n\r\n")[2] for answer in answers]
+    whole = [len(body) == size for body, size in zip(bodies, sizes, strict=True)]
+    assert not all(whole[:4])
+    assert all(whole[4:])
+    assert budget.held_bytes == 0
+    for _, writer in callers:
+        writer.close()
+
+
+async def _async_ask_without_reading(
+    deployment: Deployment, attempt_id: str
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Send a request whose answer is read later."""
+    reader, writer = await asyncio.open_connection(ADDRESS, deployment.caller_port, limit=1_024)
+    headers = {**make_caller_headers("safe", attempt_id, 3_000), "Connection": "close"}
+    lines = ["GET /safe/x HTTP/1.1", *(f"{name}: {value}" for name, value in headers.items())]
+    writer.write("\r\n".join([*lines, "", ""]).encode())
+    return reader, writer
