The source that holds most gives way, so that a larger sound answer stays

The process test now has one caller of large sound answers (6 MiB) among the eight.

Accounts of answers name their source, (service, endpoint). The service that holds most is found first, then its endpoint that holds most, then the largest answer of that. Ruled out: by endpoint alone, as a service may have many faulty endpoints; by service alone, as one faulty endpoint would take the answers of its sound neighbours. What waits for a caller is a source of its own.

--- a/packages/gateway/src/lagoonwing_gateway/_endpoint_client.py
+++ b/packages/gateway/src/lagoonwing_gateway/_endpoint_client.py
@@ -95,7 +95,8 @@
             request.body,
             match_response,
         )
-        exchange.count_in(self._budget)
+        record = outgoing.endpoint
+        exchange.count_in(self._budget, (record.service_id, record.endpoint_id))
         return OpenExchange(connection, exchange, outgoing.endpoint, self._clock.now())
 
     async def async_head(
--- a/packages/http/src/lagoonwing_http/__init__.py
+++ b/packages/http/src/lagoonwing_http/__init__.py
@@ -6,7 +6,7 @@
 from lagoonwing_http._exchange import Exchange, ResponseHead, ResponseMatch, ResponseMatcher
 from lagoonwing_http._pool import ConnectionPool, PoolSettings
 from lagoonwing_http._request_body import BodyBudget, RequestBody
-from lagoonwing_http._response_budget import HeldBytes, ResponseBudget
+from lagoonwing_http._response_budget import HeldBytes, ResponseBudget, ResponseSource
 from lagoonwing_http._response_writer import ResponseWriter, ignore_write_failure
 from lagoonwing_http.errors import (
     AnswerBrokenError,
@@ -31,6 +31,7 @@
     "ResponseHead",
     "ResponseMatch",
     "ResponseMatcher",
+    "ResponseSource",
     "ResponseWriter",
     "async_open_connection",
     "ignore_write_failure",
--- a/packages/http/src/lagoonwing_http/_exchange.py
+++ b/packages/http/src/lagoonwing_http/_exchange.py
@@ -11,7 +11,7 @@
 from tornado.httputil import HTTPHeaders
 
 from lagoonwing_core.callback import callback
-from lagoonwing_http._response_budget import HeldBytes, ResponseBudget
+from lagoonwing_http._response_budget import HeldBytes, ResponseBudget, ResponseSource
 from lagoonwing_http.const import MAX_BUFFERED_RESPONSE_BYTES
 from lagoonwing_http.errors import AnswerBrokenError, AnswerTooLargeError, ForeignAnswerError
 
@@ -75,9 +75,9 @@
         return self._finished
 
     @callback
-    def count_in(self, budget: ResponseBudget) -> None:
+    def count_in(self, budget: ResponseBudget, source: ResponseSource = ()) -> None:
         """Count the bytes of the response in a budget until the exchange is released."""
-        self._held = budget.open(self._give_way)
+        self._held = budget.open(self._give_way, source)
 
     @callback
     def set_rest(self, count: int) -> None:
--- a/packages/http/src/lagoonwing_http/_response_budget.py
+++ b/packages/http/src/lagoonwing_http/_response_budget.py
@@ -2,22 +2,30 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Hashable
 
 from lagoonwing_core.callback import callback
 
+# Where a response comes from, the largest unit first: a service, an endpoint of it.
+ResponseSource = tuple[Hashable, ...]
+
 
 class HeldBytes:
     """Bytes of one response in one place, until they are passed on or dropped.
 
     Attributes:
         size: Number of bytes that are held.
+        source: Where the response comes from.
     """
 
-    __slots__ = ("_budget", "_on_give_way", "size")
+    __slots__ = ("_budget", "_on_give_way", "size", "source")
 
-    def __init__(self, budget: ResponseBudget, on_give_way: Callable[[], object]) -> None:
+    def __init__(
+        self, budget: ResponseBudget, on_give_way: Callable[[], object], source: ResponseSource
+    ) -> None:
         self.size = 0
+        self.source = source
         self._budget = budget
         self._on_give_way = on_give_way
 
@@ -41,8 +49,8 @@
 class ResponseBudget:
     """Limit on the total bytes of responses, from their arrival until their callers took them.
 
-    When it is used up the largest response gives way. An endpoint whose responses have no end
-    thus takes nothing from the responses of others.
+    When it is used up, the largest response of the source that holds most gives way. A service or
+    an endpoint whose responses have no end thus takes nothing from larger responses of others.
 
     Attributes:
         held_bytes: Bytes of all responses.
@@ -54,13 +62,14 @@
         self._open: set[HeldBytes] = set()
 
     @callback
-    def open(self, on_give_way: Callable[[], object]) -> HeldBytes:
+    def open(self, on_give_way: Callable[[], object], source: ResponseSource = ()) -> HeldBytes:
         """Return an account for a response.
 
         Args:
             on_give_way: Called when the response must give way; it drops all bytes.
+            source: Where the response comes from; by default, it is a source of its own.
         """
-        held = HeldBytes(self, on_give_way)
+        held = HeldBytes(self, on_give_way, source or (object(),))
         self._open.add(held)
         return held
 
@@ -72,7 +81,7 @@
         self.held_bytes += size - held.size
         held.size = size
         while self.held_bytes > self._max_bytes:
-            max(self._open, key=lambda account: account.size).give_way()
+            self._find_largest().give_way()
 
     @callback
     def close(self, held: HeldBytes) -> None:
@@ -81,3 +90,14 @@
             self._open.remove(held)
             self.held_bytes -= held.size
             held.size = 0
+
+    def _find_largest(self) -> HeldBytes:
+        """Return the largest response of the source that holds most."""
+        accounts = list(self._open)
+        for depth in range(1, max(len(account.source) for account in accounts) + 1):
+            bytes_by_source: Counter[ResponseSource] = Counter()
+            for account in accounts:
+                bytes_by_source[account.source[:depth]] += account.size
+            largest = max(bytes_by_source, key=lambda source: bytes_by_source[source])
+            accounts = [account for account in accounts if account.source[:depth] == largest]
+        return max(accounts, key=lambda account: account.size)
--- a/tests/gateway/test_response_budget.py
+++ b/tests/gateway/test_response_budget.py
@@ -56,6 +56,24 @@
     assert budget.held_bytes == 200
 
 
+# Guards against endless answers, each of them cut early, that push out a larger sound one.
+@pytest.mark.parametrize(
+    "source", [("endless", "e-1"), ("plain", "p-2")], ids=["service", "endpoint"]
+)
+def test_source_that_holds_most_gives_way(source: tuple[str, str]) -> None:
+    """A larger response of another service, or of another endpoint of it, stays."""
+    budget = ResponseBudget(MAX_BYTES)
+    gave_way: list[int] = []
+    sound = budget.open(lambda: gave_way.append(-1), ("plain", "p-1"))
+    sound.resize(300)
+    endless = [budget.open(lambda n=n: gave_way.append(n), source) for n in range(10)]
+    for number, account in enumerate(endless):
+        account.resize(100 + number)
+    assert gave_way
+    assert -1 not in gave_way
+    assert sound.size == 300
+
+
 def test_response_over_the_whole_budget_gives_way_itself() -> None:
     """Nothing is held of it afterwards."""
     budget = ResponseBudget(MAX_BYTES)
--- a/tests/platform/endless_answers.py
+++ b/tests/platform/endless_answers.py
@@ -18,6 +18,7 @@
 from lagoonwing_fakes.platform import (
     Endpoint,
     SystemProcess,
+    WorkHandler,
     heartbeat_path,
     make_caller_headers,
     make_document,
@@ -26,12 +27,16 @@
     start_endpoint,
 )
 from lagoonwing_fakes.platform.const import ANNOUNCE_INTERVAL_S, CALLER_PORT, CONTROL_PORT
-from lagoonwing_platform.const import PATH_PUT_DOCUMENT
+from lagoonwing_platform.const import HEADER_SIGNATURE, PATH_PUT_DOCUMENT
 
 FAULTY_SERVICE = "endless"
 ENDPOINTS = 3
 NETWORK = 120
 DEADLINE_MS = 3_000
+LARGE_PREFIX = "large-"
+SMALL_PREFIX = "small-"
+# More than one of 40 endless answers has room for in a gateway.
+LARGE_ANSWER_BYTES = 6 * 1024 * 1024
 START_TIMEOUT_S = 20.0
 CALL_TIMEOUT_S = 6.0
 RETRY_PAUSE_S = 0.05
@@ -39,6 +44,21 @@
 SERVED = b"HTTP/1.1 200 "
 
 
+@dataclass(frozen=True)
+class Answer:
+    """What a caller got: the first bytes of the answer, and the size of all of it."""
+
+    begin: bytes
+    size: int
+
+
+async def _async_answer_at_length(handler: WorkHandler) -> None:
+    """Answer some requests with a large body."""
+    if handler.attempt_id.startswith(LARGE_PREFIX):
+        handler.set_header(HEADER_SIGNATURE, "stamp-large")
+        handler.finish(bytes(LARGE_ANSWER_BYTES))
+
+
 @dataclass
 class EndlessPlay:
     """One gateway process between callers, sound endpoints and those whose answers never end.
@@ -69,8 +89,12 @@
         return int(found.group(1)) / 1_024
 
     async def async_run(self, seconds: float, sound_callers: int, faulty_callers: int) -> None:
-        """Let callers of both services send requests; half of the faulty ones are streams."""
-        tasks = [asyncio.ensure_future(self._async_call_sound()) for _ in range(sound_callers)]
+        """Let callers of both services send requests.
+
+        One sound caller asks for large answers; half of the faulty ones ask for streams.
+        """
+        prefixes = [LARGE_PREFIX, *[SMALL_PREFIX] * (sound_callers - 1)]
+        tasks = [asyncio.ensure_future(self._async_call_sound(prefix)) for prefix in prefixes]
         tasks += [
             asyncio.ensure_future(self._async_call_faulty("stream" if n % 2 else "faulty"))
             for n in range(faulty_callers)
@@ -81,8 +105,8 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    async def async_request(self, route: str, attempt_id: str, body: bytes = b"") -> bytes:
-        """Send a request on a connection of its own; return the first bytes of its answer."""
+    async def async_request(self, route: str, attempt_id: str, body: bytes = b"") -> Answer:
+        """Send a request on a connection of its own, and read its answer to the end."""
         headers = {**make_caller_headers(route, attempt_id, DEADLINE_MS), "Connection": "close"}
         method = "GET" if route == "safe" else "POST"
         lines = [f"{method} /{route}/x HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items())]
@@ -90,28 +114,28 @@
         reader, writer = await asyncio.open_connection(self.gateway.address, CALLER_PORT)
         try:
             writer.write("\r\n".join([*lines, "", ""]).encode() + body)
-            answer = await reader.read(READ_BYTES)
-            while await reader.read(READ_BYTES):
-                pass
-            return answer
+            begin = await reader.read(READ_BYTES)
+            size = len(begin)
+            while chunk := await reader.read(READ_BYTES):
+                size += len(chunk)
+            return Answer(begin, size)
         finally:
             writer.close()
 
-    async def _async_call_sound(self) -> None:
+    async def _async_call_sound(self, prefix: str) -> None:
         """Send requests for the sound service, each after the answer to the one before."""
         while True:
-            attempt_id = f"sound-{next(self._numbers)}"
+            attempt_id = f"{prefix}{next(self._numbers)}"
             try:
                 async with asyncio.timeout(CALL_TIMEOUT_S):
                     answer = await self.async_request("safe", attempt_id)
             except (OSError, TimeoutError) as error:
                 self.sound_failures.append(f"{attempt_id}: {error!r}")
                 continue
-            is_own = answer.endswith(f"body of {attempt_id} ".encode())
-            if answer.startswith(SERVED) and is_own:
+            if answer.begin.startswith(SERVED) and _is_whole(attempt_id, answer):
                 self.sound_served += 1
             else:
-                self.sound_failures.append(f"{attempt_id}: {answer[:200]!r}")
+                self.sound_failures.append(f"{attempt_id}: {answer.size} {answer.begin[:200]!r}")
             await asyncio.sleep(RETRY_PAUSE_S)
 
     async def _async_call_faulty(self, route: str) -> None:
@@ -142,10 +166,10 @@
 
     async def async_wait_served(self) -> None:
         """Wait until the sound service is served."""
-        answer = b""
-        while not answer.startswith(SERVED):
+        answer = Answer(b"", 0)
+        while not answer.begin.startswith(SERVED):
             await asyncio.sleep(RETRY_PAUSE_S)
-            answer = await self.async_request("safe", "sound-0")
+            answer = await self.async_request("safe", "first")
 
     async def _async_post(self, path: str, body: bytes) -> bool:
         """Send a body to the registry; return whether it accepted it."""
@@ -160,6 +184,14 @@
         return answer.code == 200
 
 
+def _is_whole(attempt_id: str, answer: Answer) -> bool:
+    """Return whether a caller of the sound service got the whole answer to its request."""
+    if attempt_id.startswith(LARGE_PREFIX):
+        head, _, _ = answer.begin.partition(b"\r\n\r\n")
+        return answer.size == len(head) + 4 + LARGE_ANSWER_BYTES
+    return answer.begin.endswith(f"body of {attempt_id} ".encode())
+
+
 def _make_document() -> bytes:
     """Return a configuration with a route to the sound service and two to the other."""
     document = json.loads(make_document())
@@ -184,6 +216,8 @@
         [start_endpoint(f"sound-{number}", "plain") for number in range(ENDPOINTS)],
     )
     tasks = TaskSet("endless_answers")
+    for endpoint in play.sound:
+        endpoint.handler_override = _async_answer_at_length
     try:
         for process in processes.all():
             process.start()
