An endpoint whose stream sends too much counts a failure

What callers saw: calls whose answers are too large lead to suspicion of their endpoint after three in a row; streams that were cut at the limit of an event didn't, so streams were sent to the same endpoint again and again.

Cause: StreamAttempt turned "an event of the stream is too large" into its outcome without telling the suspicions; an answer that gave way (AnswerTooLargeError) was treated as a lost connection, for which only a crash is looked for.

Both now take one way and count as a failure in a row of the endpoint that the gateway talks to, as for calls. test_endpoint_whose_events_never_end_is_suspected failed before (a fourth stream reached the endpoint, 502) and passes.

--- a/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
@@ -39,7 +39,7 @@
     ResponseInfo,
     StreamEvent,
 )
-from lagoonwing_http import AnswerBrokenError, ConnectError, ResponseHead
+from lagoonwing_http import AnswerBrokenError, AnswerTooLargeError, ConnectError, ResponseHead
 from lagoonwing_placement import prefill_ms, transfer_ms
 
 # Status of a response whose body consists of events.
@@ -220,7 +220,10 @@
                     # Bytes that complete no event are no progress.
                     reader.record_progress(is_event=True)
                 elif len(splitter.rest) > MAX_EVENT_BYTES:
-                    return Failed("an event of the stream is too large", self._endpoint_ids[:1])
+                    raise AnswerTooLargeError("an event of the stream is too large")
+        except AnswerTooLargeError as error:
+            self._record_too_large(str(error))
+            return Failed(str(error), self._endpoint_ids[:1])
         except AnswerBrokenError as error:
             await self._async_examine_first_endpoint(reader)
             return Failed(str(error), self._endpoint_ids[:1])
@@ -231,6 +234,13 @@
         self._finish(head)
         return Completed()
 
+    @callback
+    def _record_too_large(self, reason: str) -> None:
+        """Record that the first endpoint sent more than a gateway can hold."""
+        self._components.suspicions.record_soft_failure(
+            self._endpoint_ids[0], reason, FailureEvidence.RESPONSE
+        )
+
     def _may_forward(self, info: ResponseInfo) -> bool:
         """Return whether a response may be forwarded: a begun stream goes on with events only."""
         return info.status == _EVENTS_STATUS if self._progress.started else info.is_success
--- a/tests/platform/test_endless_responses.py
+++ b/tests/platform/test_endless_responses.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import gc
+import json
 import tracemalloc
 from collections.abc import Iterator
 from typing import Any
@@ -16,8 +17,13 @@
 from platform_deployment import Deployment, async_start_engines
 from tornado.iostream import IOStream, StreamClosedError
 
+from lagoonwing_fakes.platform import make_document
 from lagoonwing_fakes.platform.const import EVENTS
-from lagoonwing_gateway.const import MAX_EVENT_BYTES, MAX_RESPONSE_BODY_BYTES
+from lagoonwing_gateway.const import (
+    MAX_CONSECUTIVE_FAILURES,
+    MAX_EVENT_BYTES,
+    MAX_RESPONSE_BODY_BYTES,
+)
 from lagoonwing_http.const import MAX_RESPONSE_HEADER_BYTES
 from lagoonwing_platform.const import HEADER_DEADLINE_MS, HEADER_SIGNATURE
 
@@ -106,6 +112,28 @@
     await deployment.async_wait_until(lambda: was_closed[0])
 
 
+# Guards against streams that are sent to an endpoint without end, again and again.
+async def test_endpoint_whose_events_never_end_is_suspected(deployment: Deployment) -> None:
+    """As one whose calls fail, after several failures in a row."""
+
+    async def send_endless_event(handler: Any) -> None:
+        handler.set_header(HEADER_SIGNATURE, "stamp")
+        await handler.flush()
+        await _async_flood(handler.request.connection.stream, CHUNK_FRAME, MAX_EVENT_BYTES)
+        handler._finished = True
+
+    routes = json.loads(make_document())["routes"]
+    routes[2]["service"] = "plain"
+    await deployment.async_set_document(routes=routes)
+    endpoint = await deployment.async_add_endpoint("p-1", "plain")
+    endpoint.handler_override = send_endless_event
+    for number in range(MAX_CONSECUTIVE_FAILURES):
+        assert (await deployment.async_send_request("stream", f"a-{number}")).code == 502
+    response = await deployment.async_send_request("stream", "a-last")
+    assert response.code == 503
+    assert len(endpoint.arrived_at) == MAX_CONSECUTIVE_FAILURES
+
+
 async def test_stream_of_single_bytes_is_resumed_elsewhere(deployment: Deployment) -> None:
     """A byte now and then is no progress: the stream counts as stalled after its last event."""
     trickled: list[int] = []
