--- a/packages/gateway/src/lagoonwing_gateway/_endpoint_client.py
+++ b/packages/gateway/src/lagoonwing_gateway/_endpoint_client.py
@@ -25,6 +25,7 @@
     ClientConnection,
     ConnectError,
     Exchange,
+    ResponseBudget,
     ResponseHead,
 )
 
@@ -44,8 +45,12 @@
     sent_at: float
 
     def close(self) -> None:
-        """Close the exchange; an endpoint that hasn't responded completely drops the request."""
-        self.exchange.cancel_idle_timer()
+        """Close the exchange and drop the bytes of its response."""
+        self.break_off()
+        self.exchange.release()
+
+    def break_off(self) -> None:
+        """Fail an unfinished exchange; the endpoint drops its request."""
         if not self.exchange.finished:
             self.connection.close()
 
@@ -58,10 +63,12 @@
         dialect: Dialect,
         connection_pool: EndpointConnectionPool,
         limits: LimitTracker,
+        budget: ResponseBudget,
         clock: Clock,
     ) -> None:
         self._dialect = dialect
         self._limits = limits
+        self._budget = budget
         self._connection_pool = connection_pool
         self._clock = clock
 
@@ -89,6 +96,8 @@
             match_response,
             request.attempt_id,
         )
+        record = outgoing.endpoint
+        exchange.count_in(self._budget, (record.service_id, record.endpoint_id))
         return OpenExchange(connection, exchange, outgoing.endpoint, self._clock.now())
 
     async def async_head(
--- a/packages/http/src/lagoonwing_http/_exchange.py
+++ b/packages/http/src/lagoonwing_http/_exchange.py
@@ -11,6 +11,7 @@
 from tornado.httputil import HTTPHeaders
 
 from lagoonwing_core.callback import callback
+from lagoonwing_http._response_budget import HeldBytes, ResponseBudget, ResponseSource
 from lagoonwing_http.const import MAX_BUFFERED_RESPONSE_BYTES
 from lagoonwing_http.errors import AnswerBrokenError, AnswerTooLargeError, ForeignAnswerError
 
@@ -54,7 +55,13 @@
         self.match_response = match_response
         self._head: asyncio.Future[ResponseHead] = asyncio.get_running_loop().create_future()
         self._chunks: deque[bytes] = deque()
+        self._body: list[bytes] = []
         self._buffered_bytes = 0
+        self._body_bytes = 0
+        self._rest_bytes = 0
+        self._held: HeldBytes | None = None
+        self._is_released = False
+        self._gave_way = False
         self._data_ready: asyncio.Future[None] | None = None
         self._buffer_drained: asyncio.Future[None] | None = None
         self._finished = False
@@ -67,6 +74,17 @@
         """Whether the complete response has been received."""
         return self._finished
 
+    @callback
+    def count_in(self, budget: ResponseBudget, source: ResponseSource = ()) -> None:
+        """Count the bytes of the response in a budget until the exchange is released."""
+        self._held = budget.open(self._give_way, source)
+
+    @callback
+    def set_rest(self, count: int) -> None:
+        """Set the number of bytes that a reader of chunks still holds of the earlier ones."""
+        self._rest_bytes = count
+        self._update_held()
+
     async def async_read_head(self) -> ResponseHead:
         """Wait for the response status and headers.
 
@@ -84,9 +102,15 @@
 
         Raises:
             AnswerBrokenError: The connection closed before the body was complete.
+            AnswerTooLargeError: The response gave way to others; the caller must close the
+                connection.
             TimeoutError: No data was received within the timeout.
         """
         while not self._chunks:
+            if self._gave_way:
+                raise AnswerTooLargeError("the answer gave way, as answers take all memory")
+            if self._is_released:
+                raise AnswerBrokenError("the answer was given up")
             if self._finished:
                 return None
             if self._broken:
@@ -97,8 +121,8 @@
         data = b"".join(self._chunks) if len(self._chunks) > 1 else self._chunks[0]
         self._chunks.clear()
         self._buffered_bytes = 0
-        if self._buffer_drained is not None and not self._buffer_drained.done():
-            self._buffer_drained.set_result(None)
+        self._update_held()
+        self._resume_reading()
         return data
 
     async def async_read_body(self, timeout: float, max_bytes: int) -> bytes:
@@ -110,18 +134,35 @@
 
         Raises:
             AnswerBrokenError: The connection closed before the body was complete.
-            AnswerTooLargeError: The body exceeds `max_bytes`; the caller must close the connection.
+            AnswerTooLargeError: The body exceeds `max_bytes`, or gave way to other responses; the
+                caller must close the connection.
             TimeoutError: The body was not complete in time.
         """
-        chunks: list[bytes] = []
-        size = 0
-        async with asyncio.timeout(timeout):
-            while (chunk := await self.async_read_chunk(timeout)) is not None:
-                size += len(chunk)
-                if size > max_bytes:
-                    raise AnswerTooLargeError(f"the answer exceeds {max_bytes} bytes")
-                chunks.append(chunk)
-        return b"".join(chunks)
+        try:
+            async with asyncio.timeout(timeout):
+                while (chunk := await self.async_read_chunk(timeout)) is not None:
+                    self._body_bytes += len(chunk)
+                    if self._body_bytes > max_bytes:
+                        raise AnswerTooLargeError(f"the answer exceeds {max_bytes} bytes")
+                    # Not in a local variable: the traceback of an exception would keep it alive.
+                    self._body.append(chunk)
+                    self._update_held()
+            return b"".join(self._body)
+        finally:
+            self._body.clear()
+
+    @callback
+    def release(self) -> None:
+        """Drop the bytes of the response, those that still arrive too; nothing more can be read."""
+        self._is_released = True
+        self.cancel_idle_timer()
+        self._chunks.clear()
+        self._body.clear()
+        self._buffered_bytes = 0
+        if self._held is not None:
+            self._held.close()
+        self._resume_reading()
+        self._wake()
 
     @callback
     def cancel_idle_timer(self) -> None:
@@ -139,8 +180,11 @@
     @callback
     def on_data(self, data: bytes) -> asyncio.Future[None] | None:
         """Buffer a chunk of the body; a returned future pauses reading until it is done."""
+        if self._is_released:
+            return None
         self._chunks.append(data)
         self._buffered_bytes += len(data)
+        self._update_held()
         self._wake()
         if self._buffered_bytes < MAX_BUFFERED_RESPONSE_BYTES:
             return None
@@ -176,6 +220,21 @@
             self._head.exception()
         self._wake()
 
+    def _update_held(self) -> None:
+        """Count the bytes that are held now; the response may give way."""
+        if self._held is not None:
+            self._held.resize(self._buffered_bytes + self._body_bytes + self._rest_bytes)
+
+    def _give_way(self) -> None:
+        """Drop the response, since all responses together take too much memory."""
+        self._gave_way = True
+        self.release()
+
+    def _resume_reading(self) -> None:
+        """Let the connection read on, if it was paused."""
+        if self._buffer_drained is not None and not self._buffer_drained.done():
+            self._buffer_drained.set_result(None)
+
     def _arm_idle_timer(self, timeout: float) -> None:
         """Arm the idle timeout; the timer is reused, because each token is a separate wait."""
         loop = asyncio.get_running_loop()
