--- a/tests/entry/test_cut_answers_of_endpoints.py
+++ b/tests/entry/test_cut_answers_of_endpoints.py
@@ -8,22 +8,19 @@
 from dataclasses import dataclass
 
 import pytest
-from cut_answers import (
+from cut_cases import PARALLEL_CASES, describe
+from cutting_endpoints import (
     ARRIVAL_S,
-    PARALLEL_CASES,
-    Answer,
-    AnswerMaker,
     Case,
     Connection,
     Cut,
     CuttingEndpoint,
-    Framing,
     Moment,
     Owner,
     case_ids,
     cuts_of,
-    describe,
 )
+from raw_answers import Answer, AnswerMaker, Framing
 
 from lagoonwing_core.clock import LoopClock
 from lagoonwing_core.ids import (
--- a/tests/platform/test_cut_answers.py
+++ b/tests/platform/test_cut_answers.py
@@ -3,31 +3,30 @@
 from __future__ import annotations
 
 import pytest
-from cut_answers import (
+from cut_cases import Kind, async_run_cases, async_run_pairs, describe
+from cutting_endpoints import (
     MAY_HAVE_RUN_STATUSES,
-    AnswerMaker,
     Case,
     Connection,
     CuttingEndpoint,
-    Framing,
-    Kind,
     Moment,
     Owner,
-    async_run_cases,
-    async_run_pairs,
     case_ids,
-    chunked_failure,
     cuts_of,
-    describe,
-    failure,
     has_named_head,
+)
+from platform_deployment import Deployment
+from raw_answers import (
+    AnswerMaker,
+    Framing,
+    chunked_failure,
+    failure,
     long_failure,
     refusal,
     second_refusal,
     second_success,
     success,
 )
-from platform_deployment import Deployment
 
 MOMENTS_WITHIN = (Moment.WITHIN, Moment.WITHIN_ALONE)
 REFUSED_STATUSES = (*MAY_HAVE_RUN_STATUSES, 503)
--- a/tests/platform/test_cut_engine_replies.py
+++ b/tests/platform/test_cut_engine_replies.py
@@ -7,8 +7,9 @@
 from typing import TypeVar
 
 import pytest
-from cut_answers import Answer, async_read_request, describe
+from cut_cases import describe
 from expression import Result
+from raw_answers import Answer, async_read_request
 
 from lagoonwing_catalog.models import EndpointRecord, EndpointState, LayerRange
 from lagoonwing_core.errors import Refusal
--- a/tests/platform/test_cut_streams.py
+++ b/tests/platform/test_cut_streams.py
@@ -6,28 +6,19 @@
 from dataclasses import dataclass
 
 import pytest
-from cut_answers import (
+from cut_cases import Kind, async_run_cases, async_run_pairs, describe
+from cutting_endpoints import (
     ARRIVAL_S,
-    Answer,
-    AnswerMaker,
     Case,
     Cut,
     CuttingEndpoint,
-    Framing,
-    Kind,
     Moment,
     Owner,
-    async_run_cases,
-    async_run_pairs,
     case_ids,
     cuts_of,
-    describe,
-    event,
-    failure,
-    second_success,
-    success,
 )
 from platform_deployment import Deployment
+from raw_answers import Answer, AnswerMaker, Framing, event, failure, second_success, success
 
 # So many that the rest of a stream holds a second head and an event.
 EVENTS = 10
@@ -109,34 +100,46 @@
     return Answer(200, attempt_id, "again", rest)
 
 
-# Guards against the head or the events of a second answer in a stream that is resumed.
-async def test_resumed_stream_is_not_joined_with_a_cut_answer(deployment: Deployment) -> None:
-    """The answer of the second attempt is read as strictly as that of the first."""
-    due = _stream(Framing.ONE_CHUNK, "first", "token")
-    # So short that the rest of the first answer holds its head and an event.
-    second = _stream(Framing.LENGTH, "second", "x")
-    cases = [
-        Case(cut, Moment.FRONT, due, is_stream=True)
-        for cut in cuts_of([second_success(Framing.LENGTH)], Owner.DUE)
-    ]
-    head = len(_resumed(case_ids(0)[1]).head)
-    cases += [
-        Case(_cut_and_second(_resumed, second, end), Moment.INSTEAD, due, is_stream=True)
-        for end in range(head, len(_resumed(case_ids(0)[1]).content))
-    ]
+def _cut_and_second(due: AnswerMaker, second: AnswerMaker, end: int) -> Cut:
+    """Return the first bytes of a stream, followed by a whole second answer to its request."""
+    return Cut(f"due[:{end}]", lambda _, due_id: due(due_id).content[:end] + second(due_id).content)
+
+
+async def _async_run_resumed(deployment: Deployment, cases: list[Case], kind: Kind) -> None:
+    """Play cases in the second attempts of streams, and check the rule on mixed answers."""
     pairs = []
     for number, case in enumerate(cases):
         ids, runs = case_ids(number), list[str]()
         pairs.append((ResumedEndpoint(case, ids, runs), ResumedEndpoint(case, ids, runs)))
-    faults = await async_run_pairs(deployment, pairs, Kind.ENGINE_STREAM)
+    faults = await async_run_pairs(deployment, pairs, kind)
     assert not faults, describe(faults, len(cases))
     resumed = [first for first, _ in pairs if first.runs.count(first.ids[1]) == 2]
     assert len(resumed) > len(pairs) / 2
 
 
-def _cut_and_second(due: AnswerMaker, second: AnswerMaker, end: int) -> Cut:
-    """Return the first bytes of a stream, followed by a whole second answer to its request."""
-    return Cut(f"due[:{end}]", lambda _, due_id: due(due_id).content[:end] + second(due_id).content)
+# Guards against the head of a second answer where a resumed stream begins.
+async def test_cut_answer_in_front_does_not_join_a_resumed_stream(deployment: Deployment) -> None:
+    """The head of the second attempt is read as strictly as that of the first."""
+    due = _stream(Framing.ONE_CHUNK, "first", "token")
+    cuts = cuts_of([second_success(Framing.LENGTH)], Owner.DUE)
+    cases = [Case(cut, Moment.FRONT, due, is_stream=True) for cut in cuts]
+    await _async_run_resumed(deployment, cases, Kind.PLAIN_STREAM)
+
+
+# Guards against the head or the events of a second answer in a stream that is resumed.
+async def test_resumed_stream_that_is_cut_and_written_again_is_not_joined(
+    deployment: Deployment,
+) -> None:
+    """The body of the second attempt is read as strictly as that of the first."""
+    due = _stream(Framing.ONE_CHUNK, "first", "token")
+    # So short that the rest of the first answer holds its head and an event.
+    second = _stream(Framing.LENGTH, "second", "x")
+    resumed = _resumed(case_ids(0)[1])
+    cases = [
+        Case(_cut_and_second(_resumed, second, end), Moment.INSTEAD, due, is_stream=True)
+        for end in range(len(resumed.head), len(resumed.content))
+    ]
+    await _async_run_resumed(deployment, cases, Kind.ENGINE_STREAM)
 
 
 # Guards against the head of a second answer in an event, and against the events of two answers.
--- a/tests/platform/test_garbage_answers.py
+++ b/tests/platform/test_garbage_answers.py
@@ -5,22 +5,15 @@
 import random
 
 import pytest
-from cut_answers import (
-    Case,
-    Cut,
-    Moment,
-    async_run_cases,
-    case_ids,
-    chunked_failure,
-    describe,
-    failure,
-)
+from cut_cases import Kind, async_run_cases, describe
+from cutting_endpoints import Case, Cut, Moment, case_ids
 from platform_deployment import Deployment
+from raw_answers import chunked_failure, event, failure
 
 from lagoonwing_platform.const import HEADER_ATTEMPT_ID, HEADER_SIGNATURE
 
 _STATUS_LINE = b"HTTP/1.1 200 OK"
-_BODY = b"late one"
+_BODY = event(9, "late")
 _LENGTH = b"Content-Length: %d" % len(_BODY)
 _CHUNKED = b"Transfer-Encoding: chunked"
 _NO_ANSWERS = {
@@ -71,11 +64,11 @@
         "signature twice": _join(due, stamp, _signed("third"), _LENGTH),
         "length twice": _join(due, stamp, _LENGTH, _LENGTH),
         "two lengths": _join(due, stamp, _LENGTH, b"Content-Length: 2"),
-        "joined lengths": _join(due, stamp, b"Content-Length: 8, 8"),
-        "two joined lengths": _join(due, stamp, b"Content-Length: 8,2"),
+        "joined lengths": _join(due, stamp, b"Content-Length: %d, %d" % (len(_BODY), len(_BODY))),
+        "two joined lengths": _join(due, stamp, b"Content-Length: %d,2" % len(_BODY)),
         "length and chunks": _join(due, stamp, _LENGTH, _CHUNKED, body=b"0\r\n\r\n"),
-        "length with a sign": _join(due, stamp, b"Content-Length: +8"),
-        "negative length": _join(due, stamp, b"Content-Length: -8"),
+        "length with a sign": _join(due, stamp, b"Content-Length: +%d" % len(_BODY)),
+        "negative length": _join(due, stamp, b"Content-Length: -%d" % len(_BODY)),
         "length in words": _join(due, stamp, b"Content-Length: eight"),
         "empty length": _join(due, stamp, b"Content-Length: "),
         "folded field": _join(earlier, stamp, b"X-Folded: a\r\n b", _LENGTH),
@@ -147,6 +140,15 @@
     assert not faults, describe(faults, len(cases))
 
 
+# Guards against a stream that is read together with bytes of no answer.
+async def test_garbage_does_not_join_a_stream(deployment: Deployment) -> None:
+    """Streams on kept connections are read as strictly as calls."""
+    moments = (Moment.IDLE, Moment.FRONT)
+    cases = [Case(cut, moment, is_stream=True) for moment in moments for cut in _cuts()]
+    faults = await async_run_cases(deployment, cases, Kind.PLAIN_STREAM)
+    assert not faults, describe(faults, len(cases))
+
+
 # Guards against an answer that is completed with bytes of no answer.
 async def test_garbage_within_chunks_completes_no_answer(deployment: Deployment) -> None:
     """Where a chunk is due, nothing else can stand."""
