--- a/packages/http/src/lagoonwing_http/_client.py
+++ b/packages/http/src/lagoonwing_http/_client.py
@@ -139,10 +139,13 @@
             while True:
                 data = await self._stream.read_bytes(CONNECTION_READ_CHUNK_BYTES, partial=True)
                 pause = self._on_bytes(data)
-                if pause is not None:
-                    self._is_paused = True
-                    await pause
-                    self._is_paused = False
+                if pause is None:
+                    # A read that finds bytes at once doesn't let other tasks run.
+                    await asyncio.sleep(0)
+                    continue
+                self._is_paused = True
+                await pause
+                self._is_paused = False
         except StreamClosedError:
             # A reset of a response without framing is a failure, its clean end completes it.
             if self._stream.error is None:
--- a/packages/http/src/lagoonwing_http/_embedded_answer.py
+++ b/packages/http/src/lagoonwing_http/_embedded_answer.py
@@ -8,12 +8,15 @@
 from lagoonwing_http.const import MAX_RESPONSE_HEADER_BYTES, MAX_STATUS_LINE_START_BYTES
 
 _HEAD_END = re.compile(rb"\r?\n\r?\n")
+# Looked for before the pattern of a status line, which takes longer.
+_STATUS_LINE_START = b"HTTP/1."
 
 
 class EmbeddedAnswerFinder:
     """Looks through a body for the head of an answer to one of some requests.
 
-    Such a body was cut short and filled up by another answer of the endpoint.
+    Such a body was cut short and filled up by another answer of the endpoint. Where answers name no
+    request, each status line counts as such a head.
     """
 
     def __init__(self, request_ids: frozenset[str]) -> None:
@@ -30,6 +33,9 @@
         length = len(self._tail) + len(raw_body)
         window = self._tail + raw_body + remainder[:MAX_RESPONSE_HEADER_BYTES]
         tail_start = max(0, length - MAX_STATUS_LINE_START_BYTES)
+        if _STATUS_LINE_START not in window:
+            self._tail = window[tail_start:length]
+            return False
         for start_line in STATUS_LINE.finditer(window):
             start = start_line.start()
             if start >= length:
@@ -46,6 +52,8 @@
         return False
 
     def _names_request(self, head: bytes) -> bool:
-        """Return whether a whole line of a head has an id as its value."""
+        """Return whether a whole line of a head has an id as its value; any head has, without ids."""
+        if not self._ids:
+            return True
         lines = head.split(b"\n")[1:-1]
         return any(line.partition(b":")[2].strip() in self._ids for line in lines)
--- a/packages/http/src/lagoonwing_http/_response_parser.py
+++ b/packages/http/src/lagoonwing_http/_response_parser.py
@@ -17,6 +17,8 @@
 
 STATUS_LINE = re.compile(rb"HTTP/1\.[0-9][ \t]+[0-9]{3}")
 _FRAMING_HEADER = re.compile(rb"^(?:content-length|transfer-encoding)[ \t]*:(.*)$", re.I | re.M)
+# A line that continues the one before it.
+_FOLDED_LINE = re.compile(rb"\n[ \t]")
 _SWITCHING_PROTOCOLS = 101
 _STATUSES_WITHOUT_BODY = (204, 304)
 # The parser needs to know of a request only whether its response has a body.
@@ -146,5 +148,7 @@
 
     def _check_head(self, raw_head: bytes) -> None:
         """Raise if another response begins inside a head, which may not be complete."""
+        if _FOLDED_LINE.search(raw_head):
+            raise AnswerBrokenError("a line of the head is folded")
         if STATUS_LINE.search(raw_head, 1):
             raise ForeignAnswerError("another answer begins inside the head of the answer")
