Splitting a chunk into events takes time linear in its size

Found while playing streams of events without end at full speed: for each event the rest of the buffer was copied.

--- a/packages/gateway/src/lagoonwing_gateway/_server_sent_events.py
+++ b/packages/gateway/src/lagoonwing_gateway/_server_sent_events.py
@@ -21,12 +21,15 @@
 
     def feed(self, chunk: bytes) -> list[StreamEvent]:
         """Add bytes and return the events that are now complete."""
-        self._buffer += chunk
+        buffer = self._buffer + chunk
         events: list[StreamEvent] = []
-        while (end := self._buffer.find(_EVENT_END)) >= 0:
-            content = self._buffer[: end + len(_EVENT_END)]
-            self._buffer = self._buffer[end + len(_EVENT_END) :]
+        start = 0
+        while (found := buffer.find(_EVENT_END, start)) >= 0:
+            end = found + len(_EVENT_END)
+            content = buffer[start:end]
             events.append(StreamEvent(_event_id(content), content))
+            start = end
+        self._buffer = buffer[start:]
         return events
 
 
