Failing test: a large sound answer is late beside endless streams of events at full speed

One more kind for the process test: events that are sound, without end, as fast as they are read. Likely cause, not shown by a trace: the streams take all of the process's time, each chunk of 1 KB is read by itself, and the large answer gets 64 KiB each time around.

--- a/tests/platform/endless_endpoints.py
+++ b/tests/platform/endless_endpoints.py
@@ -25,6 +25,7 @@
     """Part of an answer that never ends."""
 
     CHUNKED_BODY = "chunked_body"
+    EVENTS = "events"
     UNFRAMED_BODY = "unframed_body"
     STATUS_LINE = "status_line"
     HEAD = "head"
@@ -53,6 +54,9 @@
     match part:
         case EndlessPart.CHUNKED_BODY:
             return chunked, frame
+        case EndlessPart.EVENTS:
+            event = b"data: " + FILL[:1_000] + b"\n\n"
+            return chunked, b"%x\r\n%s\r\n" % (len(event), event)
         case EndlessPart.UNFRAMED_BODY:
             return _make_head(attempt_id), FILL
         case EndlessPart.STATUS_LINE:
