The body of a failed request is released when the request ends

Found while looking for the cause of lingering answers elsewhere: requests' bodies lingered the same way, although BodyBudget takes them for released, so that its 64 MiB bounded nothing when requests failed in series.

Shown by test_body_of_a_failed_request_is_released_when_it_ends without collections of garbage: two bodies of 3 MiB were both held after they had been answered (6.35 MB, all six cases: no answer, half a head, silent answer; call and stream). The error's traceback is dropped where it is caught, as nothing uses it.

--- a/packages/gateway/src/lagoonwing_gateway/_call_handler.py
+++ b/packages/gateway/src/lagoonwing_gateway/_call_handler.py
@@ -275,6 +275,8 @@
                 self._async_response(call, record, open_exchange), call.responder
             )
         except RESPONSE_ERRORS as error:
+            # Whatever keeps the error must not keep the frames that hold the request.
+            error.with_traceback(None)
             return await self._async_record_failure(call.context, record, error)
         finally:
             open_exchange.close()
--- a/packages/gateway/src/lagoonwing_gateway/_disconnect.py
+++ b/packages/gateway/src/lagoonwing_gateway/_disconnect.py
@@ -29,6 +29,8 @@
         raise
     finally:
         responder.set_on_disconnect(_ignore_disconnect)
+        # Its exception refers to this frame, which would refer to it in turn.
+        del task
 
 
 def _ignore_disconnect() -> None:
--- a/packages/http/src/lagoonwing_http/_exchange.py
+++ b/packages/http/src/lagoonwing_http/_exchange.py
@@ -53,7 +53,9 @@
 
     def __init__(self, match_response: ResponseMatcher) -> None:
         self.match_response = match_response
-        self._head: asyncio.Future[ResponseHead] = asyncio.get_running_loop().create_future()
+        self._head: ResponseHead | None = None
+        self._head_ready: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._is_foreign = False
         self._chunks: deque[bytes] = deque()
         self._body: list[bytes] = []
         self._buffered_bytes = 0
@@ -64,6 +66,7 @@
         self._gave_way = False
         self._data_ready: asyncio.Future[None] | None = None
         self._buffer_drained: asyncio.Future[None] | None = None
+        self._timed_out = False
         self._finished = False
         self._broken = False
         self._idle_deadline = 0.0
@@ -92,7 +95,13 @@
             AnswerBrokenError: The connection closed first.
         """
         # Shielded, so that a reader whose wait timed out may wait again.
-        return await asyncio.shield(self._head)
+        await asyncio.shield(self._head_ready)
+        if self._head is not None:
+            return self._head
+        # Raised here, as an exception that a future keeps would keep the frames of its readers.
+        if self._is_foreign:
+            raise ForeignAnswerError("the answer is not of this attempt")
+        raise AnswerBrokenError("the connection ended before an answer")
 
     async def async_read_chunk(self, timeout: float) -> bytes | None:
         """Wait for the next chunk of the body; return `None` at its end.
@@ -118,6 +127,9 @@
             self._data_ready = asyncio.get_running_loop().create_future()
             self._arm_idle_timer(timeout)
             await self._data_ready
+            if self._timed_out:
+                self._timed_out = False
+                raise TimeoutError
         data = b"".join(self._chunks) if len(self._chunks) > 1 else self._chunks[0]
         self._chunks.clear()
         self._buffered_bytes = 0
@@ -174,8 +186,9 @@
     @callback
     def on_head(self, head: ResponseHead) -> None:
         """Handle the response status and headers."""
-        if not self._head.done():
-            self._head.set_result(head)
+        if not self._head_ready.done():
+            self._head = head
+            self._head_ready.set_result(None)
 
     @callback
     def on_data(self, data: bytes) -> asyncio.Future[None] | None:
@@ -203,9 +216,9 @@
     @callback
     def on_mismatch(self) -> None:
         """Handle a response that belongs to another request."""
-        if not self._head.done():
-            self._head.set_exception(ForeignAnswerError("the answer is not of this attempt"))
-            self._head.exception()
+        if not self._head_ready.done():
+            self._is_foreign = True
+            self._head_ready.set_result(None)
 
     @callback
     def on_connection_lost(self) -> None:
@@ -214,10 +227,8 @@
             return
         self._broken = True
         self.cancel_idle_timer()
-        if not self._head.done():
-            self._head.set_exception(AnswerBrokenError("the connection ended before an answer"))
-            # The waiting task may be gone; retrieving the exception avoids asyncio's warning.
-            self._head.exception()
+        if not self._head_ready.done():
+            self._head_ready.set_result(None)
         self._wake()
 
     def _update_held(self) -> None:
@@ -253,7 +264,8 @@
         if loop.time() < self._idle_deadline:
             self._idle_timer = loop.call_at(self._idle_deadline, self._on_idle_timer)
             return
-        self._data_ready.set_exception(TimeoutError())
+        self._timed_out = True
+        self._data_ready.set_result(None)
 
     def _wake(self) -> None:
         """Wake the waiting reader."""
--- a/tests/platform/test_large_bodies.py
+++ b/tests/platform/test_large_bodies.py
@@ -3,15 +3,26 @@
 from __future__ import annotations
 
 import asyncio
+import gc
+import json
+import re
+import tracemalloc
+from collections.abc import Iterator
 
 import pytest
 from platform_deployment import Deployment
 
-from lagoonwing_fakes.platform import WorkHandler, make_caller_headers
+from lagoonwing_fakes.platform import (
+    WorkHandler,
+    heartbeat_path,
+    make_caller_headers,
+    make_document,
+    make_heartbeat,
+)
 from lagoonwing_fakes.platform.const import ADDRESS
 from lagoonwing_gateway.const import MAX_RESPONSE_BODY_BYTES, MAX_RESPONSES_BYTES
 from lagoonwing_http import BodyBudget
-from lagoonwing_platform.const import HEADER_SIGNATURE
+from lagoonwing_platform.const import HEADER_ATTEMPT_ID, HEADER_SIGNATURE
 
 BODY_BYTES = 256 * 1024
 BUDGET_BODIES = 5
@@ -19,6 +30,12 @@
 WORK_S = 0.3
 # More than the buffers of a connection take.
 LONG_ANSWER_BYTES = 12 * 1024 * 1024
+FAILED_BODY = bytes(3 * 1024 * 1024)
+SILENT_HEAD = (
+    f"HTTP/1.1 200 OK\r\n{HEADER_ATTEMPT_ID}: ID\r\n{HEADER_SIGNATURE}: stamp\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n"
+).encode()
+ANSWER_IDS = ["none", "half a head", "silent"]
 
 
 class CountingBudget(BodyBudget):
@@ -174,3 +191,52 @@
     lines = ["GET /safe/x HTTP/1.1", *(f"{name}: {value}" for name, value in headers.items())]
     writer.write("\r\n".join([*lines, "", ""]).encode())
     return reader, writer
+
+
+@pytest.fixture
+def no_collection() -> Iterator[None]:
+    """Trace memory, and let no collection of garbage release it."""
+    gc.collect()
+    gc.disable()
+    tracemalloc.start()
+    yield
+    tracemalloc.stop()
+    gc.enable()
+
+
+# Guards against exceptions and their frames that keep bodies which the budget takes for released.
+@pytest.mark.parametrize("route", ["unsafe", "stream"])
+@pytest.mark.parametrize("answer", [b"", b"HTTP/1.1 200 OK\r\n", SILENT_HEAD], ids=ANSWER_IDS)
+@pytest.mark.usefixtures("no_collection")
+async def test_body_of_a_failed_request_is_released_when_it_ends(
+    deployment: Deployment, route: str, answer: bytes
+) -> None:
+    """Whether its answer doesn't begin, breaks off in its head or falls silent."""
+
+    async def answer_partly(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        await reader.readexactly(len(FAILED_BODY))
+        attempt_id = re.search(rb"Attempt-Id: ([^\r]*)", head, re.IGNORECASE)
+        assert attempt_id is not None
+        writer.write(answer.replace(b"ID", attempt_id.group(1)))
+        if answer.endswith(b"\r\n\r\n"):
+            await reader.read()
+        writer.close()
+
+    routes = json.loads(make_document())["routes"]
+    routes[2]["service"] = "plain"
+    await deployment.async_set_document(routes=routes)
+    server = await asyncio.start_server(answer_partly, ADDRESS, 0)
+    heartbeat = make_heartbeat("plain", server.sockets[0].getsockname()[1], 1, None, None)
+    await deployment.async_call(deployment.control_port, heartbeat_path("p-1"), "POST", heartbeat)
+    await deployment.async_wait_until(lambda: bool(deployment.gateway.follower.endpoint_by_id))
+    held_before = tracemalloc.get_traced_memory()[0]
+    for number in range(2):
+        headers = make_caller_headers(route, f"a-{number}", 400)
+        response = await deployment.async_call(
+            deployment.caller_port, f"/{route}/x", "POST", FAILED_BODY, **headers
+        )
+        assert response.code in (502, 504)
+    held_bytes = tracemalloc.get_traced_memory()[0] - held_before
+    server.close()
+    assert held_bytes < len(FAILED_BODY) // 2
