Large sound answers beside endless ones have a test of their own

A caller of 6 MiB answers stood in each play of test_bytes_without_end.py; where it was late (504), the play said nothing about memory. Both checks stay as strict: memory is checked for all kinds, now also for streams of sound events without end, and the large answers in four plays of their own, which check memory too.

Seen before the split: 504 for the large caller beside streams of events in 4 of 4 plays, and beside requests' bodies in one of one (whole tests/platform, load 14 to 18 on 8 cores).

--- a/tests/platform/endless_answers.py
+++ b/tests/platform/endless_answers.py
@@ -88,12 +88,14 @@
         assert found is not None
         return int(found.group(1)) / 1_024
 
-    async def async_run(self, seconds: float, sound_callers: int, faulty_callers: int) -> None:
+    async def async_run(
+        self, seconds: float, sound_callers: int, faulty_callers: int, large_callers: int = 0
+    ) -> None:
         """Let callers of both services send requests.
 
-        One sound caller asks for large answers; half of the faulty ones ask for streams.
+        Some sound callers ask for large answers; half of the faulty ones ask for streams.
         """
-        prefixes = [LARGE_PREFIX, *[SMALL_PREFIX] * (sound_callers - 1)]
+        prefixes = [LARGE_PREFIX] * large_callers + [SMALL_PREFIX] * sound_callers
         tasks = [asyncio.ensure_future(self._async_call_sound(prefix)) for prefix in prefixes]
         tasks += [
             asyncio.ensure_future(self._async_call_faulty("stream" if n % 2 else "faulty"))
--- a/tests/platform/test_bytes_without_end.py
+++ b/tests/platform/test_bytes_without_end.py
@@ -48,3 +48,29 @@
     assert begun >= MIN_ANSWERS
     assert play.sound_failures == []
     assert peak_mb < MAX_GATEWAY_MB
+
+
+# Guards against endless answers, each of them cut early, that push out a larger sound one.
+@pytest.mark.parametrize(
+    ("part", "body_bytes"),
+    [
+        (EndlessPart.CHUNKED_BODY, 0),
+        (EndlessPart.UNFRAMED_BODY, 0),
+        (EndlessPart.EVENTS, 0),
+        (EndlessPart.CHUNKED_BODY, REQUEST_BODY_BYTES),
+    ],
+    ids=["chunked_body", "unframed_body", "events", "request_bodies"],
+)
+async def test_large_sound_answers_beside_endless_ones_are_served(
+    tmp_path: Path, part: EndlessPart, body_bytes: int
+) -> None:
+    """They are larger than what each endless answer has room for."""
+    async with async_run_play(tmp_path, part) as play:
+        play.faulty_body = bytes(body_bytes)
+        await play.async_run(PLAY_S, SOUND_CALLERS, FAULTY_CALLERS, large_callers=1)
+        begun = play.faulty.begun_answers
+        peak_mb = play.peak_mb()
+    print(f"large beside {part.value}: {peak_mb:.0f} MB, {play.sound_served} sound, {begun} begun")
+    assert peak_mb < MAX_GATEWAY_MB
+    assert begun >= MIN_ANSWERS
+    assert play.sound_failures == []
