An endpoint that drips bytes holds no report, stage step or close beyond its timeout

What callers saw: an endpoint that sends a byte of a body now and then kept the entry's load poll open without end; polls go in batches, so load reports of all endpoints stood still. Closing a stage after its caller had left went on the same way (up to 8 MiB, one byte per step timeout).

Cause: the body of an answer was bounded by its size and by the time between two chunks, not in total. Service calls and completions end with their request's deadline; reports, closes and the rest of a pipeline's calls have no deadline but the one of the adapter.

Why it works: the whole body has to come within the timeout that was meant for the call.

--- a/packages/entry/src/lagoonwing_entry/_dispatch.py
+++ b/packages/entry/src/lagoonwing_entry/_dispatch.py
@@ -156,19 +156,38 @@
             detail = f"silent for {timeout} s"
             raise self._may_have_run(ResultCode.ANSWER_INCOMPLETE, detail, died=False) from error
 
-    async def async_body(self, timeout: float, limit: int) -> bytes:
+    async def async_body(
+        self, idle_timeout: float, limit: int, total_timeout: float | None = None
+    ) -> bytes:
         """Read the complete body.
 
+        Args:
+            idle_timeout: Maximum time without data, in seconds.
+            limit: Maximum size of the body in bytes.
+            total_timeout: Maximum time until the body is complete, in seconds; None if the
+                caller's deadline ends the dispatch.
+
+        Raises:
+            DispatchError: The body is incomplete or exceeds `limit` bytes.
+        """
+        try:
+            async with asyncio.timeout(total_timeout):
+                return await self._async_collect_body(idle_timeout, limit)
+        except TimeoutError as error:
+            raise self.invalid_response(f"no complete answer in {total_timeout} s") from error
+
+    async def _async_collect_body(self, idle_timeout: float, limit: int) -> bytes:
+        """Read the chunks of the body.
+
         Raises:
             DispatchError: The body is incomplete or exceeds `limit` bytes.
         """
         parts: list[bytes] = []
         size = 0
-        while (chunk := await self.async_chunk(timeout)) is not None:
+        while (chunk := await self.async_chunk(idle_timeout)) is not None:
             size += len(chunk)
             if size > limit:
-                detail = f"the answer passes {limit} bytes"
-                raise self._may_have_run(ResultCode.ANSWER_INCOMPLETE, detail, died=False)
+                raise self.invalid_response(f"the answer passes {limit} bytes")
             parts.append(chunk)
         return b"".join(parts)
 
--- a/packages/entry/src/lagoonwing_entry/_http_adapter.py
+++ b/packages/entry/src/lagoonwing_entry/_http_adapter.py
@@ -248,7 +248,9 @@
         async with OpenDispatch(self._pool, target.record, request) as dispatch:
             head = await dispatch.async_head(timeout)
             self._check_status(target, head.status)
-            data = await dispatch.async_body(timeout, self._settings.max_response_bytes)
+            data = await dispatch.async_body(
+                timeout, self._settings.max_response_bytes, total_timeout=timeout
+            )
         return _decode_response(dispatch, data, response_type)
 
     async def async_call_service(
@@ -293,7 +295,9 @@
         async with OpenDispatch(self._pool, target.record, request) as dispatch:
             head = await dispatch.async_head(timeout)
             self._check_status(target, head.status)
-            data = await dispatch.async_body(timeout, self._settings.max_response_bytes)
+            data = await dispatch.async_body(
+                timeout, self._settings.max_response_bytes, total_timeout=timeout
+            )
         return _decode_response(dispatch, data, response_type), dispatch
 
     def _json_request(
