A peer that sends frames at full speed no longer stops the event loop of a process

What callers saw: nothing yet; found while looking for readers of bytes without end. A process that reads frames faster than their sender writes them, or slower, while some are always there, served nothing else: no caller, no timer, no ping of its own, so its other peers counted it as lost.

Cause: reading from a stream doesn't wait while bytes are in its buffer or in the kernel, so the loop of a channel went on without giving others their turn.

Why it works: after 256 KiB of frames, each counted with 4 KiB for its work, the reader gives the loop a turn.

--- a/packages/wire/src/lagoonwing_wire/_channel.py
+++ b/packages/wire/src/lagoonwing_wire/_channel.py
@@ -18,7 +18,12 @@
 from lagoonwing_core.result_codes import ResultCode
 from lagoonwing_wire._framing import FrameTooLargeError, async_read_frame, write_frame
 from lagoonwing_wire._handshake import Session
-from lagoonwing_wire.const import PING_INTERVAL_S, SILENCE_TIMEOUT_S
+from lagoonwing_wire.const import (
+    FRAME_WORK_BYTES,
+    MAX_TURN_BYTES,
+    PING_INTERVAL_S,
+    SILENCE_TIMEOUT_S,
+)
 from lagoonwing_wire.models import Envelope, EnvelopeKind
 
 MessageT = TypeVar("MessageT")
@@ -129,11 +134,17 @@
         loop = asyncio.get_running_loop()
         self._last_received_at = loop.time()
         pinger = loop.create_task(self._async_ping())
+        turn_bytes = 0
         try:
             while True:
                 frame = await async_read_frame(self._stream)
                 self._last_received_at = loop.time()
                 self._dispatch(frame)
+                turn_bytes += len(frame) + FRAME_WORK_BYTES
+                if turn_bytes > MAX_TURN_BYTES:
+                    # Reading doesn't wait while bytes are there.
+                    await asyncio.sleep(0)
+                    turn_bytes = 0
         except StreamClosedError:
             pass
         except (FrameTooLargeError, msgspec.MsgspecError) as error:
--- a/packages/wire/src/lagoonwing_wire/const.py
+++ b/packages/wire/src/lagoonwing_wire/const.py
@@ -8,6 +8,10 @@
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 MAX_HANDSHAKE_FRAME_BYTES = 1024
 MAX_WRITE_BUFFER_BYTES = 32 * 1024 * 1024
+# Work on frames of one peer before other tasks of the loop get their turn; each frame counts as
+# its bytes and this.
+MAX_TURN_BYTES = 256 * 1024
+FRAME_WORK_BYTES = 4 * 1024
 
 NONCE_BYTES = 32
 HANDSHAKE_TIMEOUT_S = 2.0
--- a/tests/wire/test_channel.py
+++ b/tests/wire/test_channel.py
@@ -16,7 +16,14 @@
 
 from lagoonwing_core.ids import HostId
 from lagoonwing_core.result_codes import ResultCode
-from lagoonwing_wire import Channel, ChannelServer, Handlers, Identity, Link, async_connect
+from lagoonwing_wire import (
+    Channel,
+    ChannelServer,
+    Handlers,
+    Identity,
+    Link,
+    async_connect,
+)
 from lagoonwing_wire._handshake import async_connect_handshake
 
 
