Open calls of one peer are bounded in bytes

What callers saw: nothing yet; found by playing frames without end. Each frame has its bound, but a peer's calls were all held until their replies were ready, so a peer that calls faster than it is answered filled the memory of the process.

Why it works: calls whose replies haven't been sent count with their bytes and 6 KiB for the task; at 64 MiB the channel is closed and logged as refused. This leaves 10,922 small calls, more than the 8,192 open requests of an entry host.

--- a/packages/wire/src/lagoonwing_wire/_channel.py
+++ b/packages/wire/src/lagoonwing_wire/_channel.py
@@ -19,7 +19,9 @@
 from lagoonwing_wire._framing import FrameTooLargeError, async_read_frame, write_frame
 from lagoonwing_wire._handshake import Session
 from lagoonwing_wire.const import (
+    CALL_TASK_BYTES,
     FRAME_WORK_BYTES,
+    MAX_OPEN_CALL_BYTES,
     MAX_TURN_BYTES,
     PING_INTERVAL_S,
     SILENCE_TIMEOUT_S,
@@ -82,6 +84,7 @@
         self._next_correlation = 1
         self._pending_replies: dict[int, asyncio.Future[MessageT]] = {}
         self._call_tasks: set[asyncio.Task[None]] = set()
+        self._open_call_bytes = 0
         self._closed = False
         self._last_received_at = 0.0
 
@@ -214,11 +217,24 @@
                 if reply is not None and not reply.done():
                     reply.set_result(message)
             case EnvelopeKind.CALL:
-                task = asyncio.get_running_loop().create_task(
-                    self._async_handle_call(envelope.correlation, message)
-                )
-                self._call_tasks.add(task)
-                task.add_done_callback(self._call_tasks.discard)
+                self._start_call(envelope.correlation, message, len(frame) + CALL_TASK_BYTES)
+
+    def _start_call(self, correlation: int, message: MessageT, size: int) -> None:
+        """Handle a call in a task; close the channel if the peer has too many open calls."""
+        if self._open_call_bytes + size > MAX_OPEN_CALL_BYTES:
+            reason = f"open calls pass {MAX_OPEN_CALL_BYTES} bytes"
+            log_event(EventCode.PEER_REFUSED, peer=self.peer_id, reason=reason)
+            self.close()
+            return
+        self._open_call_bytes += size
+        task = asyncio.get_running_loop().create_task(self._async_handle_call(correlation, message))
+        self._call_tasks.add(task)
+        task.add_done_callback(lambda done: self._end_call(done, size))
+
+    def _end_call(self, task: asyncio.Task[None], size: int) -> None:
+        """Release the bytes of a call."""
+        self._call_tasks.discard(task)
+        self._open_call_bytes -= size
 
     async def _async_handle_call(self, correlation: int, message: Any) -> None:
         """Handle one call and send the reply."""
--- a/packages/wire/src/lagoonwing_wire/const.py
+++ b/packages/wire/src/lagoonwing_wire/const.py
@@ -12,6 +12,9 @@
 # its bytes and this.
 MAX_TURN_BYTES = 256 * 1024
 FRAME_WORK_BYTES = 4 * 1024
+# Calls of one peer whose replies haven't been sent; each counts as its bytes and its task.
+MAX_OPEN_CALL_BYTES = 64 * 1024 * 1024
+CALL_TASK_BYTES = 6 * 1024
 
 NONCE_BYTES = 32
 HANDSHAKE_TIMEOUT_S = 2.0
