No call of a peer is begun after its channel has closed

What callers saw: nothing; seen in a trace of the bound on open calls. Frames that were already in the buffer were read and dispatched after the close: calls among them started tasks that nobody cancels (211 in one play), and each further refusal was logged again.

Cause: the loop that reads frames ended only when reading failed, and bytes in the buffer of a closed stream can be read.

Evidence: test_no_call_is_begun_after_the_close failed without this change.

--- a/packages/wire/src/lagoonwing_wire/_channel.py
+++ b/packages/wire/src/lagoonwing_wire/_channel.py
@@ -139,7 +139,8 @@
         pinger = loop.create_task(self._async_ping())
         turn_bytes = 0
         try:
-            while True:
+            # Frames that came before the close stay readable after it.
+            while not self._closed:
                 frame = await async_read_frame(self._stream)
                 self._last_received_at = loop.time()
                 self._dispatch(frame)
--- a/tests/wire/test_endless_frames.py
+++ b/tests/wire/test_endless_frames.py
@@ -187,3 +187,13 @@
         identity = Identity(HostId("client"), b"key")
         assert (await async_connect(identity, "127.0.0.1", port, "test", _handlers())).is_error()
     server.close()
+
+
+async def test_no_call_is_begun_after_the_close(server_port: int) -> None:
+    """Calls that were read before the channel closed don't start tasks that nobody cancels."""
+    _, exit_code = await _async_longest_delay_in_flood(
+        server_port, _frame(EnvelopeKind.CALL, b"x") * 4096
+    )
+    assert exit_code == CLOSED_BY_READER
+    await asyncio.sleep(MAX_LOOP_DELAY_S)
+    assert not [task for task in asyncio.all_tasks() if "_async_handle_call" in repr(task)]
