All answers that an entry host reads have one common bound

What callers saw: an endpoint whose answers have no end cost an entry host up to 8 MiB for each call at a time, and 8,192 calls may be open.

Evidence: tests/entry/test_endless_answers.py, 60 calls at a time of an endpoint that floods, calls of a sound one meanwhile. Peak of the traced allocations before: 513 MB (steps and service calls, body in chunks) and 451 MB (steps, body without length; a service call refuses such a head at once). After: under 100 MiB, the sound calls all answered.

Why it works: each dispatch counts what it holds, unread or collected, in the budget that gateways use (ResponseBudget, 64 MiB, the endpoint that holds most gives way); an answer that gives way isn't taken for a crash. Its chunks are kept by the dispatch, which drops them when it ends, not by a frame that an exception may keep.

The answers without end of the tests come from a process of their own now, so that its buffers aren't measured; all cases of the earlier version of the test were played again and pass.

--- a/packages/entry/src/lagoonwing_entry/_dispatch.py
+++ b/packages/entry/src/lagoonwing_entry/_dispatch.py
@@ -9,6 +9,7 @@
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
+from lagoonwing_core.callback import callback
 from lagoonwing_core.errors import Refusal
 from lagoonwing_core.models import EndpointRecord
 from lagoonwing_core.result_codes import Outcome, ResultCode
@@ -24,10 +25,12 @@
 from lagoonwing_entry.models import DispatchFailure, DispatchId
 from lagoonwing_http import (
     AnswerBrokenError,
+    AnswerTooLargeError,
     ClientConnection,
     ConnectError,
     Exchange,
     ForeignAnswerError,
+    ResponseBudget,
     ResponseHead,
     ResponseMatch,
 )
@@ -58,13 +61,19 @@
     """Context manager of one dispatch; closes the connection unless the exchange finished."""
 
     def __init__(
-        self, pool: ConnectionPool, record: EndpointRecord, request: OutgoingRequest
+        self,
+        pool: ConnectionPool,
+        budget: ResponseBudget,
+        record: EndpointRecord,
+        request: OutgoingRequest,
     ) -> None:
         self._pool = pool
+        self._budget = budget
         self._record = record
         self._request = request
         self._connection: ClientConnection | None = None
         self._exchange: Exchange | None = None
+        self._body: list[bytes] = []
 
     async def __aenter__(self) -> OpenDispatch:
         """Connect and send.
@@ -86,6 +95,7 @@
                 Dispatch.NO_BYTE_SENT, refusal, endpoint_crashed=error.refused
             )
             raise DispatchError(failure) from error
+        self._exchange.count_in(self._budget, (self._record.endpoint_id,))
         return self
 
     async def _async_connect(self) -> ClientConnection:
@@ -109,12 +119,13 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        """Close the connection if the exchange is not finished."""
+        """Close the connection if the exchange is not finished, and drop the response."""
         if self._exchange is None:
             return
-        self._exchange.cancel_idle_timer()
         if not self._exchange.finished:
             self.close_connection()
+        self._exchange.release()
+        self._body.clear()
 
     def close_connection(self) -> None:
         """Close the connection."""
@@ -150,6 +161,8 @@
         assert self._exchange is not None
         try:
             return await self._exchange.async_read_chunk(timeout)
+        except AnswerTooLargeError as error:
+            raise self.invalid_response(str(error)) from error
         except AnswerBrokenError as error:
             raise self._may_have_run(ResultCode.ANSWER_INCOMPLETE, str(error), died=True) from error
         except TimeoutError as error:
@@ -182,14 +195,21 @@
         Raises:
             DispatchError: The body is incomplete or exceeds `limit` bytes.
         """
-        parts: list[bytes] = []
         size = 0
         while (chunk := await self.async_chunk(idle_timeout)) is not None:
             size += len(chunk)
             if size > limit:
                 raise self.invalid_response(f"the answer passes {limit} bytes")
-            parts.append(chunk)
-        return b"".join(parts)
+            # Not in a local variable: the traceback of an exception would keep it alive.
+            self._body.append(chunk)
+            self.set_held_bytes(size)
+        return b"".join(self._body)
+
+    @callback
+    def set_held_bytes(self, count: int) -> None:
+        """Set the number of bytes that are held of the chunks read so far."""
+        assert self._exchange is not None
+        self._exchange.set_rest(count)
 
     def invalid_response(self, detail: str) -> DispatchError:
         """Return the error of a response that is invalid or belongs to another dispatch."""
--- a/packages/entry/src/lagoonwing_entry/_http_adapter.py
+++ b/packages/entry/src/lagoonwing_entry/_http_adapter.py
@@ -51,6 +51,7 @@
     StageStep,
     TokenBatch,
 )
+from lagoonwing_http import ResponseBudget
 from lagoonwing_policy.models import Dispatch
 
 AnswerT = TypeVar("AnswerT")
@@ -88,8 +89,18 @@
 
     name = "endpoint_adapter"
 
-    def __init__(self, settings: AdapterSettings, clock: Clock) -> None:
+    def __init__(
+        self, settings: AdapterSettings, clock: Clock, budget: ResponseBudget | None = None
+    ) -> None:
+        """Create an adapter.
+
+        Args:
+            settings: Limits of requests.
+            clock: Clock of the event loop.
+            budget: Bounds the bytes of all responses; by default, those of this adapter.
+        """
         self._settings = settings
+        self._budget = budget or ResponseBudget(settings.max_held_response_bytes)
         self._pool = ConnectionPool(settings, clock)
         self._prune_task = PeriodicTask(
             self.name, self._async_prune, IDLE_CONNECTION_LIFETIME_S / 2
@@ -116,7 +127,7 @@
         headers = HTTPHeaders({HEADER_PRIORITY: completion.priority.value})
         path = _PATH_BY_KIND[completion.call.kind]
         request = self._json_request(path, fields, completion.dispatch_id, headers)
-        async with OpenDispatch(self._pool, target.record, request) as dispatch:
+        async with OpenDispatch(self._pool, self._budget, target.record, request) as dispatch:
             head = await dispatch.async_head(self._settings.first_byte_timeout_s)
             self._check_status(target, head.status)
             if completion.first_token:
@@ -245,7 +256,7 @@
             "GET", path, HTTPHeaders(), b"", _REPORT_DISPATCH_ID, require_echo=False
         )
         timeout = self._settings.report_timeout_s
-        async with OpenDispatch(self._pool, target.record, request) as dispatch:
+        async with OpenDispatch(self._pool, self._budget, target.record, request) as dispatch:
             head = await dispatch.async_head(timeout)
             self._check_status(target, head.status)
             data = await dispatch.async_body(
@@ -267,7 +278,7 @@
         request = OutgoingRequest(
             call.method, call.path, headers, call.body, dispatch_id, fresh=fresh
         )
-        async with OpenDispatch(self._pool, target.record, request) as dispatch:
+        async with OpenDispatch(self._pool, self._budget, target.record, request) as dispatch:
             head = await dispatch.async_head(self._settings.first_byte_timeout_s)
             if not head.is_framed:
                 raise dispatch.invalid_response("the end of the answer can't be told")
@@ -292,7 +303,7 @@
     ) -> tuple[AnswerT, OpenDispatch]:
         """Send a JSON body and decode the complete response."""
         request = self._json_request(path, body, dispatch_id, HTTPHeaders())
-        async with OpenDispatch(self._pool, target.record, request) as dispatch:
+        async with OpenDispatch(self._pool, self._budget, target.record, request) as dispatch:
             head = await dispatch.async_head(timeout)
             self._check_status(target, head.status)
             data = await dispatch.async_body(
--- a/packages/entry/src/lagoonwing_entry/models.py
+++ b/packages/entry/src/lagoonwing_entry/models.py
@@ -77,7 +77,9 @@
     Attributes:
         idle_timeout_s: Maximum time between two chunks of a response.
         first_byte_timeout_s: Maximum wait for the response headers.
-        max_response_bytes: Maximum size of a service response and of one stage step response.
+        max_response_bytes: Maximum size of a service response, of one stage step response and of
+            the text of a completion.
+        max_held_response_bytes: Maximum total size of the responses that are held at once.
         max_idle_connections: Maximum number of idle connections kept per endpoint.
     """
 
@@ -86,6 +88,7 @@
     first_byte_timeout_s: float = 120.0
     step_timeout_s: float = 20.0
     max_response_bytes: int = 8 * 1024 * 1024
+    max_held_response_bytes: int = 64 * 1024 * 1024
     max_idle_connections: int = 64
     report_timeout_s: float = 1.0
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Hooks shared by all tests: known failures and reserved ports."""
+"""Hooks shared by all tests: known failures, reserved ports and answers without end."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import pytest
+from endless_server import EndlessAnswers
 from ports import release_ports
 
 
@@ -16,6 +17,15 @@
     release_ports()
 
 
+@pytest.fixture(scope="session")
+def endless_answers() -> Iterator[EndlessAnswers]:
+    """Process whose answers have no end."""
+    answers = EndlessAnswers()
+    answers.start()
+    yield answers
+    answers.stop()
+
+
 KNOWN_RED = Path(__file__).parents[1] / "KNOWN-RED.txt"
 
 
--- a/tests/entry/test_entry_checks.py
+++ b/tests/entry/test_entry_checks.py
@@ -17,6 +17,7 @@
 from lagoonwing_entry.errors import DispatchError
 from lagoonwing_entry.models import DispatchId
 from lagoonwing_fakes import FakeKind, Fault, FaultPlan, expected_text
+from lagoonwing_http import ResponseBudget
 from lagoonwing_policy.models import Dispatch
 
 
@@ -104,7 +105,7 @@
     dispatch_id = DispatchId(RequestId("r1"), Attempt(256))
     request = OutgoingRequest("POST", "/", HTTPHeaders(), b"", dispatch_id)
     with pytest.raises(DispatchError) as raised:
-        async with OpenDispatch(pool, None, request):  # type: ignore[arg-type]
+        async with OpenDispatch(pool, ResponseBudget(0), None, request):  # type: ignore[arg-type]
             pass
     assert raised.value.failure.dispatch is Dispatch.NO_BYTE_SENT
     assert not raised.value.failure.endpoint_crashed
--- a/tests/support/endless_server.py
+++ b/tests/support/endless_server.py
@@ -5,7 +5,11 @@
 import asyncio
 import contextlib
 import re
+import time
 from enum import Enum
+from functools import partial
+from multiprocessing import get_context
+from typing import Any
 
 FILL = b"x" * 65536
 DRIP_INTERVAL_S = 0.1
@@ -26,6 +30,8 @@
     TRAILERS = "trailers"
 
 
+_Key = tuple[Endless, bool]
+
 _BEGIN = {
     Endless.STATUS_LINE: b"HTTP/1.1 200 ",
     Endless.HEAD: _HEAD + b"X-Fill: ",
@@ -47,69 +53,85 @@
 }
 
 
-class EndlessServer:
-    """Answers each request without end.
-
-    Attributes:
-        port: Port that it listens on.
-        requests: Number of requests that came.
-    """
-
-    def __init__(self, part: Endless, drips: bool, frame: bytes | None = None) -> None:
-        self.port = 0
-        self.requests = 0
-        self._open_answers = 0
-        self._all_closed = asyncio.Event()
-        self._drips = drips
-        self._begin = _BEGIN[part]
-        self._frame = frame or (_DRIP.get(part, b"x") if drips else _FLOOD.get(part, FILL))
-        self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    async def async_setup(self) -> None:
-        """Start listening on a free loopback port."""
-        self._server = await asyncio.start_server(self._async_serve, "127.0.0.1", 0)
-        self.port = self._server.sockets[0].getsockname()[1]
-
-    async def async_unload(self) -> None:
-        """Stop listening and end all answers."""
-        assert self._server is not None
-        self._server.close()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-    async def async_wait_closed(self, timeout: float) -> None:
-        """Wait until the clients of all answers have closed their connections."""
-        async with asyncio.timeout(timeout):
-            await self._all_closed.wait()
-
-    async def _async_serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        """Answer the first request of a connection without end."""
-        task = asyncio.current_task()
-        assert task is not None
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-            head = await reader.readuntil(b"\r\n\r\n")
-            self.requests += 1
-            self._open_answers += 1
-            self._all_closed.clear()
-            try:
-                await self._async_answer(head, writer)
-            finally:
-                self._open_answers -= 1
-                if not self._open_answers:
-                    self._all_closed.set()
-        writer.close()
-
-    async def _async_answer(self, head: bytes, writer: asyncio.StreamWriter) -> None:
-        """Write until the client closes."""
-        echoed = b"".join(_ECHOED.findall(head))
-        writer.write(self._begin.replace(b"%s", echoed))
-        while True:
-            writer.write(self._frame)
-            await writer.drain()
-            await asyncio.sleep(DRIP_INTERVAL_S if self._drips else 0)
+class EndlessAnswers:
+    """Process with a port for each part that has no end, at full speed or a byte now and then."""
+
+    def __init__(self) -> None:
+        context = get_context("spawn")
+        keys = [(part, drips) for part in Endless for drips in (False, True)]
+        self._open_by_key = {key: context.Value("i", 0) for key in keys}
+        self._port_by_key = {key: context.Value("i", 0) for key in keys}
+        self._process = context.Process(
+            target=_run, args=(self._open_by_key, self._port_by_key), daemon=True
+        )
+
+    def start(self) -> None:
+        """Start the process and wait until it listens."""
+        self._process.start()
+        while not all(port.value for port in self._port_by_key.values()):
+            assert self._process.is_alive()
+            time.sleep(0.02)
+
+    def stop(self) -> None:
+        """End the process."""
+        self._process.terminate()
+        self._process.join()
+
+    def port(self, part: Endless, drips: bool) -> int:
+        """Return the port that answers without end."""
+        return int(self._port_by_key[part, drips].value)
+
+    async def async_wait_closed(self, part: Endless, drips: bool, timeout: float) -> None:
+        """Wait until the clients of all answers of a port have closed their connections."""
+        is_open = self._open_by_key[part, drips]
+        ends_at = time.monotonic() + timeout
+        while is_open.value:
+            assert time.monotonic() < ends_at, f"{is_open.value} answers go on"
+            await asyncio.sleep(0.02)
+
+
+def _run(open_by_key: dict[_Key, Any], port_by_key: dict[_Key, Any]) -> None:
+    """Listen on all ports until terminated."""
+    asyncio.run(_async_run(open_by_key, port_by_key))
+
+
+async def _async_run(open_by_key: dict[_Key, Any], port_by_key: dict[_Key, Any]) -> None:
+    """Listen on all ports without end."""
+    servers = []
+    for key, port in port_by_key.items():
+        serve = partial(_async_serve, *key, open_by_key[key])
+        server = await asyncio.start_server(serve, "127.0.0.1", 0, backlog=1024)
+        port.value = server.sockets[0].getsockname()[1]
+        servers.append(server)
+    await asyncio.Event().wait()
+
+
+async def _async_serve(
+    part: Endless,
+    drips: bool,
+    open_answers: Any,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Answer the first request of a connection until the client closes."""
+    with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+        head = await reader.readuntil(b"\r\n\r\n")
+        open_answers.value += 1
+        try:
+            await _async_answer(part, drips, head, writer)
+        finally:
+            open_answers.value -= 1
+    writer.close()
+
+
+async def _async_answer(
+    part: Endless, drips: bool, head: bytes, writer: asyncio.StreamWriter
+) -> None:
+    """Write until the client closes."""
+    echoed = b"".join(_ECHOED.findall(head))
+    frame = _DRIP.get(part, b"x") if drips else _FLOOD.get(part, FILL)
+    writer.write(_BEGIN[part].replace(b"%s", echoed))
+    while True:
+        writer.write(frame)
+        await writer.drain()
+        await asyncio.sleep(DRIP_INTERVAL_S if drips else 0)
