A completion whose tokens never end is broken off

What callers saw: nothing yet. Each event of a completion was bounded, but not their sum: tokens are kept for a retry elsewhere, and a second time for a caller that doesn't stream, until the deadline of the request (an hour at most). A token may have an empty text, which cost the reader some bytes too.

Evidence: test_tokens_without_end_are_refused (texts of 0 and 1,000 bytes) didn't raise before.

Why it works: the reader counts the text of each token and 64 bytes besides; more than the maximum size of an answer (8 MiB) fails the attempt. What it holds counts in the budget of all answers, in which the endpoint that holds most gives way.

--- a/packages/entry/src/lagoonwing_entry/_http_adapter.py
+++ b/packages/entry/src/lagoonwing_entry/_http_adapter.py
@@ -132,7 +132,9 @@
             self._check_status(target, head.status)
             if completion.first_token:
                 _check_resumed(dispatch, head.headers, completion.first_token)
-            reader = TokenStreamReader(completion.dispatch_id, completion.first_token)
+            reader = TokenStreamReader(
+                completion.dispatch_id, completion.first_token, self._settings.max_response_bytes
+            )
             while not reader.complete:
                 chunk = await dispatch.async_chunk(self._settings.idle_timeout_s)
                 if chunk is None:
@@ -148,6 +150,7 @@
                         reason=error,
                     )
                     raise dispatch.invalid_response(str(error)) from error
+                dispatch.set_held_bytes(reader.held_bytes)
                 if batch is not None:
                     yield batch
             # Read the end of the chunked framing so that the connection can be reused.
--- a/packages/entry/src/lagoonwing_entry/_token_stream.py
+++ b/packages/entry/src/lagoonwing_entry/_token_stream.py
@@ -12,19 +12,35 @@
 _DATA = b"data: "
 _DONE = b"[DONE]"
 MAX_EVENT_BYTES = 256 * 1024
+# What a token takes besides its text.
+TOKEN_BYTES = 64
 
 
 class TokenStreamReader:
     """Parses bytes into ordered tokens; rejects events of other requests or attempts."""
 
-    def __init__(self, dispatch_id: DispatchId, first_token: int) -> None:
+    def __init__(self, dispatch_id: DispatchId, first_token: int, max_bytes: int) -> None:
+        """Create a reader.
+
+        Args:
+            dispatch_id: Ids that each event must echo.
+            first_token: Index of the first token that is due.
+            max_bytes: Maximum size of all tokens.
+        """
         self._dispatch_id = dispatch_id
+        self._max_bytes = max_bytes
+        self._token_bytes = 0
         self._next_token = first_token
         self._buffer = b""
         self._finish_reason: str | None = None
         self.complete = False
         self.duplicate_count = 0
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the tokens so far and of the event that isn't complete."""
+        return self._token_bytes + len(self._buffer)
+
     def feed(self, data: bytes) -> TokenBatch | None:
         """Parse the next bytes of the stream.
 
@@ -81,7 +97,11 @@
             return
         if chunk.token > self._next_token:
             raise ValueError(f"token {chunk.token} came where {self._next_token} was due")
-        tokens.append(Token(chunk.token, _text_of(choice)))
+        text = _text_of(choice)
+        self._token_bytes += len(text.encode()) + TOKEN_BYTES
+        if self._token_bytes > self._max_bytes:
+            raise ValueError(f"the completion passes {self._max_bytes} bytes")
+        tokens.append(Token(chunk.token, text))
         self._next_token += 1
 
 
