--- a/tests/support/endless_server.py
+++ b/tests/support/endless_server.py
@@ -13,6 +13,7 @@
 
 FILL = b"x" * 65536
 DRIP_INTERVAL_S = 0.1
+SETTLE_S = 0.2
 _HEAD = b"HTTP/1.1 200 OK\r\n%s"
 _CHUNKED = b"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n"
 _ECHOED = re.compile(rb"(?im)^(?:x-request-id|x-attempt|x-lagoonwing-attempt-id):[^\r]*\r\n")
@@ -82,12 +83,13 @@
         return int(self._port_by_key[part, drips].value)
 
     async def async_wait_closed(self, part: Endless, drips: bool, timeout: float) -> None:
-        """Wait until the clients of all answers of a port have closed their connections."""
+        """Wait until the clients of all answers of a port have closed, and their tasks ended."""
         is_open = self._open_by_key[part, drips]
         ends_at = time.monotonic() + timeout
         while is_open.value:
             assert time.monotonic() < ends_at, f"{is_open.value} answers go on"
             await asyncio.sleep(0.02)
+        await asyncio.sleep(SETTLE_S)
 
 
 def _run(open_by_key: dict[_Key, Any], port_by_key: dict[_Key, Any]) -> None:
