--- a/packages/entry/src/lagoonwing_entry/_http_adapter.py
+++ b/packages/entry/src/lagoonwing_entry/_http_adapter.py
@@ -51,6 +51,7 @@
     StageStep,
     TokenBatch,
 )
+from lagoonwing_http import ResponseBudget
 from lagoonwing_policy.models import Dispatch
 
 AnswerT = TypeVar("AnswerT")
@@ -88,8 +89,18 @@
 
     name = "endpoint_adapter"
 
-    def __init__(self, settings: AdapterSettings, clock: Clock) -> None:
+    def __init__(
+        self, settings: AdapterSettings, clock: Clock, budget: ResponseBudget | None = None
+    ) -> None:
+        """Create an adapter.
+
+        Args:
+            settings: Limits of requests.
+            clock: Clock of the event loop.
+            budget: Bounds the bytes of all responses; by default, those of this adapter.
+        """
         self._settings = settings
+        self._budget = budget or ResponseBudget(settings.max_held_response_bytes)
         self._pool = ConnectionPool(settings, clock)
         self._prune_task = PeriodicTask(
             self.name, self._async_prune, IDLE_CONNECTION_LIFETIME_S / 2
@@ -116,12 +127,14 @@
         headers = HTTPHeaders({HEADER_PRIORITY: completion.priority.value})
         path = _PATH_BY_KIND[completion.call.kind]
         request = self._json_request(path, fields, completion.dispatch_id, headers)
-        async with OpenDispatch(self._pool, target.record, request) as dispatch:
+        async with OpenDispatch(self._pool, self._budget, target.record, request) as dispatch:
             head = await dispatch.async_head(self._settings.first_byte_timeout_s)
             self._check_status(target, head.status)
             if completion.first_token:
                 _check_resumed(dispatch, head.headers, completion.first_token)
-            reader = TokenStreamReader(completion.dispatch_id, completion.first_token)
+            reader = TokenStreamReader(
+                completion.dispatch_id, completion.first_token, self._settings.max_response_bytes
+            )
             while not reader.complete:
                 chunk = await dispatch.async_chunk(self._settings.idle_timeout_s)
                 if chunk is None:
@@ -137,6 +150,7 @@
                         reason=error,
                     )
                     raise dispatch.invalid_response(str(error)) from error
+                dispatch.set_held_bytes(reader.held_bytes)
                 if batch is not None:
                     yield batch
             # Read the end of the chunked framing so that the connection can be reused.
@@ -245,10 +259,12 @@
             "GET", path, HTTPHeaders(), b"", _REPORT_DISPATCH_ID, require_echo=False
         )
         timeout = self._settings.report_timeout_s
-        async with OpenDispatch(self._pool, target.record, request) as dispatch:
+        async with OpenDispatch(self._pool, self._budget, target.record, request) as dispatch:
             head = await dispatch.async_head(timeout)
             self._check_status(target, head.status)
-            data = await dispatch.async_body(timeout, self._settings.max_response_bytes)
+            data = await dispatch.async_body(
+                timeout, self._settings.max_response_bytes, total_timeout=timeout
+            )
         return _decode_response(dispatch, data, response_type)
 
     async def async_call_service(
@@ -265,7 +281,7 @@
         request = OutgoingRequest(
             call.method, call.path, headers, call.body, dispatch_id, fresh=fresh
         )
-        async with OpenDispatch(self._pool, target.record, request) as dispatch:
+        async with OpenDispatch(self._pool, self._budget, target.record, request) as dispatch:
             head = await dispatch.async_head(self._settings.first_byte_timeout_s)
             if not head.is_framed:
                 raise dispatch.invalid_response("the end of the answer can't be told")
@@ -290,10 +306,12 @@
     ) -> tuple[AnswerT, OpenDispatch]:
         """Send a JSON body and decode the complete response."""
         request = self._json_request(path, body, dispatch_id, HTTPHeaders())
-        async with OpenDispatch(self._pool, target.record, request) as dispatch:
+        async with OpenDispatch(self._pool, self._budget, target.record, request) as dispatch:
             head = await dispatch.async_head(timeout)
             self._check_status(target, head.status)
-            data = await dispatch.async_body(timeout, self._settings.max_response_bytes)
+            data = await dispatch.async_body(
+                timeout, self._settings.max_response_bytes, total_timeout=timeout
+            )
         return _decode_response(dispatch, data, response_type), dispatch
 
     def _json_request(
