--- a/tests/platform/cutting_endpoints.py
+++ b/tests/platform/cutting_endpoints.py
@@ -46,7 +46,9 @@
     one segment with the due answer, in front of it. FRONT_ALONE: in front of it, in a segment of
     their own. WITHIN: between the head and the body of the due answer, in one segment.
     WITHIN_ALONE: there, in a segment of their own. INSTEAD: in place of the due answer.
-    LAST: likewise, and the connection ends behind them.
+    LAST: likewise, and the connection ends behind them. SPLIT: they are the first of the due
+    answer, whose others follow in a segment of their own. SPLIT_LAST: likewise, and the connection
+    ends behind it.
     """
 
     BEHIND = "behind"
@@ -57,6 +59,8 @@
     WITHIN_ALONE = "within_alone"
     INSTEAD = "instead"
     LAST = "last"
+    SPLIT = "split"
+    SPLIT_LAST = "split_last"
 
 
 @dataclass(frozen=True, slots=True)
@@ -256,5 +260,11 @@
             case Moment.LAST:
                 writer.write(foreign)
                 writer.close()
+            case Moment.SPLIT | Moment.SPLIT_LAST:
+                writer.write(foreign)
+                await asyncio.sleep(ARRIVAL_S)
+                writer.write(due.content[len(foreign) :])
+                if self.case.moment is Moment.SPLIT_LAST:
+                    writer.close()
             case _:
                 writer.write(due.content)
