--- a/tests/platform/cutting_endpoints.py
+++ b/tests/platform/cutting_endpoints.py
@@ -48,7 +48,8 @@
     WITHIN_ALONE: there, in a segment of their own. INSTEAD: in place of the due answer.
     LAST: likewise, and the connection ends behind them. SPLIT: they are the first of the due
     answer, whose others follow in a segment of their own. SPLIT_LAST: likewise, and the connection
-    ends behind it.
+    ends behind it. FRONT_BYTEWISE and INSTEAD_BYTEWISE: as without, each byte in a segment of its
+    own.
     """
 
     BEHIND = "behind"
@@ -61,6 +62,8 @@
     LAST = "last"
     SPLIT = "split"
     SPLIT_LAST = "split_last"
+    FRONT_BYTEWISE = "front_bytewise"
+    INSTEAD_BYTEWISE = "instead_bytewise"
 
 
 @dataclass(frozen=True, slots=True)
@@ -257,6 +260,10 @@
                     await asyncio.sleep(ARRIVAL_S)
             case Moment.INSTEAD:
                 writer.write(foreign)
+            case Moment.FRONT_BYTEWISE:
+                await _async_write_bytewise(writer, foreign + due.content)
+            case Moment.INSTEAD_BYTEWISE:
+                await _async_write_bytewise(writer, foreign)
             case Moment.LAST:
                 writer.write(foreign)
                 writer.close()
@@ -268,3 +275,10 @@
                     writer.close()
             case _:
                 writer.write(due.content)
+
+
+async def _async_write_bytewise(writer: asyncio.StreamWriter, content: bytes) -> None:
+    """Write each byte in a segment of its own, and let its reader run in between."""
+    for number in range(len(content)):
+        writer.write(content[number : number + 1])
+        await asyncio.sleep(0)
--- a/tests/platform/test_cut_answers.py
+++ b/tests/platform/test_cut_answers.py
@@ -58,6 +58,17 @@
     assert not faults, describe(faults, len(cases))
 
 
+# Guards against a reader that sees the bytes of one read only.
+async def test_cut_answer_in_front_byte_by_byte_does_not_join_the_due_one(
+    deployment: Deployment,
+) -> None:
+    """The same holds if the answers arrive byte by byte."""
+    cuts = cuts_of(BY_LENGTH, Owner.EARLIER)
+    cases = [Case(cut, Moment.FRONT_BYTEWISE) for cut in cuts]
+    faults = await async_run_cases(deployment, cases)
+    assert not faults, describe(faults, len(cases))
+
+
 # Guards against the status of a second answer that is taken for that of the due one.
 async def test_cut_answer_in_front_changes_no_status(deployment: Deployment) -> None:
     """A success stays one, and a request that did not run is not called served."""
--- a/tests/platform/test_cut_streams.py
+++ b/tests/platform/test_cut_streams.py
@@ -165,3 +165,20 @@
     ]
     faults = await async_run_cases(deployment, cases, Kind.PLAIN_STREAM)
     assert not faults, describe(faults, len(cases))
+
+
+# Guards against a reader that sees the bytes of one read only.
+async def test_stream_that_is_cut_and_written_again_byte_by_byte_is_not_joined(
+    deployment: Deployment,
+) -> None:
+    """The same holds if the answers arrive byte by byte."""
+    due = _stream(Framing.LENGTH, "first", "token")
+    # So short that the rest of the first answer holds its head and an event.
+    second = _stream(Framing.LENGTH, "second", "x")
+    whole = due(case_ids(0)[1])
+    cases = [
+        Case(_cut_and_second(due, second, end), Moment.INSTEAD_BYTEWISE, due, is_stream=True)
+        for end in range(len(whole.head), len(whole.content))
+    ]
+    faults = await async_run_cases(deployment, cases, Kind.PLAIN_STREAM)
+    assert not faults, describe(faults, len(cases))
