--- a/tests/platform/cutting_endpoints.py
+++ b/tests/platform/cutting_endpoints.py
@@ -46,7 +46,10 @@
     one segment with the due answer, in front of it. FRONT_ALONE: in front of it, in a segment of
     their own. WITHIN: between the head and the body of the due answer, in one segment.
     WITHIN_ALONE: there, in a segment of their own. INSTEAD: in place of the due answer.
-    LAST: likewise, and the connection ends behind them.
+    LAST: likewise, and the connection ends behind them. SPLIT: they are the first of the due
+    answer, whose others follow in a segment of their own. SPLIT_LAST: likewise, and the connection
+    ends behind it. FRONT_BYTEWISE and INSTEAD_BYTEWISE: as without, each byte in a segment of its
+    own.
     """
 
     BEHIND = "behind"
@@ -57,6 +60,10 @@
     WITHIN_ALONE = "within_alone"
     INSTEAD = "instead"
     LAST = "last"
+    SPLIT = "split"
+    SPLIT_LAST = "split_last"
+    FRONT_BYTEWISE = "front_bytewise"
+    INSTEAD_BYTEWISE = "instead_bytewise"
 
 
 @dataclass(frozen=True, slots=True)
@@ -253,8 +260,25 @@
                     await asyncio.sleep(ARRIVAL_S)
             case Moment.INSTEAD:
                 writer.write(foreign)
+            case Moment.FRONT_BYTEWISE:
+                await _async_write_bytewise(writer, foreign + due.content)
+            case Moment.INSTEAD_BYTEWISE:
+                await _async_write_bytewise(writer, foreign)
             case Moment.LAST:
                 writer.write(foreign)
                 writer.close()
+            case Moment.SPLIT | Moment.SPLIT_LAST:
+                writer.write(foreign)
+                await asyncio.sleep(ARRIVAL_S)
+                writer.write(due.content[len(foreign) :])
+                if self.case.moment is Moment.SPLIT_LAST:
+                    writer.close()
             case _:
                 writer.write(due.content)
+
+
+async def _async_write_bytewise(writer: asyncio.StreamWriter, content: bytes) -> None:
+    """Write each byte in a segment of its own, and let its reader run in between."""
+    for number in range(len(content)):
+        writer.write(content[number : number + 1])
+        await asyncio.sleep(0)
