--- a/packages/http/src/lagoonwing_http/_embedded_answer.py
+++ b/packages/http/src/lagoonwing_http/_embedded_answer.py
@@ -52,7 +52,7 @@
         return False
 
     def _names_request(self, head: bytes) -> bool:
-        """Return whether a whole line of a head has an id as its value; any head has, without ids."""
+        """Return whether a whole line of a head has an id as its value, if there are ids."""
         if not self._ids:
             return True
         lines = head.split(b"\n")[1:-1]
