--- a/packages/http/src/lagoonwing_http/_response_writer.py
+++ b/packages/http/src/lagoonwing_http/_response_writer.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, ResponseStartLine
 from tornado.iostream import StreamClosedError
 
 from lagoonwing_core.callback import callback
+from lagoonwing_core.events import EventCode, log_event
 from lagoonwing_http._response_budget import HeldBytes, ResponseBudget
 from lagoonwing_http.const import LARGE_BODY_BYTES
 
@@ -18,19 +18,9 @@
 class ResponseWriter:
     """Writes one response; bytes that the caller hasn't taken count in the budget."""
 
-    def __init__(
-        self, connection: HTTP1Connection, budget: ResponseBudget, on_give_way: Callable[[], object]
-    ) -> None:
-        """Create a writer.
-
-        Args:
-            connection: Connection to the caller.
-            budget: Counts the bytes that wait.
-            on_give_way: Called when the response must give way, after its connection was closed.
-        """
+    def __init__(self, connection: HTTP1Connection, budget: ResponseBudget) -> None:
         self._connection = connection
         self._budget = budget
-        self._on_give_way = on_give_way
         self._held: HeldBytes | None = None
 
     @property
@@ -101,8 +91,8 @@
 
     def _give_way(self) -> None:
         """Break the response off."""
+        log_event(EventCode.CALLER_LOST, reason="answers take all memory")
         self.abort()
-        self._on_give_way()
 
 
 def ignore_write_failure(written: asyncio.Future[None]) -> None:
