A reply without end ends neither the memory nor the run of lagoonctl load

What callers saw: nothing yet. An entry host (or what answers on its port) whose replies have no end took the load client's memory, as tokens, lines and bodies were kept without a bound of our own; a status line or a head without end ended the whole run with an exception, and with it the report.

Why it works: bodies that aren't needed are discarded; a line has at most 64 KiB, a reply the tokens that it was asked for, each of 256 characters on average; what is larger counts as broken, and nothing more of it is kept.

--- a/packages/lagoonctl/src/lagoonctl/load/_client.py
+++ b/packages/lagoonctl/src/lagoonctl/load/_client.py
@@ -6,9 +6,10 @@
 
 import msgspec
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
-from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPHeaders, HTTPInputError
+from tornado.iostream import UnsatisfiableReadError
 
-from lagoonctl.load.const import CONNECT_TIMEOUT_S
+from lagoonctl.load.const import CONNECT_TIMEOUT_S, MAX_LINE_BYTES, MAX_TOKEN_CHARACTERS
 from lagoonctl.load.models import LoadPlan, PlannedRequest, RequestResult
 from lagoonwing_core.callback import callback
 from lagoonwing_core.result_codes import Outcome, ResultCode
@@ -41,7 +42,7 @@
 
 
 class _ResponseReader:
-    """Parses server-sent events as they arrive."""
+    """Parses server-sent events as they arrive; keeps no more than the request allows."""
 
     def __init__(self, result: RequestResult, run_start: float, sent_at: float) -> None:
         self._result = result
@@ -51,6 +52,7 @@
         self._partial_line = b""
         self.has_started = False
         self.has_ended = False
+        self._is_given_up = False
 
     @callback
     def on_header(self, line: str) -> None:
@@ -60,12 +62,22 @@
     @callback
     def on_bytes(self, data: bytes) -> None:
         """Process a chunk of the body."""
+        if self._is_given_up:
+            return
         lines = (self._partial_line + data).split(b"\n")
         self._partial_line = lines.pop()
         now = asyncio.get_running_loop().time()
         for line in lines:
             if line.startswith(_DATA_PREFIX):
                 self._on_event(line[len(_DATA_PREFIX) :].strip(), now)
+        if len(self._partial_line) > MAX_LINE_BYTES:
+            self._give_up()
+
+    def _give_up(self) -> None:
+        """Keep nothing more of a reply that is too large."""
+        self._is_given_up = True
+        self._partial_line = b""
+        self._result.broken = True
 
     def _on_event(self, event: bytes, now: float) -> None:
         """Process one event."""
@@ -74,7 +86,7 @@
             return
         try:
             chunk = _CHUNK_DECODER.decode(event)
-        except msgspec.MsgspecError:
+        except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError):
             self._result.broken = True
             return
         if chunk.outcome is not None:
@@ -88,6 +100,13 @@
     def _on_token(self, text: str, now: float) -> None:
         """Record one token."""
         result = self._result
+        max_tokens = result.planned.max_tokens
+        if self._is_given_up or len(result.token_times_s) >= max_tokens:
+            self._give_up()
+            return
+        if len(result.text) + len(text) > max_tokens * MAX_TOKEN_CHARACTERS:
+            self._give_up()
+            return
         if self._last_token_at is None:
             result.first_token_s = now - self._sent_at
         else:
@@ -121,11 +140,11 @@
         request_timeout=plan.timeout_s + CONNECT_TIMEOUT_S,
         connect_timeout=CONNECT_TIMEOUT_S,
         header_callback=reader.on_header,
-        streaming_callback=reader.on_bytes if plan.streamed else None,
+        streaming_callback=reader.on_bytes if plan.streamed else _discard,
     )
     try:
         response = await client.fetch(request, raise_error=False)
-    except (HTTPClientError, OSError):
+    except (HTTPClientError, HTTPInputError, OSError, UnsatisfiableReadError):
         result.broken = reader.has_started
         return result
     _finish_result(plan, response, result, reader)
@@ -161,6 +180,10 @@
         return Outcome.UNKNOWN
 
 
+def _discard(data: bytes) -> None:
+    """Discard a chunk of a body that isn't streamed; its outcome is in the headers."""
+
+
 def _headers(plan: LoadPlan, planned: PlannedRequest) -> dict[str, str]:
     """Build the request headers."""
     return {
--- a/packages/lagoonctl/src/lagoonctl/load/_run.py
+++ b/packages/lagoonctl/src/lagoonctl/load/_run.py
@@ -8,7 +8,12 @@
 
 from lagoonctl.load._client import async_send
 from lagoonctl.load._workload import generate_requests
-from lagoonctl.load.const import MAX_OPEN_REQUESTS, TIMELINE_STEP_S
+from lagoonctl.load.const import (
+    MAX_BODY_BYTES,
+    MAX_HEADER_BYTES,
+    MAX_OPEN_REQUESTS,
+    TIMELINE_STEP_S,
+)
 from lagoonctl.load.models import LoadPlan, LoadReport, MemberReport, RequestResult
 
 
@@ -21,7 +26,12 @@
     Returns:
         The report, including the result of each request.
     """
-    client = SimpleAsyncHTTPClient(force_instance=True, max_clients=MAX_OPEN_REQUESTS)
+    client = SimpleAsyncHTTPClient(
+        force_instance=True,
+        max_clients=MAX_OPEN_REQUESTS,
+        max_header_size=MAX_HEADER_BYTES,
+        max_body_size=MAX_BODY_BYTES,
+    )
     loop = asyncio.get_running_loop()
     run_start = loop.time()
     tasks: list[asyncio.Task[RequestResult]] = []
--- a/packages/lagoonctl/src/lagoonctl/load/const.py
+++ b/packages/lagoonctl/src/lagoonctl/load/const.py
@@ -12,6 +12,11 @@
 
 MAX_OPEN_REQUESTS = 20_000
 CONNECT_TIMEOUT_S = 5.0
+# Bounds of one reply: its headers, its body, a line of it, and the text of a token on average.
+MAX_HEADER_BYTES = 64 * 1024
+MAX_BODY_BYTES = 16 * 1024 * 1024
+MAX_LINE_BYTES = 64 * 1024
+MAX_TOKEN_CHARACTERS = 256
 
 MICROSECONDS_PER_S = 1_000_000
 HISTOGRAM_MAX_US = 3_600 * MICROSECONDS_PER_S
