A reply with an odd header or event doesn't end a run of lagoonctl load

What callers saw: nothing yet. One reply whose Retry-After or X-Result-Code is no number ended the whole run with a ValueError; an unknown outcome in an event did so for its request.

Evidence: test_odd_reply_does_not_end_the_run, cases `retry after` and `result code`, failed before (the other three passed).

Why it works: a value that can't be read counts as absent, as the outcome in a header did before.

--- a/packages/lagoonctl/src/lagoonctl/load/_client.py
+++ b/packages/lagoonctl/src/lagoonctl/load/_client.py
@@ -90,7 +90,7 @@
             self._result.broken = True
             return
         if chunk.outcome is not None:
-            self._result.outcome = Outcome(chunk.outcome)
+            self._result.outcome = _to_outcome(chunk.outcome)
         if chunk.result_code is not None:
             self._result.code = chunk.result_code
         for choice in chunk.choices:
@@ -158,15 +158,15 @@
     headers = response.headers
     result.request_id = headers.get("X-Request-Id", "")
     retry_after = headers.get("Retry-After")
-    result.retry_after_s = float(retry_after) if retry_after else None
+    result.retry_after_s = _to_float(retry_after)
     if response.code != 200:
         result.outcome = _outcome(headers)
-        result.code = int(headers.get("X-Result-Code", result.code))
+        result.code = _to_int(headers.get("X-Result-Code"), result.code)
         result.broken = reader.has_started
         return
     if not plan.streamed:
         result.outcome = _outcome(headers)
-        result.code = int(headers.get("X-Result-Code", result.code))
+        result.code = _to_int(headers.get("X-Result-Code"), result.code)
         return
     if not reader.has_ended:
         result.broken = True
@@ -174,12 +174,33 @@
 
 def _outcome(headers: HTTPHeaders) -> Outcome:
     """Return the outcome given in the headers, or `UNKNOWN`."""
+    return _to_outcome(headers.get("X-Outcome", Outcome.UNKNOWN.value))
+
+
+def _to_outcome(text: str) -> Outcome:
+    """Return the outcome with a name, or `UNKNOWN`."""
     try:
-        return Outcome(headers.get("X-Outcome", Outcome.UNKNOWN.value))
+        return Outcome(text)
     except ValueError:
         return Outcome.UNKNOWN
 
 
+def _to_float(text: str | None) -> float | None:
+    """Return a number, or None if there is none."""
+    try:
+        return float(text) if text else None
+    except ValueError:
+        return None
+
+
+def _to_int(text: str | None, default: int) -> int:
+    """Return a number, or the default if there is none."""
+    try:
+        return int(text) if text else default
+    except ValueError:
+        return default
+
+
 def _discard(data: bytes) -> None:
     """Discard a chunk of a body that isn't streamed; its outcome is in the headers."""
 
--- a/tests/lagoonctl/load/test_endless_replies.py
+++ b/tests/lagoonctl/load/test_endless_replies.py
@@ -1,9 +1,10 @@
-"""Entry hosts whose replies have no end: the load run goes on and reports them."""
+"""Entry hosts whose replies have no end or no sense: the load run goes on and reports them."""
 
 from __future__ import annotations
 
 import asyncio
 import tracemalloc
+from collections.abc import AsyncIterator
 
 import pytest
 from endless_server import Endless, EndlessAnswers
@@ -17,6 +18,14 @@
 # Of some 20 requests at a time.
 MAX_HELD_BYTES = 64 * 1024 * 1024
 
+ODD_REPLIES = {
+    "retry after": b"HTTP/1.1 429 No\r\nRetry-After: soon\r\nContent-Length: 0\r\n\r\n",
+    "result code": b"HTTP/1.1 429 No\r\nX-Result-Code: x\r\nContent-Length: 0\r\n\r\n",
+    "outcome": b'HTTP/1.1 200 OK\r\nContent-Length: 23\r\n\r\ndata: {"outcome": "x"}\n',
+    "nested": b"HTTP/1.1 200 OK\r\nContent-Length: 50007\r\n\r\ndata: " + b"[" * 50000 + b"\n",
+    "status": b"HTTP/1.1 OK\r\n\r\n",
+}
+
 
 def _plan(port: int, streamed: bool) -> LoadPlan:
     """Return a plan of some 20 requests."""
@@ -25,6 +34,21 @@
     return LoadPlan((target,), (member,), duration_s=0.05, timeout_s=TIMEOUT_S, streamed=streamed)
 
 
+@pytest.fixture
+async def odd_port(reply: bytes) -> AsyncIterator[int]:
+    """Port of an entry host that replies with the same bytes to each request."""
+
+    async def async_reply(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(reply)
+        await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(async_reply, "127.0.0.1", 0)
+    yield server.sockets[0].getsockname()[1]
+    server.close()
+
+
 @pytest.mark.parametrize("streamed", [True, False])
 @pytest.mark.parametrize("drips", [False, True])
 @pytest.mark.parametrize("part", Endless)
@@ -40,3 +64,10 @@
         assert report.results
     finally:
         tracemalloc.stop()
+
+
+@pytest.mark.parametrize("reply", ODD_REPLIES.values(), ids=ODD_REPLIES.keys())
+async def test_odd_reply_does_not_end_the_run(odd_port: int) -> None:
+    """A reply that can't be read counts as a result of its request."""
+    report = await async_run_load(_plan(odd_port, True))
+    assert report.results
