A message that is larger than a frame fails alone, not the channel it was meant for

What callers saw: nothing yet. The answer to a claimed call is sent to the leader to be kept; an endpoint's answer of 8 MiB (allowed, even without faults) doesn't fit into a frame. The entry host closed its channel to the leader for that, with all calls that waited on it, up to six times (one store and five retries).

Cause: a message that is too large and a peer that reads too slowly were treated alike, though the first leaves the stream in order, as nothing of it was written.

Evidence: test_message_larger_than_a_frame_fails_alone: the call came back as STREAM_CLOSED before, and the channel was gone.

Why it works: the message is dropped and logged; its call gets BODY_TOO_LARGE, which isn't retried through the follower. A reply that is too large is dropped too; its caller times out, as it did when the channel closed.

--- a/packages/wire/src/lagoonwing_wire/_channel.py
+++ b/packages/wire/src/lagoonwing_wire/_channel.py
@@ -112,8 +112,8 @@
             timeout: Seconds to wait for the reply.
 
         Returns:
-            The reply, or a refusal `STREAM_CLOSED` or `PEER_TIMEOUT`. A refusal does
-            not tell whether the peer processed the call.
+            The reply, or a refusal `STREAM_CLOSED`, `PEER_TIMEOUT` or `BODY_TOO_LARGE`. Only the
+            last tells that the peer didn't process the call.
         """
         correlation = self._next_correlation
         self._next_correlation += 1
@@ -121,6 +121,8 @@
         self._pending_replies[correlation] = reply
         try:
             if not self._write(EnvelopeKind.CALL, correlation, message):
+                if not (self._closed or self._stream.closed()):
+                    return Error(Refusal(ResultCode.BODY_TOO_LARGE, "the call passes a frame"))
                 return Error(Refusal(ResultCode.STREAM_CLOSED, "the stream is closed"))
             # `wait_for` can swallow a cancellation that arrives together with the reply.
             async with asyncio.timeout(timeout):
@@ -190,14 +192,21 @@
         )
 
     def _write_envelope(self, envelope: Envelope) -> bool:
-        """Queue an envelope; close the channel if the write buffer is full."""
+        """Queue an envelope; close the channel if the write buffer is full.
+
+        An envelope that is larger than a frame is dropped.
+        """
         if self._closed:
             return False
         try:
             write_frame(self._stream, _ENCODER.encode(envelope))
         except StreamClosedError:
             return False
-        except (FrameTooLargeError, StreamBufferFullError) as error:
+        except FrameTooLargeError as error:
+            reason = f"the message passes a frame: {error}"
+            log_event(EventCode.COMPONENT_FAILED, component="channel", error=reason)
+            return False
+        except StreamBufferFullError as error:
             log_event(EventCode.PEER_LOST, peer=self.peer_id, reason=error)
             self.close()
             return False
--- a/packages/wire/src/lagoonwing_wire/_connections.py
+++ b/packages/wire/src/lagoonwing_wire/_connections.py
@@ -217,7 +217,7 @@
         """Call on the open channel.
 
         Returns:
-            The reply, or a refusal `PEER_UNREACHABLE`, `STREAM_CLOSED` or `PEER_TIMEOUT`.
+            The reply, or a refusal `PEER_UNREACHABLE` or one of `Channel.async_call`.
         """
         channel = self.channel
         if channel is None:
--- a/tests/wire/test_channel.py
+++ b/tests/wire/test_channel.py
@@ -25,6 +25,7 @@
     async_connect,
 )
 from lagoonwing_wire._handshake import async_connect_handshake
+from lagoonwing_wire.const import MAX_FRAME_BYTES
 
 
 class Ping(msgspec.Struct, frozen=True, tag="ping"):
@@ -183,3 +184,23 @@
     assert (await channel.async_call(Other(), 5.0)).error.code is ResultCode.STREAM_CLOSED
     await run
     assert recorder.close_count == 1
+
+
+async def test_message_larger_than_a_frame_fails_alone(running_server) -> None:
+    """An answer that is too large to be stored doesn't end the channel of all other calls."""
+    recorder, port = running_server
+
+    class Large(msgspec.Struct, tag="ping"):
+        """Message that doesn't fit into a frame."""
+
+        number: bytes
+
+    channel = (await _async_open(port)).ok
+    run = asyncio.create_task(channel.async_run())
+    refused = await channel.async_call(Large(bytes(MAX_FRAME_BYTES)), 5.0)
+    assert refused.error.code is ResultCode.BODY_TOO_LARGE
+    assert not channel.push(Large(bytes(MAX_FRAME_BYTES)))
+    assert (await channel.async_call(Ping(1), 5.0)).ok == Pong(1)
+    assert recorder.close_count == 0
+    channel.close()
+    await run
