Soak: streams from engines with faulty answers; own answers filled up by second ones

The scenario `faulty_answers` also runs four engines and eight callers of resumable streams. A stream that isn't complete must be the start of its events.

A further fault, `cut_filled` (not among the default ones): an own answer is cut at any byte and a second answer follows on the open connection.

--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -231,7 +231,7 @@
                 headers = {name.lower(): value for name, value in headers.items()}
                 body = await reader.readexactly(int(headers.get("content-length", "0")))
                 await self._is_running.wait()
-                if faulty is not None:
+                if faulty is not None and HEADER_ATTEMPT_ID.lower() in headers:
                     await self._async_respond_faultily(lines[0], headers, body, faulty)
                     continue
                 if self.answers_twice and HEADER_ATTEMPT_ID.lower() in headers:
@@ -303,7 +303,9 @@
     ) -> None:
         """Respond to a call on a connection with faulty answers."""
         method, path, _ = request_line.split()
-        request = ReceivedRequest(headers[HEADER_ATTEMPT_ID.lower()], method, path, body)
+        last_event = int(headers.get(HEADER_LAST_EVENT.lower(), "0"))
+        attempt_id = headers[HEADER_ATTEMPT_ID.lower()]
+        request = ReceivedRequest(attempt_id, method, path, body, last_event)
         expected_id = headers.get(HEADER_EXPECTED_ENDPOINT.lower(), self.endpoint_id)
         await faulty.async_respond(request, is_misdirected=expected_id != self.endpoint_id)
 
--- a/soak/faulty_callers.py
+++ b/soak/faulty_callers.py
@@ -12,17 +12,21 @@
 from lagoonwing_fakes.platform import make_caller_headers
 from lagoonwing_fakes.platform.const import CALLER_PORT
 from lagoonwing_platform.const import HEADER_ATTEMPT_ID, HEADER_SIGNATURE
-from soak.const import DEADLINE_MS
+from soak.const import DEADLINE_MS, EVENTS
+from soak.crashing_part import HEADER_PROMPT_PARTS
 from soak.faulty_answers import AnswerFault, AnswerFaults
-from soak.faulty_connections import FaultyConnection, FaultyRecord, ReceivedRequest
+from soak.faulty_connections import FaultyConnection, FaultyRecord, ReceivedRequest, encode_events
 from soak.models import SoakContext
 
 FAULTY_ENDPOINTS = 3
+FAULTY_ENGINES = 4
 
 _CALLERS = 30
+_STREAM_CALLERS = 8
+_PROMPT_PARTS = "f125:4,50d:6"
 _MAX_PAUSE_S = 0.03
 _ANSWER_TIMEOUT_S = DEADLINE_MS / 1_000 + 1.0
-_MAX_RUNS_BY_KIND = {"safe": 2, "unsafe": 1}
+_MAX_RUNS_BY_KIND = {"safe": 2, "unsafe": 1, "stream": 2}
 _NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 # Time in which endpoints would execute requests that callers no longer wait for.
 _SETTLE_S = 1.0
@@ -109,6 +113,16 @@
         body, data = body + data[:size], data[size + 2 :]
 
 
+def _read_chunks(data: bytes) -> bytes:
+    """Return the body that came in chunks, the last of which may be cut."""
+    body = b""
+    while data:
+        line, _, data = data.partition(b"\r\n")
+        size = int(line, 16) if line else 0
+        body, data = body + data[:size], data[size + 2 :]
+    return body
+
+
 def _end_of_chunks(body: bytes, rest: bytes) -> bytes | None:
     """Return the body if the end of the last chunk is complete, else None.
 
@@ -130,6 +144,7 @@
         self._record = FaultyRecord(context.requests.answers)
         self._sent_by_id: dict[str, ReceivedRequest] = {}
         self._refused: set[str] = set()
+        self._served_by_kind: Counter[str] = Counter()
         faults = AnswerFaults(context.rng, answer_faults)
         for endpoint in context.endpoints:
             endpoint.make_faulty_connection = partial(
@@ -144,7 +159,8 @@
 
     async def async_run(self, seconds: float) -> None:
         """Call for some time; with an even seed, gateways are stopped now and then."""
-        tasks = [asyncio.ensure_future(self._async_call_repeatedly()) for _ in range(_CALLERS)]
+        kinds = [("safe", "unsafe")] * _CALLERS + [("stream",)] * _STREAM_CALLERS
+        tasks = [asyncio.ensure_future(self._async_call_repeatedly(item)) for item in kinds]
         if self._context.outcome.seed % 2 == 0:
             tasks.append(asyncio.ensure_future(self._async_stop_gateways()))
         await asyncio.sleep(seconds)
@@ -168,29 +184,29 @@
             finally:
                 process.signal(signal.SIGCONT)
 
-    async def _async_call_repeatedly(self) -> None:
-        """Send one call after another."""
+    async def _async_call_repeatedly(self, kinds: tuple[str, ...]) -> None:
+        """Send one request after another."""
         while True:
             await asyncio.sleep(self._context.rng.uniform(0.0, _MAX_PAUSE_S))
-            kind = self._context.rng.choice(("safe", "unsafe"))
+            kind = self._context.rng.choice(kinds)
             attempt_id = f"f-{len(self._sent_by_id)}"
             body = b"" if kind == "safe" else f"question {attempt_id}".encode()
             method = "GET" if kind == "safe" else "POST"
             request = ReceivedRequest(attempt_id, method, f"/{kind}/x", body)
             self._sent_by_id[attempt_id] = request
             self._context.outcome.sent += 1
-            data = await self._async_call(kind, request)
+            data = await self._async_call(request)
             if data is not None:
                 self._check(kind, attempt_id, data)
 
-    async def _async_call(self, kind: str, request: ReceivedRequest) -> bytes | None:
+    async def _async_call(self, request: ReceivedRequest) -> bytes | None:
         """Send a call on a new connection and return all bytes that come until its end."""
         process = self._context.rng.choice(self._context.processes.gateways)
         try:
             async with asyncio.timeout(_ANSWER_TIMEOUT_S):
                 reader, writer = await asyncio.open_connection(process.address, CALLER_PORT)
                 try:
-                    writer.write(_encode_request(kind, request))
+                    writer.write(_encode_request(request))
                     return await reader.read(-1)
                 finally:
                     writer.close()
@@ -205,8 +221,11 @@
             self._violate(attempt_id, f"{kind}: {error}", data)
             return
         if answer is None:
+            if kind == "stream" and not _begins_stream(attempt_id, data):
+                self._violate(attempt_id, f"{kind}: wrong events before the end", data)
             return
         self._context.outcome.served += answer.status == 200
+        self._served_by_kind[kind] += answer.status == 200
         wrong = self._find_violation(attempt_id, answer)
         if wrong is not None:
             self._violate(attempt_id, f"{kind}: {wrong}", data)
@@ -250,18 +269,31 @@
         for attempt_id, runs in runs_by_id.items():
             if attempt_id not in self._sent_by_id:
                 continue
-            kind = self._sent_by_id[attempt_id].path.split("/")[1]
+            kind = self._sent_by_id[attempt_id].kind
             if runs > _MAX_RUNS_BY_KIND[kind]:
                 self._violate(attempt_id, f"{kind}: executed {runs} times")
             if attempt_id in self._refused:
                 self._violate(attempt_id, f"{kind}: refused, but executed")
-        if not self._context.outcome.served:
-            self._context.outcome.violations.append("no call succeeded")
+        for kind in _MAX_RUNS_BY_KIND:
+            if not self._served_by_kind[kind]:
+                self._context.outcome.violations.append(f"{kind}: no request succeeded")
 
 
-def _encode_request(kind: str, request: ReceivedRequest) -> bytes:
-    """Return the bytes of a call after whose answer the connection ends."""
-    headers = make_caller_headers(kind, request.attempt_id, DEADLINE_MS)
+def _begins_stream(attempt_id: str, data: bytes) -> bool:
+    """Return whether what came of an answer that isn't complete is the start of its stream."""
+    head, separator, rest = data.partition(b"\r\n\r\n")
+    if not separator or b" 200 " not in head[:13]:
+        return True
+    chunked = b"transfer-encoding: chunked" in head.lower()
+    received = _read_chunks(rest) if chunked else rest
+    return encode_events(attempt_id, 0).startswith(received)
+
+
+def _encode_request(request: ReceivedRequest) -> bytes:
+    """Return the bytes of a request after whose answer the connection ends."""
+    headers = make_caller_headers(request.kind, request.attempt_id, DEADLINE_MS, EVENTS)
+    if request.kind == "stream":
+        headers[HEADER_PROMPT_PARTS] = _PROMPT_PARTS
     headers["Content-Length"] = str(len(request.body))
     headers["Connection"] = "close"
     lines = [
--- a/soak/faulty_connections.py
+++ b/soak/faulty_connections.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from lagoonwing_platform.const import HEADER_ATTEMPT_ID, HEADER_NOT_EXECUTED, HEADER_SIGNATURE
+from soak.const import EVENTS
 from soak.faulty_answers import AnswerFault, AnswerFaults, AnswerParts, Framing
 from soak.second_answers import AnswerRecords
 
@@ -18,18 +19,28 @@
 _MAX_WRITE_PAUSE_S = 0.1
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # What was sent last on a connection, as shown with a violation.
-_SHOWN_NOTES = 4
+_SHOWN_NOTES = 8
 _SHOWN_BYTES = 200
 
 
 @dataclass(frozen=True, slots=True)
 class ReceivedRequest:
-    """A request as it arrived at an endpoint."""
+    """A request as it arrived at an endpoint.
+
+    Attributes:
+        last_event: Last event of a stream that the caller has; the events after it are wanted.
+    """
 
     attempt_id: str
     method: str
     path: str
     body: bytes
+    last_event: int = field(default=0, compare=False)
+
+    @property
+    def kind(self) -> str:
+        """Name of the route: safe, unsafe or stream."""
+        return self.path.split("/")[1]
 
 
 @dataclass
@@ -47,6 +58,12 @@
     connections: int = 0
 
 
+def encode_events(attempt_id: str, last_event: int) -> bytes:
+    """Return the events of a stream that follow one of them."""
+    numbers = range(last_event + 1, EVENTS + 1)
+    return "".join(f"id: {number}\ndata: {attempt_id}\n\n" for number in numbers).encode()
+
+
 class FaultyConnection:
     """Answers the requests on one connection, with faults."""
 
@@ -96,9 +113,15 @@
         echo = {HEADER_ATTEMPT_ID: request.attempt_id}
         if status in (421, 503):
             return AnswerParts(status, {**echo, HEADER_NOT_EXECUTED: "1"}, b"not executed")
-        body = self._faults.draw_body(request.attempt_id, status)
         self._record.runs.append(request)
-        signature = self._record.answers.sign(self._name, request.attempt_id, status, body)
+        if request.kind == "stream" and status == 200:
+            echo["Content-Type"] = "text/event-stream"
+            body = encode_events(request.attempt_id, request.last_event)
+            # A resumed stream keeps the signature of its first endpoint.
+            whole_body = encode_events(request.attempt_id, 0)
+        else:
+            body = whole_body = self._faults.draw_body(request.attempt_id, status)
+        signature = self._record.answers.sign(self._name, request.attempt_id, status, whole_body)
         return AnswerParts(status, {**echo, HEADER_SIGNATURE: signature}, body)
 
     async def _async_write_own(
--- a/soak/run.py
+++ b/soak/run.py
@@ -27,7 +27,7 @@
 from soak.endpoints import SoakEndpoint
 from soak.faults import Faults
 from soak.faulty_answers import DEFAULT_ANSWER_FAULTS, AnswerFault
-from soak.faulty_callers import FAULTY_ENDPOINTS, FaultyAnswersPlay
+from soak.faulty_callers import FAULTY_ENDPOINTS, FAULTY_ENGINES, FaultyAnswersPlay
 from soak.kept_callers import KEPT_CALLERS, KeptCaller
 from soak.models import Outcome, Scenario, SoakContext
 from soak.named_limits import LIMIT, LIMITS_S, limit_violations
@@ -94,7 +94,7 @@
     async def _async_run_faulty_answers(self) -> Outcome:
         """Run callers of endpoints with faulty answers and check the guarantees."""
         try:
-            await self.async_start(FAULTY_ENDPOINTS, engines=0)
+            await self.async_start(FAULTY_ENDPOINTS, FAULTY_ENGINES)
             play = FaultyAnswersPlay(self.context, self._answer_faults)
             announcements = self.operators.async_announce_periodically(may_drain=False)
             self._tasks = [asyncio.ensure_future(announcements)]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from soak.faulty_answers import AnswerFault
 from soak.models import Scenario
 from soak.run import SoakRun
 
@@ -19,6 +20,7 @@
 FAULTY_ANSWERS_S = 10.0
 # An odd seed stops no gateway, an even one does.
 FAULTY_ANSWER_SEEDS = (1, 2)
+FILLED_ANSWER_SEEDS = (9,)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -61,3 +63,12 @@
     run = SoakRun(seed, FAULTY_ANSWERS_S, tmp_path, Scenario.FAULTY_ANSWERS)
     outcome = asyncio.run(run.async_run())
     assert outcome.violations == [], outcome.count_by_kind
+
+
+@pytest.mark.parametrize("seed", FILLED_ANSWER_SEEDS)
+def test_cut_answers_are_not_filled_up_by_second_answers(seed: int, tmp_path: Path) -> None:
+    """No caller gets a body whose end is the head of a second answer."""
+    faults = (AnswerFault.CUT_FILLED,)
+    run = SoakRun(seed, FAULTY_ANSWERS_S, tmp_path, Scenario.FAULTY_ANSWERS, faults)
+    outcome = asyncio.run(run.async_run())
+    assert outcome.violations == [], outcome.count_by_kind
