--- a/tests/http/test_connections_given_up.py
+++ b/tests/http/test_connections_given_up.py
@@ -44,7 +44,8 @@
         exchange = await connection.async_send("a-1")
         await connection.async_write(HEAD)
         connection.writer.write(CHUNK)
-        time.sleep(ARRIVAL_S)  # Until the bytes wait in the kernel, the loop must not turn.
+        # Until the bytes wait in the kernel, the loop must not turn.
+        time.sleep(ARRIVAL_S)  # noqa: ASYNC251
         for _ in range(TURNS_TO_READ):
             await asyncio.sleep(0)
         await _async_give_up(connection, exchange)
