--- a/packages/http/src/lagoonwing_http/_client.py
+++ b/packages/http/src/lagoonwing_http/_client.py
@@ -62,6 +62,7 @@
         self._first_bytes = b""
         self._handled_bytes = 0
         self._is_paused = False
+        self._is_given_up = False
         self._reader_task = asyncio.get_running_loop().create_task(self._async_read())
 
     @property
@@ -125,6 +126,7 @@
     @callback
     def close(self) -> None:
         """Close the connection; an unfinished exchange fails."""
+        self._is_given_up = True
         # First, since the end of the connection completes a response without framing.
         if self._reader is not None:
             self._reader.exchange.on_connection_lost()
@@ -138,6 +140,9 @@
         try:
             while True:
                 data = await self._stream.read_bytes(CONNECTION_READ_CHUNK_BYTES, partial=True)
+                if self._is_given_up:
+                    # They may be the rest of an answer that nobody waits for any more.
+                    break
                 pause = self._on_bytes(data)
                 if pause is None:
                     # A read that finds bytes at once doesn't let other tasks run.
