--- a/packages/http/src/lagoonwing_http/_embedded_answer.py
+++ b/packages/http/src/lagoonwing_http/_embedded_answer.py
@@ -36,17 +36,20 @@
         if _STATUS_LINE_START not in window:
             self._tail = window[tail_start:length]
             return False
+        examined_end = 0
         for start_line in STATUS_LINE.finditer(window):
             start = start_line.start()
             if start >= length:
                 break
             if start_line.end() > length:
                 return True
-            head_end = _HEAD_END.search(window, start)
-            head = window[start : head_end.end() if head_end else len(window)]
-            if self._names_request(head):
-                return True
-            if head_end is None and len(head) < MAX_RESPONSE_HEADER_BYTES:
+            if start >= examined_end:
+                head_end = _HEAD_END.search(window, start)
+                examined_end = head_end.end() if head_end else len(window) + 1
+                if self._names_request(window[start:examined_end]):
+                    return True
+            # The lines of a head that begins inside another one have been examined with that one.
+            if examined_end > len(window) and len(window) - start < MAX_RESPONSE_HEADER_BYTES:
                 tail_start = min(tail_start, start)
         self._tail = window[tail_start:length]
         return False
--- a/tests/http/test_filled_answers.py
+++ b/tests/http/test_filled_answers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 import pytest
 from raw_endpoint import RawConnection, answer, async_connect, async_read
 
@@ -11,6 +13,9 @@
 BODY_BYTES = 200
 CUT_BYTES = 40
 STREAM_HEAD = b"HTTP/1.1 200 OK\r\nX-Id: a-2\r\n"
+READS = 4
+READ_BYTES = 64 * 1024
+MAX_READ_S = 0.05
 EVENT = b"data: token\n\n"
 
 
@@ -93,3 +98,29 @@
         finder = EmbeddedAnswerFinder(frozenset({request_id}))
         parts = [body[start : start + step] for start in range(0, len(body), step)]
         assert any(finder.feed(part, b"") for part in parts) == is_found
+
+
+# Guards against a body of status lines that keeps the event loop busy for seconds.
+@pytest.mark.parametrize("line_end", [b"\r\n", b" "])
+def test_time_of_the_finder_grows_with_the_body_only(line_end: bytes) -> None:
+    """A body of nothing but status lines takes little processor time."""
+    finder = EmbeddedAnswerFinder(frozenset({"a-1"}))
+    started_at = time.process_time()
+    for _ in range(READS):
+        assert not finder.feed((b"HTTP/1.1 200 OK" + line_end) * (READ_BYTES // 16), b"")
+    assert time.process_time() - started_at < READS * MAX_READ_S
+
+
+def test_head_with_a_status_line_inside_is_found_by_the_lines_behind_it() -> None:
+    """An id counts for each status line before it, not for those behind it."""
+    line = b"HTTP/1.1 200 OK\r\n"
+    id_line = b"X-Id: a-1\r\n"
+    for body, is_found in (
+        (line * 2000 + id_line, True),
+        (line + b"\r\n\r\n" + id_line, False),
+        (id_line + line * 3 + b"\r\n" + line + id_line, True),
+        (line * 3 + b"\r\n" + id_line + line, False),
+    ):
+        finder = EmbeddedAnswerFinder(frozenset({"a-1"}))
+        parts = [body[start : start + 1000] for start in range(0, len(body), 1000)]
+        assert any(finder.feed(part, b"") for part in parts) == is_found
