--- a/packages/http/src/lagoonwing_http/_client.py
+++ b/packages/http/src/lagoonwing_http/_client.py
@@ -188,7 +188,9 @@
             self._report_unrequested(ArrivalMoment.BEHIND, len(reader.remainder), reader.remainder)
         self._reader = None
         self._request_id = None
-        if reader.remainder or reader.stale_responses or not reader.keep_alive:
+        is_clean = not reader.remainder and not reader.stale_responses
+        # The rest of a request that the endpoint hasn't read would stay in memory.
+        if not is_clean or not reader.keep_alive or self._stream.writing():
             self.close()
             return
         self._on_idle(self)
