--- a/tests/gateway/test_response_budget.py
+++ b/tests/gateway/test_response_budget.py
@@ -163,3 +163,15 @@
     assert failure.response is not None
     assert failure.response.body == b"y" * 300
     assert budget.held_bytes == 0
+
+
+# Guards against sound answers that fail since callers who read slowly hold all the memory.
+def test_answers_that_slow_callers_hold_give_way_to_sound_ones() -> None:
+    """The small answers of one service stay, although together they are larger than each."""
+    budget = ResponseBudget(MAX_BYTES)
+    gave_way: list[str] = []
+    for _ in range(9):
+        budget.open(lambda: gave_way.append("slow")).resize(100)
+    for name in ("p-1", "p-2", "p-3"):
+        budget.open(lambda: gave_way.append("sound"), ("plain", name)).resize(40)
+    assert gave_way == ["slow"]
