--- a/packages/http/src/lagoonwing_http/_response_writer.py
+++ b/packages/http/src/lagoonwing_http/_response_writer.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, ResponseStartLine
@@ -14,6 +16,9 @@
 from lagoonwing_http._response_budget import HeldBytes, ResponseBudget
 from lagoonwing_http.const import LARGE_BODY_BYTES
 
+# Option of a socket whose close resets the connection.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
 
 class ResponseWriter:
     """Writes one response; bytes that the caller hasn't taken count in the budget."""
@@ -22,6 +27,7 @@
         self._connection = connection
         self._budget = budget
         self._held: HeldBytes | None = None
+        self._is_framed = True
 
     @property
     def waiting_bytes(self) -> int:
@@ -36,13 +42,16 @@
         self, start_line: ResponseStartLine, headers: HTTPHeaders, content: bytes | None
     ) -> None:
         """Write the head and the first bytes of the body."""
-        if content is None or len(content) <= LARGE_BODY_BYTES:
-            ignore_write_failure(self._connection.write_headers(start_line, headers, content))
+        # Together with its head a large body would be copied.
+        is_large = content is not None and len(content) > LARGE_BODY_BYTES
+        first = None if is_large else content
+        ignore_write_failure(self._connection.write_headers(start_line, headers, first))
+        # The connection adds a header if it writes the response in chunks.
+        self._is_framed = "Content-Length" in headers or "Transfer-Encoding" in headers
+        if is_large and content is not None:
+            self.write(content)
+        else:
             self._count_waiting()
-            return
-        # Together with its head the body would be copied.
-        ignore_write_failure(self._connection.write_headers(start_line, headers))
-        self.write(content)
 
     @callback
     def write(self, content: bytes) -> None:
@@ -53,8 +62,13 @@
     @callback
     def abort(self) -> None:
         """Close the connection, so that the response is recognisably incomplete."""
-        if self._connection.stream is not None:
-            self._connection.stream.close()
+        stream = self._connection.stream
+        if stream is None or stream.closed():
+            return
+        if not self._is_framed:
+            # The clean end of the connection would complete the response.
+            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        stream.close()
 
     async def async_wait_written(self) -> None:
         """Wait until the caller's connection has taken all bytes, or is closed."""
