--- a/packages/entry/src/lagoonwing_entry/_dispatch.py
+++ b/packages/entry/src/lagoonwing_entry/_dispatch.py
@@ -242,7 +242,8 @@
             return ResponseMatch.UNKNOWN
         request_id = headers.get(HEADER_REQUEST_ID)
         attempt = headers.get(HEADER_ATTEMPT)
-        if not self._request.require_echo and request_id is None and attempt is None:
+        is_unnamed = request_id is None and attempt is None
+        if is_unnamed and not is_reused and not self._request.require_echo:
             return ResponseMatch.OWN
         dispatch_id = self._request.dispatch_id
         if request_id == dispatch_id.request_id and attempt == str(dispatch_id.attempt):
--- /dev/null
+++ b/tests/entry/test_repeated_reports.py
@@ -0,0 +1,65 @@
+"""Reports name no request, so that no earlier one may stand in front of the due one."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+
+from lagoonwing_core.clock import LoopClock
+from lagoonwing_core.ids import EndpointId, FailureDomainId, Incarnation, ModelId
+from lagoonwing_core.models import EndpointKind, EndpointRecord, EndpointState
+from lagoonwing_entry import AdapterSettings, HttpEndpointAdapter
+from lagoonwing_entry.models import DispatchTarget
+
+ADDRESS = "127.0.0.1"
+REQUEST_END = b"\r\n\r\n"
+
+
+def _report(number: int) -> bytes:
+    """Return an answer with one cache event."""
+    body = b'{"events":[{"number":%d,"prefix":"a","held":true}]}' % number
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+
+
+async def _async_answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Answer each request, and send the answer before it once more in front."""
+    earlier = b""
+    try:
+        while True:
+            request = await reader.readuntil(REQUEST_END)
+            number = int(request.split(b"after=")[1].split(b" ")[0])
+            writer.write(earlier + _report(number))
+            earlier = _report(number)
+    except (asyncio.IncompleteReadError, ConnectionError):
+        writer.close()
+
+
+@pytest.fixture
+async def target() -> AsyncIterator[DispatchTarget]:
+    """An endpoint that sends its reports twice."""
+    server = await asyncio.start_server(_async_answer, ADDRESS, 0)
+    record = EndpointRecord(
+        endpoint_id=EndpointId("e"),
+        incarnation=Incarnation(1),
+        sequence=1,
+        state=EndpointState.SERVING,
+        kind=EndpointKind.WHOLE_MODEL,
+        address=ADDRESS,
+        port=server.sockets[0].getsockname()[1],
+        failure_domain=FailureDomainId("a"),
+        models=(ModelId("m"),),
+    )
+    yield DispatchTarget(record)
+    server.close()
+
+
+# Guards against a late second report that is taken for the next one.
+async def test_report_is_the_answer_to_its_own_request(target: DispatchTarget) -> None:
+    """Each report is the one that was asked for."""
+    adapter = HttpEndpointAdapter(AdapterSettings(), LoopClock())
+    for number in (1, 2, 3):
+        events = await adapter.async_cache_events(target, number)
+        assert [event.number for event in events] == [number]
+    await adapter.async_unload()
