--- a/packages/http/src/lagoonwing_http/_client.py
+++ b/packages/http/src/lagoonwing_http/_client.py
@@ -61,7 +61,7 @@
         self._request_ids: deque[str] = deque(maxlen=MAX_EARLIER_REQUESTS + 1)
         self._first_bytes = b""
         self._handled_bytes = 0
-        self._is_paused = False
+        self._pause: asyncio.Future[None] | None = None
         self._is_given_up = False
         self._reader_task = asyncio.get_running_loop().create_task(self._async_read())
 
@@ -132,35 +132,34 @@
             self._reader.exchange.on_connection_lost()
             self._reader = None
         self._stream.close()
-        if self._is_paused:
-            self._reader_task.cancel()
+        # The reader takes what is left in the stream, which would stay in memory.
+        if self._pause is not None and not self._pause.done():
+            self._pause.set_result(None)
 
     async def _async_read(self) -> None:
         """Read until the connection closes."""
         try:
             while True:
-                data = await self._stream.read_bytes(CONNECTION_READ_CHUNK_BYTES, partial=True)
-                if self._is_given_up:
-                    # They may be the rest of an answer that nobody waits for any more.
-                    break
-                pause = self._on_bytes(data)
-                if pause is None:
+                self._pause = self._on_bytes(
+                    await self._stream.read_bytes(CONNECTION_READ_CHUNK_BYTES, partial=True)
+                )
+                if self._pause is None:
                     # A read that finds bytes at once doesn't let other tasks run.
                     await asyncio.sleep(0)
-                    continue
-                self._is_paused = True
-                await pause
-                self._is_paused = False
+                else:
+                    await self._pause
         except StreamClosedError:
             # A reset of a response without framing is a failure, its clean end completes it.
             if self._stream.error is None:
                 self._on_end()
         finally:
-            self._is_paused = False
             self.close()
 
     def _on_bytes(self, data: bytes) -> asyncio.Future[None] | None:
         """Handle received bytes; a returned future pauses reading until it is done."""
+        if self._is_given_up:
+            # They may be the rest of an answer that nobody waits for any more.
+            return None
         self._handled_bytes += len(data)
         reader = self._reader
         if reader is None:
--- a/tests/platform/test_doubled_headers.py
+++ b/tests/platform/test_doubled_headers.py
@@ -9,7 +9,7 @@
 from lagoonwing_entry._dispatch import OpenDispatch, OutgoingRequest
 from lagoonwing_entry.const import HEADER_ATTEMPT, HEADER_REQUEST_ID
 from lagoonwing_entry.models import DispatchId
-from lagoonwing_http import ResponseMatch
+from lagoonwing_http import ResponseBudget, ResponseMatch
 from lagoonwing_platform.const import HEADER_ATTEMPT_ID, HEADER_SIGNATURE
 from lagoonwing_platform.dialect import PlatformDialect, decode_request
 
@@ -43,7 +43,7 @@
 def test_answer_with_two_ids_is_of_no_dispatch(name: str) -> None:
     """The same holds for the product's own headers."""
     request = OutgoingRequest("POST", "/x", HTTPHeaders(), b"", DispatchId(RequestId("a-1"), 1))
-    dispatch = OpenDispatch(None, None, request)  # type: ignore[arg-type]
+    dispatch = OpenDispatch(None, ResponseBudget(0), None, request)  # type: ignore[arg-type]
     own = ((HEADER_REQUEST_ID, "a-1"), (HEADER_ATTEMPT, "1"))
     assert dispatch._match_response(_headers(*own), is_reused=True) is ResponseMatch.OWN
     doubled = _headers(*own, (name, "2"))
