--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import gc
+import tracemalloc
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -26,6 +28,17 @@
     answers.stop()
 
 
+@pytest.fixture
+def no_collection() -> Iterator[None]:
+    """Trace memory, and let no collection of garbage release it."""
+    gc.collect()
+    gc.disable()
+    tracemalloc.start()
+    yield
+    tracemalloc.stop()
+    gc.enable()
+
+
 KNOWN_RED = Path(__file__).parents[1] / "KNOWN-RED.txt"
 
 
--- a/tests/entry/test_endless_answers.py
+++ b/tests/entry/test_endless_answers.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 import time
 import tracemalloc
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 
 import msgspec
@@ -126,17 +125,6 @@
     await adapter.async_unload()
 
 
-@pytest.fixture
-def traced() -> Iterator[None]:
-    """Trace allocations, without a garbage collector that would end reference cycles."""
-    gc.collect()
-    gc.disable()
-    tracemalloc.start()
-    yield
-    tracemalloc.stop()
-    gc.enable()
-
-
 async def _async_fail(call: Awaitable[object]) -> None:
     """Wait for a call that must fail, and keep nothing of its error."""
     try:
@@ -149,7 +137,7 @@
 @pytest.mark.parametrize("part", Endless)
 @pytest.mark.parametrize("name", ALL_CALLS_BY_NAME)
 async def test_flood_is_cut_and_nothing_of_it_is_kept(
-    endless_answers: EndlessAnswers, traced: None, name: str, part: Endless
+    endless_answers: EndlessAnswers, no_collection: None, name: str, part: Endless
 ) -> None:
     """The connection closes within the bounds of time and bytes, and its bytes are let go."""
     async with _async_adapter(endless_answers.port(part, False)) as (adapter, target):
@@ -199,7 +187,7 @@
 async def test_bytes_of_all_answers_are_bounded_and_sound_ones_served(
     endless_answers: EndlessAnswers,
     sound_target: DispatchTarget,
-    traced: None,
+    no_collection: None,
     name: str,
     part: Endless,
 ) -> None:
--- a/tests/platform/test_endless_responses.py
+++ b/tests/platform/test_endless_responses.py
@@ -7,10 +7,8 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 import json
 import tracemalloc
-from collections.abc import Iterator
 from typing import Any
 
 import pytest
@@ -160,17 +158,6 @@
     assert (response.code, response.body) == (200, COMPLETE_STREAM)
 
 
-@pytest.fixture
-def no_collection() -> Iterator[None]:
-    """Trace memory, and let no collection of garbage release it."""
-    gc.collect()
-    gc.disable()
-    tracemalloc.start()
-    yield
-    tracemalloc.stop()
-    gc.enable()
-
-
 # Guards against exceptions and their frames that keep the bytes of answers until a collection.
 @pytest.mark.parametrize(
     ("sent_bytes", "deadline_ms"),
--- a/tests/platform/test_large_bodies.py
+++ b/tests/platform/test_large_bodies.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 import json
 import re
 import tracemalloc
-from collections.abc import Iterator
 
 import pytest
 from platform_deployment import Deployment
@@ -193,17 +191,6 @@
     return reader, writer
 
 
-@pytest.fixture
-def no_collection() -> Iterator[None]:
-    """Trace memory, and let no collection of garbage release it."""
-    gc.collect()
-    gc.disable()
-    tracemalloc.start()
-    yield
-    tracemalloc.stop()
-    gc.enable()
-
-
 # Guards against exceptions and their frames that keep bodies which the budget takes for released.
 @pytest.mark.parametrize("route", ["unsafe", "stream"])
 @pytest.mark.parametrize("answer", [b"", b"HTTP/1.1 200 OK\r\n", SILENT_HEAD], ids=ANSWER_IDS)
