--- a/soak/faulty_answers.py
+++ b/soak/faulty_answers.py
@@ -1,4 +1,4 @@
-"""Faults of the answers of an endpoint: cut, garbled, repeated, or followed by other bytes."""
+"""Faults of the answers of an endpoint: cut, corrupted, repeated, or followed by other bytes."""
 
 from __future__ import annotations
 
--- a/tests/entry/test_endless_answers.py
+++ b/tests/entry/test_endless_answers.py
@@ -41,7 +41,7 @@
 from lagoonwing_policy.models import Priority
 
 TIMEOUT_S = 1.0
-# Time of each of connect, head and body, and a margin for a busy machine.
+# Time of each of connect, head and body, and a margin for a busy host.
 END_S = 3 * TIMEOUT_S + 2.0
 MAX_RESPONSE_BYTES = 1024 * 1024
 # Copies of a body while it is joined, and buffers on both sides of a connection.
--- a/tests/platform/cut_cases.py
+++ b/tests/platform/cut_cases.py
@@ -24,7 +24,7 @@
 SOUND_DEADLINE_MS = 10_000
 PARALLEL_CASES = 16
 MAX_SHOWN_FAILURES = 5
-# On a busy machine, a request may come so late that it finds no kept connection, or isn't sent.
+# On a busy host, a request may come so late that it finds no kept connection, or isn't sent.
 MAX_SHARE_NOT_KEPT = 0.1
 ENGINE_LAYERS = 8
 ENGINE_SIZE_MB = 20.0
--- a/tests/platform/test_endless_reports.py
+++ b/tests/platform/test_endless_reports.py
@@ -18,11 +18,11 @@
 from lagoonwing_platform.engine_client import EngineClient
 
 ENGINES = 700
-# Connect, answer, and a margin for a busy machine.
+# Connect, answer, and a margin for a busy host.
 END_S = CONNECT_TIMEOUT_S + CALL_TIMEOUT_S + 2.0
 # Copies of a body while it is joined, and buffers of a connection.
 MAX_HELD_BYTES = 4 * MAX_RESPONSE_BYTES + 512 * 1024
-# The smallest machine gives a process 300 MB, of which the rest of the process needs a third.
+# The smallest host gives a process 300 MB, of which the rest of the process needs a third.
 MAX_HELD_OF_ALL_BYTES = 200 * 1024 * 1024
 # Small objects in reference cycles, which the collector of garbage ends.
 MAX_KEPT_BYTES = 512 * 1024
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -59,7 +59,7 @@
 
 @pytest.mark.parametrize("seed", FAULTY_ANSWER_SEEDS)
 def test_cut_answers_are_not_joined_with_those_of_other_requests(seed: int, tmp_path: Path) -> None:
-    """Callers get their own whole answers, whatever endpoints cut, garble, repeat or add."""
+    """Callers get their own whole answers, whatever endpoints cut, corrupt, repeat or add."""
     run = SoakRun(seed, FAULTY_ANSWERS_S, tmp_path, Scenario.FAULTY_ANSWERS)
     outcome = asyncio.run(run.async_run())
     assert outcome.violations == [], outcome.count_by_kind
