--- a/packages/http/src/lagoonwing_http/_client.py
+++ b/packages/http/src/lagoonwing_http/_client.py
@@ -21,6 +21,7 @@
 from lagoonwing_http._answer_reader import AnswerReader
 from lagoonwing_http._endpoint_stream import EndpointStream
 from lagoonwing_http._exchange import Exchange, ResponseMatcher
+from lagoonwing_http._response_parser import has_close_option
 from lagoonwing_http._unrequested_bytes import (
     ArrivalMoment,
     OnUnrequestedBytes,
@@ -63,6 +64,7 @@
         self._handled_bytes = 0
         self._pause: asyncio.Future[None] | None = None
         self._is_given_up = False
+        self._is_last_request = False
         self._reader_task = asyncio.get_running_loop().create_task(self._async_read())
 
     @property
@@ -114,6 +116,7 @@
         self._reader = AnswerReader(exchange, start_line.method, frozenset(self._request_ids))
         self._request_id = request_id
         self._first_bytes = b""
+        self._is_last_request = has_close_option(headers)
         self.was_used = True
         if len(body) > LARGE_BODY_BYTES:
             self._stream.write(head).add_done_callback(_retrieve_exception)
@@ -188,8 +191,9 @@
         self._reader = None
         self._request_id = None
         is_clean = not reader.remainder and not reader.stale_responses
+        is_kept = reader.keep_alive and not self._is_last_request
         # The rest of a request that the endpoint hasn't read would stay in memory.
-        if not is_clean or not reader.keep_alive or self._stream.writing():
+        if not is_clean or not is_kept or self._stream.writing():
             self.close()
             return
         self._on_idle(self)
--- a/packages/http/src/lagoonwing_http/_response_parser.py
+++ b/packages/http/src/lagoonwing_http/_response_parser.py
@@ -130,8 +130,8 @@
             headers.add(name.decode("ascii"), value.decode("latin-1"))
         is_framed = bool(framing) or self._is_head_request
         is_framed = is_framed or response.status_code in _STATUSES_WITHOUT_BODY
-        options = {option.strip().lower() for option in headers.get("Connection", "").split(",")}
-        keep_alive = is_framed and response.http_version == b"1.1" and "close" not in options
+        is_persistent = response.http_version == b"1.1" and not has_close_option(headers)
+        keep_alive = is_framed and is_persistent
         self.head = ParsedHead(response.status_code, headers, is_framed, keep_alive)
         self.raw_body = bytes(self._raw_head)
         self._raw_head.clear()
@@ -152,3 +152,9 @@
             raise AnswerBrokenError("a line of the head is folded")
         if STATUS_LINE.search(raw_head, 1):
             raise ForeignAnswerError("another answer begins inside the head of the answer")
+
+
+def has_close_option(headers: HTTPHeaders) -> bool:
+    """Return whether headers say that the connection ends behind their message."""
+    options = headers.get("Connection", "").split(",")
+    return any(option.strip().lower() == "close" for option in options)
