--- a/packages/entry/src/lagoonwing_entry/_http_adapter.py
+++ b/packages/entry/src/lagoonwing_entry/_http_adapter.py
@@ -256,8 +256,9 @@
     ) -> AnswerT:
         """Request and decode a report."""
         # Reports name no request: on a used connection, an earlier one may come first.
+        headers = HTTPHeaders({"Connection": "close"})
         request = OutgoingRequest(
-            "GET", path, HTTPHeaders(), b"", _REPORT_DISPATCH_ID, fresh=True, require_echo=False
+            "GET", path, headers, b"", _REPORT_DISPATCH_ID, fresh=True, require_echo=False
         )
         timeout = self._settings.report_timeout_s
         async with OpenDispatch(self._pool, self._budget, target.record, request) as dispatch:
