--- a/packages/http/src/lagoonwing_http/_exchange.py
+++ b/packages/http/src/lagoonwing_http/_exchange.py
@@ -125,10 +125,10 @@
             if self._broken:
                 raise AnswerBrokenError("the connection ended in the middle of the answer")
             self._data_ready = asyncio.get_running_loop().create_future()
+            self._timed_out = False
             self._arm_idle_timer(timeout)
             await self._data_ready
             if self._timed_out:
-                self._timed_out = False
                 raise TimeoutError
         data = b"".join(self._chunks) if len(self._chunks) > 1 else self._chunks[0]
         self._chunks.clear()
