--- a/packages/catalog/src/lagoonwing_catalog/messages.py
+++ b/packages/catalog/src/lagoonwing_catalog/messages.py
@@ -166,22 +166,59 @@
     prefill_ms: int
 
 
+class ServicePressure(msgspec.Struct, frozen=True, array_like=True):
+    """Demand for one service.
+
+    Attributes:
+        started_cost_per_s: Cost of the requests started per second.
+        waiting_cost_by_rank: Cost of the waiting requests by rank.
+    """
+
+    started_cost_per_s: float
+    waiting_cost_by_rank: dict[int, float]
+
+
+class DomainTransfers(msgspec.Struct, frozen=True, array_like=True):
+    """Prompt transfers from one failure domain to another.
+
+    Attributes:
+        started_ms_per_s: Transfer time started per second, in milliseconds.
+    """
+
+    source: FailureDomainId
+    target: FailureDomainId
+    started_ms_per_s: float
+
+
 class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag=24):
     """Load caused by one gateway.
 
+    A process of another version may send fewer fields, so new ones are added at the end.
+
     Attributes:
         suspects: Endpoints to which the gateway sends no requests.
+        slowdown_by_id: Slowdown factor of endpoints that seem slow or recently did.
     """
 
     load_by_id: dict[EndpointId, EndpointLoad]
     suspects: tuple[EndpointId, ...] = ()
+    pressure_by_service: dict[ServiceId, ServicePressure] = {}
+    slowdown_by_id: dict[EndpointId, float] = {}
+    transfers: tuple[DomainTransfers, ...] = ()
 
 
 class LoadSummary(msgspec.Struct, frozen=True, array_like=True, tag=25):
-    """Load caused by all other gateways together."""
+    """Load caused by all other gateways together.
+
+    Attributes:
+        slowdown_by_id: Lowest slowdown factor of each endpoint over all gateways.
+    """
 
     load_by_id: dict[EndpointId, EndpointLoad]
     suspects: tuple[EndpointId, ...] = ()
+    pressure_by_service: dict[ServiceId, ServicePressure] = {}
+    slowdown_by_id: dict[EndpointId, float] = {}
+    transfers: tuple[DomainTransfers, ...] = ()
 
 
 class ReplicaLoad(msgspec.Struct, frozen=True, array_like=True, tag=26):
@@ -190,6 +227,9 @@
     gateways: int
     load_by_id: dict[EndpointId, EndpointLoad]
     suspects: tuple[EndpointId, ...] = ()
+    pressure_by_service: dict[ServiceId, ServicePressure] = {}
+    slowdown_by_id: dict[EndpointId, float] = {}
+    transfers: tuple[DomainTransfers, ...] = ()
 
 
 class TraitCrashes(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/registry/src/lagoonwing_registry/_subscribers.py
+++ b/packages/registry/src/lagoonwing_registry/_subscribers.py
@@ -3,17 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 from lagoonwing_catalog import CatalogStateMachine
 from lagoonwing_catalog.messages import (
     CatalogMessage,
     Delta,
-    EndpointLoad,
     Freshness,
     LoadReport,
-    LoadSummary,
     ReplicaAddress,
     ReplicaList,
     ReplicaLoad,
@@ -21,6 +19,7 @@
 from lagoonwing_core.callback import callback
 from lagoonwing_core.clock import Clock
 from lagoonwing_core.ids import EndpointId, FailureDomainId, HostId, Revision
+from lagoonwing_registry._load_totals import LoadTotals, lowest_slowdowns
 from lagoonwing_registry.const import GATEWAY_TIMEOUT_S
 from lagoonwing_wire import Channel
 
@@ -52,35 +51,6 @@
     last_message_at: float
 
 
-@dataclass(slots=True)
-class LoadTotals:
-    """Sum of loads, with addition and subtraction."""
-
-    sequences_by_id: dict[EndpointId, int] = field(default_factory=dict)
-    kv_by_id: dict[EndpointId, int] = field(default_factory=dict)
-    prefill_by_id: dict[EndpointId, int] = field(default_factory=dict)
-
-    def add(self, load_by_id: dict[EndpointId, EndpointLoad], sign: int = 1) -> None:
-        """Add loads; subtract them if `sign` is -1."""
-        for endpoint_id, load in load_by_id.items():
-            for table, amount in (
-                (self.sequences_by_id, load.sequences),
-                (self.kv_by_id, load.kv_token_layers),
-                (self.prefill_by_id, load.prefill_ms),
-            ):
-                table[endpoint_id] = table.get(endpoint_id, 0) + sign * amount
-
-    def loads(self) -> dict[EndpointId, EndpointLoad]:
-        """Return the non-zero loads."""
-        return {
-            endpoint_id: EndpointLoad(
-                sequences, self.kv_by_id[endpoint_id], self.prefill_by_id[endpoint_id]
-            )
-            for endpoint_id, sequences in self.sequences_by_id.items()
-            if sequences or self.kv_by_id[endpoint_id] or self.prefill_by_id[endpoint_id]
-        }
-
-
 class Subscribers:
     """Pushes catalog changes and loads to subscribed gateways."""
 
@@ -163,19 +133,28 @@
         now = self._clock.now()
         self._drop_unresponsive(now)
         totals = LoadTotals()
-        for subscriber in self._subscriber_by_channel.values():
-            totals.add(subscriber.report.load_by_id)
-        local_load = ReplicaLoad(len(self._subscriber_by_channel), totals.loads(), self._suspects())
+        reports = [subscriber.report for subscriber in self._subscriber_by_channel.values()]
+        for report in reports:
+            totals.add(report)
+        local_load = ReplicaLoad(
+            len(reports),
+            totals.loads(),
+            self._suspects(),
+            totals.pressures(),
+            lowest_slowdowns(reports),
+            totals.transfers(),
+        )
         remote_loads = [remote.load for remote in self._remote_by_host.values()]
         suspects = _union(local_load.suspects, *(load.suspects for load in remote_loads))
+        slowdown_by_id = lowest_slowdowns((local_load, *remote_loads))
         freshness = Freshness(self._state_machine.state.revision, self._age(), self.gateways())
         for load in remote_loads:
-            totals.add(load.load_by_id)
+            totals.add(load)
         for channel, subscriber in list(self._subscriber_by_channel.items()):
-            totals.add(subscriber.report.load_by_id, -1)
+            totals.add(subscriber.report, -1)
             channel.push(freshness)
-            channel.push(LoadSummary(totals.loads(), suspects))
-            totals.add(subscriber.report.load_by_id)
+            channel.push(totals.summary(suspects, slowdown_by_id))
+            totals.add(subscriber.report)
         return local_load
 
     @callback
