--- a/packages/core/src/lagoonwing_core/settings/models.py
+++ b/packages/core/src/lagoonwing_core/settings/models.py
@@ -218,6 +218,9 @@
             description="Time within which the process must exit after SIGTERM.",
         ),
     ] = DEFAULT_DRAIN_GRACE_S
+    queue_policy: Annotated[
+        QueuePolicy, Meta(description="Order in which waiting requests are started.")
+    ] = QueuePolicy.WEIGHTED_FAIR
 
 
 class RegistrySettings(msgspec.Struct, frozen=True, kw_only=True):
--- /dev/null
+++ b/packages/gateway/src/lagoonwing_gateway/_admission_request.py
@@ -0,0 +1,133 @@
+"""What admission knows of one request: its rank, its cost and how long its caller waits."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from lagoonwing_admission import CostClass, WorkId
+from lagoonwing_core.ids import AttemptId, MemberId, RouteId, ServiceId
+from lagoonwing_gateway.const import (
+    CALL_COST,
+    CALLER_OBJECTIVE_PATIENCE,
+    CALLER_PATIENCE_S,
+    CALLER_PAUSE_PATIENCE,
+    MAX_RETRY_AFTER_SHARE,
+    MIN_TIME_TO_SEND_S,
+    STARTED_STREAM_RANK,
+    STARTED_STREAM_WAIT_S,
+)
+from lagoonwing_gateway.models import RequestContext
+from lagoonwing_placement import RequestSize
+
+
+@dataclass(slots=True, eq=False)
+class AdmissionRequest:
+    """A request as the admission core sees it.
+
+    Attributes:
+        rank: Urgency; lower ranks start first.
+        cost: Tokens of the request, or what stands for them.
+        submitted: Time at which this gateway received the request or its stream was interrupted.
+        enqueued: Time of the caller's first attempt.
+        due: Time by which the caller wants the first event or the response.
+        latest_start: Time after which the caller would be gone before it got anything.
+        deadline: Time by which the caller must have the final response.
+    """
+
+    work_id: WorkId
+    attempt_id: AttemptId | None
+    route_id: RouteId
+    service_id: ServiceId
+    member_id: MemberId
+    rank: int
+    cost: float
+    submitted: float
+    enqueued: float
+    due: float
+    latest_start: float
+    deadline: float
+    cost_class: CostClass = CostClass.NORMAL
+
+    @property
+    def start_charge(self) -> float:
+        """Cost that its member is charged at the start."""
+        return self.cost
+
+    def longest_retry_after_s(self, now: float) -> float:
+        """Return the longest Retry-After that its caller honours."""
+        return max(0.0, self.deadline - now) * MAX_RETRY_AFTER_SHARE
+
+
+def stream_patience_s(context: RequestContext) -> float:
+    """Return the time without events after which the caller of a stream disconnects."""
+    route = context.route
+    return max(
+        CALLER_PATIENCE_S,
+        CALLER_OBJECTIVE_PATIENCE * route.objective_s,
+        CALLER_PAUSE_PATIENCE * (route.pause_objective_s or 0.0),
+    )
+
+
+def stream_admission(
+    work_id: WorkId,
+    context: RequestContext,
+    service_id: ServiceId,
+    size: RequestSize,
+    now: float,
+    *,
+    is_started: bool,
+) -> AdmissionRequest:
+    """Return the admission request of a stream.
+
+    Args:
+        work_id: Id of the request among those that wait.
+        context: The request.
+        service_id: Service that it needs.
+        size: Its expected size.
+        now: Current time in seconds.
+        is_started: Whether the caller has received a part of the stream.
+    """
+    route = context.route
+    if is_started:
+        latest_start = now + STARTED_STREAM_WAIT_S
+    else:
+        patience_s = stream_patience_s(context)
+        latest_start = context.request.received_at + patience_s - route.objective_s
+    return AdmissionRequest(
+        work_id,
+        context.request.attempt_id,
+        route.route_id,
+        service_id,
+        context.member_id,
+        STARTED_STREAM_RANK if is_started else context.rank,
+        float(size.tokens),
+        submitted=now,
+        enqueued=context.first_attempt_at,
+        due=context.first_attempt_at + route.objective_s,
+        latest_start=min(latest_start, context.deadline - MIN_TIME_TO_SEND_S),
+        deadline=context.deadline,
+    )
+
+
+def call_admission(
+    work_id: WorkId,
+    context: RequestContext,
+    service_id: ServiceId,
+    now: float,
+) -> AdmissionRequest:
+    """Return the admission request of a call."""
+    objective_s = context.route.objective_s
+    return AdmissionRequest(
+        work_id,
+        context.request.attempt_id,
+        context.route.route_id,
+        service_id,
+        context.member_id,
+        context.rank,
+        CALL_COST,
+        submitted=now,
+        enqueued=context.first_attempt_at,
+        due=context.first_attempt_at + objective_s,
+        latest_start=context.deadline - max(objective_s, MIN_TIME_TO_SEND_S),
+        deadline=context.deadline,
+    )
--- a/packages/gateway/src/lagoonwing_gateway/_call_endpoints.py
+++ b/packages/gateway/src/lagoonwing_gateway/_call_endpoints.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -10,18 +9,13 @@
 from lagoonwing_catalog.models import EndpointRecord, Service
 from lagoonwing_core.callback import callback
 from lagoonwing_core.ids import EndpointId
+from lagoonwing_gateway._admission_request import call_admission
 from lagoonwing_gateway._components import GatewayComponents
 from lagoonwing_gateway._permit_pool import Permit
 from lagoonwing_gateway._permit_queue import Waiter
 from lagoonwing_gateway._permit_wait import PermitWait
-from lagoonwing_gateway.const import (
-    CALL_OVERLOAD_FACTOR,
-    CAPACITY_POLL_INTERVAL_S,
-    CAPACITY_WAIT_SHARE,
-    CROSS_DOMAIN_CALL_COST,
-    MIN_TIME_TO_SEND_S,
-)
-from lagoonwing_gateway.models import RequestContext
+from lagoonwing_gateway.const import CALL_OVERLOAD_FACTOR, CROSS_DOMAIN_CALL_COST
+from lagoonwing_gateway.models import CallerGone, NotAdmitted, RequestContext
 from lagoonwing_gateway.ports import Responder
 from lagoonwing_http import ClientConnection
 
@@ -96,29 +90,35 @@
         service: Service,
         excluded: Iterable[EndpointId],
         responder: Responder,
-    ) -> EndpointClaim | LimitReached | None:
-        """Return an endpoint; wait for a permit if only limits keep the call from being sent."""
+    ) -> EndpointClaim | LimitReached | NotAdmitted | CallerGone:
+        """Return an endpoint; wait for capacity, or for a permit, if there is none."""
         components = self._components
-        claim = self.claim(context, service, excluded)
-        if claim is not None or not self._is_held_back(service, excluded):
+        queue = components.admission_queue
+        request = call_admission(
+            queue.next_work_id(),
+            context,
+            service.service_id,
+            components.clock.now(),
+        )
+        claim = queue.claim_now(request, lambda: self.claim(context, service, excluded))
+        if claim is not None:
             return claim
-        wait_s = context.route.objective_s * CAPACITY_WAIT_SHARE
-        latest = context.deadline - MIN_TIME_TO_SEND_S
-        deadline = min(latest, components.clock.now() + wait_s)
-        wait = PermitWait(components.limiter, components.clock, deadline)
-        entry_ids = components.directory.entry_ids(service.service_id)
-        wait.begin(service.service_id, context.member_id, entry_ids, is_started=False)
+        wait = PermitWait(components.limiter, components.clock, request.latest_start)
+        if self._is_held_back(service, excluded):
+            entry_ids = components.directory.entry_ids(service.service_id)
+            wait.begin(service.service_id, context.member_id, entry_ids, is_started=False)
         try:
-            while claim is None and components.clock.now() < deadline:
-                if wait.is_hopeless() or responder.is_disconnected:
-                    break
-                await asyncio.sleep(CAPACITY_POLL_INTERVAL_S)
-                claim = self.claim(context, service, excluded, wait.waiter)
+            outcome = await queue.async_claim(
+                request,
+                lambda: self.claim(context, service, excluded, wait.waiter),
+                responder,
+                wait.is_hopeless,
+            )
         finally:
             wait.end()
-        if claim is None and wait.expected_s is not None:
+        if isinstance(outcome, NotAdmitted) and wait.expected_s is not None:
             return LimitReached(wait.expected_s)
-        return claim
+        return outcome
 
     def _is_held_back(self, service: Service, excluded: Iterable[EndpointId]) -> bool:
         """Return whether only the limits of endpoints keep a call from being sent."""
--- a/packages/gateway/src/lagoonwing_gateway/_call_handler.py
+++ b/packages/gateway/src/lagoonwing_gateway/_call_handler.py
@@ -39,6 +39,7 @@
     Failed,
     FailureEvidence,
     GatewayRefusal,
+    NotAdmitted,
     NotRun,
     RequestContext,
 )
@@ -60,6 +61,7 @@
         excluded: Endpoints that must not be used again for the call.
         reservation: The next attempt, which is certain to be made.
         limit_wait_s: Expected wait for a permit, if that kept the call from being sent.
+        not_admitted: Why there was no capacity, if that kept the call from being sent.
     """
 
     context: RequestContext
@@ -70,6 +72,7 @@
     excluded: set[EndpointId] = field(default_factory=set)
     reservation: EndpointClaim | None = None
     limit_wait_s: float | None = None
+    not_admitted: NotAdmitted | None = None
 
     def take_reservation(self) -> EndpointClaim | None:
         """Return the reservation, if any; it may be used once."""
@@ -116,7 +119,7 @@
             failure or last_outcome,
             responder,
             was_sent=call.send_count > 0,
-            no_capacity_detail="no endpoint can take the call",
+            not_admitted=call.not_admitted,
             limit_wait_s=call.limit_wait_s,
             now=self._clock.now(),
             rng=self._rng,
@@ -135,13 +138,18 @@
                 break
             connect_attempts += 1
             record = claim.record
-            open_exchange = await self._async_open(call, claim)
-            if open_exchange is None:
-                self._endpoints.give_up(claim)
-                call.excluded.add(record.endpoint_id)
-                continue
-            call.send_count += 1
-            last_outcome = await self._async_attempt(call, record, open_exchange)
+            # The endpoint's capacity is taken before anything is awaited.
+            self._load_tracker.begin_call(record.endpoint_id)
+            try:
+                open_exchange = await self._async_open(call, claim)
+                if open_exchange is None:
+                    self._endpoints.give_up(claim)
+                    call.excluded.add(record.endpoint_id)
+                    continue
+                call.send_count += 1
+                last_outcome = await self._async_attempt(call, record, open_exchange)
+            finally:
+                self._load_tracker.end_call(record.endpoint_id)
             log_attempt(context, record.endpoint_id, call.send_count, last_outcome)
             self._metrics.attempt_ended(type(last_outcome).__name__)
             match last_outcome:
@@ -165,7 +173,10 @@
             call.context, call.service, call.excluded, call.responder
         )
         match claim:
-            case None:
+            case CallerGone():
+                return None
+            case NotAdmitted():
+                call.not_admitted = claim
                 return None
             case LimitReached(expected_wait_s=expected_wait_s):
                 call.limit_wait_s = expected_wait_s
@@ -239,7 +250,7 @@
             record,
             context.member,
             budget_s,
-            context.route.priority,
+            context.rank,
             last_event_id=context.request.last_event_id,
         )
         connection = claim.connection or await self._async_connect(call, record)
@@ -269,7 +280,6 @@
     ) -> AttemptOutcome:
         """Wait for the response of one endpoint and forward it if it is valid."""
         endpoint_id = record.endpoint_id
-        self._load_tracker.begin_call(endpoint_id)
         try:
             response = await async_run_until_disconnect(
                 self._async_response(call, record, open_exchange), call.responder
@@ -280,7 +290,6 @@
             return await self._async_record_failure(call.context, record, error)
         finally:
             open_exchange.close()
-            self._load_tracker.end_call(endpoint_id)
         if isinstance(response, CallerGone):
             return response
         elapsed = self._clock.now() - open_exchange.sent_at
--- a/packages/gateway/src/lagoonwing_gateway/_components.py
+++ b/packages/gateway/src/lagoonwing_gateway/_components.py
@@ -7,6 +7,7 @@
 
 from lagoonwing_core.clock import Clock
 from lagoonwing_core.ids import FailureDomainId
+from lagoonwing_gateway._admission_queue import AdmissionQueue
 from lagoonwing_gateway._backlog_estimator import BacklogEstimator
 from lagoonwing_gateway._crash_tracker import CrashTracker
 from lagoonwing_gateway._directory import EndpointDirectory
@@ -38,6 +39,7 @@
     budget: RetryBudget
     crash_tracker: CrashTracker
     limiter: EndpointLimiter
+    admission_queue: AdmissionQueue
     endpoint_client: EndpointClient
     dialect: Dialect
     response_budget: ResponseBudget
--- a/packages/gateway/src/lagoonwing_gateway/_final_response.py
+++ b/packages/gateway/src/lagoonwing_gateway/_final_response.py
@@ -9,7 +9,7 @@
 from lagoonwing_core.result_codes import ResultCode
 from lagoonwing_gateway._refusals import (
     limit_refusal,
-    no_endpoint_refusal,
+    not_admitted_refusal,
     not_run_refusal,
     unknown_outcome_refusal,
 )
@@ -19,6 +19,7 @@
     CompleteResponse,
     Failed,
     GatewayRefusal,
+    NotAdmitted,
     NotRun,
     RequestContext,
 )
@@ -86,7 +87,7 @@
     responder: Responder,
     *,
     was_sent: bool,
-    no_capacity_detail: str,
+    not_admitted: NotAdmitted | None,
     limit_wait_s: float | None,
     now: float,
     rng: random.Random,
@@ -98,7 +99,7 @@
         outcome: Its most telling failure, or the outcome of its last attempt if none may have run.
         responder: Sends the response to the caller.
         was_sent: Whether the request was sent to any endpoint.
-        no_capacity_detail: Detail of the refusal if it was not sent.
+        not_admitted: Why there was no capacity for it, if that kept it from being sent.
         limit_wait_s: Expected wait for the limits of the endpoints, if these were the reason.
         now: Current time in seconds.
         rng: Random source for the Retry-After jitter.
@@ -115,5 +116,9 @@
             return not_run_refusal(ResultCode.ENDPOINT_REFUSED, reason, rng)
         case _ if limit_wait_s is not None:
             return limit_refusal(limit_wait_s, rng)
+        case _ if not_admitted is not None:
+            return not_admitted_refusal(not_admitted)
+        case NotRun(reason=reason):
+            return not_run_refusal(ResultCode.NO_ENDPOINT, reason, rng)
         case _:
-            return no_endpoint_refusal(no_capacity_detail, rng)
+            return not_run_refusal(ResultCode.NO_ENDPOINT, "no endpoint has capacity", rng)
--- a/packages/gateway/src/lagoonwing_gateway/_follower.py
+++ b/packages/gateway/src/lagoonwing_gateway/_follower.py
@@ -78,6 +78,7 @@
         self._on_limit_message: Callable[[CatalogMessage], None] = _ignore_message
         self._revision = Revision(0)
         self._listeners: list[Callable[[], None]] = []
+        self._load_listeners: list[Callable[[], None]] = []
         self._links = ReplicaLinks(identity, self._handlers(), settings.read_seeds)
         self._source: Channel[Any] | None = None
         self._source_last_message_at = -math.inf
@@ -117,6 +118,11 @@
         """Register a callback for changes of routes or endpoints."""
         self._listeners.append(listener)
 
+    @callback
+    def add_load_listener(self, listener: Callable[[], None]) -> None:
+        """Register a callback for each load summary and for permits."""
+        self._load_listeners.append(listener)
+
     @callback
     def set_limit_handler(self, handler: Callable[[CatalogMessage], None]) -> None:
         """Set the callback for what the replica says of named limits and permits."""
@@ -146,6 +152,10 @@
             return _NO_SUMMARY
         return self._summary
 
+    def load_age(self) -> float:
+        """Return the seconds since the last load summary."""
+        return self._clock.now() - self._summary_received_at
+
     def _handlers(self) -> Handlers[CatalogMessage]:
         """Return the message handlers for a link."""
 
@@ -180,15 +190,23 @@
             case LoadSummary():
                 self._summary = message
                 self._summary_received_at = self._clock.now()
+                self._notify_load_listeners()
             case CrashExtract():
                 self._crash_tracker.merge(message)
             case LimitExtract() | PermitGrant():
                 self._on_limit_message(message)
+                self._notify_load_listeners()
             case _:
                 log_event(
                     EventCode.PEER_REFUSED, peer=channel.peer_id, reason="unexpected push message"
                 )
 
+    @callback
+    def _notify_load_listeners(self) -> None:
+        """Tell that capacity may have become free elsewhere."""
+        for listener in self._load_listeners:
+            listener()
+
     @callback
     def _on_closed(self, channel: Channel[Any]) -> None:
         """Drop the source if its channel has closed."""
--- a/packages/gateway/src/lagoonwing_gateway/_gateway.py
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -6,17 +6,20 @@
 import contextlib
 import math
 import random
+from collections import defaultdict
 from collections.abc import Callable
 
 from aioprometheus.collectors import Registry
 
+from lagoonwing_admission import FirstAttempts
 from lagoonwing_catalog.messages import LoadReport
 from lagoonwing_catalog.models import RequestKind, Route, Service
 from lagoonwing_core.callback import callback
 from lagoonwing_core.clock import Clock
 from lagoonwing_core.events import EventCode, log_event
-from lagoonwing_core.ids import EndpointId
+from lagoonwing_core.ids import EndpointId, RouteId
 from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_gateway._admission_queue import AdmissionQueue
 from lagoonwing_gateway._backlog_estimator import BacklogEstimator
 from lagoonwing_gateway._call_handler import CallHandler
 from lagoonwing_gateway._components import GatewayComponents
@@ -92,7 +95,7 @@
         self._clock = clock
         self._rng = rng
         self._suspicions = SuspicionTracker(clock)
-        self._load_tracker = LoadTracker()
+        self._load_tracker = LoadTracker(self._wake_admission)
         self._crash_tracker = CrashTracker(clock)
         self.follower = CatalogFollower(
             settings, identity, clock, self._load_report, self._crash_tracker
@@ -107,6 +110,16 @@
             lambda: self.follower.is_connected(),
         )
         self._limit_reporter = LimitReporter(self.follower, self._limits, limiter)
+        self._admission_queue = AdmissionQueue(
+            settings.admission,
+            clock,
+            rng,
+            self.follower.load_summary,
+            self.follower.load_age,
+            self.metrics,
+        )
+        self.follower.add_listener(self._wake_admission)
+        self.follower.add_load_listener(self._wake_admission)
         slowdown = SlowdownTracker()
         directory = EndpointDirectory(self.follower, self._suspicions, clock)
         self._watchdog = Watchdog(directory, self._suspicions, clock)
@@ -122,6 +135,7 @@
             budget=RetryBudget(settings.retry_budget, clock),
             crash_tracker=self._crash_tracker,
             limiter=limiter,
+            admission_queue=self._admission_queue,
             endpoint_client=EndpointClient(
                 dialect, self._connection_pool, self._limits, self.response_budget, clock
             ),
@@ -131,6 +145,9 @@
             clock=clock,
             rng=rng,
         )
+        self._first_attempts_by_route: defaultdict[RouteId, FirstAttempts] = defaultdict(
+            FirstAttempts
+        )
         self._call_handler = CallHandler(components)
         self._stream_handler = StreamHandler(components)
         self._active_requests = 0
@@ -180,6 +197,8 @@
         self.metrics.set_gauge("suspected_endpoints", len(self._suspicions.suspected()))
         self.metrics.set_gauge("traits_with_crashes", self._crash_tracker.trait_count)
         self.metrics.set_gauge("limited_endpoints", len(self._limits.rate_by_id()))
+        for rank, count in self._admission_queue.waiting_count_by_rank().items():
+            self.metrics.set_gauge(f"waiting_rank_{rank}", count)
         self.metrics.set_gauge("active_requests", self._active_requests)
         self.metrics.set_gauge("response_bytes", self.response_budget.held_bytes)
         return self.metrics.registry
@@ -330,7 +349,13 @@
         budget_s = route.timeout_s
         if request.budget_s is not None:
             budget_s = min(budget_s, request.budget_s)
-        return RequestContext(request, route, member, request.received_at + budget_s)
+        first_attempt_at = request.received_at
+        if request.budget_s is not None:
+            first_attempts = self._first_attempts_by_route[route.route_id]
+            first_attempt_at = first_attempts.first_attempt(request.budget_s, first_attempt_at)
+        return RequestContext(
+            request, route, member, request.received_at + budget_s, first_attempt_at
+        )
 
     async def _async_dispatch(
         self, context: RequestContext, responder: Responder
@@ -363,8 +388,14 @@
         return LoadReport(
             self._load_tracker.local_loads(),
             self._suspicions.suspected(),
+            self._admission_queue.pressure_by_service(),
         )
 
+    @callback
+    def _wake_admission(self) -> None:
+        """Try waiting requests, since capacity may have become free."""
+        self._admission_queue.wake()
+
     async def _async_prune(self) -> None:
         """Close expired idle connections periodically."""
         while True:
--- a/packages/gateway/src/lagoonwing_gateway/_load_tracker.py
+++ b/packages/gateway/src/lagoonwing_gateway/_load_tracker.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from lagoonwing_catalog.messages import EndpointLoad
@@ -38,7 +38,13 @@
 class LoadTracker:
     """Sums up reservations by endpoint."""
 
-    def __init__(self) -> None:
+    def __init__(self, on_freed: Callable[[], None] = lambda: None) -> None:
+        """Create an empty tracker.
+
+        Args:
+            on_freed: Called when a request no longer takes up capacity.
+        """
+        self._on_freed = on_freed
         self._local_by_id: dict[EndpointId, _LocalLoad] = {}
         self._calls_by_id: dict[EndpointId, int] = {}
 
@@ -59,7 +65,9 @@
         """Remove the prefill time of a request that has received its first token."""
         for endpoint_id, prefill_ms in reservation.prefill_ms_by_id.items():
             self._local_by_id[endpoint_id].prefill_ms -= prefill_ms
-        reservation.prefill_ms_by_id = {}
+        if reservation.prefill_ms_by_id:
+            reservation.prefill_ms_by_id = {}
+            self._on_freed()
 
     @callback
     def release(self, reservation: Reservation) -> None:
@@ -71,6 +79,7 @@
             local.kv_token_layers -= reservation.size.tokens * segment.layers.count
             if local.sequences == 0:
                 del self._local_by_id[segment.endpoint_id]
+        self._on_freed()
 
     @callback
     def begin_call(self, endpoint_id: EndpointId) -> None:
@@ -83,6 +92,7 @@
         self._calls_by_id[endpoint_id] -= 1
         if self._calls_by_id[endpoint_id] == 0:
             del self._calls_by_id[endpoint_id]
+        self._on_freed()
 
     def local_loads(self) -> dict[EndpointId, EndpointLoad]:
         """Return the load of this gateway by endpoint."""
--- a/packages/gateway/src/lagoonwing_gateway/_refusals.py
+++ b/packages/gateway/src/lagoonwing_gateway/_refusals.py
@@ -12,7 +12,7 @@
     RETRY_AFTER_S,
     TYPICAL_STARTUP_S,
 )
-from lagoonwing_gateway.models import ExecutionState, GatewayRefusal
+from lagoonwing_gateway.models import ExecutionState, GatewayRefusal, NotAdmitted
 
 
 def not_run_refusal(code: ResultCode, detail: str, rng: random.Random) -> GatewayRefusal:
@@ -31,9 +31,14 @@
     )
 
 
-def no_endpoint_refusal(detail: str, rng: random.Random) -> GatewayRefusal:
-    """Return a refusal because no endpoint has capacity."""
-    return not_run_refusal(ResultCode.NO_ENDPOINT, detail, rng)
+def not_admitted_refusal(not_admitted: NotAdmitted) -> GatewayRefusal:
+    """Return a refusal because there is no capacity in time."""
+    return GatewayRefusal(
+        not_admitted.code,
+        not_admitted.detail,
+        ExecutionState.NOT_RUN,
+        not_admitted.retry_after_s,
+    )
 
 
 def quarantine_refusal() -> GatewayRefusal:
--- a/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
@@ -114,7 +114,7 @@
             record,
             context.member,
             context.deadline - components.clock.now(),
-            context.route.priority,
+            context.rank,
             None if self._call.is_plain else self._path,
             self._progress.last_event_id,
         )
--- a/packages/gateway/src/lagoonwing_gateway/_stream_call.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_call.py
@@ -8,7 +8,7 @@
 from lagoonwing_core.ids import EndpointId
 from lagoonwing_gateway._final_response import KeptFailure
 from lagoonwing_gateway._plain_service import PLAIN_ENGINE, layered_engine
-from lagoonwing_gateway.models import RequestContext
+from lagoonwing_gateway.models import NotAdmitted, RequestContext
 from lagoonwing_gateway.ports import Responder
 from lagoonwing_placement import RequestSize
 
@@ -29,6 +29,7 @@
         endpoint_ids: Endpoints of the path to which it was sent last.
         excluded: Endpoints that must not be used again for the request.
         limit_wait_s: Expected wait for a permit, if that kept the request from being sent.
+        not_admitted: Why there was no capacity, if that kept the request from being sent.
     """
 
     failure: KeptFailure
@@ -42,6 +43,7 @@
     endpoint_ids: tuple[EndpointId, ...] = ()
     excluded: set[EndpointId] = field(default_factory=set)
     limit_wait_s: float | None = None
+    not_admitted: NotAdmitted | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/lagoonwing_gateway/_stream_handler.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_handler.py
@@ -6,9 +6,8 @@
 
 from __future__ import annotations
 
-import asyncio
-
 from lagoonwing_catalog.models import Service
+from lagoonwing_gateway._admission_request import stream_admission
 from lagoonwing_gateway._components import GatewayComponents
 from lagoonwing_gateway._final_response import KeptFailure, respond_unserved
 from lagoonwing_gateway._permit_wait import PermitWait
@@ -18,20 +17,14 @@
 from lagoonwing_gateway._stream_attempt import StreamAttempt
 from lagoonwing_gateway._stream_call import StreamCall, StreamProgress
 from lagoonwing_gateway._stream_failover import PathClaim, StreamFailover
-from lagoonwing_gateway.const import (
-    CAPACITY_POLL_INTERVAL_S,
-    CAPACITY_WAIT_SHARE,
-    MAX_CONNECT_ATTEMPTS,
-    MAX_WAITING_STREAMS,
-    MIN_TIME_TO_SEND_S,
-    STARTED_STREAM_WAIT_S,
-)
+from lagoonwing_gateway.const import MAX_CONNECT_ATTEMPTS
 from lagoonwing_gateway.models import (
     AttemptOutcome,
     CallerGone,
     Completed,
     Failed,
     GatewayRefusal,
+    NotAdmitted,
     NotRun,
     RequestContext,
     ResendObstacle,
@@ -45,7 +38,6 @@
 
     def __init__(self, components: GatewayComponents) -> None:
         self._components = components
-        self._waiting_streams = 0
 
     async def async_serve(
         self, context: RequestContext, service: Service, responder: Responder
@@ -111,38 +103,43 @@
         self, call: StreamCall, failover: StreamFailover
     ) -> PathClaim | None:
         """Return a path; wait for capacity, or for a permit, if there is none."""
-        claim = failover.claim_path()
-        if claim is not None or self._waiting_streams >= MAX_WAITING_STREAMS:
+        components = self._components
+        queue = components.admission_queue
+        request = stream_admission(
+            queue.next_work_id(),
+            call.context,
+            call.service.service_id,
+            call.size,
+            components.clock.now(),
+            is_started=call.progress.started,
+        )
+        claim = queue.claim_now(request, failover.claim_path)
+        if claim is not None:
             return claim
-        deadline = self._wait_deadline(call)
-        wait = PermitWait(self._components.limiter, self._components.clock, deadline)
+        wait = PermitWait(components.limiter, components.clock, request.latest_start)
         if failover.is_held_back():
             wait.begin(
                 call.service.service_id,
                 call.context.member_id,
-                self._components.directory.entry_ids(call.service.service_id),
+                components.directory.entry_ids(call.service.service_id),
                 is_started=call.progress.started,
             )
-        self._waiting_streams += 1
         try:
-            while claim is None and self._components.clock.now() < deadline:
-                if wait.is_hopeless() or call.responder.is_disconnected:
-                    break
-                await asyncio.sleep(CAPACITY_POLL_INTERVAL_S)
-                claim = failover.claim_path(waiter=wait.waiter)
+            outcome = await queue.async_claim(
+                request,
+                lambda: failover.claim_path(waiter=wait.waiter),
+                call.responder,
+                wait.is_hopeless,
+            )
         finally:
             wait.end()
-            self._waiting_streams -= 1
         call.progress.limit_wait_s = wait.expected_s
-        return claim
-
-    def _wait_deadline(self, call: StreamCall) -> float:
-        """Return the time until which a stream waits for a path."""
-        wait_s = call.context.route.objective_s * CAPACITY_WAIT_SHARE
-        if call.progress.started:
-            wait_s = max(wait_s, STARTED_STREAM_WAIT_S)
-        latest = call.context.deadline - MIN_TIME_TO_SEND_S
-        return min(latest, self._components.clock.now() + wait_s)
+        match outcome:
+            case PathClaim():
+                return outcome
+            case NotAdmitted():
+                call.progress.not_admitted = outcome
+        return None
 
     def _finish_unserved(
         self, call: StreamCall, last_outcome: AttemptOutcome, obstacle: ResendObstacle
@@ -166,7 +163,7 @@
             progress.failure.take() or last_outcome,
             call.responder,
             was_sent=progress.send_count > 0,
-            no_capacity_detail="no path over the layers has room",
+            not_admitted=progress.not_admitted,
             limit_wait_s=progress.limit_wait_s,
             now=self._components.clock.now(),
             rng=self._components.rng,
--- a/packages/gateway/src/lagoonwing_gateway/const.py
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -66,12 +66,24 @@
 # The share is higher for links because there are fewer links than endpoints to choose from.
 OTHER_GATEWAYS_PREFILL_SHARE = 0.35
 OTHER_GATEWAYS_LINK_SHARE = 0.5
-# Time for which a stream may wait for a path with capacity, as a share of its objective.
-CAPACITY_WAIT_SHARE = 0.7
-CAPACITY_POLL_INTERVAL_S = 0.02
-MAX_WAITING_STREAMS = 256
-# Minimum time for which a stream that has been started waits for a path; callers leave after it.
+# Time without events after which callers of streams disconnect: the longest of this time and of
+# these multiples of the route's objective and of its pause objective.
+CALLER_PATIENCE_S = 2.0
+CALLER_OBJECTIVE_PATIENCE = 4.0
+CALLER_PAUSE_PATIENCE = 8.0
+# Rank of streams of which the caller has a part, and the time for which they wait; callers leave
+# after it.
+STARTED_STREAM_RANK = -1
 STARTED_STREAM_WAIT_S = 2.0
+# Waiting requests that are tried when capacity may have become free: a small one may start where
+# the first one doesn't fit.
+MAX_ADMISSION_CANDIDATES = 4
+# Interval at which waiting requests are tried without an event: estimated queues drain with time.
+RECHECK_INTERVAL_S = 0.1
+# Cost of a call, in tokens.
+CALL_COST = 16.0
+# Share of the remaining time up to which callers honour Retry-After.
+MAX_RETRY_AFTER_SHARE = 1 / 3
 # Minimum Retry-After for refused callers, and its random part.
 RETRY_AFTER_S = 0.3
 RETRY_AFTER_JITTER_S = 0.6
--- a/packages/gateway/src/lagoonwing_gateway/diagnostics.py
+++ b/packages/gateway/src/lagoonwing_gateway/diagnostics.py
@@ -42,6 +42,17 @@
             registry=self.registry,
             buckets=LATENCY_BUCKETS_S,
         )
+        self._not_admitted = Counter(
+            "lagoonwing_gateway_not_admitted_total",
+            "Requests that were refused for lack of capacity, by reason.",
+            registry=self.registry,
+        )
+        self._waited = Histogram(
+            "lagoonwing_gateway_waited_seconds",
+            "Time for which a request waited for capacity, if it did.",
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
         self._gauge = Gauge(
             "lagoonwing_gateway", "State of the gateway by name.", registry=self.registry
         )
@@ -66,6 +77,14 @@
         """Record the time to a stream's first event."""
         self._first_event.observe({}, seconds)
 
+    def not_admitted(self, reason: str) -> None:
+        """Count a request that was refused for lack of capacity."""
+        self._not_admitted.inc({"reason": reason})
+
+    def waited(self, seconds: float) -> None:
+        """Record how long a request waited for capacity."""
+        self._waited.observe({}, seconds)
+
     def set_gauge(self, name: str, value: float) -> None:
         """Set a gauge of the gateway's state."""
         self._gauge.set({"name": name}, value)
--- a/packages/gateway/src/lagoonwing_gateway/models.py
+++ b/packages/gateway/src/lagoonwing_gateway/models.py
@@ -177,6 +177,19 @@
     is_silence: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class NotAdmitted:
+    """There is no capacity for a request in time.
+
+    Attributes:
+        retry_after_s: Time after which there will be.
+    """
+
+    code: ResultCode
+    detail: str
+    retry_after_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class CallerGone:
     """The caller closed its connection."""
@@ -217,12 +230,21 @@
 
     Attributes:
         deadline: Time by which the caller must have the final response, on the runtime's clock.
+        first_attempt_at: Time of the caller's first attempt, here or at another gateway.
     """
 
     request: CallerRequest
     route: Route
     member: MemberKeys | None
     deadline: float
+    first_attempt_at: float
+
+    @property
+    def rank(self) -> int:
+        """Urgency, 0 is the most urgent; the member's priority precedes the route's."""
+        if self.member is not None and self.member.priority is not None:
+            return max(0, self.member.priority)
+        return max(0, self.route.priority)
 
     @property
     def member_id(self) -> MemberId:
--- a/packages/gateway/src/lagoonwing_gateway/settings.py
+++ b/packages/gateway/src/lagoonwing_gateway/settings.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from lagoonwing_admission import WaitingRoomSettings
 from lagoonwing_catalog.messages import ReplicaAddress
 from lagoonwing_core.ids import FailureDomainId
 
@@ -32,9 +33,11 @@
         read_seeds: Returns the catalog replicas to connect to at startup, and whenever no known one
             answers; they may change.
         drain_grace_s: Time after SIGTERM within which the process must exit.
+        admission: Order of waiting requests, and the bounds of the queue.
     """
 
     failure_domain: FailureDomainId
     read_seeds: Callable[[], tuple[ReplicaAddress, ...]]
     retry_budget: RetryBudgetSettings
     drain_grace_s: float
+    admission: WaitingRoomSettings = WaitingRoomSettings()
--- a/packages/lagoonwing/src/lagoonwing/_gateway_role.py
+++ b/packages/lagoonwing/src/lagoonwing/_gateway_role.py
@@ -6,6 +6,7 @@
 import time
 
 from lagoonwing._addresses import split_listen_address
+from lagoonwing._queue_policies import build_waiting_room_settings
 from lagoonwing._seeds import SeedReader
 from lagoonwing_core.clock import LoopClock
 from lagoonwing_core.diagnostics import MetricsServer
@@ -49,6 +50,7 @@
             section.retry_ratio, section.retry_slack, section.retry_window_s
         ),
         drain_grace_s=section.drain_grace_s,
+        admission=build_waiting_room_settings(section),
     )
     dialect = PlatformDialect(lambda endpoint_id: gateway.endpoint_address(endpoint_id))
     rng = random.Random(time.time_ns())
--- a/tests/support/crash_cluster.py
+++ b/tests/support/crash_cluster.py
@@ -46,7 +46,7 @@
         received_at=0.0,
         prompt_parts=parts,
     )
-    return RequestContext(request, _ROUTE, None, 20.0)
+    return RequestContext(request, _ROUTE, None, 20.0, first_attempt_at=0.0)
 
 
 def make_record(endpoint_id: str, started_ms: int, domain: int = 0) -> EndpointRecord:
