--- a/packages/policy/src/lagoonwing_policy/admission/_bounds.py
+++ b/packages/admission/src/lagoonwing_admission/_bounds.py
@@ -4,7 +4,8 @@
 
 from typing import assert_never
 
-from lagoonwing_policy.admission.models import AdmissionPolicy, BoundedQueue, EarlyRefusal
+from lagoonwing_admission.models import AdmissionPolicy, BoundedQueue, EarlyRefusal
+from lagoonwing_core.ids import MemberId
 
 
 class QueueBounds:
@@ -63,3 +64,27 @@
         if member_requests >= policy.free_share * free_requests:
             return False
         return member_tokens + tokens <= policy.free_share * free_tokens
+
+
+class MemberTotals:
+    """Number and total size of the queued requests of each member."""
+
+    def __init__(self) -> None:
+        self._totals_by_member: dict[MemberId, tuple[int, float]] = {}
+
+    def queued(self, member_id: MemberId, size: float) -> None:
+        """Add a queued request."""
+        count, total = self.queued_of(member_id)
+        self._totals_by_member[member_id] = (count + 1, total + size)
+
+    def dequeued(self, member_id: MemberId, size: float) -> None:
+        """Remove a queued request."""
+        count, total = self._totals_by_member[member_id]
+        if count == 1:
+            del self._totals_by_member[member_id]
+        else:
+            self._totals_by_member[member_id] = (count - 1, total - size)
+
+    def queued_of(self, member_id: MemberId) -> tuple[int, float]:
+        """Return the number of queued requests of a member, and their total size."""
+        return self._totals_by_member.get(member_id, (0, 0.0))
--- a/packages/policy/src/lagoonwing_policy/fairness/_first_come.py
+++ b/packages/admission/src/lagoonwing_admission/_first_come.py
@@ -3,21 +3,20 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Iterator
+from typing import Generic
 
-from lagoonwing_core.ids import MemberId, RequestId
-from lagoonwing_policy._ordered_set import OrderedSet
-from lagoonwing_policy._requests import RequestEntity
-from lagoonwing_policy.fairness._queue import StartConstraints
-from lagoonwing_policy.models import Priority
+from lagoonwing_admission._ordered_set import OrderedSet
+from lagoonwing_admission._queue import StartConstraints, WorkT
+from lagoonwing_admission.models import CostClass, WorkId
+from lagoonwing_core.ids import MemberId
 
-MemberEntries = OrderedDict[RequestId, tuple[int, RequestEntity]]
 
-
-class FirstComeQueue:
+class FirstComeQueue(Generic[WorkT]):
     """Serves requests of members that are not blocked in order of arrival."""
 
     def __init__(self) -> None:
-        self._entries_by_member: dict[MemberId, MemberEntries] = {}
+        self._entries_by_member: dict[MemberId, OrderedDict[WorkId, tuple[int, WorkT]]] = {}
         self._blocked: set[MemberId] = set()
         # Arrival number of the first request of each member that is not blocked.
         self._ready: OrderedSet[tuple[int, MemberId]] = OrderedSet()
@@ -29,37 +28,47 @@
         """Return the number of queued requests."""
         return self._length
 
-    def push(self, entity: RequestEntity) -> None:
+    def push(self, work: WorkT) -> None:
         """Append a request."""
         self._arrivals += 1
         self._length += 1
-        self._cost += entity.cost
-        member_id = entity.profile.member_id
+        self._cost += work.cost
+        member_id = work.member_id
         entries = self._entries_by_member.setdefault(member_id, OrderedDict())
-        entries[entity.profile.request_id] = (self._arrivals, entity)
+        entries[work.work_id] = (self._arrivals, work)
         if len(entries) == 1 and member_id not in self._blocked:
             self._ready.add((self._arrivals, member_id))
 
-    def head(self, constraints: StartConstraints, now: float) -> RequestEntity | None:
+    def head(self, constraints: StartConstraints, now: float) -> WorkT | None:
         """Return the request that arrived first; if it may not start, neither may others."""
         first = self._ready.first()
         if first is None:
             return None
-        entity = next(iter(self._entries_by_member[first[1]].values()))[1]
-        return entity if constraints.long or entity.priority is not Priority.LONG else None
+        work = next(iter(self._entries_by_member[first[1]].values()))[1]
+        return work if constraints.long or work.cost_class is not CostClass.LONG else None
+
+    def in_order(self, now: float) -> Iterator[WorkT]:
+        """Return the request that arrived first; if it may not start, neither may others."""
+        first = self._ready.first()
+        if first is not None:
+            yield next(iter(self._entries_by_member[first[1]].values()))[1]
+
+    def has_ready(self) -> bool:
+        """Return whether a member that is not blocked has a queued request."""
+        return bool(len(self._ready))
 
-    def take(self, entity: RequestEntity) -> None:
+    def take(self, work: WorkT) -> None:
         """Remove a request that is being started."""
-        self.discard(entity)
+        self.discard(work)
 
-    def discard(self, entity: RequestEntity) -> None:
+    def discard(self, work: WorkT) -> None:
         """Remove a request."""
-        member_id = entity.profile.member_id
+        member_id = work.member_id
         entries = self._entries_by_member[member_id]
         first = next(iter(entries.values()))[0]
-        number, _ = entries.pop(entity.profile.request_id)
+        number, _ = entries.pop(work.work_id)
         self._length -= 1
-        self._cost = self._cost - entity.cost if self._length else 0.0
+        self._cost = self._cost - work.cost if self._length else 0.0
         if number == first and member_id not in self._blocked:
             self._ready.remove((number, member_id))
             self._mark_head_ready(member_id)
@@ -85,7 +94,7 @@
         self._blocked.remove(member_id)
         self._mark_head_ready(member_id)
 
-    def oldest_of(self, member_id: MemberId) -> RequestEntity | None:
+    def oldest_of(self, member_id: MemberId) -> WorkT | None:
         """Return the request of a member that has waited the longest."""
         entries = self._entries_by_member.get(member_id)
         return next(iter(entries.values()))[1] if entries else None
@@ -93,7 +102,7 @@
     def set_weight(self, member_id: MemberId, weight: float) -> None:
         """Do nothing: the order does not depend on weights."""
 
-    def work_ahead(self, entity: RequestEntity) -> float:
+    def work_ahead(self, work: WorkT) -> float:
         """Return the total cost of the queue."""
         return self._cost
 
--- /dev/null
+++ b/packages/admission/src/lagoonwing_admission/const.py
@@ -0,0 +1,19 @@
+"""Constants of admission and waiting."""
+
+from __future__ import annotations
+
+# Share of the started cost that each rank with waiting work gets, however urgent the others are.
+MIN_RANK_SHARE = 0.05
+# Bounds the sum of these shares, so that many ranks don't reverse the order.
+MAX_GUARANTEED_SHARE = 0.5
+# Share of the capacity that is promised to returning callers; the rest is for new requests.
+RETURN_SHARE = 0.5
+# Shortest promised time of return. An earlier return is treated as a new request.
+MIN_RETURN_S = 0.3
+# Span of the random part of a promise without a known rate.
+UNKNOWN_RATE_JITTER_S = 0.6
+# Time constant of the average of the cost started per second.
+START_RATE_TIME_CONSTANT_S = 1.0
+# Share by which the usual time of a route's callers decays per second. Between two first
+# attempts that are 2 s apart, a caller's first attempt is misjudged by 1 in 100 of its time.
+USUAL_TIME_DECAY_PER_S = 0.005
--- a/packages/policy/src/lagoonwing_policy/__init__.py
+++ b/packages/policy/src/lagoonwing_policy/__init__.py
@@ -2,17 +2,20 @@
 
 from __future__ import annotations
 
+from lagoonwing_admission.models import (
+    BoundedQueue,
+    EarlyRefusal,
+    FirstComeFirstServed,
+    WeightedFair,
+)
 from lagoonwing_policy._scheduler import Scheduler
 from lagoonwing_policy._settings import SchedulerSettings
-from lagoonwing_policy.admission.models import BoundedQueue, EarlyRefusal
 from lagoonwing_policy.allotments.models import Allotments, NoLimits
 from lagoonwing_policy.cost.models import CostSettings
 from lagoonwing_policy.fairness.models import (
     BoundedLongWork,
-    FirstComeFirstServed,
     MemberShare,
     UnboundedLongWork,
-    WeightedFair,
 )
 from lagoonwing_policy.retries import BudgetedRetries, FixedRetries
 from lagoonwing_policy.routing import FlowRoutes, LinkCost, RoundRobinRoutes, RouterSettings
--- a/packages/policy/src/lagoonwing_policy/_accounts.py
+++ b/packages/policy/src/lagoonwing_policy/_accounts.py
@@ -4,10 +4,10 @@
 
 from dataclasses import replace
 
+from lagoonwing_admission import RankedQueue
 from lagoonwing_policy._requests import RequestEntity
 from lagoonwing_policy._tables import SchedulerTables
 from lagoonwing_policy.const import CHARGE_CHUNK_TOKENS
-from lagoonwing_policy.fairness import WorkQueue
 from lagoonwing_policy.fairness.models import BoundedLongWork
 from lagoonwing_policy.models import Priority
 
@@ -63,7 +63,7 @@
         pool.classifier.observe(actual.cost)
         pool.meter.finished(actual.cost, now - entity.started)
 
-    def _pool_queue(self, entity: RequestEntity) -> WorkQueue:
+    def _pool_queue(self, entity: RequestEntity) -> RankedQueue[RequestEntity]:
         """Return the queue of the request's pool."""
         return self._tables.pools.get(entity.pool).queue
 
--- a/packages/policy/src/lagoonwing_policy/_admission.py
+++ b/packages/policy/src/lagoonwing_policy/_admission.py
@@ -6,6 +6,8 @@
 
 from expression import Error, Ok, Result
 
+from lagoonwing_admission import AdmissionCheck, Rejected, RejectReason, jittered_retry_after
+from lagoonwing_admission.models import EarlyRefusal
 from lagoonwing_core.errors import Refusal
 from lagoonwing_core.events import EventCode, log_event
 from lagoonwing_core.result_codes import ResultCode
@@ -13,8 +15,6 @@
 from lagoonwing_policy._protocols import Quarantines, QuarantineVerdict
 from lagoonwing_policy._requests import RequestEntity, pool_key
 from lagoonwing_policy._tables import SchedulerTables
-from lagoonwing_policy.admission import jittered_retry_after
-from lagoonwing_policy.admission.models import BoundedQueue, EarlyRefusal
 from lagoonwing_policy.const import NO_ROUTE_GRACE_S
 from lagoonwing_policy.cost import CostEstimate
 from lagoonwing_policy.models import RequestProfile
@@ -26,6 +26,9 @@
     def __init__(self, tables: SchedulerTables, quarantines: Quarantines) -> None:
         self._tables = tables
         self._quarantines = quarantines
+        self._check: AdmissionCheck[RequestEntity] = AdmissionCheck(
+            tables.settings.admission, tables.bounds, tables.demand.queued_of, _tokens_of
+        )
 
     def submit(self, profile: RequestProfile, now: float) -> Result[None, Refusal]:
         """Queue a request, or return the refusal."""
@@ -71,38 +74,40 @@
 
     def _check_load(self, entity: RequestEntity, pool: Pool, now: float) -> Refusal | None:
         """Return the refusal if the request can't be queued under the current load."""
+        refuses_early = isinstance(self._tables.settings.admission, EarlyRefusal)
+        if refuses_early:
+            entity.latest_start = entity.profile.deadline - self._service_time(entity, pool)
+        verdict = self._check.check(entity, pool.queue, pool.meter.rate(pool.slots), now)
+        rejected = verdict if isinstance(verdict, Rejected) else None
+        if rejected is not None and rejected.reason is RejectReason.QUEUE_FULL:
+            return self._load_refusal(rejected, entity, now)
+        cap_wait = self._excessive_cap_wait(entity, now) if refuses_early else None
+        if cap_wait is not None:
+            return self._refusal(ResultCode.CAP_REACHED, "the member's cap is reached", cap_wait)
+        return None if rejected is None else self._load_refusal(rejected, entity, now)
+
+    def _excessive_cap_wait(self, entity: RequestEntity, now: float) -> float | None:
+        """Return the wait for the member's caps if it is too long to queue the request."""
         member_id = entity.profile.member_id
         requests, tokens = self._tables.demand.queued_of(member_id)
-        wait = self._expected_wait(entity, pool)
-        if not self._tables.bounds.has_room(requests, tokens, entity.tokens_reserved):
-            return self._refusal(ResultCode.QUEUE_FULL, "the queue is full", wait)
-        match self._tables.settings.admission:
-            case BoundedQueue():
-                return None
-            case EarlyRefusal(max_wait_s=max_wait_s):
-                pass
-            case _:
-                assert_never(self._tables.settings.admission)
-        cap_wait = self._tables.limits.excessive_wait(
+        return self._tables.limits.excessive_wait(
             member_id, requests + 1, tokens + entity.tokens_reserved, now
         )
-        if cap_wait is not None:
-            return self._refusal(ResultCode.CAP_REACHED, "the member's cap is reached", cap_wait)
-        entity.latest_start = entity.profile.deadline - self._service_time(entity, pool)
-        if now + wait > entity.latest_start:
-            excess = now + wait - entity.latest_start
-            detail = "the expected wait passes the deadline"
-            return self._refusal(ResultCode.DEADLINE_UNREACHABLE, detail, excess)
-        if wait > max_wait_s:
-            return self._refusal(ResultCode.QUEUE_FULL, "the expected wait is too long", wait)
-        return None
 
-    def _expected_wait(self, entity: RequestEntity, pool: Pool) -> float:
-        """Return the estimated queueing time in seconds, 0 without measurements."""
-        if not len(pool.queue):
-            return 0.0
-        rate = pool.meter.rate(pool.slots)
-        return pool.queue.work_ahead(entity) / rate if rate else 0.0
+    def _load_refusal(self, rejected: Rejected, entity: RequestEntity, now: float) -> Refusal:
+        """Return the refusal of a request that the admission check rejected."""
+        wait = rejected.expected_wait_s
+        match rejected.reason:
+            case RejectReason.QUEUE_FULL:
+                return self._refusal(ResultCode.QUEUE_FULL, "the queue is full", wait)
+            case RejectReason.DEADLINE_UNREACHABLE:
+                excess = now + wait - entity.latest_start
+                detail = "the expected wait passes the deadline"
+                return self._refusal(ResultCode.DEADLINE_UNREACHABLE, detail, excess)
+            case RejectReason.WAIT_TOO_LONG:
+                return self._refusal(ResultCode.QUEUE_FULL, "the expected wait is too long", wait)
+            case _:
+                assert_never(rejected.reason)
 
     def _service_time(self, entity: RequestEntity, pool: Pool) -> float:
         """Return the estimated run time in seconds, 0 without measurements."""
@@ -136,6 +141,11 @@
         return refusal
 
 
+def _tokens_of(entity: RequestEntity) -> float:
+    """Return the size of a request for the bounds of the queue."""
+    return entity.tokens_reserved
+
+
 def _no_endpoint() -> Refusal:
     """Return the refusal for work that no endpoint has served since this host started."""
     return Refusal(ResultCode.NO_ENDPOINT, "no endpoint serves this")
--- a/packages/policy/src/lagoonwing_policy/_dispatch.py
+++ b/packages/policy/src/lagoonwing_policy/_dispatch.py
@@ -4,6 +4,7 @@
 
 from dataclasses import replace
 
+from lagoonwing_admission import StartConstraints
 from lagoonwing_core.errors import Refusal
 from lagoonwing_core.events import EventCode, log_event
 from lagoonwing_core.ids import Attempt, EndpointId, RequestId
@@ -22,7 +23,6 @@
 from lagoonwing_policy._tables import SchedulerTables
 from lagoonwing_policy.allotments import StartAllowed, StartBlocked
 from lagoonwing_policy.const import MAX_BYPASS_EXCLUSIVE, MAX_BYPASS_TRIES
-from lagoonwing_policy.fairness import StartConstraints
 from lagoonwing_policy.models import (
     Priority,
     RefuseRequest,
--- a/packages/policy/src/lagoonwing_policy/_pools.py
+++ b/packages/policy/src/lagoonwing_policy/_pools.py
@@ -6,15 +6,13 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
+from lagoonwing_admission import Headroom, RankedQueue, ThroughputMeter, make_headroom
 from lagoonwing_core.errors import Refusal
 from lagoonwing_core.ids import EndpointId, RequestId
 from lagoonwing_core.models import EndpointKind, EndpointRecord
 from lagoonwing_policy._requests import RequestEntity
 from lagoonwing_policy._settings import SchedulerSettings
-from lagoonwing_policy.admission import ThroughputMeter
 from lagoonwing_policy.cost import CostClassifier
-from lagoonwing_policy.fairness import WorkQueue, make_headroom, make_queue
-from lagoonwing_policy.fairness._headroom import Headroom
 
 
 @dataclass(slots=True)
@@ -33,7 +31,7 @@
     """
 
     key: str
-    queue: WorkQueue
+    queue: RankedQueue[RequestEntity]
     classifier: CostClassifier
     headroom: Headroom
     meter: ThroughputMeter = field(default_factory=ThroughputMeter)
@@ -74,7 +72,7 @@
         """Return a pool; it is created if it does not exist."""
         pool = self._pool_by_key.get(key)
         if pool is None:
-            queue = make_queue(self._settings.queue)
+            queue: RankedQueue[RequestEntity] = RankedQueue(self._settings.queue)
             classifier = CostClassifier(self._settings.cost)
             pool = Pool(key, queue, classifier, make_headroom(self._settings.queue))
             self._pool_by_key[key] = pool
--- a/packages/policy/src/lagoonwing_policy/_requests.py
+++ b/packages/policy/src/lagoonwing_policy/_requests.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from lagoonwing_admission import CostClass, OrderedSet, WorkId
 from lagoonwing_core.ids import Attempt, EndpointId, MemberId, RequestId
-from lagoonwing_policy._ordered_set import OrderedSet
 from lagoonwing_policy.models import ModelWork, Priority, RequestProfile, Route, ServiceWork
 
 
@@ -66,6 +66,31 @@
     output_charged: float = 0.0
     output_reserved: float = 0.0
 
+    @property
+    def work_id(self) -> WorkId:
+        """Return the id in the queue."""
+        return WorkId(self.profile.request_id)
+
+    @property
+    def member_id(self) -> MemberId:
+        """Return the member that is charged."""
+        return self.profile.member_id
+
+    @property
+    def rank(self) -> int:
+        """Return the rank, which is the same for all requests of an entry host."""
+        return 0
+
+    @property
+    def cost_class(self) -> CostClass:
+        """Return the cost class."""
+        return self.priority
+
+    @property
+    def due(self) -> float:
+        """Return the time by which the member's requests of one class are ordered."""
+        return self.enqueued
+
 
 class RequestTable:
     """Requests by id, and waiting requests ordered by latest start."""
--- a/packages/policy/src/lagoonwing_policy/_settings.py
+++ b/packages/policy/src/lagoonwing_policy/_settings.py
@@ -4,14 +4,17 @@
 
 from dataclasses import dataclass, field
 
-from lagoonwing_policy.admission.models import AdmissionPolicy, EarlyRefusal
+from lagoonwing_admission.models import (
+    AdmissionPolicy,
+    EarlyRefusal,
+    QueuePolicy,
+    WeightedFair,
+)
 from lagoonwing_policy.allotments.models import Allotments, LimitPolicy
 from lagoonwing_policy.cost.models import CostSettings
 from lagoonwing_policy.fairness.models import (
     BoundedLongWork,
     LongWorkPolicy,
-    QueuePolicy,
-    WeightedFair,
 )
 from lagoonwing_policy.retries import BudgetedRetries, RetryPolicy
 from lagoonwing_policy.routing import RouterSettings
--- a/packages/policy/src/lagoonwing_policy/_tables.py
+++ b/packages/policy/src/lagoonwing_policy/_tables.py
@@ -4,12 +4,12 @@
 
 import random
 
+from lagoonwing_admission import QueueBounds
 from lagoonwing_policy._cap_blocks import CapBlocks
 from lagoonwing_policy._pools import PoolTable
 from lagoonwing_policy._requests import RequestTable
 from lagoonwing_policy._settings import SchedulerSettings
 from lagoonwing_policy._slots import SlotTable
-from lagoonwing_policy.admission import QueueBounds
 from lagoonwing_policy.allotments import Allotments, AllotmentTable, DemandTracker
 from lagoonwing_policy.const import MAX_REFUSALS_PER_TICK
 from lagoonwing_policy.cost import CostEstimator
--- a/packages/policy/src/lagoonwing_policy/_timeouts.py
+++ b/packages/policy/src/lagoonwing_policy/_timeouts.py
@@ -2,16 +2,15 @@
 
 from __future__ import annotations
 
+from lagoonwing_admission import UNCONSTRAINED, jittered_retry_after
 from lagoonwing_core.errors import Refusal
 from lagoonwing_core.ids import MemberId
 from lagoonwing_core.result_codes import ResultCode
 from lagoonwing_policy._dispatch import DispatchSystem
 from lagoonwing_policy._pools import Pool
 from lagoonwing_policy._tables import SchedulerTables
-from lagoonwing_policy.admission import jittered_retry_after
 from lagoonwing_policy.allotments import Allotments
 from lagoonwing_policy.const import MAX_REFUSALS_PER_TICK, NO_ROUTE_GRACE_S, SWEEP_INTERVAL_S
-from lagoonwing_policy.fairness import UNCONSTRAINED
 from lagoonwing_policy.models import SchedulerCommand
 
 
--- a/packages/policy/src/lagoonwing_policy/fairness/models.py
+++ b/packages/policy/src/lagoonwing_policy/fairness/models.py
@@ -1,4 +1,4 @@
-"""Queue policies, long-work policies, and a member's share of work at this host."""
+"""Long-work policies, and a member's share of work at this host."""
 
 from __future__ import annotations
 
@@ -7,36 +7,6 @@
 from lagoonwing_core.ids import MemberId
 
 
-@dataclass(frozen=True, slots=True)
-class FirstComeFirstServed:
-    """Requests start in order of arrival."""
-
-
-@dataclass(frozen=True, slots=True)
-class WeightedFair:
-    """Members share capacity by weight, measured in tokens; classes share within a member.
-
-    Attributes:
-        short_weight: Weight of short work within its member.
-        normal_weight: Weight of work between short and long.
-        long_weight: Weight of long work.
-        ageing_s: Waiting time after which the head of a class precedes the member's other
-            classes, at most once per class in this time.
-        headroom_share: Share of the slots that members with a persistent backlog can't use.
-        persistent_backlog_s: Time after which a member's backlog counts as persistent.
-    """
-
-    short_weight: float = 8.0
-    normal_weight: float = 4.0
-    long_weight: float = 1.0
-    ageing_s: float = 5.0
-    headroom_share: float = 0.05
-    persistent_backlog_s: float = 0.5
-
-
-QueuePolicy = FirstComeFirstServed | WeightedFair
-
-
 @dataclass(frozen=True, slots=True)
 class UnboundedLongWork:
     """Long work may use all slots."""
--- a/packages/policy/src/lagoonwing_policy/models.py
+++ b/packages/policy/src/lagoonwing_policy/models.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from lagoonwing_admission.models import CostClass
 from lagoonwing_core.errors import Refusal
 from lagoonwing_core.ids import (
     Attempt,
@@ -18,13 +19,8 @@
 )
 from lagoonwing_core.models import CapDimension as CapDimension
 
-
-class Priority(Enum):
-    """Priority that is passed to the engine."""
-
-    SHORT = "short"
-    NORMAL = "normal"
-    LONG = "long"
+# Priority that is passed to the engine.
+Priority = CostClass
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -7,10 +7,10 @@
 
 import pytest
 
+from lagoonwing_admission import ThroughputMeter, jittered_retry_after
 from lagoonwing_core.ids import RequestId
 from lagoonwing_core.result_codes import ResultCode
 from lagoonwing_policy import EarlyRefusal, SchedulerSettings
-from lagoonwing_policy.admission import ThroughputMeter, jittered_retry_after
 from lagoonwing_policy.const import MAX_REFUSALS_PER_TICK
 
 
