--- a/packages/gateway/src/lagoonwing_gateway/_admission_queue.py
+++ b/packages/gateway/src/lagoonwing_gateway/_admission_queue.py
@@ -1,7 +1,7 @@
 """Requests that wait for capacity, and the events that let them start.
 
-The order and the refusals are decided by `lagoonwing_admission`; this module runs the decisions when
-capacity may have become free.
+The order and the refusals are decided by `lagoonwing_admission`; this module runs the decisions
+when capacity may have become free.
 """
 
 from __future__ import annotations
@@ -107,7 +107,7 @@
     def claim_now(
         self, request: AdmissionRequest, try_claim: Callable[[], ClaimT | None]
     ) -> ClaimT | None:
-        """Claim capacity for a request that no waiting one precedes; return None if there is none."""
+        """Claim capacity for a request that no waiting one precedes, or return None."""
         room = self._room(request.service_id)
         if any(rank <= request.rank for rank in room.waiting_cost_by_rank()):
             return None
