Paths within the bounds of a route; memory reserved for 1.5 times the hint

Cause: gateways forward requests to engines whose load makes every pause longer than the route's pause objective, and reserve KV cache for the hint alone, which is too low as often as too high.

Change: PathFinder takes PathBounds and slowdown factors. A path that exceeds a bound because of load has no capacity; one that exceeds it without load is used after all others.

--- a/packages/placement/src/lagoonwing_placement/__init__.py
+++ b/packages/placement/src/lagoonwing_placement/__init__.py
@@ -7,9 +7,11 @@
     load_s,
     new_layer_count,
     prefill_ms,
+    step_ms,
     transfer_ms,
 )
 from lagoonwing_placement._layout import infer_layout
+from lagoonwing_placement._path_timing import PathBounds
 from lagoonwing_placement._paths import Holder, HolderGroup, PathFinder, group_holders
 from lagoonwing_placement._planner import choose_layout, plan
 from lagoonwing_placement._repair import RepairPlanner, due_orders
@@ -33,6 +35,7 @@
     "OrderReason",
     "PartitionLayout",
     "Path",
+    "PathBounds",
     "PathFinder",
     "PathSegment",
     "PlacementEndpoint",
@@ -48,5 +51,6 @@
     "new_layer_count",
     "plan",
     "prefill_ms",
+    "step_ms",
     "transfer_ms",
 ]
--- a/packages/placement/src/lagoonwing_placement/_paths.py
+++ b/packages/placement/src/lagoonwing_placement/_paths.py
@@ -12,12 +12,15 @@
 import random
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
+from enum import Enum
 
 from lagoonwing_catalog.messages import EndpointLoad
 from lagoonwing_catalog.models import Accelerator, Engine, LayerRange
 from lagoonwing_core.ids import EndpointId, FailureDomainId
 from lagoonwing_placement._capacity import kv_token_layers, prefill_ms, step_ms, transfer_ms
+from lagoonwing_placement._path_timing import PathBounds, PathTiming
 from lagoonwing_placement.const import (
+    BOUND_COST_MS,
     DECODE_WEIGHT,
     HOP_COST_MS,
     JITTER_SHARE,
@@ -27,8 +30,10 @@
     LATENCY_WEIGHT,
     MAX_LINK_BACKLOG_MS,
     MAX_PATH_ENDPOINTS,
+    PREFILL_CHUNK_TOKENS,
     PREFILL_INTERFERENCE,
     REMOTE_ENTRY_COST_MS,
+    SLOWDOWN_RANK,
     TRANSFER_WEIGHT,
 )
 from lagoonwing_placement.models import Backlogs, DomainLink, Path, PathSegment, RequestSize
@@ -82,19 +87,31 @@
     )
 
 
+class _Criterion(Enum):
+    """What makes a path the best one.
+
+    COST: its cost to all requests. BOUNDS: its times, compared with the bounds. IDLE: the same,
+    with the least loaded endpoint of each group even if that is slow.
+    """
+
+    COST = "cost"
+    BOUNDS = "bounds"
+    IDLE = "idle"
+
+
 @dataclass(slots=True)
 class _PathPrefix:
     """Cheapest known path prefix that runs all layers before a position.
 
     Attributes:
-        endpoint_id: Last endpoint of the prefix; None at the start.
+        candidate: Last endpoint of the prefix; None at the start.
         first: First layer that this endpoint runs.
         domain: Failure domain of the preceding endpoint; None at the start.
     """
 
     cost_ms: float
     first_token_ms: float
-    endpoint_id: EndpointId | None
+    candidate: _Candidate | None
     first: int
     domain: FailureDomainId | None
 
@@ -107,6 +124,8 @@
         load_by_id: Load of each endpoint, summed over all gateways.
         own_domain: Failure domain of the gateway, if known.
         backlogs: Estimated work that other gateways have started but not yet reported.
+        slowdown_by_id: Slowdown factor of endpoints that are slower than their published figures.
+        bounds: Times that load must not make a path exceed, if the route has any.
     """
 
     engine: Engine
@@ -114,6 +133,8 @@
     rng: random.Random = field(default_factory=random.Random)
     own_domain: FailureDomainId | None = None
     backlogs: Backlogs = field(default_factory=Backlogs)
+    slowdown_by_id: Mapping[EndpointId, float] = field(default_factory=dict)
+    bounds: PathBounds | None = None
 
     def find(
         self,
@@ -131,9 +152,39 @@
             may_enter: Returns whether the request may be sent to an endpoint; the others of its
                 path get it from there.
         """
-        grouped = self._candidates(groups, size, is_usable)
+        groups = tuple(groups)
+        late: Path | None = None
+        for criterion in self._criteria():
+            found = self._search(groups, size, is_usable, may_enter, criterion)
+            if found is None:
+                break
+            path, timing = found
+            if self.bounds is None or timing.is_within(self.bounds):
+                return path
+            if not timing.is_full(self.bounds):
+                late = path
+        return late
+
+    def _criteria(self) -> tuple[_Criterion, ...]:
+        """Return the criteria to search by until a path is within the bounds."""
+        if self.bounds is None:
+            return (_Criterion.COST,)
+        if not self.slowdown_by_id:
+            return (_Criterion.COST, _Criterion.BOUNDS)
+        return (_Criterion.COST, _Criterion.BOUNDS, _Criterion.IDLE)
+
+    def _search(
+        self,
+        groups: Sequence[HolderGroup],
+        size: RequestSize,
+        is_usable: Callable[[EndpointId], bool],
+        may_enter: Callable[[EndpointId], bool],
+        criterion: _Criterion,
+    ) -> tuple[Path, PathTiming] | None:
+        """Return the best path by a criterion among the endpoints with capacity, if any."""
+        grouped = self._candidates(groups, size, is_usable, criterion)
         candidates = [candidate for _, candidate in grouped]
-        entries = self._entries(grouped, size, is_usable, may_enter)
+        entries = self._entries(grouped, size, is_usable, may_enter, criterion)
         boundaries = sorted(
             {0, self.engine.layer_count}.union(
                 *((candidate.layers.first, candidate.layers.end) for candidate in candidates)
@@ -161,7 +212,7 @@
                 self._extend(
                     prefixes_by_position, position, candidate, boundaries, transfer_time_ms
                 )
-        return self._cheapest_path(prefixes_by_position)
+        return self._cheapest_path(prefixes_by_position, transfer_time_ms)
 
     def _extend(
         self,
@@ -187,7 +238,7 @@
                 base_cost, base_first_ms, base_domain = cost, first_ms, domain
         if base_cost == math.inf:
             return
-        base_cost += HOP_COST_MS + candidate.queue_ms * LATENCY_WEIGHT
+        base_cost += HOP_COST_MS + candidate.entry_cost_ms
         for end in boundaries:
             if not position < end <= candidate.layers.end:
                 continue
@@ -199,7 +250,7 @@
                 continue
             first_ms = base_first_ms + candidate.queue_ms + candidate.prefill_per_layer_ms * count
             prefixes[candidate.failure_domain] = _PathPrefix(
-                cost, first_ms, candidate.endpoint_id, position, base_domain
+                cost, first_ms, candidate, position, base_domain
             )
 
     def _link_backlog_ms(self, source: FailureDomainId, target: FailureDomainId) -> float:
@@ -209,8 +260,10 @@
         return self.backlogs.transfer_ms_by_link.get(DomainLink(source, target), 0.0)
 
     def _cheapest_path(
-        self, prefixes_by_position: dict[int, dict[FailureDomainId | None, _PathPrefix]]
-    ) -> Path | None:
+        self,
+        prefixes_by_position: dict[int, dict[FailureDomainId | None, _PathPrefix]],
+        transfer_time_ms: float,
+    ) -> tuple[Path, PathTiming] | None:
         """Return the cheapest complete path."""
         complete = prefixes_by_position[self.engine.layer_count]
         if not complete:
@@ -219,29 +272,37 @@
         best = complete[last_domain]
         segments: list[PathSegment] = []
         domains: list[FailureDomainId | None] = []
+        candidate_by_id: dict[EndpointId, _Candidate] = {}
         prefix, end = best, self.engine.layer_count
-        while prefix.endpoint_id is not None:
-            segments.append(PathSegment(prefix.endpoint_id, LayerRange(prefix.first, end)))
+        while prefix.candidate is not None:
+            endpoint_id = prefix.candidate.endpoint_id
+            candidate_by_id[endpoint_id] = prefix.candidate
+            segments.append(PathSegment(endpoint_id, LayerRange(prefix.first, end)))
             domains.append(prefix.domain)
             prefix, end = prefixes_by_position[prefix.first][prefix.domain], prefix.first
         segments = _merge_repeated(segments[::-1])
         if len(segments) > MAX_PATH_ENDPOINTS:
             return None
         links = _links_between([*domains[::-1], last_domain])
-        return Path(tuple(segments), best.cost_ms, best.first_token_ms, links)
+        timing = self._timing(
+            segments, candidate_by_id, best.first_token_ms, transfer_time_ms * len(links)
+        )
+        path = Path(tuple(segments), best.cost_ms, best.first_token_ms, links, timing.pause_ms)
+        return path, timing
 
     def _candidates(
         self,
         groups: Iterable[HolderGroup],
         size: RequestSize,
         is_usable: Callable[[EndpointId], bool],
+        criterion: _Criterion,
     ) -> list[tuple[HolderGroup, _Candidate]]:
         """Return each group that has an endpoint with capacity, with the best one."""
         grouped: list[tuple[HolderGroup, _Candidate]] = []
         for group in groups:
-            best = self._least_loaded(group, size, is_usable)
+            best = self._least_loaded(group, size, is_usable, criterion)
             if best is not None:
-                grouped.append((group, self._make_candidate(group, best, size)))
+                grouped.append((group, self._make_candidate(group, best, size, criterion)))
         return grouped
 
     def _entries(
@@ -250,6 +311,7 @@
         size: RequestSize,
         is_usable: Callable[[EndpointId], bool],
         may_enter: Callable[[EndpointId], bool],
+        criterion: _Criterion,
     ) -> list[_Candidate]:
         """Return the best endpoint at which the request may enter from each group."""
         entries: list[_Candidate] = []
@@ -265,13 +327,19 @@
             refusing,
             size,
             lambda endpoint_id: may_enter(endpoint_id) and is_usable(endpoint_id),
+            criterion,
         )
         return [*entries, *(candidate for _, candidate in others)]
 
     def _least_loaded(
-        self, group: HolderGroup, size: RequestSize, is_usable: Callable[[EndpointId], bool]
+        self,
+        group: HolderGroup,
+        size: RequestSize,
+        is_usable: Callable[[EndpointId], bool],
+        criterion: _Criterion,
     ) -> EndpointId | None:
         """Return the least loaded endpoint of a group, or None if all are full."""
+        slowdown_by_id = {} if criterion is _Criterion.IDLE else self.slowdown_by_id
         max_kv = group.kv_token_layers * KV_FULL_SHARE - size.tokens * group.layers.count
         estimated_ms_by_id = self.backlogs.prefill_ms_by_id
         best: EndpointId | None = None
@@ -282,50 +350,111 @@
                 continue
             jitter = 1.0 + JITTER_SHARE * self.rng.random()
             queued_ms = load.prefill_ms + estimated_ms_by_id.get(endpoint_id, 0.0)
-            rank = (1.0 + queued_ms + load.sequences) * jitter
+            rank = 1.0 + queued_ms + load.sequences
+            if endpoint_id in slowdown_by_id:
+                rank += SLOWDOWN_RANK * (slowdown_by_id[endpoint_id] - 1.0)
+            rank *= jitter
             if rank < best_rank and is_usable(endpoint_id):
                 best, best_rank = endpoint_id, rank
         return best
 
     def _make_candidate(
-        self, group: HolderGroup, endpoint_id: EndpointId, size: RequestSize
+        self, group: HolderGroup, endpoint_id: EndpointId, size: RequestSize, criterion: _Criterion
     ) -> _Candidate:
         """Return the costs of running a request on an endpoint."""
         load = self.load_by_id.get(endpoint_id, _NO_LOAD)
+        slowdown = self.slowdown_by_id.get(endpoint_id, 1.0)
         layer_count = self.engine.layer_count
         context_tokens = load.kv_token_layers / group.layers.count
-        step_time_ms = step_ms(
+        step_time_ms = slowdown * step_ms(
             self.engine, group.accelerator, layer_count, load.sequences + 1, context_tokens
         )
-        prefill_time_ms = prefill_ms(
+        prefill_time_ms = slowdown * prefill_ms(
             self.engine, group.accelerator, size.prompt_tokens, layer_count
         )
+        queue_ms = load.prefill_ms + self.backlogs.prefill_ms_by_id.get(endpoint_id, 0.0)
+        queue_ms *= slowdown
         interference = 1.0 + PREFILL_INTERFERENCE * load.sequences
         decode_cost = step_time_ms * size.output_tokens * DECODE_WEIGHT
         cost = prefill_time_ms * interference * LATENCY_WEIGHT + decode_cost
         kv_share = load.kv_token_layers / max(group.kv_token_layers, 1.0)
         cost += KV_PRESSURE_MS * max(0.0, kv_share - KV_BUSY_SHARE)
         jitter = 1.0 + JITTER_SHARE * self.rng.random()
-        return _Candidate(
+        candidate = _Candidate(
             endpoint_id,
             group.failure_domain,
             group.layers,
-            queue_ms=load.prefill_ms + self.backlogs.prefill_ms_by_id.get(endpoint_id, 0.0),
+            queue_ms=queue_ms,
             prefill_per_layer_ms=prefill_time_ms / layer_count,
+            entry_cost_ms=queue_ms * LATENCY_WEIGHT,
             per_layer_ms=cost / layer_count * jitter,
+            step_per_layer_ms=step_time_ms / layer_count,
+            accelerator=group.accelerator,
+            slowdown=slowdown,
         )
+        if criterion is not _Criterion.COST and self.bounds is not None:
+            self._set_bound_costs(candidate, self.bounds, jitter)
+        return candidate
+
+    def _set_bound_costs(self, candidate: _Candidate, bounds: PathBounds, jitter: float) -> None:
+        """Replace the costs of a candidate by its parts of the bounded times."""
+        first_token_weight = BOUND_COST_MS / bounds.first_token_ms
+        pause_weight = BOUND_COST_MS / bounds.pause_ms
+        entry_cost_ms = candidate.queue_ms * first_token_weight
+        candidate.entry_cost_ms = entry_cost_ms + self._chunk_ms(candidate) * pause_weight
+        pause_per_layer_ms = candidate.step_per_layer_ms * self.engine.steps_per_pass
+        cost = candidate.prefill_per_layer_ms * first_token_weight
+        candidate.per_layer_ms = (cost + pause_per_layer_ms * pause_weight) * jitter
+
+    def _chunk_ms(self, candidate: _Candidate) -> float:
+        """Return the prefill time of other requests in one pass of an endpoint."""
+        if not candidate.queue_ms:
+            return 0.0
+        chunk_ms = candidate.slowdown * prefill_ms(
+            self.engine, candidate.accelerator, PREFILL_CHUNK_TOKENS, candidate.layers.count
+        )
+        return min(candidate.queue_ms, chunk_ms)
+
+    def _timing(
+        self,
+        segments: Sequence[PathSegment],
+        candidate_by_id: Mapping[EndpointId, _Candidate],
+        first_token_ms: float,
+        transfer_time_ms: float,
+    ) -> PathTiming:
+        """Return the times of a path with and without its load."""
+        pause_ms = idle_pause_ms = 0.0
+        idle_first_token_ms = transfer_time_ms
+        steps = self.engine.steps_per_pass
+        for segment in segments:
+            candidate, count = candidate_by_id[segment.endpoint_id], segment.layers.count
+            idle_step_ms = step_ms(self.engine, candidate.accelerator, count, 1, 0.0)
+            pause_ms += self._chunk_ms(candidate) + candidate.step_per_layer_ms * steps * count
+            idle_pause_ms += idle_step_ms * steps * candidate.slowdown
+            idle_first_token_ms += candidate.prefill_per_layer_ms * count
+        return PathTiming(first_token_ms, pause_ms, idle_first_token_ms, idle_pause_ms)
 
 
 @dataclass(slots=True)
 class _Candidate:
-    """An endpoint and its costs for one request."""
+    """An endpoint and its costs for one request.
+
+    Attributes:
+        queue_ms: Prefill time that is queued there.
+        entry_cost_ms: Cost of using the endpoint, whatever the number of layers.
+        per_layer_ms: Further cost for each layer.
+    """
 
     endpoint_id: EndpointId
     failure_domain: FailureDomainId
     layers: LayerRange
     queue_ms: float
     prefill_per_layer_ms: float
+    entry_cost_ms: float
     per_layer_ms: float
+    step_per_layer_ms: float
+    accelerator: Accelerator
+    slowdown: float
 
 
 def _links_between(domains: Sequence[FailureDomainId | None]) -> tuple[DomainLink, ...]:
--- a/packages/placement/src/lagoonwing_placement/const.py
+++ b/packages/placement/src/lagoonwing_placement/const.py
@@ -38,6 +38,20 @@
 # Weight of decoding time: callers wait for the first token, the rest of the response only occupies
 # KV cache.
 DECODE_WEIGHT = 0.03
+# Load under which a path that exceeds a bound without any load is full, as a multiple of its time
+# without load.
+IDLE_EXCESS_LOAD_FACTOR = 2.0
+# Rank of an endpoint behind others of its group for each unit of slowdown above 1, in sequences. On
+# published figures, 40 more sequences lengthen a step less than a slowdown of 2.
+SLOWDOWN_RANK = 40.0
+# Cost of a path that takes exactly as long as one of its bounds allows, in milliseconds, where
+# paths are compared by their bounds only. It outweighs the costs of hops and domains.
+BOUND_COST_MS = 2_000.0
+# Prompt tokens that an engine prefills in one pass at most.
+PREFILL_CHUNK_TOKENS = 512
+# Reserved output as a multiple of the expected output. Hints are too low as often as too high, and
+# a request that outgrows its reservation may preempt another one.
+OUTPUT_RESERVE_FACTOR = 1.5
 # Random share of a path's cost, so that gateways don't all choose the same path.
 JITTER_SHARE = 0.1
 # Maximum number of endpoints on a path that engines accept.
--- a/packages/placement/src/lagoonwing_placement/models.py
+++ b/packages/placement/src/lagoonwing_placement/models.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 
 from lagoonwing_catalog.models import Accelerator, LayerRange
 from lagoonwing_core.ids import AcceleratorKind, EndpointId, FailureDomainId
+from lagoonwing_placement.const import OUTPUT_RESERVE_FACTOR
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,15 +85,27 @@
     Attributes:
         prompt_tokens: Tokens in the prompt.
         output_tokens: Expected number of generated tokens.
+        output_limit: Maximum number of generated tokens; None if `output_tokens` is reserved as is.
     """
 
     prompt_tokens: int
     output_tokens: int
+    output_limit: int | None = None
+
+    @classmethod
+    def from_hint(cls, prompt_tokens: int, output_limit: int, hint: int | None) -> RequestSize:
+        """Return the size of a request; a hint is a better estimate than the limit."""
+        if hint is None or not 0 <= hint < output_limit:
+            return cls(prompt_tokens, output_limit)
+        return cls(prompt_tokens, hint, output_limit)
 
     @property
     def tokens(self) -> int:
-        """Tokens in the KV cache when the request completes."""
-        return self.prompt_tokens + self.output_tokens
+        """Tokens to reserve in the KV cache."""
+        if self.output_limit is None:
+            return self.prompt_tokens + self.output_tokens
+        reserved = math.ceil(self.output_tokens * OUTPUT_RESERVE_FACTOR)
+        return self.prompt_tokens + min(reserved, self.output_limit)
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,9 +145,11 @@
         cost_ms: Weighted estimate of the request's own time and the delay it causes to others.
         first_token_ms: Estimated time to first token.
         links: Links between failure domains that the path uses, in order.
+        pause_ms: Estimated pause between two events.
     """
 
     segments: tuple[PathSegment, ...]
     cost_ms: float
     first_token_ms: float
     links: tuple[DomainLink, ...] = ()
+    pause_ms: float = 0.0
