--- /dev/null
+++ b/tests/gateway/test_admission_queue.py
@@ -0,0 +1,320 @@
+"""The gateway's queue for capacity: what wakes it, who starts, who is refused and when."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+import pytest
+
+from lagoonwing_admission import WaitingRoomSettings
+from lagoonwing_catalog.messages import LoadSummary, ServicePressure
+from lagoonwing_core.clock import LoopClock
+from lagoonwing_core.ids import AttemptId, MemberId, RouteId, ServiceId
+from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_gateway._admission_queue import AdmissionQueue
+from lagoonwing_gateway._admission_request import AdmissionRequest
+from lagoonwing_gateway.const import MAX_RETRY_AFTER_SHARE, RECHECK_INTERVAL_S
+from lagoonwing_gateway.diagnostics import GatewayMetrics
+from lagoonwing_gateway.models import CallerGone, NotAdmitted
+
+SERVICE = ServiceId("models")
+COST = 800.0
+PATIENCE_S = 1.5
+DEADLINE_S = 20.0
+
+
+class FakeResponder:
+    """Caller that may disconnect."""
+
+    def __init__(self) -> None:
+        self.is_disconnected = False
+        self._on_disconnect: Callable[[], object] = lambda: None
+
+    def set_on_disconnect(self, on_disconnect: Callable[[], object]) -> None:
+        """Set the callback for when the caller disconnects."""
+        self._on_disconnect = on_disconnect
+
+    def disconnect(self) -> None:
+        """Close the connection of the caller."""
+        self.is_disconnected = True
+        self._on_disconnect()
+
+
+class SuspendableClock(LoopClock):
+    """Clock of a process that may be suspended for a while.
+
+    Attributes:
+        suspended_s: Time of all suspensions so far.
+    """
+
+    suspended_s = 0.0
+
+    def now(self) -> float:
+        """Return the time in seconds."""
+        return super().now() + self.suspended_s
+
+
+@dataclass
+class Slots:
+    """Capacity of a service as slots; a request takes its slot after it has been told to start."""
+
+    free: int
+    started: list[str] = field(default_factory=list)
+
+    def try_claim(self, name: str) -> str | None:
+        """Claim a slot; it is taken by `take`, as a path is taken by its first attempt."""
+        return name if self.free > 0 else None
+
+    def take(self, name: str) -> None:
+        """Take a claimed slot."""
+        assert self.free > 0, "two requests were started for one slot"
+        self.free -= 1
+        self.started.append(name)
+
+
+class QueueUnderTest:
+    """A queue with fake capacity and callers."""
+
+    def __init__(self, free: int) -> None:
+        self.slots = Slots(free)
+        self.summary = LoadSummary({})
+        self.clock = SuspendableClock()
+        self.queue = AdmissionQueue(
+            WaitingRoomSettings(),
+            self.clock,
+            random.Random(1),
+            lambda: self.summary,
+            lambda: 0.1,
+            GatewayMetrics(),
+        )
+        self.outcome_by_name: dict[str, str | NotAdmitted | CallerGone] = {}
+        self.ended_at_by_name: dict[str, float] = {}
+        self.responder_by_name: dict[str, FakeResponder] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def submit(
+        self,
+        name: str,
+        *,
+        rank: int = 1,
+        member: str = "m",
+        returned_s: float = 0.0,
+        patience_s: float = PATIENCE_S,
+        is_hopeless: Callable[[], bool] = lambda: False,
+    ) -> None:
+        """Let a request of a caller arrive, whose first attempt was `returned_s` ago."""
+        now = self.clock.now()
+        request = AdmissionRequest(
+            self.queue.next_work_id(),
+            AttemptId(name),
+            RouteId("r"),
+            SERVICE,
+            MemberId(member),
+            rank,
+            COST,
+            submitted=now,
+            enqueued=now - returned_s,
+            due=now - returned_s + 0.5,
+            latest_start=now + patience_s,
+            deadline=now + DEADLINE_S,
+        )
+        self.responder_by_name[name] = FakeResponder()
+        self._tasks.append(asyncio.create_task(self._async_serve(name, request, is_hopeless)))
+
+    async def _async_serve(
+        self, name: str, request: AdmissionRequest, is_hopeless: Callable[[], bool]
+    ) -> None:
+        """Run one request like a handler does."""
+        claim: str | NotAdmitted | CallerGone | None = self.queue.claim_now(
+            request, lambda: self.slots.try_claim(name)
+        )
+        if claim is None:
+            claim = await self.queue.async_claim(
+                request,
+                lambda: self.slots.try_claim(name),
+                self.responder_by_name[name],  # type: ignore[arg-type]
+                is_hopeless,
+            )
+        if isinstance(claim, str):
+            self.slots.take(name)
+        self.outcome_by_name[name] = claim
+        self.ended_at_by_name[name] = self.clock.now()
+
+    def release(self, count: int = 1) -> None:
+        """Free slots, as requests that end do."""
+        self.slots.free += count
+        self.queue.wake()
+
+    async def async_settle(self) -> None:
+        """Let all that is due now happen; no time passes."""
+        for _ in range(50):
+            await asyncio.sleep(0)
+
+    def cancel(self) -> None:
+        """End all requests."""
+        for task in self._tasks:
+            task.cancel()
+
+
+@pytest.fixture
+def full() -> Iterator[QueueUnderTest]:
+    """Return a queue whose service has no capacity."""
+    queue = QueueUnderTest(free=0)
+    yield queue
+    queue.cancel()
+
+
+@pytest.mark.looptime
+async def test_freed_capacity_starts_the_next_request_at_once(full: QueueUnderTest) -> None:
+    """A queue that polls leaves capacity idle between two looks."""
+    full.submit("a")
+    await asyncio.sleep(0.33 * RECHECK_INTERVAL_S)
+    full.release()
+    released_at = full.clock.now()
+    await full.async_settle()
+    assert full.slots.started == ["a"]
+    assert full.ended_at_by_name["a"] == released_at
+
+
+@pytest.mark.looptime
+async def test_one_slot_starts_one_request(full: QueueUnderTest) -> None:
+    """A second request must see the slot that the first one takes: both would overrun it."""
+    for name in "abc":
+        full.submit(name)
+    await full.async_settle()
+    full.release(2)
+    await full.async_settle()
+    assert len(full.slots.started) == 2
+    assert full.slots.free == 0
+
+
+@pytest.mark.looptime
+async def test_surge_starts_the_most_urgent_first(full: QueueUnderTest) -> None:
+    """In a surge the less urgent must not take capacity because they arrived earlier."""
+    for name, rank in (("draft", 2), ("query", 1), ("decline", 0)):
+        full.submit(name, rank=rank)
+    await full.async_settle()
+    for _ in range(3):
+        full.release()
+        await full.async_settle()
+    assert full.slots.started == ["decline", "query", "draft"]
+
+
+@pytest.mark.looptime
+async def test_new_request_does_not_pass_waiting_ones(full: QueueUnderTest) -> None:
+    """Capacity that is free at the moment of an arrival belongs to those that wait for it."""
+    full.submit("first")
+    await full.async_settle()
+    full.slots.free = 1
+    full.submit("second")
+    await full.async_settle()
+    assert full.slots.started == ["first"]
+
+
+@pytest.mark.looptime
+async def test_returned_caller_precedes_later_ones(full: QueueUnderTest) -> None:
+    """A caller that obeyed Retry-After is lost if it is refused again while others start."""
+    full.submit("new")
+    full.submit("returned", returned_s=3.0)
+    await full.async_settle()
+    full.release()
+    await full.async_settle()
+    assert full.slots.started == ["returned"]
+
+
+@pytest.mark.looptime
+async def test_disconnected_caller_leaves_its_place(full: QueueUnderTest) -> None:
+    """Work of a caller that is gone must not take the capacity of the next one."""
+    full.submit("gone")
+    full.submit("next")
+    await full.async_settle()
+    full.responder_by_name["gone"].disconnect()
+    full.release()
+    await full.async_settle()
+    assert full.slots.started == ["next"]
+    assert isinstance(full.outcome_by_name["gone"], CallerGone)
+
+
+@pytest.mark.looptime
+async def test_request_is_refused_when_its_caller_would_be_gone(full: QueueUnderTest) -> None:
+    """Waiting up to the deadline loses the request: its caller disconnects long before."""
+    full.submit("late")
+    started_at = full.clock.now()
+    await asyncio.sleep(PATIENCE_S + RECHECK_INTERVAL_S)
+    outcome = full.outcome_by_name["late"]
+    assert isinstance(outcome, NotAdmitted)
+    assert outcome.code is ResultCode.NO_ENDPOINT
+    assert full.ended_at_by_name["late"] - started_at <= PATIENCE_S + 0.01
+    assert 0.0 < outcome.retry_after_s <= (DEADLINE_S - PATIENCE_S) * MAX_RETRY_AFTER_SHARE
+
+
+@pytest.mark.looptime
+async def test_hopeless_request_is_refused_at_once(full: QueueUnderTest) -> None:
+    """What can't be served because of a limit must not wait until its time is over."""
+    verdicts = iter([False, True, True, True])
+    full.submit("limited", is_hopeless=lambda: next(verdicts))
+    await full.async_settle()
+    full.queue.wake()
+    await full.async_settle()
+    assert isinstance(full.outcome_by_name["limited"], NotAdmitted)
+
+
+@pytest.mark.looptime
+async def test_demand_at_other_gateways_refuses_on_arrival(full: QueueUnderTest) -> None:
+    """With little work at each of many gateways, only the sum shows that a wait is in vain."""
+    pressure = ServicePressure(started_cost_per_s=COST, waiting_cost_by_rank={1: 10 * COST})
+    full.summary = LoadSummary({}, pressure_by_service={SERVICE: pressure})
+    started_at = full.clock.now()
+    full.submit("hopeless", rank=1)
+    full.submit("urgent", rank=0)
+    await full.async_settle()
+    outcome = full.outcome_by_name["hopeless"]
+    assert isinstance(outcome, NotAdmitted)
+    assert outcome.code is ResultCode.DEADLINE_UNREACHABLE
+    assert full.ended_at_by_name["hopeless"] == started_at
+    # What waits elsewhere is less urgent and does not go first.
+    assert "urgent" not in full.outcome_by_name
+
+
+@pytest.mark.looptime
+async def test_gateway_without_registry_goes_on(full: QueueUnderTest) -> None:
+    """A gateway that is cut off knows nothing of the others and must still serve its callers."""
+    full.summary = LoadSummary({})
+    full.submit("a")
+    await full.async_settle()
+    full.slots.free = 1
+    await asyncio.sleep(1.5 * RECHECK_INTERVAL_S)
+    assert full.slots.started == ["a"]
+
+
+@pytest.mark.looptime
+async def test_process_that_was_suspended_refuses_the_expired_first(full: QueueUnderTest) -> None:
+    """After a suspension, those whose callers are gone must not take the free capacity."""
+    full.submit("gone")
+    full.submit("patient", patience_s=10.0)
+    await full.async_settle()
+    full.clock.suspended_s += 3.0
+    full.release()
+    await full.async_settle()
+    assert isinstance(full.outcome_by_name["gone"], NotAdmitted)
+    assert full.slots.started == ["patient"]
+
+
+def test_report_tells_what_waits_and_what_was_started() -> None:
+    """The other gateways decide by what this one reports."""
+
+    async def async_report() -> dict[ServiceId, ServicePressure]:
+        queue = QueueUnderTest(free=1)
+        queue.submit("started")
+        queue.submit("waiting", rank=2)
+        await queue.async_settle()
+        pressures = queue.queue.pressure_by_service()
+        queue.cancel()
+        return pressures
+
+    pressure = asyncio.run(async_report())[SERVICE]
+    assert pressure.waiting_cost_by_rank == {2: COST}
+    assert pressure.started_cost_per_s > 0.0
