Even load from old reports: endpoints are filled to a level at random (design 070 part D)

Cause: gateways that see the same old reports choose the same endpoints, and BacklogEstimator took one own request for 0.35 of all gateways: with 106 of them one request counted as 37 at the endpoint that it went to. Change: UnreportedWork takes what others have probably started since their reports (their reported rate, and own starts above it) to have filled the least loaded endpoints to a common level, and places its own request at a random position in this filling. Calls use the same. LinkBacklogs does it for links.

--- a/packages/gateway/src/lagoonwing_gateway/_call_endpoints.py
+++ b/packages/gateway/src/lagoonwing_gateway/_call_endpoints.py
@@ -14,6 +14,7 @@
 from lagoonwing_gateway._permit_pool import Permit
 from lagoonwing_gateway._permit_queue import Waiter
 from lagoonwing_gateway._permit_wait import PermitWait
+from lagoonwing_gateway._unreported_work import CallTarget
 from lagoonwing_gateway.const import (
     CALL_OVERLOAD_FACTOR,
     CAPACITY_POLL_INTERVAL_S,
@@ -134,21 +135,27 @@
     ) -> EndpointRecord | None:
         """Return the least loaded endpoint that is allowed, or None if all are full."""
         components = self._components
-        loads = components.load_tracker.loads(components.follower.load_summary().load_by_id)
-
-        def cost(record: EndpointRecord) -> float:
-            load = loads.get(record.endpoint_id, _NO_LOAD)
-            utilisation = load.sequences / max(1, record.slots)
-            if record.failure_domain != components.failure_domain:
-                utilisation += CROSS_DOMAIN_CALL_COST
-            slowdown = components.slowdown.factor(record.endpoint_id)
-            return (utilisation + 1 / record.slots) * slowdown
-
-        def has_capacity(record: EndpointRecord) -> bool:
-            load = loads.get(record.endpoint_id, _NO_LOAD)
-            is_free = load.sequences < CALL_OVERLOAD_FACTOR * record.slots
-            return is_free and may_enter(record.endpoint_id)
-
-        records = components.directory.call_endpoints(service.service_id, excluded)
-        components.rng.shuffle(records)
-        return min(filter(has_capacity, records), key=cost, default=None)
+        remote_by_id = components.follower.load_summary().load_by_id
+        own_by_id = components.load_tracker.local_loads()
+        records: list[EndpointRecord] = []
+        targets: list[CallTarget] = []
+        for record in components.directory.call_endpoints(service.service_id, excluded):
+            own = own_by_id.get(record.endpoint_id, _NO_LOAD).sequences
+            remote = remote_by_id.get(record.endpoint_id, _NO_LOAD).sequences
+            is_free = own + remote < CALL_OVERLOAD_FACTOR * record.slots
+            if is_free and may_enter(record.endpoint_id):
+                records.append(record)
+                targets.append(self._target(record, own, remote))
+        costs = components.unreported_work.call_costs(service.service_id, targets)
+        # Ties must not be broken alike by all gateways.
+        ranked = [(cost, components.rng.random()) for cost in costs]
+        return records[ranked.index(min(ranked))] if ranked else None
+
+    def _target(self, record: EndpointRecord, own: int, remote: int) -> CallTarget:
+        """Return what the choice of an endpoint rests on."""
+        slowdown = self._components.slowdown.factor(record.endpoint_id)
+        slots = max(1, record.slots)
+        base_cost = 1.0 / slots
+        if record.failure_domain != self._components.failure_domain:
+            base_cost += CROSS_DOMAIN_CALL_COST
+        return CallTarget(record.endpoint_id, own, remote, slots / slowdown, base_cost * slowdown)
--- a/packages/gateway/src/lagoonwing_gateway/_call_handler.py
+++ b/packages/gateway/src/lagoonwing_gateway/_call_handler.py
@@ -87,6 +87,7 @@
         self._suspicions = components.suspicions
         self._slowdown = components.slowdown
         self._load_tracker = components.load_tracker
+        self._unreported_work = components.unreported_work
         self._budget = components.budget
         self._crash_tracker = components.crash_tracker
         self._watchdog = components.watchdog
@@ -270,6 +271,7 @@
         """Wait for the response of one endpoint and forward it if it is valid."""
         endpoint_id = record.endpoint_id
         self._load_tracker.begin_call(endpoint_id)
+        self._unreported_work.record_call(call.service.service_id)
         try:
             response = await async_run_until_disconnect(
                 self._async_response(call, record, open_exchange), call.responder
--- a/packages/gateway/src/lagoonwing_gateway/_components.py
+++ b/packages/gateway/src/lagoonwing_gateway/_components.py
@@ -7,7 +7,6 @@
 
 from lagoonwing_core.clock import Clock
 from lagoonwing_core.ids import FailureDomainId
-from lagoonwing_gateway._backlog_estimator import BacklogEstimator
 from lagoonwing_gateway._crash_tracker import CrashTracker
 from lagoonwing_gateway._directory import EndpointDirectory
 from lagoonwing_gateway._endpoint_client import EndpointClient
@@ -17,6 +16,7 @@
 from lagoonwing_gateway._retry_budget import RetryBudget
 from lagoonwing_gateway._slowdown import SlowdownTracker
 from lagoonwing_gateway._suspicions import SuspicionTracker
+from lagoonwing_gateway._unreported_work import UnreportedWork
 from lagoonwing_gateway._watchdog import Watchdog
 from lagoonwing_gateway.diagnostics import GatewayMetrics
 from lagoonwing_gateway.ports import Dialect
@@ -34,7 +34,7 @@
     watchdog: Watchdog
     slowdown: SlowdownTracker
     load_tracker: LoadTracker
-    backlog_estimator: BacklogEstimator
+    unreported_work: UnreportedWork
     budget: RetryBudget
     crash_tracker: CrashTracker
     limiter: EndpointLimiter
--- a/packages/gateway/src/lagoonwing_gateway/_directory.py
+++ b/packages/gateway/src/lagoonwing_gateway/_directory.py
@@ -15,6 +15,7 @@
 from lagoonwing_core.clock import Clock
 from lagoonwing_core.ids import EndpointId, ServiceId
 from lagoonwing_gateway._follower import CatalogFollower
+from lagoonwing_gateway._holder_classes import HolderClass, classify_holders
 from lagoonwing_gateway._plain_service import PLAIN_ENGINE, plain_holder
 from lagoonwing_gateway._suspicions import SuspicionTracker
 from lagoonwing_gateway.const import OWN_PROGRESS_S
@@ -34,6 +35,7 @@
         self._entry_ids_by_service: dict[ServiceId, tuple[EndpointId, ...]] = {}
         self._id_by_address: dict[str, EndpointId] = {}
         self._groups_by_service: dict[ServiceId, tuple[Engine, tuple[HolderGroup, ...]]] = {}
+        self._classes_by_service: dict[ServiceId, tuple[HolderClass, ...]] = {}
         follower.add_listener(self._refresh)
 
     @callback
@@ -49,6 +51,7 @@
             for service_id, records in ready.items()
         }
         self._groups_by_service.clear()
+        self._classes_by_service.clear()
         self._id_by_address = {
             record.socket_address: record.endpoint_id
             for group in ready.values()
@@ -103,8 +106,18 @@
         if cached is None or cached[0] is not engine:
             cached = (engine, group_holders(engine, self._holders(service, engine)))
             self._groups_by_service[service.service_id] = cached
+            self._classes_by_service.pop(service.service_id, None)
         return cached[1]
 
+    def holder_classes(self, service: Service, engine: Engine) -> tuple[HolderClass, ...]:
+        """Return the holders of a service's layers by layers, cached like the groups."""
+        groups = self.holder_groups(service, engine)
+        classes = self._classes_by_service.get(service.service_id)
+        if classes is None:
+            classes = classify_holders(engine, groups)
+            self._classes_by_service[service.service_id] = classes
+        return classes
+
     def usability_check(self, excluded: Iterable[EndpointId]) -> Callable[[EndpointId], bool]:
         """Return a predicate that checks whether an endpoint may get requests."""
         unusable = {*excluded, *self._suspected_elsewhere()}
--- a/packages/gateway/src/lagoonwing_gateway/_follower.py
+++ b/packages/gateway/src/lagoonwing_gateway/_follower.py
@@ -32,6 +32,7 @@
 from lagoonwing_core.ids import EndpointId, HostId, Revision
 from lagoonwing_gateway._crash_tracker import CrashTracker
 from lagoonwing_gateway._replica_links import ReplicaLinks
+from lagoonwing_gateway._unreported_work import OthersLoad
 from lagoonwing_gateway.const import (
     CRASH_PUSH_INTERVAL_S,
     FOLLOW_INTERVAL_S,
@@ -146,6 +147,20 @@
             return _NO_SUMMARY
         return self._summary
 
+    def load_age(self) -> float:
+        """Return the seconds since the last load summary was received; infinite without any."""
+        return self._clock.now() - self._summary_received_at
+
+    def others_load(self) -> OthersLoad:
+        """Return what is known of the other gateways.
+
+        Without a current summary, their last known demand is still the best estimate of it.
+        """
+        age_s, summary = self.load_age(), self._summary
+        if age_s > LOAD_SUMMARY_TTL_S:
+            summary = LoadSummary({}, pressure_by_service=summary.pressure_by_service)
+        return OthersLoad(summary, age_s, self.gateways)
+
     def _handlers(self) -> Handlers[CatalogMessage]:
         """Return the message handlers for a link."""
 
--- a/packages/gateway/src/lagoonwing_gateway/_gateway.py
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -17,7 +17,6 @@
 from lagoonwing_core.events import EventCode, log_event
 from lagoonwing_core.ids import EndpointId
 from lagoonwing_core.result_codes import ResultCode
-from lagoonwing_gateway._backlog_estimator import BacklogEstimator
 from lagoonwing_gateway._call_handler import CallHandler
 from lagoonwing_gateway._components import GatewayComponents
 from lagoonwing_gateway._connection_pool import EndpointConnectionPool
@@ -39,8 +38,10 @@
 from lagoonwing_gateway._request_log import log_refusal
 from lagoonwing_gateway._retry_budget import RetryBudget
 from lagoonwing_gateway._slowdown import SlowdownTracker
+from lagoonwing_gateway._started_work import StartedWork
 from lagoonwing_gateway._stream_handler import StreamHandler
 from lagoonwing_gateway._suspicions import SuspicionTracker
+from lagoonwing_gateway._unreported_work import UnreportedWork
 from lagoonwing_gateway._watchdog import Watchdog
 from lagoonwing_gateway.const import (
     DRAIN_IDLE_CLOSE_S,
@@ -93,10 +94,14 @@
         self._rng = rng
         self._suspicions = SuspicionTracker(clock)
         self._load_tracker = LoadTracker()
+        self._started_work = StartedWork(clock)
         self._crash_tracker = CrashTracker(clock)
         self.follower = CatalogFollower(
             settings, identity, clock, self._load_report, self._crash_tracker
         )
+        self._unreported_work = UnreportedWork(
+            self.follower.others_load, self._started_work, clock, rng
+        )
         self._connection_pool = EndpointConnectionPool(clock, self.metrics.unrequested_bytes)
         self._limits = LimitTracker(clock, lambda: self.follower.endpoint_by_id)
         limiter = EndpointLimiter(
@@ -118,7 +123,7 @@
             watchdog=self._watchdog,
             slowdown=slowdown,
             load_tracker=self._load_tracker,
-            backlog_estimator=BacklogEstimator(clock),
+            unreported_work=self._unreported_work,
             budget=RetryBudget(settings.retry_budget, clock),
             crash_tracker=self._crash_tracker,
             limiter=limiter,
@@ -181,6 +186,9 @@
         self.metrics.set_gauge("traits_with_crashes", self._crash_tracker.trait_count)
         self.metrics.set_gauge("limited_endpoints", len(self._limits.rate_by_id()))
         self.metrics.set_gauge("active_requests", self._active_requests)
+        load_age = self.follower.load_age()
+        self.metrics.set_gauge("load_age_seconds", -1.0 if math.isinf(load_age) else load_age)
+        self.metrics.set_gauge("unreported_requests", self._unreported_work.requests)
         self.metrics.set_gauge("response_bytes", self.response_budget.held_bytes)
         return self.metrics.registry
 
@@ -360,9 +368,13 @@
     @callback
     def _load_report(self) -> LoadReport:
         """Return the load report of this gateway."""
+        own_by_id = self._load_tracker.local_loads()
+        self._unreported_work.record_report(own_by_id)
         return LoadReport(
-            self._load_tracker.local_loads(),
+            own_by_id,
             self._suspicions.suspected(),
+            pressure_by_service=self._started_work.pressures(),
+            transfers=self._started_work.transfers(),
         )
 
     async def _async_prune(self) -> None:
--- a/packages/gateway/src/lagoonwing_gateway/_request_log.py
+++ b/packages/gateway/src/lagoonwing_gateway/_request_log.py
@@ -46,9 +46,27 @@
 
 
 def log_path(
-    context: RequestContext, path: Path, send_number: int, holders: int, revision: int, age_s: float
+    context: RequestContext,
+    path: Path,
+    send_number: int,
+    holders: int,
+    revision: int,
+    age_s: float,
+    load_age_s: float,
+    unreported: float,
 ) -> None:
-    """Log the chosen path, the number of candidate holders and the age of the catalog copy."""
+    """Log the chosen path and what the choice rests on.
+
+    Args:
+        context: Context of the request.
+        path: Path that was chosen.
+        send_number: Number of the attempt.
+        holders: Number of candidate holders.
+        revision: Revision of the catalog copy.
+        age_s: Age of the catalog copy.
+        load_age_s: Age of the load summary; infinite without any.
+        unreported: Expected number of requests that others have started since their reports.
+    """
     segments = ",".join(
         f"{segment.endpoint_id}={segment.layers.first}-{segment.layers.end}"
         for segment in path.segments
@@ -64,6 +82,8 @@
         holders=holders,
         revision=revision,
         age_s=round(age_s, 3),
+        load_age_s=None if math.isinf(load_age_s) else round(load_age_s, 3),
+        unreported=round(unreported, 1),
     )
 
 
--- a/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
@@ -79,8 +79,8 @@
         prefill_ms_by_id = self._prefill_times()
         reservation = components.load_tracker.reserve(self._path, self._call.size, prefill_ms_by_id)
         transfer_time_ms = transfer_ms(self._call.engine, self._call.size.prompt_tokens)
-        components.backlog_estimator.record_request(
-            self._path, prefill_ms_by_id, transfer_time_ms, components.follower.gateways
+        components.unreported_work.record_stream(
+            self._call.service.service_id, self._call.cost, self._path.links, transfer_time_ms
         )
         open_exchange: OpenExchange | None = None
         try:
--- a/packages/gateway/src/lagoonwing_gateway/_stream_call.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_call.py
@@ -8,6 +8,7 @@
 from lagoonwing_core.ids import EndpointId
 from lagoonwing_gateway._final_response import KeptFailure
 from lagoonwing_gateway._plain_service import PLAIN_ENGINE, layered_engine
+from lagoonwing_gateway.const import CALL_COST
 from lagoonwing_gateway.models import RequestContext
 from lagoonwing_gateway.ports import Responder
 from lagoonwing_placement import RequestSize
@@ -54,6 +55,18 @@
     responder: Responder
     progress: StreamProgress
 
+    @property
+    def cost(self) -> float:
+        """Cost of the stream, as in load reports."""
+        return CALL_COST if self.is_plain else float(self.size.tokens)
+
+    @property
+    def mean_cost(self) -> float:
+        """Mean cost of the service's streams."""
+        if self.is_plain:
+            return CALL_COST
+        return self.engine.mean_prompt_tokens + self.engine.mean_output_tokens
+
     @property
     def engine(self) -> Engine:
         """Published figures of the service, or those that stand for one without layers."""
--- a/packages/gateway/src/lagoonwing_gateway/_stream_failover.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_failover.py
@@ -149,12 +149,15 @@
         call = self._call
         load_by_id = components.load_tracker.loads(components.follower.load_summary().load_by_id)
         groups = components.directory.holder_groups(call.service, call.engine)
-        backlogs = components.backlog_estimator.backlogs()
+        classes = components.directory.holder_classes(call.service, call.engine)
+        excluded = {*call.progress.excluded, *avoided_ids}
+        is_usable = components.directory.usability_check(excluded)
+        backlogs = components.unreported_work.stream_backlogs(
+            call.service.service_id, call.mean_cost, classes, load_by_id, is_usable
+        )
         finder = PathFinder(
             call.engine, load_by_id, components.rng, components.failure_domain, backlogs
         )
-        excluded = {*call.progress.excluded, *avoided_ids}
-        is_usable = components.directory.usability_check(excluded)
         path = finder.find(groups, call.size, is_usable, may_enter)
         if path is not None and call.is_plain:
             # An endpoint without published figures may take as long as the route allows.
@@ -167,6 +170,8 @@
                 sum(len(group.endpoint_ids) for group in groups),
                 components.follower.revision,
                 components.follower.age(),
+                components.follower.load_age(),
+                components.unreported_work.requests,
             )
         return path
 
--- /dev/null
+++ b/packages/gateway/src/lagoonwing_gateway/_unreported_work.py
@@ -0,0 +1,261 @@
+"""Expected work of other gateways that no load report tells of yet.
+
+What is known of the others is always a little old, and many gateways choose at the same moment. The
+choices are randomised so that together they fill the endpoints evenly (design 070).
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from lagoonwing_catalog.messages import EndpointLoad, LoadSummary
+from lagoonwing_core.callback import callback
+from lagoonwing_core.clock import Clock
+from lagoonwing_core.ids import EndpointId, ServiceId
+from lagoonwing_gateway._even_load import draw_loads, unreported_work
+from lagoonwing_gateway._holder_classes import HolderClass
+from lagoonwing_gateway._link_backlogs import LinkBacklogs
+from lagoonwing_gateway._started_work import StartedWork
+from lagoonwing_gateway.const import CALL_COST, LOAD_REPORT_DELAY_S, MAX_UNREPORTED_S
+from lagoonwing_placement import Backlogs, DomainLink
+
+_NO_LOAD = EndpointLoad(0, 0, 0)
+
+_LoadById = Mapping[EndpointId, EndpointLoad]
+
+
+@dataclass(frozen=True, slots=True)
+class OthersLoad:
+    """What is known of the other gateways.
+
+    Attributes:
+        summary: Their load; without loads and transfers if it is outdated.
+        age_s: Time since the summary was received; infinite without any.
+        gateways: Number of gateways, including this one.
+    """
+
+    summary: LoadSummary
+    age_s: float
+    gateways: int
+
+    @property
+    def unreported_s(self) -> float:
+        """Time of which the reports in the summary don't tell yet."""
+        return min(MAX_UNREPORTED_S, self.age_s + LOAD_REPORT_DELAY_S)
+
+
+@dataclass(frozen=True, slots=True)
+class CallTarget:
+    """An endpoint that may get a call.
+
+    Attributes:
+        endpoint_id: Id of the endpoint.
+        own: Own calls in flight there.
+        remote: Calls of the others in flight there, as reported.
+        capacity: Calls in flight that raise its cost by one.
+        base_cost: Its cost without any call in flight.
+    """
+
+    endpoint_id: EndpointId
+    own: int
+    remote: int
+    capacity: float
+    base_cost: float
+
+
+class UnreportedWork:
+    """Estimates the work that the others have started since their reports.
+
+    They choose by what they know. So their choices depend on own work that they know, and not on
+    own work that they don't, which is added after the draw.
+    """
+
+    def __init__(
+        self,
+        others: Callable[[], OthersLoad],
+        started_work: StartedWork,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._others = others
+        self._started_work = started_work
+        self._link_backlogs = LinkBacklogs(clock)
+        self._rng = rng
+        # The last two reports of this gateway; the others probably know the first.
+        self._own_reports: tuple[_LoadById, _LoadById] = ({}, {})
+        self._requests_by_service: dict[ServiceId, float] = {}
+
+    @property
+    def requests(self) -> float:
+        """Expected number of unreported requests, as of the last choice for each service."""
+        return sum(self._requests_by_service.values())
+
+    @callback
+    def record_report(self, own_by_id: _LoadById) -> None:
+        """Record the load that this gateway reports."""
+        self._own_reports = (self._own_reports[1], own_by_id)
+
+    @callback
+    def record_stream(
+        self, service_id: ServiceId, cost: float, links: tuple[DomainLink, ...], transfer_ms: float
+    ) -> None:
+        """Record a stream that is about to be sent.
+
+        Args:
+            service_id: Service of the stream.
+            cost: Cost of the stream.
+            links: Links between failure domains that its path uses.
+            transfer_ms: Transfer time of the prompt over each link.
+        """
+        self._started_work.record_request(service_id, cost)
+        self._started_work.record_transfers(links, transfer_ms)
+        others = self._others()
+        reported_by_link = _transfers_by_link(others.summary)
+        for link in links:
+            self._link_backlogs.record_transfer(
+                link, transfer_ms, others.gateways, reported_by_link
+            )
+
+    @callback
+    def record_call(self, service_id: ServiceId) -> None:
+        """Record a call that is about to be sent."""
+        self._started_work.record_request(service_id, CALL_COST)
+
+    def stream_backlogs(
+        self,
+        service_id: ServiceId,
+        mean_cost: float,
+        classes: Iterable[HolderClass],
+        load_by_id: _LoadById,
+        is_usable: Callable[[EndpointId], bool],
+    ) -> Backlogs:
+        """Return the unreported work at each endpoint, drawn at random for one choice.
+
+        Args:
+            service_id: Service of the stream.
+            mean_cost: Mean cost of its streams.
+            classes: Endpoints that hold its layers.
+            load_by_id: Load of each endpoint: own as it is, that of the others as reported.
+            is_usable: Returns whether an endpoint may be used.
+        """
+        others = self._others()
+        links = self._link_backlogs.remaining_ms(_transfers_by_link(others.summary))
+        requests = self._expected_requests(service_id, mean_cost, others)
+        backlogs = _DrawnBacklogs()
+        if requests > 0.0:
+            for holder_class in classes:
+                loads = [
+                    self._known_load(endpoint_id, load_by_id, others)
+                    for endpoint_id, slots in holder_class.slots_by_id.items()
+                    if load_by_id.get(endpoint_id, _NO_LOAD).sequences < slots
+                    and is_usable(endpoint_id)
+                ]
+                self._draw(holder_class, loads, requests, backlogs)
+        return Backlogs(backlogs.prefill_ms_by_id, links, backlogs.sequences_by_id)
+
+    def _known_load(
+        self, endpoint_id: EndpointId, load_by_id: _LoadById, others: OthersLoad
+    ) -> _KnownLoad:
+        """Return the load of an endpoint as all gateways know it."""
+        load = load_by_id.get(endpoint_id, _NO_LOAD)
+        remote = others.summary.load_by_id.get(endpoint_id, _NO_LOAD)
+        own = self._own_reports[0].get(endpoint_id, _NO_LOAD)
+        # Prefill that was reported has been done since, as far as there was time for it.
+        done_ms = min(others.unreported_s * 1_000, remote.prefill_ms)
+        own_ms = min(own.prefill_ms, load.prefill_ms - remote.prefill_ms)
+        own_sequences = min(own.sequences, load.sequences - remote.sequences)
+        rank = remote.prefill_ms - done_ms + remote.sequences + own_ms + own_sequences
+        return _KnownLoad(endpoint_id, rank, done_ms)
+
+    def _draw(
+        self,
+        holder_class: HolderClass,
+        loads: Sequence[_KnownLoad],
+        requests: float,
+        backlogs: _DrawnBacklogs,
+    ) -> None:
+        """Draw the unreported work at the endpoints of a class."""
+        visit_load = holder_class.visit_load
+        ranks = [load.rank for load in loads]
+        work = requests * holder_class.share * visit_load
+        drawn_ranks = draw_loads(ranks, [1.0] * len(ranks), work, self._rng)
+        for load, drawn_rank in zip(loads, drawn_ranks, strict=True):
+            visits = (drawn_rank - load.rank) / visit_load
+            backlogs.sequences_by_id[load.endpoint_id] = visits
+            backlogs.prefill_ms_by_id[load.endpoint_id] = (
+                visits * holder_class.prefill_ms - load.done_ms
+            )
+
+    def call_costs(self, service_id: ServiceId, targets: Sequence[CallTarget]) -> list[float]:
+        """Return the cost of each endpoint with unreported calls, drawn at random for one choice.
+
+        Calls that were reported have partly ended since, at the rate at which others are started.
+        """
+        others = self._others()
+        started = self._expected_requests(service_id, CALL_COST, others)
+        reported = sum(target.remote for target in targets)
+        # By Little's law, they take reported calls x unreported time / started calls on average.
+        remaining_share = math.exp(-started / reported) if reported else 1.0
+        known_own = [
+            min(target.own, self._own_reports[0].get(target.endpoint_id, _NO_LOAD).sequences)
+            for target in targets
+        ]
+        costs = [
+            target.base_cost + (known + target.remote * remaining_share) / target.capacity
+            for target, known in zip(targets, known_own, strict=True)
+        ]
+        in_flight = reported * (1.0 - remaining_share) if reported else started
+        capacities = [target.capacity for target in targets]
+        return [
+            cost + (target.own - known) / target.capacity
+            for target, known, cost in zip(
+                targets, known_own, draw_loads(costs, capacities, in_flight, self._rng), strict=True
+            )
+        ]
+
+    def _expected_requests(
+        self, service_id: ServiceId, mean_cost: float, others: OthersLoad
+    ) -> float:
+        """Return the expected number of requests that no report tells of yet."""
+        pressure = others.summary.pressure_by_service.get(service_id)
+        cost = unreported_work(
+            0.0 if pressure is None else pressure.started_cost_per_s,
+            others.unreported_s,
+            self._started_work.cost_since(service_id, others.unreported_s),
+            others.gateways,
+        )
+        self._requests_by_service[service_id] = cost / mean_cost
+        return cost / mean_cost
+
+
+@dataclass(slots=True)
+class _DrawnBacklogs:
+    """Unreported work at each endpoint, drawn for one choice."""
+
+    prefill_ms_by_id: dict[EndpointId, float] = field(default_factory=dict)
+    sequences_by_id: dict[EndpointId, float] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class _KnownLoad:
+    """Load of an endpoint as all gateways know it.
+
+    Attributes:
+        rank: Load in the unit in which `PathFinder` ranks endpoints.
+        done_ms: Reported prefill that has been done since.
+    """
+
+    endpoint_id: EndpointId
+    rank: float
+    done_ms: float
+
+
+def _transfers_by_link(summary: LoadSummary) -> dict[DomainLink, float]:
+    """Return the reported transfer time per second by link, in milliseconds."""
+    return {
+        DomainLink(transfers.source, transfers.target): transfers.started_ms_per_s
+        for transfers in summary.transfers
+    }
--- a/packages/gateway/src/lagoonwing_gateway/const.py
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -62,10 +62,22 @@
 # Status of an endpoint that is not the intended one or lacks the requested layers.
 MISDIRECTED_STATUS = 421
 
-# Work that each other gateway is assumed to add where this gateway adds some, as a share of it.
-# The share is higher for links because there are fewer links than endpoints to choose from.
-OTHER_GATEWAYS_PREFILL_SHARE = 0.35
-OTHER_GATEWAYS_LINK_SHARE = 0.5
+# Mean age of the reports in a load summary when it arrives: half an interval each for reports of
+# gateways and for pushes of the replica, and about another half for gateways of other replicas.
+LOAD_REPORT_DELAY_S = 0.25
+# Time of unreported work beyond which a gateway doesn't extrapolate, e.g. when it is cut off.
+MAX_UNREPORTED_S = 1.5
+# Weight of own starts above what the reported rate explains: one gateway is a small sample of all.
+OWN_SAMPLE_SHARE = 0.5
+# Time over which started work is counted for load reports, in buckets.
+STARTED_RATE_WINDOW_S = 1.0
+STARTED_BUCKET_S = 0.02
+# Time for which reported transfers on a link may precede the own starts that they explain, and the
+# time within which one own start is due at the reported rate if it is no evidence of a change.
+EXPLAINED_TRANSFERS_S = 1.0
+MAX_EXPLAINED_TRANSFERS_S = 5.0
+# Cost of a request of unknown size: a call, or a stream of a service without published figures.
+CALL_COST = 16.0
 # Time for which a stream may wait for a path with capacity, as a share of its objective.
 CAPACITY_WAIT_SHARE = 0.7
 CAPACITY_POLL_INTERVAL_S = 0.02
--- a/packages/placement/src/lagoonwing_placement/_paths.py
+++ b/packages/placement/src/lagoonwing_placement/_paths.py
@@ -29,6 +29,7 @@
     MAX_PATH_ENDPOINTS,
     PREFILL_INTERFERENCE,
     REMOTE_ENTRY_COST_MS,
+    TIE_JITTER_SHARE,
     TRANSFER_WEIGHT,
 )
 from lagoonwing_placement.models import Backlogs, DomainLink, Path, PathSegment, RequestSize
@@ -274,15 +275,17 @@
         """Return the least loaded endpoint of a group, or None if all are full."""
         max_kv = group.kv_token_layers * KV_FULL_SHARE - size.tokens * group.layers.count
         estimated_ms_by_id = self.backlogs.prefill_ms_by_id
+        jitter_share = TIE_JITTER_SHARE if self.backlogs.sequences_by_id else JITTER_SHARE
         best: EndpointId | None = None
         best_rank = math.inf
         for endpoint_id in group.endpoint_ids:
             load = self.load_by_id.get(endpoint_id, _NO_LOAD)
             if load.sequences >= group.slots or load.kv_token_layers > max_kv:
                 continue
-            jitter = 1.0 + JITTER_SHARE * self.rng.random()
+            jitter = 1.0 + jitter_share * self.rng.random()
             queued_ms = load.prefill_ms + estimated_ms_by_id.get(endpoint_id, 0.0)
-            rank = (1.0 + queued_ms + load.sequences) * jitter
+            sequences = load.sequences + self.backlogs.sequences_by_id.get(endpoint_id, 0.0)
+            rank = (1.0 + queued_ms + sequences) * jitter
             if rank < best_rank and is_usable(endpoint_id):
                 best, best_rank = endpoint_id, rank
         return best
--- a/packages/placement/src/lagoonwing_placement/models.py
+++ b/packages/placement/src/lagoonwing_placement/models.py
@@ -112,15 +112,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Backlogs:
-    """Estimated work not yet reported by gateways, in milliseconds.
+    """Expected difference between the current load and what gateways have reported.
 
     Attributes:
-        prefill_ms_by_id: Prefill time queued at each endpoint.
+        prefill_ms_by_id: Prefill time queued at each endpoint, less what has been done since.
         transfer_ms_by_link: Transfer time of prompt activations queued on each link.
+        sequences_by_id: Requests at each endpoint.
     """
 
     prefill_ms_by_id: Mapping[EndpointId, float] = field(default_factory=dict)
     transfer_ms_by_link: Mapping[DomainLink, float] = field(default_factory=dict)
+    sequences_by_id: Mapping[EndpointId, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
