--- a/packages/gateway/src/lagoonwing_gateway/_admission_queue.py
+++ b/packages/gateway/src/lagoonwing_gateway/_admission_queue.py
@@ -160,17 +160,12 @@
             self._is_run_scheduled = True
             asyncio.get_running_loop().call_soon(self._run)
 
-    def pressure_by_service(self) -> dict[ServiceId, ServicePressure]:
-        """Return the demand at this gateway, for its load report."""
-        now = self._clock.now()
-        pressures = {
-            service_id: ServicePressure(room.started_cost_per_s(now), room.waiting_cost_by_rank())
-            for service_id, room in self._room_by_service.items()
-        }
+    def waiting_cost_by_service(self) -> dict[ServiceId, dict[int, float]]:
+        """Return the cost of the waiting requests by rank, for services with any."""
         return {
-            service_id: pressure
-            for service_id, pressure in pressures.items()
-            if pressure != _NO_PRESSURE
+            service_id: room.waiting_cost_by_rank()
+            for service_id, room in self._room_by_service.items()
+            if len(room)
         }
 
     def waiting_count_by_rank(self) -> dict[int, int]:
--- a/packages/gateway/src/lagoonwing_gateway/_call_handler.py
+++ b/packages/gateway/src/lagoonwing_gateway/_call_handler.py
@@ -90,6 +90,7 @@
         self._suspicions = components.suspicions
         self._slowdown = components.slowdown
         self._load_tracker = components.load_tracker
+        self._unreported_work = components.unreported_work
         self._budget = components.budget
         self._crash_tracker = components.crash_tracker
         self._watchdog = components.watchdog
@@ -140,6 +141,7 @@
             record = claim.record
             # The endpoint's capacity is taken before anything is awaited.
             self._load_tracker.begin_call(record.endpoint_id)
+            self._unreported_work.record_call(call.service.service_id)
             try:
                 open_exchange = await self._async_open(call, claim)
                 if open_exchange is None:
--- a/packages/gateway/src/lagoonwing_gateway/_gateway.py
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -12,15 +12,14 @@
 from aioprometheus.collectors import Registry
 
 from lagoonwing_admission import FirstAttempts
-from lagoonwing_catalog.messages import LoadReport
+from lagoonwing_catalog.messages import LoadReport, ServicePressure
 from lagoonwing_catalog.models import RequestKind, Route, Service
 from lagoonwing_core.callback import callback
 from lagoonwing_core.clock import Clock
 from lagoonwing_core.events import EventCode, log_event
-from lagoonwing_core.ids import EndpointId, RouteId
+from lagoonwing_core.ids import EndpointId, RouteId, ServiceId
 from lagoonwing_core.result_codes import ResultCode
 from lagoonwing_gateway._admission_queue import AdmissionQueue
-from lagoonwing_gateway._backlog_estimator import BacklogEstimator
 from lagoonwing_gateway._call_handler import CallHandler
 from lagoonwing_gateway._components import GatewayComponents
 from lagoonwing_gateway._connection_pool import EndpointConnectionPool
@@ -42,8 +41,10 @@
 from lagoonwing_gateway._request_log import log_refusal
 from lagoonwing_gateway._retry_budget import RetryBudget
 from lagoonwing_gateway._slowdown import SlowdownTracker
+from lagoonwing_gateway._started_work import StartedWork
 from lagoonwing_gateway._stream_handler import StreamHandler
 from lagoonwing_gateway._suspicions import SuspicionTracker
+from lagoonwing_gateway._unreported_work import UnreportedWork
 from lagoonwing_gateway._watchdog import Watchdog
 from lagoonwing_gateway.const import (
     DRAIN_IDLE_CLOSE_S,
@@ -96,10 +97,14 @@
         self._rng = rng
         self._suspicions = SuspicionTracker(clock)
         self._load_tracker = LoadTracker(self._wake_admission)
+        self._started_work = StartedWork(clock)
         self._crash_tracker = CrashTracker(clock)
         self.follower = CatalogFollower(
             settings, identity, clock, self._load_report, self._crash_tracker
         )
+        self._unreported_work = UnreportedWork(
+            self.follower.others_load, self._started_work, clock, rng
+        )
         self._connection_pool = EndpointConnectionPool(clock, self.metrics.unrequested_bytes)
         self._limits = LimitTracker(clock, lambda: self.follower.endpoint_by_id)
         limiter = EndpointLimiter(
@@ -131,7 +136,7 @@
             watchdog=self._watchdog,
             slowdown=slowdown,
             load_tracker=self._load_tracker,
-            backlog_estimator=BacklogEstimator(clock),
+            unreported_work=self._unreported_work,
             budget=RetryBudget(settings.retry_budget, clock),
             crash_tracker=self._crash_tracker,
             limiter=limiter,
@@ -200,6 +205,9 @@
         for rank, count in self._admission_queue.waiting_count_by_rank().items():
             self.metrics.set_gauge(f"waiting_rank_{rank}", count)
         self.metrics.set_gauge("active_requests", self._active_requests)
+        load_age = self.follower.load_age()
+        self.metrics.set_gauge("load_age_seconds", -1.0 if math.isinf(load_age) else load_age)
+        self.metrics.set_gauge("unreported_requests", self._unreported_work.requests)
         self.metrics.set_gauge("response_bytes", self.response_budget.held_bytes)
         return self.metrics.registry
 
@@ -385,12 +393,26 @@
     @callback
     def _load_report(self) -> LoadReport:
         """Return the load report of this gateway."""
+        own_by_id = self._load_tracker.local_loads()
+        self._unreported_work.record_report(own_by_id)
         return LoadReport(
-            self._load_tracker.local_loads(),
+            own_by_id,
             self._suspicions.suspected(),
-            self._admission_queue.pressure_by_service(),
+            pressure_by_service=self._pressure_by_service(),
+            transfers=self._started_work.transfers(),
         )
 
+    def _pressure_by_service(self) -> dict[ServiceId, ServicePressure]:
+        """Return the demand at this gateway: what it has started lately and what waits."""
+        started_by_service = self._started_work.cost_per_s()
+        waiting_by_service = self._admission_queue.waiting_cost_by_service()
+        return {
+            service_id: ServicePressure(
+                started_by_service.get(service_id, 0.0), waiting_by_service.get(service_id, {})
+            )
+            for service_id in started_by_service.keys() | waiting_by_service.keys()
+        }
+
     @callback
     def _wake_admission(self) -> None:
         """Try waiting requests, since capacity may have become free."""
--- a/packages/placement/src/lagoonwing_placement/_paths.py
+++ b/packages/placement/src/lagoonwing_placement/_paths.py
@@ -34,6 +34,7 @@
     PREFILL_INTERFERENCE,
     REMOTE_ENTRY_COST_MS,
     SLOWDOWN_RANK,
+    TIE_JITTER_SHARE,
     TRANSFER_WEIGHT,
 )
 from lagoonwing_placement.models import Backlogs, DomainLink, Path, PathSegment, RequestSize
@@ -342,15 +343,17 @@
         slowdown_by_id = {} if criterion is _Criterion.IDLE else self.slowdown_by_id
         max_kv = group.kv_token_layers * KV_FULL_SHARE - size.tokens * group.layers.count
         estimated_ms_by_id = self.backlogs.prefill_ms_by_id
+        jitter_share = TIE_JITTER_SHARE if self.backlogs.sequences_by_id else JITTER_SHARE
         best: EndpointId | None = None
         best_rank = math.inf
         for endpoint_id in group.endpoint_ids:
             load = self.load_by_id.get(endpoint_id, _NO_LOAD)
             if load.sequences >= group.slots or load.kv_token_layers > max_kv:
                 continue
-            jitter = 1.0 + JITTER_SHARE * self.rng.random()
+            jitter = 1.0 + jitter_share * self.rng.random()
             queued_ms = load.prefill_ms + estimated_ms_by_id.get(endpoint_id, 0.0)
-            rank = 1.0 + queued_ms + load.sequences
+            sequences = load.sequences + self.backlogs.sequences_by_id.get(endpoint_id, 0.0)
+            rank = 1.0 + queued_ms + sequences
             if endpoint_id in slowdown_by_id:
                 rank += SLOWDOWN_RANK * (slowdown_by_id[endpoint_id] - 1.0)
             rank *= jitter
