Slow endpoints are detected from the pauses of relayed streams (first form)

Cause: 30 to 47 in 100 streams were late because 11 of 86 endpoints were slow and nothing detected it.

Change: PaceTracker compares the pauses of each stream with those that its path and the load explain, bounds each endpoint's slowdown by its fastest stream, reports it and merges what others report. PathFinder gets the result.

--- a/packages/gateway/src/lagoonwing_gateway/_components.py
+++ b/packages/gateway/src/lagoonwing_gateway/_components.py
@@ -14,6 +14,7 @@
 from lagoonwing_gateway._endpoint_limiter import EndpointLimiter
 from lagoonwing_gateway._follower import CatalogFollower
 from lagoonwing_gateway._load_tracker import LoadTracker
+from lagoonwing_gateway._pace_tracker import PaceTracker
 from lagoonwing_gateway._retry_budget import RetryBudget
 from lagoonwing_gateway._slowdown import SlowdownTracker
 from lagoonwing_gateway._suspicions import SuspicionTracker
@@ -33,6 +34,7 @@
     suspicions: SuspicionTracker
     watchdog: Watchdog
     slowdown: SlowdownTracker
+    pace_tracker: PaceTracker
     load_tracker: LoadTracker
     backlog_estimator: BacklogEstimator
     budget: RetryBudget
--- a/packages/gateway/src/lagoonwing_gateway/_directory.py
+++ b/packages/gateway/src/lagoonwing_gateway/_directory.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator
 
 from lagoonwing_catalog.models import (
     EndpointRecord,
@@ -33,6 +33,7 @@
         self._ready_by_service: dict[ServiceId, list[EndpointRecord]] = {}
         self._entry_ids_by_service: dict[ServiceId, tuple[EndpointId, ...]] = {}
         self._id_by_address: dict[str, EndpointId] = {}
+        self._ids_by_service: tuple[tuple[EndpointId, ...], ...] = ()
         self._groups_by_service: dict[ServiceId, tuple[Engine, tuple[HolderGroup, ...]]] = {}
         follower.add_listener(self._refresh)
 
@@ -48,6 +49,9 @@
             service_id: tuple(record.endpoint_id for record in records if record.is_entry)
             for service_id, records in ready.items()
         }
+        self._ids_by_service = tuple(
+            tuple(record.endpoint_id for record in records) for records in ready.values()
+        )
         self._groups_by_service.clear()
         self._id_by_address = {
             record.socket_address: record.endpoint_id
@@ -78,6 +82,10 @@
         """Return the endpoints at which requests may enter: those that hold the first layer."""
         return self._entry_ids_by_service.get(service_id, ())
 
+    def ids_by_service(self) -> Collection[Collection[EndpointId]]:
+        """Return the ready endpoints of each service."""
+        return self._ids_by_service
+
     def call_endpoints(
         self, service_id: ServiceId, excluded: Iterable[EndpointId]
     ) -> list[EndpointRecord]:
--- a/packages/gateway/src/lagoonwing_gateway/_gateway.py
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -29,6 +29,7 @@
 from lagoonwing_gateway._limit_reporter import LimitReporter
 from lagoonwing_gateway._limit_tracker import LimitTracker
 from lagoonwing_gateway._load_tracker import LoadTracker
+from lagoonwing_gateway._pace_tracker import PaceTracker
 from lagoonwing_gateway._refusals import (
     not_run_refusal,
     permanent_refusal,
@@ -50,6 +51,7 @@
     MAX_REQUEST_BODIES_BYTES,
     MAX_RESPONSES_BYTES,
     MAX_STARTUP_WAIT_S,
+    PACE_UPDATE_INTERVAL_S,
     STARTUP_HOLD_S,
     STARTUP_WAIT_SHARE,
 )
@@ -94,6 +96,7 @@
         self._suspicions = SuspicionTracker(clock)
         self._load_tracker = LoadTracker()
         self._crash_tracker = CrashTracker(clock)
+        self._pace_tracker = PaceTracker(clock)
         self.follower = CatalogFollower(
             settings, identity, clock, self._load_report, self._crash_tracker
         )
@@ -108,15 +111,16 @@
         )
         self._limit_reporter = LimitReporter(self.follower, self._limits, limiter)
         slowdown = SlowdownTracker()
-        directory = EndpointDirectory(self.follower, self._suspicions, clock)
-        self._watchdog = Watchdog(directory, self._suspicions, clock)
+        self._directory = EndpointDirectory(self.follower, self._suspicions, clock)
+        self._watchdog = Watchdog(self._directory, self._suspicions, clock)
         components = GatewayComponents(
             failure_domain=settings.failure_domain,
             follower=self.follower,
-            directory=directory,
+            directory=self._directory,
             suspicions=self._suspicions,
             watchdog=self._watchdog,
             slowdown=slowdown,
+            pace_tracker=self._pace_tracker,
             load_tracker=self._load_tracker,
             backlog_estimator=BacklogEstimator(clock),
             budget=RetryBudget(settings.retry_budget, clock),
@@ -147,6 +151,7 @@
         loop = asyncio.get_running_loop()
         self._tasks = [
             loop.create_task(self._async_prune()),
+            loop.create_task(self._async_update_pace()),
             loop.create_task(self._watchdog.async_run()),
             loop.create_task(self._limit_reporter.async_run()),
         ]
@@ -178,6 +183,7 @@
         self.metrics.set_gauge("current_age_seconds", -1.0 if math.isinf(age) else age)
         self.metrics.set_gauge("gateways", self.follower.gateways)
         self.metrics.set_gauge("suspected_endpoints", len(self._suspicions.suspected()))
+        self.metrics.set_gauge("slow_endpoints", self._pace_tracker.slow_count)
         self.metrics.set_gauge("traits_with_crashes", self._crash_tracker.trait_count)
         self.metrics.set_gauge("limited_endpoints", len(self._limits.rate_by_id()))
         self.metrics.set_gauge("active_requests", self._active_requests)
@@ -363,8 +369,17 @@
         return LoadReport(
             self._load_tracker.local_loads(),
             self._suspicions.suspected(),
+            slowdown_by_id=self._pace_tracker.report(),
         )
 
+    async def _async_update_pace(self) -> None:
+        """Estimate the slowdown of endpoints periodically."""
+        while True:
+            await asyncio.sleep(PACE_UPDATE_INTERVAL_S)
+            summary = self.follower.load_summary()
+            loads = self._load_tracker.loads(summary.load_by_id)
+            self._pace_tracker.update(loads, summary, self._directory.ids_by_service())
+
     async def _async_prune(self) -> None:
         """Close expired idle connections periodically."""
         while True:
--- a/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
@@ -16,6 +16,7 @@
     failure_evidence,
 )
 from lagoonwing_gateway._load_tracker import Reservation
+from lagoonwing_gateway._paced_stream import PacedSegment, PacedStream
 from lagoonwing_gateway._patient_reader import GivenUpError, PatientReader
 from lagoonwing_gateway._request_log import log_late_stream
 from lagoonwing_gateway._stream_call import StreamCall
@@ -69,6 +70,7 @@
         self._endpoint_ids = tuple(segment.endpoint_id for segment in claim.path.segments)
         self._down_ids: list[EndpointId] = []
         self._first_record: EndpointRecord | None = None
+        self._paced = PacedStream(())
 
     async def async_run(self) -> AttemptOutcome:
         """Reserve the path, send the request and relay its events."""
@@ -79,6 +81,7 @@
         prefill_ms_by_id = self._prefill_times()
         reservation = components.load_tracker.reserve(self._path, self._call.size, prefill_ms_by_id)
         transfer_time_ms = transfer_ms(self._call.engine, self._call.size.prompt_tokens)
+        self._paced = components.pace_tracker.begin(self._paced_segments())
         components.backlog_estimator.record_request(
             self._path, prefill_ms_by_id, transfer_time_ms, components.follower.gateways
         )
@@ -93,6 +96,7 @@
             if open_exchange is not None:
                 open_exchange.close()
             components.load_tracker.release(reservation)
+            components.pace_tracker.end(self._paced)
 
     @callback
     def give_up(self) -> None:
@@ -253,6 +257,7 @@
         self._components.suspicions.record_progress(self._endpoint_ids)
         self._send(head, b"".join(event.content for event in events))
         self._record_event_timing()
+        self._paced.record_events(len(events), progress.last_event_at)
         stream.last_event_at = progress.last_event_at
         progress.events += len(events)
         progress.last_event_id = events[-1].event_id or progress.last_event_id
@@ -345,3 +350,24 @@
                     engine, accelerator, tokens, segment.layers.count
                 )
         return prefill_ms_by_id
+
+    def _paced_segments(self) -> tuple[PacedSegment, ...]:
+        """Return the path for the comparison of pauses; empty if they have no published figures."""
+        if self._call.is_plain:
+            return ()
+        segments: list[PacedSegment] = []
+        for segment in self._path.segments:
+            record = self._components.directory.record(segment.endpoint_id)
+            accelerator = None if record is None else self._call.engine.accelerator(record.kind)
+            if record is None or record.layers is None or accelerator is None:
+                return ()
+            segments.append(
+                PacedSegment(
+                    segment.endpoint_id,
+                    self._call.engine,
+                    accelerator,
+                    segment.layers.count,
+                    record.layers.count,
+                )
+            )
+        return tuple(segments)
--- a/packages/gateway/src/lagoonwing_gateway/_stream_failover.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_failover.py
@@ -156,7 +156,8 @@
             components.rng,
             components.failure_domain,
             backlogs,
-            bounds=self._bounds(),
+            {} if call.is_plain else components.pace_tracker.slowdown_by_id(),
+            self._bounds(),
         )
         excluded = {*call.progress.excluded, *avoided_ids}
         is_usable = components.directory.usability_check(excluded)
--- a/packages/gateway/src/lagoonwing_gateway/const.py
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -149,6 +149,34 @@
 # Smoothing factor of the exponential moving average of the slowdown.
 SLOWDOWN_SMOOTHING = 0.2
 MAX_SLOWDOWN = 12.0
+# Interval at which the slowdown of endpoints is estimated from the pauses of streams.
+PACE_UPDATE_INTERVAL_S = 0.2
+# Time without an update after which the process itself was stopped.
+PACE_STALL_S = 0.6
+# Minimum time over which the pauses of a stream are averaged, and the time for which that counts.
+PACE_WINDOW_S = 0.3
+PACE_SAMPLE_TTL_S = 0.6
+# Pause in progress that counts before it ends, as a multiple of the expected one.
+PACE_SILENCE_FACTOR = 2.5
+# Excess of a stream's pauses over the typical ones that is taken for noise.
+PACE_NOISE = 0.15
+# Slowdown from which an endpoint is reported, and from which it counts as slow.
+REPORTED_SLOWDOWN = 1.2
+SLOW_ENDPOINT_FACTOR = 1.5
+# Time for which a sound endpoint is reported after it was last reported slow.
+PACE_MEMORY_S = 2.0
+# Half-life of a slowdown without new observations.
+PACE_HALF_LIFE_S = 2.0
+# Time after which a slow endpoint that no gateway has found sound explains the slow streams through
+# it, and the share of their excess that it must explain. Gateways need three reports to clear one.
+PACE_CONFIRMATION_S = 0.8
+PACE_EXPLAINED_SHARE = 0.6
+# Quantile of the pace that is typical of sound paths, largest step towards it at an update, and its
+# range.
+TYPICAL_PACE_QUANTILE = 0.2
+TYPICAL_PACE_STEP = 0.05
+MIN_TYPICAL_PACE = 0.5
+MAX_TYPICAL_PACE = 2.0
 # Minimum interval between two extracts of named limits, and the interval of unchanged ones.
 LIMIT_PUSH_INTERVAL_S = 0.02
 LIMIT_REFRESH_INTERVAL_S = 2.0
--- a/packages/placement/src/lagoonwing_placement/__init__.py
+++ b/packages/placement/src/lagoonwing_placement/__init__.py
@@ -15,6 +15,7 @@
 from lagoonwing_placement._paths import Holder, HolderGroup, PathFinder, group_holders
 from lagoonwing_placement._planner import choose_layout, plan
 from lagoonwing_placement._repair import RepairPlanner, due_orders
+from lagoonwing_placement.const import PREFILL_CHUNK_TOKENS
 from lagoonwing_placement.models import (
     Backlogs,
     DomainLink,
@@ -28,6 +29,7 @@
 )
 
 __all__ = [
+    "PREFILL_CHUNK_TOKENS",
     "Backlogs",
     "DomainLink",
     "Holder",
