--- a/packages/gateway/src/lagoonwing_gateway/_stream_failover.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_failover.py
@@ -161,7 +161,8 @@
             components.rng,
             components.failure_domain,
             backlogs,
-            bounds=self._bounds(),
+            {} if call.is_plain else components.pace_tracker.slowdown_by_id(),
+            self._bounds(),
         )
         path = finder.find(groups, call.size, is_usable, may_enter)
         if path is not None and call.is_plain:
