--- a/bench/balance_bench.py
+++ b/bench/balance_bench.py
@@ -17,7 +17,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from lagoonwing_gateway._even_load import KnownLoad, draw_loads, unreported_work
+from lagoonwing_gateway._even_load import KnownLoads, draw_loads, unreported_work
 
 GATEWAYS = (4, 26, 106, 700)
 AGES_S = (0.2, 0.4, 0.8, 1.5)
@@ -170,13 +170,13 @@
 def filled_level(view: View) -> int:
     """Choose with the decision code of the product."""
     work = unreported_work(view.others_per_s, view.age_s, view.own_started, view.gateways)
-    loads: list[KnownLoad] = []
+    loads = KnownLoads()
     for endpoint in view.alive:
         own_ms = view.own_ms[endpoint]
         known_ms = min(own_ms, view.own_reported_ms[endpoint])
         left_ms = max(0.0, view.remote_ms[endpoint] - view.age_s * 1_000)
         shared_ms = left_ms + known_ms + view.service_ms[endpoint]
-        loads.append(KnownLoad(shared_ms, own_ms - known_ms, view.speed(endpoint)))
+        loads.add(shared_ms, own_ms - known_ms, view.speed(endpoint))
     drawn = draw_loads(loads, work, 1.0, view.rng)
     return view.alive[drawn.index(min(drawn))]
 
--- a/packages/gateway/src/lagoonwing_gateway/_even_load.py
+++ b/packages/gateway/src/lagoonwing_gateway/_even_load.py
@@ -10,32 +10,39 @@
 
 import math
 import random
-from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from lagoonwing_gateway.const import OWN_SAMPLE_SHARE
 
 
-@dataclass(frozen=True, slots=True)
-class KnownLoad:
-    """Load of an endpoint, as far as it is known, as work by capacity.
+@dataclass(slots=True)
+class KnownLoads:
+    """Loads of endpoints, as far as they are known, as work by capacity.
+
+    Kept in parallel lists, since a choice among 300 endpoints must take about a millisecond.
 
     Attributes:
         shared: Load that all gateways know.
         own: Own load that the others don't know yet, so that their choices don't depend on it.
-        capacity: Work that raises the load by one.
+        capacities: Work that raises the load by one.
     """
 
-    shared: float
-    own: float
-    capacity: float = 1.0
+    shared: list[float] = field(default_factory=list)
+    own: list[float] = field(default_factory=list)
+    capacities: list[float] = field(default_factory=list)
+
+    def add(self, shared: float, own: float, capacity: float = 1.0) -> None:
+        """Add an endpoint."""
+        self.shared.append(shared)
+        self.own.append(own)
+        self.capacities.append(capacity)
 
 
-def fill_level(loads: Sequence[KnownLoad], work: float) -> float:
+def fill_level(loads: KnownLoads, work: float) -> float:
     """Return the level to which work lifts the least loaded endpoints."""
     level = math.inf
     capacity = volume = 0.0
-    for shared, endpoint_capacity in sorted((load.shared, load.capacity) for load in loads):
+    for shared, endpoint_capacity in sorted(zip(loads.shared, loads.capacities, strict=True)):
         if shared >= level:
             break
         capacity += endpoint_capacity
@@ -45,7 +52,7 @@
 
 
 def draw_loads(
-    loads: Sequence[KnownLoad], work: float, request_work: float, rng: random.Random
+    loads: KnownLoads, work: float, request_work: float, rng: random.Random
 ) -> list[float]:
     """Return the load of each endpoint including work that others have probably started.
 
@@ -59,28 +66,30 @@
         request_work: Mean work of a request.
         rng: Source of randomness, different at each gateway.
     """
-    lowest = min((load.shared for load in loads), default=0.0)
+    known = list(zip(loads.shared, loads.own, loads.capacities, strict=True))
     level = fill_level(loads, work)
-    rooms = [max(0.0, (level - load.shared) * load.capacity) for load in loads]
-    endpoints = sum(room > 0.0 for room in rooms)
-    if work <= 0.0 or endpoints == 0:
-        return [load.shared + load.own for load in loads]
-    mean_room = work / endpoints
+    if work <= 0.0 or level == math.inf:
+        return [shared + own for shared, own, _ in known]
+    draw = rng.random
     turns = [
         (
-            (load.own * load.capacity / request_work + rng.random()) * mean_room / room
-            if room > 0.0
+            (own * capacity / request_work + draw()) / ((level - shared) * capacity)
+            if shared < level
             else math.inf
         )
-        for load, room in zip(loads, rooms, strict=True)
+        for shared, own, capacity in known
+    ]
+    first_turn, rest = min(turns), (level - min(loads.shared)) * (1.0 - draw())
+    # Turns of endpoints that are alike are about 1 / work apart.
+    exp = math.exp
+    return [
+        (
+            own + (max(shared, level - rest * exp((first_turn - turn) * work)))
+            if shared < level
+            else own + shared
+        )
+        for (shared, own, _), turn in zip(known, turns, strict=True)
     ]
-    first_turn, rest = min(turns), 1.0 - rng.random()
-    drawn: list[float] = []
-    for load, turn in zip(loads, turns, strict=True):
-        remaining = rest * math.exp((first_turn - turn) * endpoints)
-        position = level - (level - lowest) * remaining
-        drawn.append(load.own + (max(load.shared, position) if turn < math.inf else load.shared))
-    return drawn
 
 
 def unreported_work(
--- a/packages/gateway/src/lagoonwing_gateway/_stream_failover.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_failover.py
@@ -153,7 +153,11 @@
         excluded = {*call.progress.excluded, *avoided_ids}
         is_usable = components.directory.usability_check(excluded)
         backlogs = components.unreported_work.stream_backlogs(
-            call.service.service_id, call.mean_cost, classes, load_by_id, is_usable
+            call.service.service_id,
+            call.mean_cost,
+            classes,
+            components.load_tracker.local_loads(),
+            is_usable,
         )
         finder = PathFinder(
             call.engine, load_by_id, components.rng, components.failure_domain, backlogs
--- a/packages/gateway/src/lagoonwing_gateway/_unreported_work.py
+++ b/packages/gateway/src/lagoonwing_gateway/_unreported_work.py
@@ -15,7 +15,7 @@
 from lagoonwing_core.callback import callback
 from lagoonwing_core.clock import Clock
 from lagoonwing_core.ids import EndpointId, ServiceId
-from lagoonwing_gateway._even_load import KnownLoad, draw_loads, unreported_work
+from lagoonwing_gateway._even_load import KnownLoads, draw_loads, unreported_work
 from lagoonwing_gateway._holder_classes import HolderClass
 from lagoonwing_gateway._link_backlogs import LinkBacklogs
 from lagoonwing_gateway._started_work import StartedWork
@@ -129,7 +129,7 @@
         service_id: ServiceId,
         mean_cost: float,
         classes: Iterable[HolderClass],
-        load_by_id: _LoadById,
+        own_by_id: _LoadById,
         is_usable: Callable[[EndpointId], bool],
     ) -> Backlogs:
         """Return the unreported work at each endpoint, drawn at random for one choice.
@@ -138,7 +138,7 @@
             service_id: Service of the stream.
             mean_cost: Mean cost of its streams.
             classes: Endpoints that hold its layers.
-            load_by_id: Load of each endpoint: own as it is, that of the others as reported.
+            own_by_id: Load of this gateway.
             is_usable: Returns whether an endpoint may be used.
         """
         others = self._others()
@@ -147,49 +147,59 @@
         backlogs = _DrawnBacklogs()
         if requests > 0.0:
             for holder_class in classes:
-                loads = [
-                    self._stream_load(endpoint_id, load_by_id, others)
-                    for endpoint_id, slots in holder_class.slots_by_id.items()
-                    if load_by_id.get(endpoint_id, _NO_LOAD).sequences < slots
-                    and is_usable(endpoint_id)
-                ]
+                loads = self._stream_loads(holder_class, own_by_id, others, is_usable)
                 self._draw(holder_class, loads, requests, backlogs)
         return Backlogs(backlogs.prefill_ms_by_id, links, backlogs.sequences_by_id)
 
-    def _stream_load(
-        self, endpoint_id: EndpointId, load_by_id: _LoadById, others: OthersLoad
-    ) -> _StreamLoad:
-        """Return the known load of an endpoint, in the unit in which `PathFinder` ranks it."""
-        load = load_by_id.get(endpoint_id, _NO_LOAD)
-        remote = others.summary.load_by_id.get(endpoint_id, _NO_LOAD)
-        reported = self._own_reports[0].get(endpoint_id, _NO_LOAD)
-        own_ms = load.prefill_ms - remote.prefill_ms
-        own_sequences = load.sequences - remote.sequences
-        own_known = min(own_ms, reported.prefill_ms) + min(own_sequences, reported.sequences)
-        # Prefill that was reported has been done since, as far as there was time for it.
-        done_ms = min(others.unreported_s * 1_000, remote.prefill_ms)
-        shared = remote.prefill_ms - done_ms + remote.sequences + own_known
-        own = own_ms + own_sequences - own_known
-        return _StreamLoad(endpoint_id, KnownLoad(shared, own), done_ms)
+    def _stream_loads(
+        self,
+        holder_class: HolderClass,
+        own_by_id: _LoadById,
+        others: OthersLoad,
+        is_usable: Callable[[EndpointId], bool],
+    ) -> _StreamLoads:
+        """Return the known loads of a class, in the unit in which `PathFinder` ranks them."""
+        unreported_ms = others.unreported_s * 1_000
+        remote_by_id, reported_by_id = others.summary.load_by_id, self._own_reports[0]
+        loads = _StreamLoads()
+        for endpoint_id, slots in holder_class.slots_by_id.items():
+            remote = remote_by_id.get(endpoint_id, _NO_LOAD)
+            own = own_by_id.get(endpoint_id, _NO_LOAD)
+            if remote.sequences + own.sequences >= slots or not is_usable(endpoint_id):
+                continue
+            # Prefill that was reported has been done since, as far as there was time for it.
+            done_ms = min(unreported_ms, remote.prefill_ms)
+            shared = remote.prefill_ms - done_ms + remote.sequences
+            unknown = 0.0
+            if own is not _NO_LOAD:
+                reported = reported_by_id.get(endpoint_id, _NO_LOAD)
+                known = min(own.prefill_ms, reported.prefill_ms)
+                known += min(own.sequences, reported.sequences)
+                shared += known
+                unknown = own.prefill_ms + own.sequences - known
+            loads.endpoint_ids.append(endpoint_id)
+            loads.done_ms.append(done_ms)
+            loads.known.add(shared, unknown)
+        return loads
 
     def _draw(
         self,
         holder_class: HolderClass,
-        stream_loads: Sequence[_StreamLoad],
+        loads: _StreamLoads,
         requests: float,
         backlogs: _DrawnBacklogs,
     ) -> None:
         """Draw the unreported work at the endpoints of a class."""
-        visit_load = holder_class.visit_load
-        loads = [stream_load.known for stream_load in stream_loads]
+        visit_load, prefill_ms = holder_class.visit_load, holder_class.prefill_ms
         work = requests * holder_class.share * visit_load
-        drawn_loads = draw_loads(loads, work, visit_load, self._rng)
-        for stream_load, drawn in zip(stream_loads, drawn_loads, strict=True):
-            visits = (drawn - stream_load.known.shared - stream_load.known.own) / visit_load
-            backlogs.sequences_by_id[stream_load.endpoint_id] = visits
-            backlogs.prefill_ms_by_id[stream_load.endpoint_id] = (
-                visits * holder_class.prefill_ms - stream_load.done_ms
-            )
+        known = loads.known
+        drawn_loads = draw_loads(known, work, visit_load, self._rng)
+        for endpoint_id, done_ms, shared, own, drawn in zip(
+            loads.endpoint_ids, loads.done_ms, known.shared, known.own, drawn_loads, strict=True
+        ):
+            visits = (drawn - shared - own) / visit_load
+            backlogs.sequences_by_id[endpoint_id] = visits
+            backlogs.prefill_ms_by_id[endpoint_id] = visits * prefill_ms - done_ms
 
     def call_costs(self, service_id: ServiceId, targets: Sequence[CallTarget]) -> list[float]:
         """Return the cost of each endpoint with unreported calls, drawn at random for one choice.
@@ -202,16 +212,15 @@
         # By Little's law, they take reported calls x unreported time / started calls on average.
         remaining_share = math.exp(-started / reported) if reported else 1.0
         in_flight = reported * (1.0 - remaining_share) if reported else started
-        loads = [self._call_load(target, remaining_share) for target in targets]
+        loads = KnownLoads()
+        for target in targets:
+            own_reported = self._own_reports[0].get(target.endpoint_id, _NO_LOAD)
+            known = min(target.own, own_reported.sequences)
+            shared = (known + target.remote * remaining_share) / target.capacity
+            unknown = (target.own - known) / target.capacity
+            loads.add(target.base_cost + shared, unknown, target.capacity)
         return draw_loads(loads, in_flight, 1.0, self._rng)
 
-    def _call_load(self, target: CallTarget, remaining_share: float) -> KnownLoad:
-        """Return the known load of the endpoint of a call, as its cost."""
-        reported = self._own_reports[0].get(target.endpoint_id, _NO_LOAD)
-        known = min(target.own, reported.sequences)
-        shared = target.base_cost + (known + target.remote * remaining_share) / target.capacity
-        return KnownLoad(shared, (target.own - known) / target.capacity, target.capacity)
-
     def _expected_requests(
         self, service_id: ServiceId, mean_cost: float, others: OthersLoad
     ) -> float:
@@ -235,17 +244,17 @@
     sequences_by_id: dict[EndpointId, float] = field(default_factory=dict)
 
 
-@dataclass(frozen=True, slots=True)
-class _StreamLoad:
-    """Known load of an endpoint.
+@dataclass(slots=True)
+class _StreamLoads:
+    """Known loads of endpoints.
 
     Attributes:
         done_ms: Reported prefill that has been done since.
     """
 
-    endpoint_id: EndpointId
-    known: KnownLoad
-    done_ms: float
+    endpoint_ids: list[EndpointId] = field(default_factory=list)
+    done_ms: list[float] = field(default_factory=list)
+    known: KnownLoads = field(default_factory=KnownLoads)
 
 
 def _transfers_by_link(summary: LoadSummary) -> dict[DomainLink, float]:
