--- a/bench/balance_bench.py
+++ b/bench/balance_bench.py
@@ -379,6 +379,7 @@
     parser.add_argument("--gateways", type=int, nargs="+", default=GATEWAYS)
     parser.add_argument("--endpoints", type=int, nargs="+", default=ENDPOINTS)
     parser.add_argument("--ages", type=float, nargs="+", default=AGES_S)
+    parser.add_argument("--policies", nargs="+", choices=POLICIES, default=list(POLICIES))
     arguments = parser.parse_args()
     print("| load | gateways | policy | longest/mean | idle beside overload | wait ms | p99 ms |")
     print("|---|---|---|---|---|---|---|")
@@ -387,7 +388,8 @@
     )
     for (shape, gateways), group in by_key:
         chosen = list(group)
-        for name, policy in POLICIES.items():
+        for name in arguments.policies:
+            policy = POLICIES[name]
             rows = [Simulation(scenario, policy, arguments.seed).run().row() for scenario in chosen]
             means = [statistics.fmean(column) for column in zip(*rows, strict=True)]
             print(
--- a/packages/gateway/src/lagoonwing_gateway/_even_load.py
+++ b/packages/gateway/src/lagoonwing_gateway/_even_load.py
@@ -12,7 +12,7 @@
 import random
 from dataclasses import dataclass, field
 
-from lagoonwing_gateway.const import OWN_SAMPLE_SHARE
+from lagoonwing_gateway.const import OWN_SAMPLE_SHARE, OWN_TURN_WEIGHT
 
 
 @dataclass(slots=True)
@@ -56,9 +56,10 @@
 ) -> list[float]:
     """Return the load of each endpoint including work that others have probably started.
 
-    The least result falls on an endpoint with about the probability of its share of the filled
-    work. An endpoint that already got own requests since the reports comes after those that got
-    fewer of their share, since even choices of each gateway add up to a more even load.
+    The least result falls on an endpoint with the probability of its share of the filled work,
+    wherever in the filling that is, so it may be lower than the known load. An endpoint that got
+    own requests since the reports comes after those that got fewer of their share, since even
+    choices of each gateway add up to a more even load.
 
     Args:
         loads: Known load of each endpoint.
@@ -70,24 +71,22 @@
     level = fill_level(loads, work)
     if work <= 0.0 or level == math.inf:
         return [shared + own for shared, own, _ in known]
-    draw = rng.random
+    # Exponential draws make the probabilities of the least turn those of the shares, exactly.
+    draw = rng.expovariate
     turns = [
         (
-            (own * capacity / request_work + draw()) / ((level - shared) * capacity)
+            (OWN_TURN_WEIGHT * own * capacity / request_work + draw(1.0))
+            / ((level - shared) * capacity)
             if shared < level
             else math.inf
         )
         for shared, own, capacity in known
     ]
-    first_turn, rest = min(turns), (level - min(loads.shared)) * (1.0 - draw())
+    first_turn, rest = min(turns), (level - min(loads.shared)) * (1.0 - rng.random())
     # Turns of endpoints that are alike are about 1 / work apart.
     exp = math.exp
     return [
-        (
-            own + (max(shared, level - rest * exp((first_turn - turn) * work)))
-            if shared < level
-            else own + shared
-        )
+        (own + (level - rest * exp((first_turn - turn) * work)) if shared < level else own + shared)
         for (shared, own, _), turn in zip(known, turns, strict=True)
     ]
 
--- a/packages/gateway/src/lagoonwing_gateway/_unreported_work.py
+++ b/packages/gateway/src/lagoonwing_gateway/_unreported_work.py
@@ -197,9 +197,10 @@
         for endpoint_id, done_ms, shared, own, drawn in zip(
             loads.endpoint_ids, loads.done_ms, known.shared, known.own, drawn_loads, strict=True
         ):
-            visits = (drawn - shared - own) / visit_load
-            backlogs.sequences_by_id[endpoint_id] = visits
-            backlogs.prefill_ms_by_id[endpoint_id] = visits * prefill_ms - done_ms
+            added = drawn - shared - own
+            added_ms = max(0.0, added) * prefill_ms / visit_load
+            backlogs.prefill_ms_by_id[endpoint_id] = added_ms - done_ms
+            backlogs.sequences_by_id[endpoint_id] = added - added_ms
 
     def call_costs(self, service_id: ServiceId, targets: Sequence[CallTarget]) -> list[float]:
         """Return the cost of each endpoint with unreported calls, drawn at random for one choice.
--- a/packages/gateway/src/lagoonwing_gateway/const.py
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -69,6 +69,8 @@
 MAX_UNREPORTED_S = 1.5
 # Weight of own starts above what the reported rate explains: one gateway is a small sample of all.
 OWN_SAMPLE_SHARE = 0.5
+# Weight of an own unreported request at an endpoint against the random part of its turn, of mean 1.
+OWN_TURN_WEIGHT = 2.0
 # Time over which started work is counted for load reports, in buckets.
 STARTED_RATE_WINDOW_S = 1.0
 STARTED_BUCKET_S = 0.02
--- a/packages/placement/src/lagoonwing_placement/models.py
+++ b/packages/placement/src/lagoonwing_placement/models.py
@@ -117,7 +117,8 @@
     Attributes:
         prefill_ms_by_id: Prefill time queued at each endpoint, less what has been done since.
         transfer_ms_by_link: Transfer time of prompt activations queued on each link.
-        sequences_by_id: Requests at each endpoint.
+        sequences_by_id: Requests at each endpoint, for the choice among those that are alike;
+            negative at one that is chosen although others have less load.
     """
 
     prefill_ms_by_id: Mapping[EndpointId, float] = field(default_factory=dict)
