--- a/packages/gateway/src/lagoonwing_gateway/_call_handler.py
+++ b/packages/gateway/src/lagoonwing_gateway/_call_handler.py
@@ -24,6 +24,7 @@
 from lagoonwing_gateway.const import (
     CALL_RETRY_TIMEOUT_SHARE,
     DEADLINE_MARGIN_S,
+    FIRST_FAILURE_STATUS,
     MAX_CONNECT_ATTEMPTS,
     MIN_CALL_RETRY_TIMEOUT_S,
     MIN_TIME_TO_SEND_S,
@@ -41,13 +42,12 @@
     GatewayRefusal,
     NotRun,
     RequestContext,
+    RequestFailure,
 )
 from lagoonwing_gateway.ports import Responder
-from lagoonwing_http import AnswerBrokenError, ClientConnection, ConnectError
+from lagoonwing_http import AnswerBrokenError, AnswerTooLargeError, ClientConnection, ConnectError
 
 _LATE = Failed("no answer in time", ())
-# Lowest status after which another endpoint may succeed.
-_FIRST_FAILURE_STATUS = 500
 
 
 @dataclass(slots=True)
@@ -58,6 +58,7 @@
         failure: What an endpoint that may have run the call answered, if anything.
         send_count: Number of times that the call was sent to an endpoint.
         excluded: Endpoints that must not be used again for the call.
+        failures: Endpoints that failed the call.
         reservation: The next attempt, which is certain to be made.
         limit_wait_s: Expected wait for a permit, if that kept the call from being sent.
     """
@@ -68,6 +69,7 @@
     failure: KeptFailure
     send_count: int = 0
     excluded: set[EndpointId] = field(default_factory=set)
+    failures: list[RequestFailure] = field(default_factory=list)
     reservation: EndpointClaim | None = None
     limit_wait_s: float | None = None
 
@@ -277,7 +279,7 @@
         except RESPONSE_ERRORS as error:
             # Whatever keeps the error must not keep the frames that hold the request.
             error.with_traceback(None)
-            return await self._async_record_failure(call.context, record, error)
+            return await self._async_record_failure(call, record, error)
         finally:
             open_exchange.close()
             self._load_tracker.end_call(endpoint_id)
@@ -285,9 +287,10 @@
             return response
         elapsed = self._clock.now() - open_exchange.sent_at
         self._slowdown.observe(endpoint_id, elapsed, call.context.route.objective_s / 2)
-        outcome = self._judge(record, response, call.responder)
+        outcome = self._judge(call, record, response)
         if isinstance(outcome, Completed):
             self._crash_tracker.record_served(call.context)
+            self._suspicions.record_served_elsewhere(call.failures)
         return outcome
 
     async def _async_response(
@@ -320,19 +323,31 @@
             del response
 
     async def _async_record_failure(
-        self, context: RequestContext, record: EndpointRecord, error: BaseException
+        self, call: _Call, record: EndpointRecord, error: BaseException
     ) -> Failed:
         """Record an attempt that gave no whole response, and whether its endpoint crashed."""
         reason = str(error) or "no answer in time"
-        self._suspicions.record_soft_failure(record.endpoint_id, reason, failure_evidence(error))
+        if isinstance(error, AnswerTooLargeError):
+            self._suspicions.record_soft_failure(
+                record.endpoint_id, reason, FailureEvidence.RESPONSE
+            )
+        else:
+            self._record_failure(call, record, reason, failure_evidence(error))
         if isinstance(error, AnswerBrokenError):
             evidence = await self._watchdog.async_probe(record)
             if evidence is FailureEvidence.REFUSED and self._directory.has_crashed(record):
-                self._crash_tracker.record_crash(context, record)
+                self._crash_tracker.record_crash(call.context, record)
         return Failed(reason, (record.endpoint_id,))
 
+    def _record_failure(
+        self, call: _Call, record: EndpointRecord, reason: str, evidence: FailureEvidence
+    ) -> None:
+        """Record that an endpoint failed a call."""
+        self._suspicions.record_failed_request(record.endpoint_id, reason, evidence)
+        call.failures.append(RequestFailure(record.endpoint_id, reason, evidence))
+
     def _judge(
-        self, record: EndpointRecord, response: CompleteResponse, responder: Responder
+        self, call: _Call, record: EndpointRecord, response: CompleteResponse
     ) -> AttemptOutcome:
         """Forward a valid response; return the outcome."""
         info = response.info
@@ -347,13 +362,13 @@
                 FailureEvidence.RESPONSE,
             )
             return Failed("the answer is not the endpoint's own", blamed_ids)
-        if info.status >= _FIRST_FAILURE_STATUS:
-            self._suspicions.record_soft_failure(
-                record.endpoint_id, f"status {info.status}", FailureEvidence.RESPONSE
-            )
-            return Failed(f"the endpoint answered {info.status}", blamed_ids, response)
+        if info.status >= FIRST_FAILURE_STATUS:
+            reason = f"the endpoint answered {info.status}"
+            self._record_failure(call, record, reason, FailureEvidence.RESPONSE)
+            return Failed(reason, blamed_ids, response)
         self._suspicions.record_progress(blamed_ids)
-        responder.send_response(info.status, response.headers, response.body)
+        self._suspicions.record_served(blamed_ids)
+        call.responder.send_response(info.status, response.headers, response.body)
         return Completed()
 
     def _patience_s(self, context: RequestContext) -> float:
--- a/packages/gateway/src/lagoonwing_gateway/_directory.py
+++ b/packages/gateway/src/lagoonwing_gateway/_directory.py
@@ -15,9 +15,10 @@
 from lagoonwing_core.clock import Clock
 from lagoonwing_core.ids import EndpointId, ServiceId
 from lagoonwing_gateway._follower import CatalogFollower
+from lagoonwing_gateway._last_holders import last_holders
 from lagoonwing_gateway._plain_service import PLAIN_ENGINE, plain_holder
 from lagoonwing_gateway._suspicions import SuspicionTracker
-from lagoonwing_gateway.const import OWN_PROGRESS_S
+from lagoonwing_gateway.const import FAILURE_WINDOW_S, MAX_REPORTED_SHARE, OWN_PROGRESS_S
 from lagoonwing_placement import Holder, HolderGroup, group_holders
 
 
@@ -105,20 +106,55 @@
             self._groups_by_service[service.service_id] = cached
         return cached[1]
 
-    def usability_check(self, excluded: Iterable[EndpointId]) -> Callable[[EndpointId], bool]:
-        """Return a predicate that checks whether an endpoint may get requests."""
-        unusable = {*excluded, *self._suspected_elsewhere()}
+    def usability_check(
+        self, groups: Iterable[HolderGroup], excluded: Iterable[EndpointId]
+    ) -> Callable[[EndpointId], bool]:
+        """Return a predicate that checks whether an endpoint may get requests.
+
+        Endpoints that fail requests are used while nothing else holds their layers.
+        """
+        excluded_ids = set(excluded)
+        unusable = excluded_ids | self._suspected_elsewhere()
 
         def is_usable(endpoint_id: EndpointId) -> bool:
             return endpoint_id not in unusable and self._suspicions.is_usable(endpoint_id)
 
-        return is_usable
+        def is_last_resort(endpoint_id: EndpointId) -> bool:
+            return endpoint_id not in excluded_ids and self._suspicions.is_last_resort(endpoint_id)
+
+        last_ids = last_holders(groups, is_usable, is_last_resort)
+        if not last_ids:
+            return is_usable
+        return lambda endpoint_id: endpoint_id in last_ids or is_usable(endpoint_id)
+
+    def reported_suspects(self) -> tuple[EndpointId, ...]:
+        """Return the suspected endpoints of which other gateways are told."""
+        failing_by_service: dict[ServiceId, list[EndpointId]] = defaultdict(list)
+        reported: list[EndpointId] = []
+        for endpoint_id in self._suspicions.suspected():
+            record = self.record(endpoint_id)
+            if record is None or not self._suspicions.is_last_resort(endpoint_id):
+                reported.append(endpoint_id)
+            else:
+                failing_by_service[record.service_id].append(endpoint_id)
+        for service_id, failing_ids in failing_by_service.items():
+            endpoint_count = len(self._ready_by_service[service_id])
+            if len(failing_ids) <= max(1.0, MAX_REPORTED_SHARE * endpoint_count):
+                reported.extend(failing_ids)
+        return tuple(reported)
 
     def _suspected_elsewhere(self) -> set[EndpointId]:
         """Return the endpoints that other gateways suspect and that make no progress here."""
-        since = self._clock.now() - OWN_PROGRESS_S
+        now = self._clock.now()
         suspects = self._follower.load_summary().suspects
-        return set(self._suspicions.without_progress_since(suspects, since))
+        silent_ids = self._suspicions.without_progress_since(suspects, now - OWN_PROGRESS_S)
+        # Streams that go on show nothing about the next request if the last one failed here too.
+        failed_ids = (
+            endpoint_id
+            for endpoint_id in suspects
+            if self._suspicions.has_failed_since(endpoint_id, now - FAILURE_WINDOW_S)
+        )
+        return {*silent_ids, *failed_ids}
 
     def _holders(self, service: Service, engine: Engine) -> Iterator[Holder]:
         """Yield the ready holders of a service's layers."""
--- a/packages/gateway/src/lagoonwing_gateway/_gateway.py
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -108,12 +108,12 @@
         )
         self._limit_reporter = LimitReporter(self.follower, self._limits, limiter)
         slowdown = SlowdownTracker()
-        directory = EndpointDirectory(self.follower, self._suspicions, clock)
-        self._watchdog = Watchdog(directory, self._suspicions, clock)
+        self._directory = EndpointDirectory(self.follower, self._suspicions, clock)
+        self._watchdog = Watchdog(self._directory, self._suspicions, clock)
         components = GatewayComponents(
             failure_domain=settings.failure_domain,
             follower=self.follower,
-            directory=directory,
+            directory=self._directory,
             suspicions=self._suspicions,
             watchdog=self._watchdog,
             slowdown=slowdown,
@@ -177,7 +177,10 @@
         self.metrics.set_gauge("document_version", 0 if routes is None else routes.version)
         self.metrics.set_gauge("current_age_seconds", -1.0 if math.isinf(age) else age)
         self.metrics.set_gauge("gateways", self.follower.gateways)
-        self.metrics.set_gauge("suspected_endpoints", len(self._suspicions.suspected()))
+        suspected = len(self._suspicions.suspected())
+        unreported = suspected - len(self._directory.reported_suspects())
+        self.metrics.set_gauge("suspected_endpoints", suspected)
+        self.metrics.set_gauge("unreported_suspects", unreported)
         self.metrics.set_gauge("traits_with_crashes", self._crash_tracker.trait_count)
         self.metrics.set_gauge("limited_endpoints", len(self._limits.rate_by_id()))
         self.metrics.set_gauge("active_requests", self._active_requests)
@@ -362,7 +365,7 @@
         """Return the load report of this gateway."""
         return LoadReport(
             self._load_tracker.local_loads(),
-            self._suspicions.suspected(),
+            self._directory.reported_suspects(),
         )
 
     async def _async_prune(self) -> None:
--- a/packages/gateway/src/lagoonwing_gateway/_patient_reader.py
+++ b/packages/gateway/src/lagoonwing_gateway/_patient_reader.py
@@ -17,7 +17,7 @@
     SILENCE_RECHECK_INTERVAL_S,
     STREAM_STALL_TIMEOUT_S,
 )
-from lagoonwing_gateway.models import Failed, ResponseInfo
+from lagoonwing_gateway.models import Failed, FailureEvidence, RequestFailure, ResponseInfo
 from lagoonwing_http import ResponseHead
 from lagoonwing_placement import Path
 
@@ -48,7 +48,9 @@
         open_exchange: OpenExchange,
     ) -> None:
         self.has_events = False
+        self._has_recorded_silence = False
         self._waiting_since = components.clock.now()
+        self._progress = call.progress
         self._first_event_at = 0.0
         self._components = components
         self._deadline = call.context.deadline - DEADLINE_MARGIN_S
@@ -118,6 +120,30 @@
             self._endpoint_ids, self._waiting_since
         )
         components.watchdog.probe_all(silent_ids)
+        self._record_silence(silent_ids)
         blamed_ids = silent_ids or self._endpoint_ids
         if await self._failover.async_try_reserve(blamed_ids):
             raise GivenUpError(Failed("the path fell silent", blamed_ids, is_silence=True))
+
+    @callback
+    def _record_silence(self, silent_ids: tuple[EndpointId, ...]) -> None:
+        """Record once that an endpoint may be mute: the only silent one, or the first one.
+
+        Without any response, the first endpoint is the one that accepted the request. Progress on
+        another stream clears it again.
+        """
+        if self._has_recorded_silence or not silent_ids:
+            return
+        first_id = self._endpoint_ids[0]
+        if len(silent_ids) > 1 and (self.has_events or first_id not in silent_ids):
+            return
+        self._has_recorded_silence = True
+        failure = RequestFailure(
+            silent_ids[0] if len(silent_ids) == 1 else first_id,
+            "no response to a request",
+            FailureEvidence.SILENT,
+        )
+        self._components.suspicions.record_failed_request(
+            failure.endpoint_id, failure.reason, failure.evidence
+        )
+        self._progress.failures.append(failure)
--- a/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
@@ -24,6 +24,7 @@
 from lagoonwing_gateway.const import (
     CRASH_CONFIRM_TIMEOUT_S,
     DEADLINE_MARGIN_S,
+    FIRST_FAILURE_STATUS,
     MAX_EVENT_BYTES,
     MISDIRECTED_STATUS,
     STREAM_STALL_TIMEOUT_S,
@@ -36,6 +37,7 @@
     Failed,
     FailureEvidence,
     NotRun,
+    RequestFailure,
     ResponseInfo,
     StreamEvent,
 )
@@ -217,6 +219,8 @@
                 if events:
                     components.load_tracker.complete_prefill(reservation)
                     self._forward_events(head, events, stream)
+                    if not reader.has_events:
+                        self._record_served()
                     # Bytes that complete no event are no progress.
                     reader.record_progress(is_event=True)
                 elif len(splitter.rest) > MAX_EVENT_BYTES:
@@ -225,15 +229,36 @@
             self._record_too_large(str(error))
             return Failed(str(error), self._endpoint_ids[:1])
         except AnswerBrokenError as error:
-            await self._async_examine_first_endpoint(reader)
+            if not await self._async_examine_first_endpoint(reader):
+                self._record_failure(self._endpoint_ids[0], str(error), FailureEvidence.BROKEN)
             return Failed(str(error), self._endpoint_ids[:1])
         except GivenUpError as error:
             return error.outcome
         if splitter.rest:
-            return Failed("the stream ended in the middle of an event", self._endpoint_ids[:1])
+            reason = "the stream ended in the middle of an event"
+            self._record_failure(self._endpoint_ids[0], reason, FailureEvidence.BROKEN)
+            return Failed(reason, self._endpoint_ids[:1])
         self._finish(head)
         return Completed()
 
+    @callback
+    def _record_served(self) -> None:
+        """Record that the path answers, and that the endpoints that failed before were at fault."""
+        suspicions, progress = self._components.suspicions, self._progress
+        suspicions.record_served(self._endpoint_ids)
+        suspicions.record_served_elsewhere(progress.failures)
+        progress.failures.clear()
+
+    @callback
+    def _record_failure(
+        self, endpoint_id: EndpointId, reason: str, evidence: FailureEvidence
+    ) -> None:
+        """Record that an endpoint failed the request, unless another one is known to be down."""
+        if self._down_ids or self._components.suspicions.has_refused(self._endpoint_ids):
+            return
+        self._components.suspicions.record_failed_request(endpoint_id, reason, evidence)
+        self._progress.failures.append(RequestFailure(endpoint_id, reason, evidence))
+
     @callback
     def _record_too_large(self, reason: str) -> None:
         """Record that the first endpoint sent more than a gateway can hold."""
@@ -292,20 +317,22 @@
             progress.longest_pause_s = max(progress.longest_pause_s, now - progress.last_event_at)
         progress.last_event_at = now
 
-    async def _async_examine_first_endpoint(self, reader: PatientReader) -> None:
-        """Find out whether the endpoint that ended the connection has crashed.
+    async def _async_examine_first_endpoint(self, reader: PatientReader) -> bool:
+        """Return whether the endpoint that ended the connection is known to be down.
 
         A connection to a crashed endpoint is refused at once; nothing waits for a silent one.
         """
         record = self._first_record
         if record is None or self._down_ids:
-            return
+            return bool(self._down_ids)
         probe = asyncio.ensure_future(self._components.watchdog.async_probe(record))
         await asyncio.wait((probe,), timeout=CRASH_CONFIRM_TIMEOUT_S)
-        if probe.done():
-            self._record_if_crash(record, probe.result(), reader)
-        else:
+        if not probe.done():
             probe.cancel()
+            return False
+        evidence = probe.result()
+        self._record_if_crash(record, evidence, reader)
+        return evidence is not None
 
     async def _async_read_failure(
         self, open_exchange: OpenExchange, head: ResponseHead
@@ -328,9 +355,14 @@
             return NotRun(f"{at_fault} refused it with {info.status}", (at_fault,))
         if body is None:
             components.watchdog.probe_all(self._endpoint_ids[:1])
-            return Failed("the error response was not complete", self._endpoint_ids[:1])
+            reason = "the error response was not complete"
+            self._record_failure(self._endpoint_ids[0], reason, FailureEvidence.BROKEN)
+            return Failed(reason, self._endpoint_ids[:1])
+        reason = f"the endpoint answered {info.status}"
+        if info.status >= FIRST_FAILURE_STATUS:
+            self._record_failure(at_fault, reason, FailureEvidence.RESPONSE)
         response = CompleteResponse(info, components.dialect.caller_headers(head), body)
-        return Failed(f"the endpoint answered {info.status}", (at_fault,), response)
+        return Failed(reason, (at_fault,), response)
 
     def _prefill_times(self) -> dict[EndpointId, float]:
         """Return the prefill time at each endpoint of the path, in milliseconds."""
--- a/packages/gateway/src/lagoonwing_gateway/_stream_call.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_call.py
@@ -8,7 +8,7 @@
 from lagoonwing_core.ids import EndpointId
 from lagoonwing_gateway._final_response import KeptFailure
 from lagoonwing_gateway._plain_service import PLAIN_ENGINE, layered_engine
-from lagoonwing_gateway.models import RequestContext
+from lagoonwing_gateway.models import RequestContext, RequestFailure
 from lagoonwing_gateway.ports import Responder
 from lagoonwing_placement import RequestSize
 
@@ -28,6 +28,7 @@
         send_count: Number of times that the request was sent to an endpoint.
         endpoint_ids: Endpoints of the path to which it was sent last.
         excluded: Endpoints that must not be used again for the request.
+        failures: Endpoints that failed the request since it was served last.
         limit_wait_s: Expected wait for a permit, if that kept the request from being sent.
     """
 
@@ -41,6 +42,7 @@
     send_count: int = 0
     endpoint_ids: tuple[EndpointId, ...] = ()
     excluded: set[EndpointId] = field(default_factory=set)
+    failures: list[RequestFailure] = field(default_factory=list)
     limit_wait_s: float | None = None
 
 
--- a/packages/gateway/src/lagoonwing_gateway/const.py
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -33,6 +33,28 @@
 # Time for which an endpoint is avoided after it refused a request for lack of memory or layers.
 AVOIDANCE_S = 0.4
 
+# Weight of a failed request, and weight added once the same request was served elsewhere: then the
+# endpoint was the cause, not the request.
+FAILURE_WEIGHT = 0.5
+SERVED_ELSEWHERE_WEIGHT = 0.5
+# Sum of the weights within the window, and their share of all samples, above which an endpoint is
+# suspected: two requests that others served, or three. Engines that failed 0.4 of their requests
+# kept getting more of them while only failures in a row counted.
+MIN_FAILURE_WEIGHT = 1.5
+FAILING_SHARE = 0.25
+FAILURE_WINDOW_S = 10.0
+# Failures of an endpoint within this time count as one: when another endpoint crashes, a sound one
+# ends all streams through both at the same moment.
+FAILURE_BURST_S = 0.3
+MAX_FAILURE_SAMPLES = 64
+# Time for which this gateway alone avoids an endpoint after one failed request.
+FAILED_REQUEST_AVOIDANCE_S = 0.4
+# Time since the last success within which an endpoint is preferred for a second attempt.
+RECENT_SUCCESS_S = 5.0
+# Share of a service's endpoints above which a gateway keeps suspicions that rest on failed requests
+# to itself: then its requests or its network are the likely cause.
+MAX_REPORTED_SHARE = 0.34
+
 # Interval between checks for silent streams.
 WATCH_INTERVAL_S = 0.03
 # Event loop delay above which a log event is written.
@@ -61,6 +83,8 @@
 
 # Status of an endpoint that is not the intended one or lacks the requested layers.
 MISDIRECTED_STATUS = 421
+# Lowest status after which another endpoint may succeed.
+FIRST_FAILURE_STATUS = 500
 
 # Work that each other gateway is assumed to add where this gateway adds some, as a share of it.
 # The share is higher for links because there are fewer links than endpoints to choose from.
--- a/packages/gateway/src/lagoonwing_gateway/models.py
+++ b/packages/gateway/src/lagoonwing_gateway/models.py
@@ -196,6 +196,15 @@
     RESPONSE = "response"
 
 
+@dataclass(frozen=True, slots=True)
+class RequestFailure:
+    """An endpoint that failed a request."""
+
+    endpoint_id: EndpointId
+    reason: str
+    evidence: FailureEvidence
+
+
 class ResendObstacle(Enum):
     """Why a stream was not sent again."""
 
