--- a/bench/pace_simulation.py
+++ b/bench/pace_simulation.py
@@ -8,7 +8,6 @@
 
 import heapq
 import random
-import sys
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -17,8 +16,8 @@
 from lagoonwing_core.clock import ManualClock
 from lagoonwing_core.ids import EndpointId, FailureDomainId
 from lagoonwing_fakes.fleets import make_engine
-from lagoonwing_gateway._paced_stream import PacedSegment, PacedStream
 from lagoonwing_gateway._pace_tracker import PaceTracker
+from lagoonwing_gateway._paced_stream import PacedSegment, PacedStream
 from lagoonwing_placement import (
     Holder,
     PathFinder,
@@ -262,7 +261,7 @@
     def measure(self) -> None:
         """Take the share of gateways that believe each endpoint slow."""
         now = self.clock.now()
-        believed = {one: 0 for one in self.ids}
+        believed = dict.fromkeys(self.ids, 0)
         for gateway in self.gateways:
             for one, factor in gateway.tracker.slowdown_by_id().items():
                 believed[one] += factor > 1.5
--- a/packages/gateway/src/lagoonwing_gateway/_gateway.py
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -204,7 +204,10 @@
         self.metrics.set_gauge("document_version", 0 if routes is None else routes.version)
         self.metrics.set_gauge("current_age_seconds", -1.0 if math.isinf(age) else age)
         self.metrics.set_gauge("gateways", self.follower.gateways)
-        self.metrics.set_gauge("suspected_endpoints", len(self._suspicions.suspected()))
+        suspected = len(self._suspicions.suspected())
+        unreported = suspected - len(self._directory.reported_suspects())
+        self.metrics.set_gauge("suspected_endpoints", suspected)
+        self.metrics.set_gauge("unreported_suspects", unreported)
         self.metrics.set_gauge("slow_endpoints", self._pace_tracker.slow_count)
         self.metrics.set_gauge("traits_with_crashes", self._crash_tracker.trait_count)
         self.metrics.set_gauge("limited_endpoints", len(self._limits.rate_by_id()))
@@ -403,7 +406,7 @@
         self._unreported_work.record_report(own_by_id)
         return LoadReport(
             own_by_id,
-            self._suspicions.suspected(),
+            self._directory.reported_suspects(),
             pressure_by_service=self._pressure_by_service(),
             slowdown_by_id=self._pace_tracker.report(),
             transfers=self._started_work.transfers(),
--- a/packages/gateway/src/lagoonwing_gateway/_stream_failover.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_failover.py
@@ -151,7 +151,7 @@
         groups = components.directory.holder_groups(call.service, call.engine)
         classes = components.directory.holder_classes(call.service, call.engine)
         excluded = {*call.progress.excluded, *avoided_ids}
-        is_usable = components.directory.usability_check(excluded)
+        is_usable = components.directory.usability_check(groups, excluded)
         backlogs = components.unreported_work.stream_backlogs(
             call.service.service_id,
             call.mean_cost,
@@ -168,7 +168,11 @@
             {} if call.is_plain else components.pace_tracker.slowdown_by_id(),
             self._bounds(),
         )
-        path = finder.find(groups, call.size, is_usable, may_enter)
+        path = None
+        if call.progress.send_count:
+            path = finder.find(groups, call.size, is_usable, self._proven_entry_check(may_enter))
+        if path is None:
+            path = finder.find(groups, call.size, is_usable, may_enter)
         if path is not None and call.is_plain:
             # An endpoint without published figures may take as long as the route allows.
             path = replace(path, first_token_ms=call.context.route.objective_s * 1_000)
@@ -195,6 +199,18 @@
             return None
         return PathBounds(max(1.0, route.objective_s * 1_000), route.pause_objective_s * 1_000)
 
+    def _proven_entry_check(
+        self, may_enter: Callable[[EndpointId], bool]
+    ) -> Callable[[EndpointId], bool]:
+        """Restrict the entries of a further attempt to those that have answered lately.
+
+        Attempts are few, and endpoints of one failure domain often fail together.
+        """
+        suspicions = self._components.suspicions
+        return lambda endpoint_id: (
+            may_enter(endpoint_id) and suspicions.has_served_recently(endpoint_id)
+        )
+
     def _find_condition(self, *, may_have_run: bool) -> ResendObstacle | None:
         """Return the condition that forbids another attempt, apart from the retry budget."""
         components = self._components
