--- a/packages/entry/src/lagoonwing_entry/_responses.py
+++ b/packages/entry/src/lagoonwing_entry/_responses.py
@@ -20,6 +20,7 @@
 _ENCODER = msgspec.json.Encoder()
 _EVENT_END = b"\n\n"
 _DONE_EVENT = b"data: [DONE]\n\n"
+_VERSION_WITH_CHUNKS = "HTTP/1.1"
 _OBJECT_BY_KIND = {CompletionKind.CHAT: "chat.completion", CompletionKind.TEXT: "text_completion"}
 _CHUNK_OBJECT_BY_KIND = {
     CompletionKind.CHAT: "chat.completion.chunk",
@@ -204,7 +205,7 @@
         """End the stream with its outcome, or with an error event and a closed connection."""
         if finished.outcome is Outcome.DONE:
             self._handler.write(self._last_events(finished))
-            await self._handler.finish()
+            await self._async_finish()
             return
         self._handler.write(
             b"event: error\ndata: " + error_body(self._request_id, finished) + _EVENT_END
@@ -212,9 +213,21 @@
         with contextlib.suppress(CallerGoneError):
             await self.async_flush()
         # Without the final chunk of the framing, clients detect that the response is incomplete.
+        self._connection().close()
+
+    async def _async_finish(self) -> None:
+        """End the response; without chunks the end of the connection completes it."""
+        stream = self._connection().stream
+        await self._handler.finish()
+        # The connection would be kept for a caller of HTTP/1.0 that asks for keep-alive.
+        if self._handler.request.version != _VERSION_WITH_CHUNKS:
+            stream.close()
+
+    def _connection(self) -> HTTP1Connection:
+        """Return the connection of the caller."""
         connection = self._handler.request.connection
         assert isinstance(connection, HTTP1Connection)
-        connection.close()
+        return connection
 
     def _last_events(self, finished: RequestResult) -> bytes:
         """Return the finish reason, outcome and `[DONE]` events."""
--- a/packages/http/src/lagoonwing_http/_response_writer.py
+++ b/packages/http/src/lagoonwing_http/_response_writer.py
@@ -59,6 +59,22 @@
         ignore_write_failure(self._connection.write(content))
         self._count_waiting()
 
+    @callback
+    def finish(self) -> None:
+        """Complete the response; without framing the end of the connection completes it.
+
+        Raises:
+            StreamClosedError: The caller closed the connection.
+        """
+        stream = self._connection.stream
+        self._connection.finish()
+        if self._is_framed or stream is None or stream.closed():
+            return
+        # The connection would be kept for a caller of HTTP/1.0 that asks for keep-alive.
+        written = stream.write(b"")
+        ignore_write_failure(written)
+        written.add_done_callback(lambda done: stream.close())
+
     @callback
     def abort(self) -> None:
         """Close the connection, so that the response is recognisably incomplete."""
