--- a/packages/http/src/lagoonwing_http/_response_budget.py
+++ b/packages/http/src/lagoonwing_http/_response_budget.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Hashable
+from collections.abc import Callable, Hashable, Iterable
 
 from lagoonwing_core.callback import callback
 
+# Share of the limit above which the responses without a source, most of which wait for callers
+# who read slowly, are judged together. The rest is left to responses that arrive from endpoints.
+_SOURCELESS_SHARE = 0.75
+
 # Where a response comes from, the largest unit first: a service, an endpoint of it.
 ResponseSource = tuple[Hashable, ...]
 
@@ -16,7 +20,7 @@
 
     Attributes:
         size: Number of bytes that are held.
-        source: Where the response comes from.
+        source: Where the response comes from; empty if it counts by itself.
     """
 
     __slots__ = ("_budget", "_on_give_way", "size", "source")
@@ -51,6 +55,7 @@
 
     When it is used up, the largest response of the source that holds most gives way. A service or
     an endpoint whose responses have no end thus takes nothing from larger responses of others.
+    If responses without a source hold nearly all of it, the largest of them gives way.
 
     Attributes:
         held_bytes: Bytes of all responses.
@@ -69,7 +74,7 @@
             on_give_way: Called when the response must give way; it drops all bytes.
             source: Where the response comes from; by default, it is a source of its own.
         """
-        held = HeldBytes(self, on_give_way, source or (object(),))
+        held = HeldBytes(self, on_give_way, source)
         self._open.add(held)
         return held
 
@@ -92,12 +97,25 @@
             held.size = 0
 
     def _find_largest(self) -> HeldBytes:
-        """Return the largest response of the source that holds most."""
-        accounts = list(self._open)
-        for depth in range(1, max(len(account.source) for account in accounts) + 1):
-            bytes_by_source: Counter[ResponseSource] = Counter()
-            for account in accounts:
-                bytes_by_source[account.source[:depth]] += account.size
-            largest = max(bytes_by_source, key=lambda source: bytes_by_source[source])
-            accounts = [account for account in accounts if account.source[:depth] == largest]
-        return max(accounts, key=lambda account: account.size)
+        """Return the response that gives way."""
+        sourceless = [account for account in self._open if not account.source]
+        if sum(account.size for account in sourceless) > _SOURCELESS_SHARE * self._max_bytes:
+            return max(sourceless, key=lambda account: account.size)
+        return _largest_of_largest_source(self._open)
+
+
+def _largest_of_largest_source(candidates: Iterable[HeldBytes]) -> HeldBytes:
+    """Return the largest response of the source that holds most."""
+    accounts = list(candidates)
+    for depth in range(1, max(len(account.source) for account in accounts) + 1):
+        bytes_by_source: Counter[ResponseSource] = Counter()
+        for account in accounts:
+            bytes_by_source[_source_at(account, depth)] += account.size
+        largest = max(bytes_by_source, key=lambda source: bytes_by_source[source])
+        accounts = [account for account in accounts if _source_at(account, depth) == largest]
+    return max(accounts, key=lambda account: account.size)
+
+
+def _source_at(account: HeldBytes, depth: int) -> ResponseSource:
+    """Return the source of a response up to a depth; without one it is its own source."""
+    return account.source[:depth] or (account,)
--- a/tests/gateway/test_response_budget.py
+++ b/tests/gateway/test_response_budget.py
@@ -175,3 +175,28 @@
     for name in ("p-1", "p-2", "p-3"):
         budget.open(lambda: gave_way.append("sound"), ("plain", name)).resize(40)
     assert gave_way == ["slow"]
+
+
+# Guards against endless answers that push out those which callers are taking.
+def test_answers_that_callers_take_stay_beside_a_service_that_holds_more_than_each() -> None:
+    """As long as all of them leave endpoints their part of the budget."""
+    budget = ResponseBudget(MAX_BYTES)
+    gave_way: list[str] = []
+    for _ in range(7):
+        budget.open(lambda: gave_way.append("caller")).resize(100)
+    for _ in range(8):
+        budget.open(lambda: gave_way.append("endless"), ("endless", "e-1")).resize(40)
+    assert gave_way == ["endless"]
+
+
+# Guards against a part of the budget that an endless service can't lose.
+def test_service_that_holds_most_gives_way_beside_slow_callers() -> None:
+    """The part that is left to endpoints does not grow with what one of them sends."""
+    budget = ResponseBudget(MAX_BYTES)
+    gave_way: list[str] = []
+    for _ in range(4):
+        budget.open(lambda: gave_way.append("caller")).resize(100)
+    for _ in range(20):
+        budget.open(lambda: gave_way.append("endless"), ("endless", "e-1")).resize(100)
+    assert set(gave_way) == {"endless"}
+    assert budget.held_bytes <= MAX_BYTES
