--- a/packages/gateway/src/lagoonwing_gateway/_endpoint_limiter.py
+++ b/packages/gateway/src/lagoonwing_gateway/_endpoint_limiter.py
@@ -223,7 +223,8 @@
             state = self._state(service_id)
             state.received += len(service_grant.permits)
             for permit in service_grant.permits:
-                state.pool.add(permit.endpoint_id, permit.member_id)
+                rate = self._limits.rate(permit.endpoint_id)
+                state.pool.add(permit.endpoint_id, permit.member_id, rate)
             on_hand = state.pool.counts_by_member()
             state.queue.judge(grant.number, service_grant, on_hand, self._clock.now())
 
@@ -309,7 +310,7 @@
         credit.updated_at = now
         while credit.amount >= 1.0:
             credit.amount -= 1.0
-            state.pool.add(endpoint_id, None)
+            state.pool.add(endpoint_id, None, rate)
 
 
 def _is_always_allowed(endpoint_id: EndpointId) -> bool:
--- a/packages/gateway/src/lagoonwing_gateway/_permit_pool.py
+++ b/packages/gateway/src/lagoonwing_gateway/_permit_pool.py
@@ -9,7 +9,7 @@
 from lagoonwing_core.callback import callback
 from lagoonwing_core.clock import Clock
 from lagoonwing_core.ids import EndpointId, MemberId, ServiceId
-from lagoonwing_gateway.const import PERMIT_TTL_S
+from lagoonwing_gateway.const import MAX_PERMIT_TTL_S, MAX_UNUSED_PERMITS, PERMIT_TTL_S
 
 
 @dataclass(frozen=True, slots=True, eq=False)
@@ -35,9 +35,15 @@
         self._permits_by_id: dict[EndpointId, list[Permit]] = {}
 
     @callback
-    def add(self, endpoint_id: EndpointId, member_id: MemberId | None) -> None:
-        """Add a new permit."""
-        expires_at = self._clock.now() + PERMIT_TTL_S
+    def add(self, endpoint_id: EndpointId, member_id: MemberId | None, rate: float | None) -> None:
+        """Add a new permit.
+
+        Args:
+            endpoint_id: Endpoint to which it allows a request.
+            member_id: Member whose request waits for it; None if it is for an expected request.
+            rate: Requests per second that the endpoint named; None if its limit has ended.
+        """
+        expires_at = self._clock.now() + _ttl_s(rate)
         permit = Permit(self._service_id, endpoint_id, member_id, expires_at)
         self._permits_by_id.setdefault(endpoint_id, []).append(permit)
 
@@ -86,3 +92,12 @@
                 self._permits_by_id[endpoint_id] = valid
             else:
                 del self._permits_by_id[endpoint_id]
+
+
+def _ttl_s(rate: float | None) -> float:
+    """Return how long a permit is valid under a limit; longer if permits are rare."""
+    if rate is None:
+        return PERMIT_TTL_S
+    if rate * MAX_PERMIT_TTL_S <= MAX_UNUSED_PERMITS:
+        return MAX_PERMIT_TTL_S
+    return max(PERMIT_TTL_S, MAX_UNUSED_PERMITS / rate)
--- a/packages/gateway/src/lagoonwing_gateway/const.py
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -157,8 +157,13 @@
 DEMAND_REFRESH_INTERVAL_S = 0.2
 # Usual time from a demand until the permits arrive.
 PERMIT_ROUND_TRIP_S = 0.1
-# Time for which an unused permit is valid.
+# Time for which an unused permit is valid, for limits of several requests a second.
 PERMIT_TTL_S = 1.5
+# Under a lower limit permits are valid until about so many of them are unused. Together with the
+# requests of gateways that are cut off, more would pass the rule for limits (design 063).
+MAX_UNUSED_PERMITS = 4.0
+# Longest time for which an unused permit is valid.
+MAX_PERMIT_TTL_S = 10.0
 # Time over which requests are counted to predict the next ones, and the time that is predicted.
 EXPECTATION_WINDOW_S = 1.0
 EXPECTATION_HORIZON_S = 0.2
