--- a/packages/http/src/lagoonwing_http/_client.py
+++ b/packages/http/src/lagoonwing_http/_client.py
@@ -11,7 +11,7 @@
 import asyncio
 import socket
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
 from tornado.iostream import StreamClosedError
@@ -21,6 +21,7 @@
 from lagoonwing_http._answer_reader import AnswerReader
 from lagoonwing_http._endpoint_stream import EndpointStream
 from lagoonwing_http._exchange import Exchange, ResponseMatcher
+from lagoonwing_http._read_turns import ReadTurns
 from lagoonwing_http._response_parser import has_close_option
 from lagoonwing_http._unrequested_bytes import (
     ArrivalMoment,
@@ -33,6 +34,7 @@
     LARGE_BODY_BYTES,
     LOGGED_BYTES,
     MAX_EARLIER_REQUESTS,
+    MIN_TURN_BYTES,
 )
 from lagoonwing_http.errors import AnswerBrokenError, ConnectError, ForeignAnswerError
 
@@ -50,6 +52,7 @@
         peer: str,
         on_idle: Callable[[ClientConnection], None],
         on_unrequested: OnUnrequestedBytes | None = None,
+        read_turns: ReadTurns | None = None,
     ) -> None:
         self.idle_since = 0.0
         self.was_used = False
@@ -57,6 +60,7 @@
         self._peer = peer
         self._on_idle = on_idle
         self._on_unrequested = on_unrequested
+        self._read_turns = read_turns or ReadTurns()
         self._reader: AnswerReader | None = None
         self._request_id: str | None = None
         self._request_ids: deque[str] = deque(maxlen=MAX_EARLIER_REQUESTS + 1)
@@ -143,14 +147,20 @@
         """Read until the connection closes."""
         try:
             while True:
-                self._pause = self._on_bytes(
-                    await self._stream.read_bytes(CONNECTION_READ_CHUNK_BYTES, partial=True)
-                )
-                if self._pause is None:
+                data = await self._stream.read_bytes(CONNECTION_READ_CHUNK_BYTES, partial=True)
+                turn = None
+                if len(data) >= MIN_TURN_BYTES:
+                    turn = self._read_turns.request(self._source())
+                self._pause = self._on_bytes(data)
+                # While the connection waits, only the exchange counts and holds the bytes.
+                del data
+                if self._pause is not None:
+                    await self._pause
+                if turn is not None:
+                    await turn
+                elif self._pause is None:
                     # A read that finds bytes at once doesn't let other tasks run.
                     await asyncio.sleep(0)
-                else:
-                    await self._pause
         except StreamClosedError:
             # A reset of a response without framing is a failure, its clean end completes it.
             if self._stream.error is None:
@@ -158,6 +168,11 @@
         finally:
             self.close()
 
+    def _source(self) -> Hashable:
+        """Return what the bytes count for in turns: the service of the request, if known."""
+        source = () if self._reader is None else self._reader.exchange.source[:1]
+        return source or self._peer
+
     def _on_bytes(self, data: bytes) -> asyncio.Future[None] | None:
         """Handle received bytes; a returned future pauses reading until it is done."""
         if self._is_given_up:
@@ -261,6 +276,7 @@
     timeout: float,
     on_idle: Callable[[ClientConnection], None],
     on_unrequested: OnUnrequestedBytes | None = None,
+    read_turns: ReadTurns | None = None,
 ) -> ClientConnection:
     """Connect to an endpoint.
 
@@ -270,6 +286,7 @@
         timeout: Connect timeout in seconds.
         on_idle: Called when a response is complete and the connection can be reused.
         on_unrequested: Called when bytes arrive that no request asked for.
+        read_turns: Turns that it shares with other connections, if any.
 
     Raises:
         ConnectError: The connection was refused or timed out.
@@ -292,4 +309,4 @@
         stream.close()
         raise
     stream.set_nodelay(True)
-    return ClientConnection(stream, f"{address}:{port}", on_idle, on_unrequested)
+    return ClientConnection(stream, f"{address}:{port}", on_idle, on_unrequested, read_turns)
--- a/packages/http/src/lagoonwing_http/_exchange.py
+++ b/packages/http/src/lagoonwing_http/_exchange.py
@@ -61,6 +61,7 @@
         self._buffered_bytes = 0
         self._body_bytes = 0
         self._rest_bytes = 0
+        self.source: ResponseSource = ()
         self._held: HeldBytes | None = None
         self._is_released = False
         self._gave_way = False
@@ -80,6 +81,7 @@
     @callback
     def count_in(self, budget: ResponseBudget, source: ResponseSource = ()) -> None:
         """Count the bytes of the response in a budget until the exchange is released."""
+        self.source = source
         self._held = budget.open(self._give_way, source)
 
     @callback
--- a/packages/http/src/lagoonwing_http/_pool.py
+++ b/packages/http/src/lagoonwing_http/_pool.py
@@ -10,6 +10,7 @@
 from lagoonwing_core.callback import callback
 from lagoonwing_core.clock import Clock
 from lagoonwing_http._client import ClientConnection, async_open_connection
+from lagoonwing_http._read_turns import ReadTurns
 from lagoonwing_http._unrequested_bytes import OnUnrequestedBytes, UnrequestedBytes
 from lagoonwing_http.const import UNREQUESTED_BYTES_MEMORY_S
 
@@ -58,6 +59,7 @@
         self._clock = clock
         self._on_unrequested = on_unrequested
         self._idle_by_key: dict[KeyT, list[ClientConnection]] = {}
+        self._read_turns = ReadTurns()
         self._open: set[ClientConnection] = set()
         self._unreliable_until_by_key: dict[KeyT, float] = {}
 
@@ -92,6 +94,7 @@
             self._settings.connect_timeout_s,
             partial(self._on_idle, key),
             partial(self._on_unrequested_bytes, key),
+            self._read_turns,
         )
         self._open.add(connection)
         return connection
--- a/packages/http/src/lagoonwing_http/const.py
+++ b/packages/http/src/lagoonwing_http/const.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 CONNECTION_READ_CHUNK_BYTES = 64 * 1024
+# A connection whose last read had so many bytes takes turns with others; streams at the speed of a
+# model have far less.
+MIN_TURN_BYTES = 16 * 1024
 # Response bytes buffered for a slow caller before reading from the endpoint is paused.
 MAX_BUFFERED_RESPONSE_BYTES = 64 * 1024
 # Size above which a request body is written apart from its headers, which saves a copy of it.
