--- a/packages/admission/src/lagoonwing_admission/_check.py
+++ b/packages/admission/src/lagoonwing_admission/_check.py
@@ -79,7 +79,7 @@
     """Return the estimated queueing time of a new request, 0 while the rate is unknown."""
     if not rate:
         return 0.0
-    return (queue.work_ahead(work) + remote_cost_ahead) / rate
+    return queue.work_ahead(work, remote_cost_ahead) / rate
 
 
 def _check_wait(work: WorkT, wait: float, max_wait_s: float, now: float) -> Verdict:
--- a/packages/admission/src/lagoonwing_admission/_guarantee.py
+++ b/packages/admission/src/lagoonwing_admission/_guarantee.py
@@ -2,45 +2,56 @@
 
 from __future__ import annotations
 
-from lagoonwing_admission.const import MAX_GUARANTEED_SHARE, MIN_RANK_SHARE
+from lagoonwing_admission.const import (
+    DEMAND_GUARANTEE,
+    MAX_MIN_SHARES,
+    MIN_RANK_SHARE,
+)
 
 
-class GuaranteedShare:
-    """Credit of one rank: a share of all started cost while the rank has work that could start.
+def guaranteed_share(demand_share: float, ranks: int) -> float:
+    """Return the share of the started cost that a rank with waiting work gets at least.
 
-    The credit is earned before it is spent, so that an urgent rank is never delayed by more
-    than the share, and a rank that was idle has no credit.
+    Args:
+        demand_share: Share of the rank in the offered cost.
+        ranks: Number of ranks, which divide the bounded sum of the smallest shares.
+    """
+    smallest = min(MIN_RANK_SHARE, MAX_MIN_SHARES / max(1, ranks))
+    return max(smallest, DEMAND_GUARANTEE * demand_share)
+
+
+class Credit:
+    """Started cost that one rank is owed.
+
+    It is earned before it is spent, so that an urgent rank is never delayed by more than the
+    guaranteed shares, and a rank that was idle has no credit.
     """
 
     def __init__(self) -> None:
-        self._credit = 0.0
+        self._owed = 0.0
         self._largest = 0.0
 
     def pushed(self, cost: float) -> None:
         """Record a request that begins to wait."""
         self._largest = max(self._largest, cost)
 
-    def earn(self, started_cost: float, waiting_ranks: int) -> None:
-        """Add the share of a started request's cost.
+    def earn(self, cost: float) -> None:
+        """Add the rank's share of a started request, of any rank.
 
-        Args:
-            started_cost: Cost of the request, of any rank.
-            waiting_ranks: Ranks with work that could start, which divide the bounded sum.
+        Bounded, so that a rank whose requests fit nowhere does not start all of them at once
+        afterwards.
         """
-        share = min(MIN_RANK_SHARE, MAX_GUARANTEED_SHARE / max(1, waiting_ranks))
-        # Bounded, so that a rank whose requests fit nowhere does not start all of them at once
-        # afterwards.
-        self._credit = min(self._credit + share * started_cost, 2.0 * self._largest)
+        self._owed = min(self._owed + cost, 2.0 * self._largest)
 
     def spend(self, cost: float) -> None:
         """Remove the cost of a started request of this rank."""
-        self._credit = max(0.0, self._credit - cost)
+        self._owed = max(0.0, self._owed - cost)
 
     def covers(self, cost: float) -> bool:
         """Return whether the credit allows a request to start before more urgent ranks."""
-        return self._credit >= cost
+        return self._owed >= cost
 
     def reset(self) -> None:
         """Discard the credit when nothing of the rank waits any more."""
-        self._credit = 0.0
+        self._owed = 0.0
         self._largest = 0.0
--- a/packages/admission/src/lagoonwing_admission/_ranked.py
+++ b/packages/admission/src/lagoonwing_admission/_ranked.py
@@ -6,10 +6,10 @@
 from collections.abc import Iterator
 from typing import Generic
 
-from lagoonwing_admission._guarantee import GuaranteedShare
+from lagoonwing_admission._guarantee import Credit, guaranteed_share
 from lagoonwing_admission._make import make_rank_queue
 from lagoonwing_admission._queue import StartConstraints, WorkQueue, WorkT
-from lagoonwing_admission.const import MIN_RANK_SHARE
+from lagoonwing_admission._rank_demand import RankDemand
 from lagoonwing_admission.models import FirstComeFirstServed, QueuePolicy
 from lagoonwing_core.ids import MemberId
 
@@ -18,20 +18,20 @@
 
 
 class RankLane(Generic[WorkT]):
-    """Queue of one rank and its guaranteed share."""
+    """Queue of one rank and the credit of its guaranteed share."""
 
-    __slots__ = ("guarantee", "queue", "rank")
+    __slots__ = ("credit", "queue", "rank")
 
     def __init__(self, rank: int, policy: QueuePolicy) -> None:
         self.rank = rank
         self.queue: WorkQueue[WorkT] = make_rank_queue(policy)
-        self.guarantee = GuaranteedShare()
+        self.credit = Credit()
 
 
 class RankedQueue(Generic[WorkT]):
     """One fair queue per rank, lower ranks first.
 
-    A rank with waiting work gets at least `MIN_RANK_SHARE` of the started cost. A policy of
+    A rank with waiting work gets at least its guaranteed share of the started cost. A policy of
     first come, first served ignores ranks.
     """
 
@@ -43,6 +43,7 @@
         self._lanes: list[RankLane[WorkT]] = []
         self._weight_by_member: dict[MemberId, float] = {}
         self._blocked: set[MemberId] = set()
+        self._demand = RankDemand()
         self._cost_by_rank: dict[int, float] = {}
         self._count_by_rank: dict[int, int] = {}
 
@@ -50,11 +51,18 @@
         """Return the number of queued requests."""
         return sum(len(lane.queue) for lane in self._lanes)
 
+    def offered(self, work: WorkT, now: float) -> None:
+        """Count a request that arrived in the demand of its rank, even if it is then refused.
+
+        Without these calls every rank has the smallest guaranteed share.
+        """
+        self._demand.offered(self._rank_of(work), work.cost, now)
+
     def push(self, work: WorkT) -> None:
         """Add a request to the queue of its rank, member and class."""
         lane = self._lane(work.rank)
         lane.queue.push(work)
-        lane.guarantee.pushed(work.cost)
+        lane.credit.pushed(work.cost)
         rank = work.rank
         self._count_by_rank[rank] = self._count_by_rank.get(rank, 0) + 1
         self._cost_by_rank[rank] = self._cost_by_rank.get(rank, 0.0) + work.cost
@@ -68,7 +76,7 @@
                 continue
             if first is None:
                 first = head
-            elif lane.guarantee.covers(head.cost):
+            elif lane.credit.covers(head.cost):
                 return head
         return first
 
@@ -85,12 +93,13 @@
         lane = self._lane(work.rank)
         lane.queue.take(work)
         self._uncount(work)
+        self._demand.started(work.cost)
         if len(self._lanes) == 1:
             return
         ready = [other for other in self._lanes if other.queue.has_ready()]
         for other in ready:
-            other.guarantee.earn(work.cost, len(ready))
-        lane.guarantee.spend(work.cost)
+            other.credit.earn(work.cost * self._guaranteed_share(other.rank))
+        lane.credit.spend(work.cost)
         self._reset_if_empty(lane)
 
     def discard(self, work: WorkT) -> None:
@@ -127,19 +136,28 @@
         for lane in self._lanes:
             lane.queue.set_weight(member_id, weight)
 
-    def work_ahead(self, work: WorkT) -> float:
-        """Return the cost of queued work that would start before a new request.
+    def work_ahead(self, work: WorkT, remote_cost: float = 0.0) -> float:
+        """Return the cost of work that would start before a new request.
 
-        More urgent ranks go first, but no longer than the guaranteed share of the request's own
-        rank allows; less urgent ranks get theirs meanwhile.
+        More urgent ranks go first, also those of their requests that arrive meanwhile, but no
+        longer than the guaranteed share of the request's own rank allows. Less urgent ranks get
+        their shares meanwhile.
+
+        Args:
+            work: The request; it is not in the queue.
+            remote_cost: Cost that waits elsewhere for the same capacity and goes first.
         """
         rank = self._rank_of(work)
         lane = self._lane_by_rank.get(rank)
-        own = lane.queue.work_ahead(work) if lane is not None else 0.0
-        urgent = sum(cost for other, cost in self._queued_costs() if other < rank)
-        ahead = min(urgent + own, (own + work.cost) / MIN_RANK_SHARE) if urgent else own
-        less_urgent = [cost for other, cost in self._queued_costs() if other > rank]
-        return ahead + min(sum(less_urgent), ahead * MIN_RANK_SHARE * len(less_urgent))
+        own = remote_cost + (lane.queue.work_ahead(work) if lane is not None else 0.0)
+        costs = self._queued_costs()
+        urgent = sum(cost for other, cost in costs if other < rank)
+        share = self._guaranteed_share(rank)
+        left = max(share, 1.0 - self._demand.urgent_per_started(rank))
+        ahead = min((urgent + own) / left, (own + work.cost) / share)
+        less_urgent = [(other, cost) for other, cost in costs if other > rank]
+        shares = sum(self._guaranteed_share(other) for other, _ in less_urgent)
+        return ahead + min(sum(cost for _, cost in less_urgent), ahead * shares)
 
     def cost_by_rank(self) -> dict[int, float]:
         """Return the total cost of the queued requests of each rank that has any."""
@@ -157,7 +175,7 @@
         promoted: list[RankLane[WorkT]] = []
         for lane in waiting[1:]:
             head = next(lane.queue.in_order(now), None)
-            if head is not None and lane.guarantee.covers(head.cost):
+            if head is not None and lane.credit.covers(head.cost):
                 promoted.append(lane)
                 yield head
         for lane in waiting:
@@ -165,6 +183,10 @@
             skipped = 1 if lane in promoted else 0
             yield from itertools.islice(lane.queue.in_order(now), skipped, None)
 
+    def _guaranteed_share(self, rank: int) -> float:
+        """Return the share of the started cost that a rank with waiting work gets at least."""
+        return guaranteed_share(self._demand.share_of(rank), len(self._lanes))
+
     def _rank_of(self, work: WorkT) -> int:
         """Return the rank that orders a request."""
         return DEFAULT_RANK if self._ignores_ranks else work.rank
@@ -199,4 +221,4 @@
     def _reset_if_empty(self, lane: RankLane[WorkT]) -> None:
         """Discard the credit of a rank in which nothing waits."""
         if not len(lane.queue):
-            lane.guarantee.reset()
+            lane.credit.reset()
--- a/packages/admission/src/lagoonwing_admission/_waiting_room.py
+++ b/packages/admission/src/lagoonwing_admission/_waiting_room.py
@@ -60,6 +60,7 @@
         """
         self._rate = rate
         self._remote_ahead = remote_ahead
+        self._queue.offered(work, now)
         verdict = self._check.check(work, self._queue, rate, now, remote_ahead)
         if isinstance(verdict, Admitted):
             self._add(work)
@@ -72,6 +73,7 @@
     def started(self, work: WorkT, now: float) -> None:
         """Record the start of a request, which may have started without waiting."""
         if work.work_id not in self._work_by_id:
+            self._queue.offered(work, now)
             self._add(work)
         self._forget(work)
         self._queue.take(work)
--- a/packages/admission/src/lagoonwing_admission/const.py
+++ b/packages/admission/src/lagoonwing_admission/const.py
@@ -4,8 +4,14 @@
 
 # Share of the started cost that each rank with waiting work gets, however urgent the others are.
 MIN_RANK_SHARE = 0.05
-# Bounds the sum of these shares, so that many ranks don't reverse the order.
-MAX_GUARANTEED_SHARE = 0.5
+# Bounds the sum of these smallest shares, so that many ranks don't reverse the order.
+MAX_MIN_SHARES = 0.2
+# Guaranteed share of a rank relative to its share of the offered cost. No kind of request may be
+# served less than a quarter as often as all; 0.05 alone breaks this when the least urgent rank
+# offers more than a fifth of the cost.
+DEMAND_GUARANTEE = 0.3
+# Time constant of the decaying totals of offered and started cost by rank.
+RANK_DEMAND_TIME_CONSTANT_S = 2.0
 # Share of the capacity that is promised to returning callers; the rest is for new requests.
 RETURN_SHARE = 0.5
 # Shortest promised time of return. An earlier return is treated as a new request.
