--- a/packages/admission/src/lagoonwing_admission/_guarantee.py
+++ b/packages/admission/src/lagoonwing_admission/_guarantee.py
@@ -21,37 +21,33 @@
 
 
 class Credit:
-    """Started cost that one rank is owed.
+    """Started cost that one rank is owed: its guaranteed share less what it started.
 
-    It is earned before it is spent, so that an urgent rank is never delayed by more than the
-    guaranteed shares, and a rank that was idle has no credit.
+    It is earned before it is spent, so an urgent rank is never delayed by more than the
+    guaranteed shares. It is kept while nothing of the rank waits: at one of many gateways a rank
+    whose requests are refused or expire would otherwise never have enough for one request.
+
+    Attributes:
+        owed: The credit, at most twice the largest cost, so that a rank whose requests fit
+            nowhere does not start many of them at once afterwards.
     """
 
     def __init__(self) -> None:
-        self._owed = 0.0
+        self.owed = 0.0
         self._largest = 0.0
 
-    def pushed(self, cost: float) -> None:
-        """Record a request that begins to wait."""
+    def offered(self, cost: float) -> None:
+        """Record a request that arrived."""
         self._largest = max(self._largest, cost)
 
     def earn(self, cost: float) -> None:
-        """Add the rank's share of a started request, of any rank.
-
-        Bounded, so that a rank whose requests fit nowhere does not start all of them at once
-        afterwards.
-        """
-        self._owed = min(self._owed + cost, 2.0 * self._largest)
+        """Add the rank's share of a started request, of any rank."""
+        self.owed = min(self.owed + cost, 2.0 * self._largest)
 
     def spend(self, cost: float) -> None:
         """Remove the cost of a started request of this rank."""
-        self._owed = max(0.0, self._owed - cost)
+        self.owed = max(0.0, self.owed - cost)
 
     def covers(self, cost: float) -> bool:
         """Return whether the credit allows a request to start before more urgent ranks."""
-        return self._owed >= cost
-
-    def reset(self) -> None:
-        """Discard the credit when nothing of the rank waits any more."""
-        self._owed = 0.0
-        self._largest = 0.0
+        return self.owed >= cost
--- a/packages/admission/src/lagoonwing_admission/_ranked.py
+++ b/packages/admission/src/lagoonwing_admission/_ranked.py
@@ -10,6 +10,7 @@
 from lagoonwing_admission._make import make_rank_queue
 from lagoonwing_admission._queue import StartConstraints, WorkQueue, WorkT
 from lagoonwing_admission._rank_demand import RankDemand
+from lagoonwing_admission.const import DEMAND_GUARANTEE
 from lagoonwing_admission.models import FirstComeFirstServed, QueuePolicy
 from lagoonwing_core.ids import MemberId
 
@@ -57,12 +58,13 @@
         Without these calls every rank has the smallest guaranteed share.
         """
         self._demand.offered(self._rank_of(work), work.cost, now)
+        self._lane(work.rank).credit.offered(work.cost)
 
     def push(self, work: WorkT) -> None:
         """Add a request to the queue of its rank, member and class."""
         lane = self._lane(work.rank)
         lane.queue.push(work)
-        lane.credit.pushed(work.cost)
+        lane.credit.offered(work.cost)
         rank = work.rank
         self._count_by_rank[rank] = self._count_by_rank.get(rank, 0) + 1
         self._cost_by_rank[rank] = self._cost_by_rank.get(rank, 0.0) + work.cost
@@ -96,18 +98,15 @@
         self._demand.started(work.cost)
         if len(self._lanes) == 1:
             return
-        ready = [other for other in self._lanes if other.queue.has_ready()]
-        for other in ready:
-            other.credit.earn(work.cost * self._guaranteed_share(other.rank))
+        for other in self._lanes:
+            other.credit.earn(work.cost * self._earned_share(other))
         lane.credit.spend(work.cost)
-        self._reset_if_empty(lane)
 
     def discard(self, work: WorkT) -> None:
         """Remove a request that is not going to start."""
         lane = self._lane(work.rank)
         lane.queue.discard(work)
         self._uncount(work)
-        self._reset_if_empty(lane)
 
     def charge(self, member_id: MemberId, cost: float, rank: int = DEFAULT_RANK) -> None:
         """Adjust a member's charge in one rank; a negative cost is a refund."""
@@ -149,12 +148,16 @@
         """
         rank = self._rank_of(work)
         lane = self._lane_by_rank.get(rank)
-        own = remote_cost + (lane.queue.work_ahead(work) if lane is not None else 0.0)
+        own = lane.queue.work_ahead(work) if lane is not None else 0.0
+        owed = lane.credit.owed if lane is not None else 0.0
         costs = self._queued_costs()
         urgent = sum(cost for other, cost in costs if other < rank)
         share = self._guaranteed_share(rank)
         left = max(share, 1.0 - self._demand.urgent_per_started(rank))
-        ahead = min((urgent + own) / left, (own + work.cost) / share)
+        ahead = min(
+            (urgent + own + remote_cost) / left,
+            max(0.0, own + work.cost - owed) / share + remote_cost,
+        )
         less_urgent = [(other, cost) for other, cost in costs if other > rank]
         shares = sum(self._guaranteed_share(other) for other, _ in less_urgent)
         return ahead + min(sum(cost for _, cost in less_urgent), ahead * shares)
@@ -183,6 +186,12 @@
             skipped = 1 if lane in promoted else 0
             yield from itertools.islice(lane.queue.in_order(now), skipped, None)
 
+    def _earned_share(self, lane: RankLane[WorkT]) -> float:
+        """Return the share that a rank earns now; without waiting work that of its demand."""
+        if lane.queue.has_ready():
+            return self._guaranteed_share(lane.rank)
+        return DEMAND_GUARANTEE * self._demand.share_of(lane.rank)
+
     def _guaranteed_share(self, rank: int) -> float:
         """Return the share of the started cost that a rank with waiting work gets at least."""
         return guaranteed_share(self._demand.share_of(rank), len(self._lanes))
@@ -217,8 +226,3 @@
             # Resets rounding errors of the running sum.
             del self._count_by_rank[rank]
             del self._cost_by_rank[rank]
-
-    def _reset_if_empty(self, lane: RankLane[WorkT]) -> None:
-        """Discard the credit of a rank in which nothing waits."""
-        if not len(lane.queue):
-            lane.credit.reset()
--- a/packages/admission/src/lagoonwing_admission/_waiting_room.py
+++ b/packages/admission/src/lagoonwing_admission/_waiting_room.py
@@ -8,6 +8,7 @@
 from lagoonwing_admission._bounds import MemberTotals, QueueBounds
 from lagoonwing_admission._check import AdmissionCheck, expected_wait_s
 from lagoonwing_admission._ordered_set import OrderedSet
+from lagoonwing_admission._overtaking import OvertakingLimit
 from lagoonwing_admission._queue import WorkT
 from lagoonwing_admission._ranked import RankedQueue
 from lagoonwing_admission._return_schedule import ReturnSchedule
@@ -39,6 +40,7 @@
         )
         self._returns = ReturnSchedule(rng)
         self._start_rate = StartRate()
+        self._overtaking: OvertakingLimit[WorkT] = OvertakingLimit()
         self._work_by_id: dict[WorkId, WorkT] = {}
         # Latest start and id of each waiting request.
         self._expiries: OrderedSet[tuple[float, WorkId]] = OrderedSet()
@@ -67,14 +69,18 @@
         return verdict
 
     def candidates(self, now: float, limit: int) -> list[WorkT]:
-        """Return up to `limit` waiting requests in the order in which they would start."""
-        return self._queue.candidates(now, limit)
+        """Return up to `limit` waiting requests in the order in which they would start.
+
+        There are fewer while capacity is reserved for a request that others have overtaken.
+        """
+        return self._overtaking.limit(self._queue.candidates(now, limit), now)
 
     def started(self, work: WorkT, now: float) -> None:
         """Record the start of a request, which may have started without waiting."""
         if work.work_id not in self._work_by_id:
             self._queue.offered(work, now)
             self._add(work)
+        self._overtaking.started(work)
         self._forget(work)
         self._queue.take(work)
         self._start_rate.started(work.cost, now)
@@ -82,6 +88,7 @@
     def withdraw(self, work: WorkT) -> None:
         """Remove a request whose caller is gone; one that does not wait is ignored."""
         if work.work_id in self._work_by_id:
+            self._overtaking.forget(work)
             self._forget(work)
             self._queue.discard(work)
 
