--- a/packages/admission/src/lagoonwing_admission/_check.py
+++ b/packages/admission/src/lagoonwing_admission/_check.py
@@ -67,8 +67,8 @@
         match self._policy:
             case BoundedQueue():
                 return Admitted(wait)
-            case EarlyRefusal(max_wait_s=max_wait_s):
-                return _check_wait(work, wait, max_wait_s, now)
+            case EarlyRefusal() as policy:
+                return _check_wait(policy, work, wait, now)
             case _:
                 assert_never(self._policy)
 
@@ -82,10 +82,10 @@
     return queue.work_ahead(work, remote_cost_ahead) / rate
 
 
-def _check_wait(work: WorkT, wait: float, max_wait_s: float, now: float) -> Verdict:
+def _check_wait(policy: EarlyRefusal, work: WorkT, wait: float, now: float) -> Verdict:
     """Reject a request that would start too late."""
-    if now + wait > work.latest_start:
+    if now + wait * policy.wait_margin > work.latest_start:
         return Rejected(RejectReason.DEADLINE_UNREACHABLE, wait)
-    if wait > max_wait_s:
+    if wait > policy.max_wait_s:
         return Rejected(RejectReason.WAIT_TOO_LONG, wait)
     return Admitted(wait)
--- a/packages/admission/src/lagoonwing_admission/const.py
+++ b/packages/admission/src/lagoonwing_admission/const.py
@@ -19,7 +19,7 @@
 # Span of the random part of a promise without a known rate.
 UNKNOWN_RATE_JITTER_S = 0.6
 # Longest time for which capacity is reserved for one request that others have overtaken.
-MAX_RESERVE_S = 0.5
+MAX_RESERVE_S = 0.1
 # Time constant of the average of the cost started per second.
 START_RATE_TIME_CONSTANT_S = 1.0
 # Share by which the usual time of a route's callers decays per second. Between two first
--- a/packages/admission/src/lagoonwing_admission/models.py
+++ b/packages/admission/src/lagoonwing_admission/models.py
@@ -115,6 +115,7 @@
         min_member_requests: Requests that every member may queue while the queue has room.
         free_share: Share of the remaining room in the queue that one member may take.
         max_wait_s: Longest expected wait with which a request is queued.
+        wait_margin: Factor of the expected wait in the comparison with the latest start.
     """
 
     max_requests: int = 4096
@@ -122,6 +123,7 @@
     min_member_requests: int = 4
     free_share: float = 0.5
     max_wait_s: float = 60.0
+    wait_margin: float = 1.0
 
 
 AdmissionPolicy = BoundedQueue | EarlyRefusal
@@ -133,11 +135,17 @@
 
     Attributes:
         queue: Order in which waiting requests start.
-        admission: Which requests are refused instead of queued.
+        admission: Which requests are refused instead of queued. Returned callers, which may
+            take half of the capacity, go before a new request, hence the margin of 2: without it
+            45 in 100 requests of a rank at its limit waited until their latest start in vain.
     """
 
-    queue: QueuePolicy = field(default_factory=WeightedFair)
-    admission: AdmissionPolicy = field(default_factory=EarlyRefusal)
+    queue: QueuePolicy = field(
+        default_factory=lambda: WeightedFair(
+            short_weight=4.0, normal_weight=2.0, long_weight=1.0, ageing_s=1.0
+        )
+    )
+    admission: AdmissionPolicy = field(default_factory=lambda: EarlyRefusal(wait_margin=2.0))
 
 
 class RejectReason(Enum):
