--- a/packages/gateway/src/lagoonwing_gateway/_admission_queue.py
+++ b/packages/gateway/src/lagoonwing_gateway/_admission_queue.py
@@ -28,7 +28,11 @@
 from lagoonwing_core.result_codes import ResultCode
 from lagoonwing_gateway._admission_log import log_admission
 from lagoonwing_gateway._admission_request import AdmissionRequest
-from lagoonwing_gateway.const import MAX_ADMISSION_CANDIDATES, RECHECK_INTERVAL_S
+from lagoonwing_gateway.const import (
+    MAX_ADMISSION_CANDIDATES,
+    RECHECK_INTERVAL_S,
+    REPAIR_JITTER_S,
+)
 from lagoonwing_gateway.diagnostics import GatewayMetrics
 from lagoonwing_gateway.models import CallerGone, NotAdmitted
 from lagoonwing_gateway.ports import Responder
@@ -182,6 +186,17 @@
         retry_after_s = room.retry_after_s(request, request.longest_retry_after_s(now), now)
         return NotAdmitted(code, detail, retry_after_s)
 
+    def refusal_until(self, request: AdmissionRequest, ready_s: float) -> NotAdmitted:
+        """Return the refusal of a request whose service can't run it for some time."""
+        jittered_s = ready_s + self._rng.random() * REPAIR_JITTER_S
+        longest_s = request.longest_retry_after_s(self._clock.now())
+        self._metrics.not_admitted("layers_missing")
+        return NotAdmitted(
+            ResultCode.NO_ENDPOINT,
+            "no endpoint holds some of the layers",
+            min(jittered_s, longest_s),
+        )
+
     @callback
     def _submit(self, request: AdmissionRequest) -> NotAdmitted | None:
         """Let a request wait, or return its refusal."""
--- a/packages/gateway/src/lagoonwing_gateway/_directory.py
+++ b/packages/gateway/src/lagoonwing_gateway/_directory.py
@@ -38,6 +38,7 @@
         self._ids_by_service: tuple[tuple[EndpointId, ...], ...] = ()
         self._groups_by_service: dict[ServiceId, tuple[Engine, tuple[HolderGroup, ...]]] = {}
         self._classes_by_service: dict[ServiceId, tuple[HolderClass, ...]] = {}
+        self._missing_by_service: dict[ServiceId, int] = {}
         follower.add_listener(self._refresh)
 
     @callback
@@ -57,6 +58,7 @@
         )
         self._groups_by_service.clear()
         self._classes_by_service.clear()
+        self._missing_by_service.clear()
         self._id_by_address = {
             record.socket_address: record.endpoint_id
             for group in ready.values()
@@ -116,8 +118,21 @@
             cached = (engine, group_holders(engine, self._holders(service, engine)))
             self._groups_by_service[service.service_id] = cached
             self._classes_by_service.pop(service.service_id, None)
+            self._missing_by_service.pop(service.service_id, None)
         return cached[1]
 
+    def missing_layers(self, service: Service, engine: Engine) -> int:
+        """Return the number of layers that no ready endpoint holds, cached like the groups."""
+        groups = self.holder_groups(service, engine)
+        missing = self._missing_by_service.get(service.service_id)
+        if missing is None:
+            held = {
+                layer for group in groups for layer in range(group.layers.first, group.layers.end)
+            }
+            missing = engine.layer_count - len(held)
+            self._missing_by_service[service.service_id] = missing
+        return missing
+
     def holder_classes(self, service: Service, engine: Engine) -> tuple[HolderClass, ...]:
         """Return the holders of a service's layers by layers, cached like the groups."""
         groups = self.holder_groups(service, engine)
--- a/packages/gateway/src/lagoonwing_gateway/_stream_handler.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_handler.py
@@ -17,7 +17,7 @@
 from lagoonwing_gateway._stream_attempt import StreamAttempt
 from lagoonwing_gateway._stream_call import StreamCall, StreamProgress
 from lagoonwing_gateway._stream_failover import PathClaim, StreamFailover
-from lagoonwing_gateway.const import MAX_CONNECT_ATTEMPTS
+from lagoonwing_gateway.const import MAX_CONNECT_ATTEMPTS, REPAIR_DELAY_S
 from lagoonwing_gateway.models import (
     AttemptOutcome,
     CallerGone,
@@ -30,7 +30,7 @@
     ResendObstacle,
 )
 from lagoonwing_gateway.ports import Responder
-from lagoonwing_placement import RequestSize
+from lagoonwing_placement import RequestSize, load_s
 
 
 class StreamHandler:
@@ -113,6 +113,10 @@
             components.clock.now(),
             is_started=call.progress.started,
         )
+        repair_s = self._repair_s(call)
+        if not call.progress.started and request.submitted + repair_s > request.latest_start:
+            call.progress.not_admitted = queue.refusal_until(request, repair_s)
+            return None
         claim = queue.claim_now(request, failover.claim_path)
         if claim is not None:
             return claim
@@ -141,6 +145,13 @@
                 call.progress.not_admitted = outcome
         return None
 
+    def _repair_s(self, call: StreamCall) -> float:
+        """Return the time until all layers are held again; 0 if they are."""
+        missing = self._components.directory.missing_layers(call.service, call.engine)
+        if missing == 0:
+            return 0.0
+        return REPAIR_DELAY_S + load_s(call.engine, missing)
+
     def _finish_unserved(
         self, call: StreamCall, last_outcome: AttemptOutcome, obstacle: ResendObstacle
     ) -> GatewayRefusal | None:
--- a/packages/gateway/src/lagoonwing_gateway/const.py
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -102,6 +102,9 @@
 # time within which one own start is due at the reported rate if it is no evidence of a change.
 EXPLAINED_TRANSFERS_S = 1.0
 MAX_EXPLAINED_TRANSFERS_S = 5.0
+# Time until a missing layer begins to load, and the random part of the time to return after it.
+REPAIR_DELAY_S = 0.5
+REPAIR_JITTER_S = 1.0
 # Cost of a request of unknown size: a call, or a stream of a service without published figures.
 CALL_COST = 16.0
 # Time without events after which callers of streams disconnect: the longest of this time and of
--- a/tests/gateway/test_admission_queue.py
+++ b/tests/gateway/test_admission_queue.py
@@ -16,7 +16,11 @@
 from lagoonwing_core.result_codes import ResultCode
 from lagoonwing_gateway._admission_queue import AdmissionQueue
 from lagoonwing_gateway._admission_request import AdmissionRequest
-from lagoonwing_gateway.const import MAX_RETRY_AFTER_SHARE, RECHECK_INTERVAL_S
+from lagoonwing_gateway.const import (
+    MAX_RETRY_AFTER_SHARE,
+    RECHECK_INTERVAL_S,
+    REPAIR_JITTER_S,
+)
 from lagoonwing_gateway.diagnostics import GatewayMetrics
 from lagoonwing_gateway.models import CallerGone, NotAdmitted
 
@@ -312,3 +316,15 @@
     full.release()
     await full.async_settle()
     assert full.queue.waiting_cost_by_service() == {}
+
+
+@pytest.mark.looptime
+async def test_return_after_a_repair_is_within_what_callers_honour(full: QueueUnderTest) -> None:
+    """A caller that is told to return before the layers are loaded is refused twice, and lost."""
+    full.submit("a")
+    await full.async_settle()
+    request = next(iter(full.queue._waiter_by_id.values())).request
+    short = full.queue.refusal_until(request, 2.0)
+    assert 2.0 <= short.retry_after_s <= 2.0 + REPAIR_JITTER_S
+    long = full.queue.refusal_until(request, 60.0)
+    assert long.retry_after_s == pytest.approx(DEADLINE_S * MAX_RETRY_AFTER_SHARE)
