Sound endpoints are reported for 10 s after anybody called them slow

Cause: with 2 s, an endpoint that a slow stream wrongly blamed was called slow again for one report every 2 s, because all gateways had stopped to report it as sound.

Result: in tests/gateway/test_pace_tracker.py, 106 gateways with a stream each blamed 11 in 100 sound endpoints before, at most 5 now. A report has 6 to 7 entries then, instead of 4 to 5 (simulation).

--- a/packages/gateway/src/lagoonwing_gateway/const.py
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -164,7 +164,7 @@
 REPORTED_SLOWDOWN = 1.2
 SLOW_ENDPOINT_FACTOR = 1.5
 # Time for which a sound endpoint is reported after it was last reported slow.
-PACE_MEMORY_S = 2.0
+PACE_MEMORY_S = 10.0
 # Half-life of a slowdown without new observations.
 PACE_HALF_LIFE_S = 2.0
 # Time after which a slow endpoint that no gateway has found sound explains the slow streams through
