--- a/bench/pace_simulation.py
+++ b/bench/pace_simulation.py
@@ -8,17 +8,20 @@
 
 import heapq
 import random
-import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from enum import Enum
+from functools import partial
+from statistics import mean, median
 
 from lagoonwing_catalog.messages import EndpointLoad, LoadReport, LoadSummary
 from lagoonwing_core.clock import ManualClock
 from lagoonwing_core.ids import EndpointId, FailureDomainId
 from lagoonwing_fakes.fleets import make_engine
-from lagoonwing_gateway._paced_stream import PacedSegment, PacedStream
 from lagoonwing_gateway._pace_tracker import PaceTracker
+from lagoonwing_gateway._paced_stream import PacedSegment, PacedStream
+from lagoonwing_gateway.const import PACE_NOISE, PACE_SAMPLE_TTL_S, SLOW_ENDPOINT_FACTOR
 from lagoonwing_placement import (
     Holder,
     PathFinder,
@@ -34,21 +37,57 @@
 SIZE = RequestSize(774, 204)
 EVENTS = 68
 REPORT_S = 0.2
+SEEDS = (1, 2, 3)
+NO_SUMMARY = LoadSummary({})
 # Relative deviation of a pass, and the largest wait for a pass in progress as a share of a pass.
 PASS_NOISE = 0.1
 PASS_WAIT = 0.5
 
 
+class Method(Enum):
+    """How slow endpoints are found.
+
+    LOWEST: what the gateways do. OWN: the same from each gateway's own streams only. BLAME: all
+    endpoints of a slow stream are called slow, whatever other streams show. NONE: not at all.
+    ORACLE: gateways know the slow endpoints at once.
+    """
+
+    LOWEST = "lowest of all gateways"
+    OWN = "own streams only"
+    BLAME = "all endpoints of a slow path"
+    NONE = "none"
+    ORACLE = "oracle"
+
+
+class BlamingTracker(PaceTracker):
+    """Calls all endpoints of a slow path slow and reports no sound ones."""
+
+    def _upper_bounds(self, now: float) -> dict[EndpointId, float]:
+        bounds = super()._upper_bounds(now)
+        for stream in self._streams:
+            sample = stream.sample
+            if sample is None or now > sample.taken_at + PACE_SAMPLE_TTL_S:
+                continue
+            ratio = sample.ratio / self._typical.ratio
+            if ratio > 1.0 + PACE_NOISE:
+                for endpoint_id, _ in sample.shares:
+                    bounds[endpoint_id] = max(ratio, bounds.get(endpoint_id, 1.0))
+        return bounds
+
+    def report(self) -> dict[EndpointId, float]:
+        """Return the endpoints of slow paths."""
+        return {one: factor for one, factor in super().report().items() if factor > 1.0}
+
+
 @dataclass
 class Scenario:
     """Load and failures of a run.
 
     Attributes:
         streams: Streams at the same time.
-        slow: Number of slow endpoints.
-        onset, recovery: Times between which they are slow.
+        slow: Number of slow endpoints, between `onset` and `recovery`.
         misfit: Factor by which all passes take longer than published, by time.
-        lost: Whether a report gets lost, by time.
+        is_lost: Whether a report gets lost, by time.
     """
 
     gateways: int = 106
@@ -61,7 +100,7 @@
     misfit: Callable[[float], float] = lambda now: 1.0
     is_lost: Callable[[float], bool] = lambda now: False
     seed: int = 1
-    avoids: bool = True
+    method: Method = Method.LOWEST
 
 
 @dataclass
@@ -69,33 +108,42 @@
     """A simulated gateway."""
 
     tracker: PaceTracker
-    summary: LoadSummary = field(default_factory=lambda: LoadSummary({}))
+    summary: LoadSummary = NO_SUMMARY
     summary_at: float = -9.0
     streams: int = 0
 
 
 @dataclass
-class Result:
-    """Measures of a run."""
+class Measures:
+    """Sums over a run.
 
-    detected_s: list[float] = field(default_factory=list)
-    recovered_s: list[float] = field(default_factory=list)
-    sound_blamed: float = 0.0
-    slow_found: float = 0.0
-    late: float = 0.0
-    report_entries: float = 0.0
-    update_us: float = 0.0
+    Attributes:
+        found_at_by_id: Time at which half of the gateways first knew a slow endpoint.
+        cleared_at_by_id: Time from which less than half of them call it slow after its recovery.
+        known: Share of gateways that know each slow endpoint, from 1 s after the onset.
+        blamed: Share of gateways that call a sound endpoint slow, from the onset.
+        late_pauses: Pauses twice as long as on a sound path, while endpoints are slow.
+    """
+
+    found_at_by_id: dict[EndpointId, float] = field(default_factory=dict)
+    cleared_at_by_id: dict[EndpointId, float] = field(default_factory=dict)
+    known: list[float] = field(default_factory=list)
+    blamed: list[float] = field(default_factory=list)
+    late_pauses: int = 0
+    pauses: int = 0
+    updates: int = 0
+    update_s: float = 0.0
+    report_entries: int = 0
 
 
 class Simulation:
     """One run of a scenario."""
 
-    def __init__(
-        self, scenario: Scenario, make_tracker: Callable[[ManualClock], PaceTracker] = PaceTracker
-    ) -> None:
+    def __init__(self, scenario: Scenario) -> None:
         self.scenario = scenario
         self.rng = random.Random(scenario.seed)
         self.clock = ManualClock()
+        make_tracker = BlamingTracker if scenario.method is Method.BLAME else PaceTracker
         self.gateways = [Gateway(make_tracker(self.clock)) for _ in range(scenario.gateways)]
         hosts = [
             PlacementEndpoint(
@@ -123,7 +171,7 @@
         self.load_by_id: dict[EndpointId, list[int]] = {one: [0, 0] for one in self.ids}
         self.known_loads: dict[EndpointId, EndpointLoad] = {}
         self.reports: dict[int, LoadReport] = {}
-        self.result = Result()
+        self.measures = Measures()
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._number = 0
 
@@ -136,38 +184,35 @@
         """Return whether the slow endpoints are slow."""
         return self.scenario.onset <= now < self.scenario.recovery
 
-    def run(self) -> Result:
+    def run(self) -> Measures:
         """Run the scenario."""
-        for number in range(self.scenario.streams):
-            self.at(self.rng.random() * 3.0, lambda: self.start_stream())
+        for _ in range(self.scenario.streams):
+            self.at(self.rng.random() * 3.0, self.start_stream)
         for index in range(len(self.gateways)):
-            self.at(self.rng.random() * REPORT_S, lambda index=index: self.tick(index))
+            self.at(self.rng.random() * REPORT_S, partial(self.tick, index))
         self.at(0.1, self.push)
         self.at(1.0, self.measure)
-        self.samples = self.ticks = 0
-        self.late = self.pauses = 0
-        self.spent = 0.0
-        found_at: dict[EndpointId, float] = {}
-        self.found_at, self.clear_at = found_at, {}
         while self._queue and self._queue[0][0] < self.scenario.duration:
             when, _, action = heapq.heappop(self._queue)
             self.clock.advance(when - self.clock.now())
             action()
-        result = self.result
-        result.detected_s = sorted(when - self.scenario.onset for when in found_at.values())
-        result.recovered_s = sorted(
-            when - self.scenario.recovery for when in self.clear_at.values()
-        )
-        result.late = self.late / max(1, self.pauses)
-        result.report_entries /= max(1, self.ticks)
-        result.update_us = self.spent / max(1, self.ticks) * 1e6
-        return result
+        return self.measures
+
+    def known_slowdowns(self, gateway: Gateway) -> Mapping[EndpointId, float]:
+        """Return what a gateway chooses paths by."""
+        match self.scenario.method:
+            case Method.NONE:
+                return {}
+            case Method.ORACLE:
+                return self.factor_by_id if self.is_slow_time(self.clock.now()) else {}
+            case _:
+                return gateway.tracker.slowdown_by_id()
 
     def start_stream(self) -> None:
         """Start a stream at a random gateway; another one follows when it ends."""
         gateway = self.rng.choice(self.gateways)
         known = dict(self.known_loads)
-        slow = gateway.tracker.slowdown_by_id() if self.scenario.avoids else {}
+        slow = self.known_slowdowns(gateway)
         finder = PathFinder(ENGINE, known, self.rng, FailureDomainId("d-0"), slowdown_by_id=slow)
         finder.own_domain = FailureDomainId(f"d-{self.rng.randrange(3)}")
         path = finder.find(self.groups, SIZE)
@@ -208,12 +253,12 @@
             return
         pause_ms = sum(self.pass_ms(part, now) for part in segments)
         if self.is_slow_time(now):
-            self.pauses += 1
+            self.measures.pauses += 1
             sound_ms = sum(
                 part.expected_pass_ms(EndpointLoad(*self.load_by_id[part.endpoint_id], 0))
                 for part in segments
             )
-            self.late += pause_ms > 2.0 * sound_ms
+            self.measures.late_pauses += pause_ms > 2.0 * sound_ms
         self.at(now + pause_ms / 1_000, lambda: self.event(gateway, stream, segments, number + 1))
 
     def pass_ms(self, part: PacedSegment, now: float) -> float:
@@ -228,16 +273,18 @@
         """Update the estimates of a gateway and send its report."""
         now = self.clock.now()
         gateway = self.gateways[index]
-        summary = gateway.summary if now < gateway.summary_at + 1.5 else LoadSummary({})
+        summary = gateway.summary if now < gateway.summary_at + 1.5 else NO_SUMMARY
+        if self.scenario.method is Method.OWN:
+            summary = NO_SUMMARY
         started = time.perf_counter()
         gateway.tracker.update(self.known_loads, summary, (self.ids,))
-        self.spent += time.perf_counter() - started
-        self.ticks += 1
+        self.measures.update_s += time.perf_counter() - started
+        self.measures.updates += 1
         report = gateway.tracker.report()
-        self.result.report_entries += len(report)
+        self.measures.report_entries += len(report)
         if not self.scenario.is_lost(now):
             self.reports[index] = LoadReport({}, slowdown_by_id=report)
-        self.at(now + REPORT_S, lambda: self.tick(index))
+        self.at(now + REPORT_S, partial(self.tick, index))
 
     def push(self) -> None:
         """Send the registry's summary to all gateways."""
@@ -254,78 +301,65 @@
         self.at(now + REPORT_S, self.push)
 
     def measure(self) -> None:
-        """Take the share of gateways that believe each endpoint slow."""
+        """Measure what the gateways believe."""
         now = self.clock.now()
-        believed = {one: 0 for one in self.ids}
+        believed = dict.fromkeys(self.ids, 0.0)
         for gateway in self.gateways:
-            for one, factor in gateway.tracker.slowdown_by_id().items():
-                believed[one] += factor > 1.5
-        half = len(self.gateways) / 2
-        slow = self.factor_by_id if self.is_slow_time(now) else {}
-        for one in self.factor_by_id:
-            if self.is_slow_time(now) and believed[one] >= half:
-                self.found_at.setdefault(one, now)
-            if now >= self.scenario.recovery:
-                if believed[one] >= half:
-                    self.clear_at.pop(one, None)
+            for one, factor in self.known_slowdowns(gateway).items():
+                believed[one] += (factor > SLOW_ENDPOINT_FACTOR) / len(self.gateways)
+        if self.is_slow_time(now):
+            sound = [believed[one] for one in self.ids if one not in self.factor_by_id]
+            self.measures.blamed.append(mean(sound))
+            for one in self.factor_by_id:
+                if believed[one] >= 0.5:
+                    self.measures.found_at_by_id.setdefault(one, now)
+            if self.factor_by_id and now >= self.scenario.onset + 1.0:
+                self.measures.known.append(mean(believed[one] for one in self.factor_by_id))
+        elif now >= self.scenario.recovery:
+            for one in self.factor_by_id:
+                if believed[one] >= 0.5:
+                    self.measures.cleared_at_by_id.pop(one, None)
                 else:
-                    self.clear_at.setdefault(one, now)
-        sound = [believed[one] for one in self.ids if one not in slow]
-        self.samples += 1
-        if now < self.scenario.recovery:
-            self.result.sound_blamed = max(
-                self.result.sound_blamed, sum(sound) / len(sound) / len(self.gateways)
-            )
-            self.blamed_sum = getattr(self, "blamed_sum", 0.0) + sum(sound) / len(sound) / len(
-                self.gateways
-            )
-        if self.scenario.onset + 1.0 <= now < self.scenario.recovery:
-            self.slow_samples = getattr(self, "slow_samples", 0) + 1
-            self.result.slow_found += (
-                sum(believed[one] for one in slow) / max(1, len(slow)) / len(self.gateways)
-            )
+                    self.measures.cleared_at_by_id.setdefault(one, now)
         self.at(now + 0.1, self.measure)
 
 
-def show(
-    name: str, scenario: Scenario, make_tracker: Callable[..., PaceTracker] = PaceTracker
-) -> None:
+def show(name: str, scenario: Scenario) -> None:
     """Print one row."""
-    simulation = Simulation(scenario, make_tracker)
-    result = simulation.run()
-    steps = (scenario.recovery - 1.0) * 10
-    found = result.detected_s
-    mid = f"{found[len(found) // 2]:.1f}" if found else "-"
-    clear = result.recovered_s
-    back = f"{clear[len(clear) // 2]:.1f}/{clear[-1]:.1f}" if clear else "-"
-    print(
-        f"| {name} | {len(found)}/{scenario.slow} | {mid} |"
-        f" {result.slow_found / max(1, getattr(simulation, 'slow_samples', 0)):.2f} |"
-        f" {getattr(simulation, 'blamed_sum', 0.0) / steps:.3f} | {result.sound_blamed:.3f} |"
-        f" {back} | {result.late:.3f} | {result.report_entries:.1f} | {result.update_us:.0f} |",
-        flush=True,
+    measures = Simulation(scenario).run()
+    found = sorted(when - scenario.onset for when in measures.found_at_by_id.values())
+    cleared = sorted(when - scenario.recovery for when in measures.cleared_at_by_id.values())
+    cells = (
+        name,
+        f"{len(found)} of {scenario.slow}",
+        f"{median(found):.1f}" if found else "-",
+        f"{mean(measures.known):.2f}" if measures.known else "-",
+        f"{mean(measures.blamed):.3f}",
+        f"{median(cleared):.1f}, {cleared[-1]:.1f}" if cleared else "-",
+        f"{measures.late_pauses / max(1, measures.pauses):.3f}",
+        f"{measures.report_entries / max(1, measures.updates):.1f}",
+        f"{measures.update_s / max(1, measures.updates) * 1e6:.0f}",
     )
+    print(f"| {' | '.join(cells)} |", flush=True)
+
+
+def overload(now: float) -> float:
+    """Return the factor of a load that no gateway knows."""
+    return 1.0 if now < 5.0 else 1.8
 
 
 def main() -> None:
-    """Print a table."""
-    print(
-        "| case | found | median s | known | sound blamed | at most | back s | late | entries | us |"
-    )
-    print("|---|---|---|---|---|---|---|---|---|---|")
-    if len(sys.argv) > 1:
-        for seed in (1, 2):
-            show("106 gateways", Scenario(seed=seed))
-        show("4 gateways", Scenario(gateways=4))
-        return
-    show("106 gateways", Scenario())
-    show("106 gateways, paths fixed", Scenario(avoids=False))
+    """Print a table of methods and one of failures."""
+    print("| case | found | median s | known | sound blamed | clear s | late | entries | us |")
+    print("|---|---|---|---|---|---|---|---|---|")
+    for method in Method:
+        for seed in SEEDS:
+            show(f"{method.value}, seed {seed}", Scenario(method=method, seed=seed))
     show("4 gateways", Scenario(gateways=4))
     show("26 gateways, 600 streams", Scenario(gateways=26, streams=600))
-    overload = lambda now: 1.0 if now < 5 else 1.8
-    show("all slower by 1.8", Scenario(slow=0, misfit=overload))
-    show("all slower by 1.8 and 11 slow", Scenario(misfit=overload))
-    show("reports lost", Scenario(is_lost=lambda now: now > 4))
+    show("all 1.8 times slower", Scenario(slow=0, misfit=overload))
+    show("that and 11 slow", Scenario(misfit=overload))
+    show("reports lost", Scenario(is_lost=lambda now: now > 4.0))
 
 
 if __name__ == "__main__":
--- a/packages/gateway/src/lagoonwing_gateway/_request_log.py
+++ b/packages/gateway/src/lagoonwing_gateway/_request_log.py
@@ -60,6 +60,7 @@
         path=segments,
         cost_ms=round(path.cost_ms, 1),
         first_token_ms=round(path.first_token_ms, 1),
+        pause_ms=round(path.pause_ms, 1),
         pipes=len(path.links),
         holders=holders,
         revision=revision,
--- a/packages/gateway/src/lagoonwing_gateway/_stream_call.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_call.py
@@ -10,7 +10,7 @@
 from lagoonwing_gateway._plain_service import PLAIN_ENGINE, layered_engine
 from lagoonwing_gateway.models import RequestContext
 from lagoonwing_gateway.ports import Responder
-from lagoonwing_placement import RequestSize
+from lagoonwing_placement import PathBounds, RequestSize
 
 
 @dataclass(slots=True)
@@ -63,3 +63,14 @@
     def is_plain(self) -> bool:
         """Whether one endpoint runs the whole request."""
         return self.engine is PLAIN_ENGINE
+
+    @property
+    def path_bounds(self) -> PathBounds | None:
+        """Times that load must not make its path exceed; none without layers or pause objective.
+
+        A stream that has been sent is sent again on any path, as late is better than broken off.
+        """
+        route = self.context.route
+        if self.is_plain or self.progress.send_count or not route.pause_objective_s:
+            return None
+        return PathBounds(max(1.0, route.objective_s * 1_000), route.pause_objective_s * 1_000)
--- a/packages/gateway/src/lagoonwing_gateway/_stream_failover.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_failover.py
@@ -20,7 +20,7 @@
 from lagoonwing_gateway.const import MIN_TIME_TO_SEND_S
 from lagoonwing_gateway.models import AttemptOutcome, Failed, ResendObstacle
 from lagoonwing_http import ClientConnection, ConnectError
-from lagoonwing_placement import Path, PathBounds, PathFinder
+from lagoonwing_placement import Path, PathFinder
 
 
 @dataclass(frozen=True, slots=True)
@@ -157,7 +157,7 @@
             components.failure_domain,
             backlogs,
             {} if call.is_plain else components.pace_tracker.slowdown_by_id(),
-            self._bounds(),
+            call.path_bounds,
         )
         excluded = {*call.progress.excluded, *avoided_ids}
         is_usable = components.directory.usability_check(excluded)
@@ -176,16 +176,6 @@
             )
         return path
 
-    def _bounds(self) -> PathBounds | None:
-        """Return the bounds of the path; none without layers or a pause objective.
-
-        A stream that has started goes on at any path, as late is better than broken off.
-        """
-        route = self._call.context.route
-        if self._call.is_plain or self._call.progress.started or not route.pause_objective_s:
-            return None
-        return PathBounds(max(1.0, route.objective_s * 1_000), route.pause_objective_s * 1_000)
-
     def _find_condition(self, *, may_have_run: bool) -> ResendObstacle | None:
         """Return the condition that forbids another attempt, apart from the retry budget."""
         components = self._components
