Own load is taken off the summaries of a new replica

Cause: after a replica is lost, the others count its last loads for 2.5 s, and with them this gateway's own work, which it adds itself: it counted twice. Change: OwnEcho removes the last report to the lost replica from summaries for that time. Ruled out: an id of the gateway in ReplicaLoad (more bytes in each message, and nothing from a lost replica would change). If the old replica has withdrawn the report, too much is removed for that time.

--- a/packages/gateway/src/lagoonwing_gateway/_follower.py
+++ b/packages/gateway/src/lagoonwing_gateway/_follower.py
@@ -31,6 +31,7 @@
 from lagoonwing_core.events import EventCode, log_event
 from lagoonwing_core.ids import EndpointId, HostId, Revision
 from lagoonwing_gateway._crash_tracker import CrashTracker
+from lagoonwing_gateway._own_echo import OwnEcho
 from lagoonwing_gateway._replica_links import ReplicaLinks
 from lagoonwing_gateway._unreported_work import OthersLoad
 from lagoonwing_gateway.const import (
@@ -84,6 +85,7 @@
         self._source_last_message_at = -math.inf
         self._source_age = math.inf
         self._rejected_at_by_peer: dict[HostId, float] = {}
+        self._own_echo = OwnEcho(clock)
         self._summary = _NO_SUMMARY
         self._summary_received_at = -math.inf
         self._tasks: list[asyncio.Task[None]] = []
@@ -193,7 +195,7 @@
             case ReplicaList(replicas=replicas):
                 self._links.set_replicas(replicas)
             case LoadSummary():
-                self._summary = message
+                self._summary = self._own_echo.without_echo(message)
                 self._summary_received_at = self._clock.now()
             case CrashExtract():
                 self._crash_tracker.merge(message)
@@ -209,6 +211,7 @@
         """Drop the source if its channel has closed."""
         if channel is self._source:
             self._source = None
+            self._own_echo.record_lost_replica(self._source_last_message_at)
 
     @callback
     def _apply(self, delta: Delta) -> None:
@@ -254,6 +257,7 @@
         previous = self._source
         if previous is not None:
             self._source = None
+            self._own_echo.record_lost_replica(self._source_last_message_at)
             self._rejected_at_by_peer[previous.peer_id] = self._clock.now()
             log_event(
                 EventCode.PEER_LOST,
@@ -295,7 +299,9 @@
         """Report the local load periodically."""
         while True:
             if self._source is not None:
-                self._source.push(self._make_report())
+                report = self._make_report()
+                self._own_echo.record_report(report)
+                self._source.push(report)
             await asyncio.sleep(REPORT_INTERVAL_S)
 
     async def _async_report_crashes(self) -> None:
--- a/packages/gateway/src/lagoonwing_gateway/const.py
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -62,6 +62,8 @@
 # Status of an endpoint that is not the intended one or lacks the requested layers.
 MISDIRECTED_STATUS = 421
 
+# Time after the last message of a replica for which the others count the loads that it reported.
+REPLICA_LOAD_TTL_S = 2.5
 # Mean age of the reports in a load summary when it arrives: half an interval each for reports of
 # gateways and for pushes of the replica, and about another half for gateways of other replicas.
 LOAD_REPORT_DELAY_S = 0.25
