--- a/packages/gateway/src/lagoonwing_gateway/const.py
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -86,6 +86,8 @@
 # Lowest status after which another endpoint may succeed.
 FIRST_FAILURE_STATUS = 500
 
+# Time after the last message of a replica for which the others count the loads that it reported.
+REPLICA_LOAD_TTL_S = 2.5
 # Mean age of the reports in a load summary when it arrives: half an interval each for reports of
 # gateways and for pushes of the replica, and about another half for gateways of other replicas.
 LOAD_REPORT_DELAY_S = 0.25
