--- a/packages/gateway/src/lagoonwing_gateway/_gateway.py
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -108,7 +108,9 @@
         self._unreported_work = UnreportedWork(
             self.follower.others_load, self._started_work, clock, rng
         )
-        self._connection_pool = EndpointConnectionPool(clock, self.metrics.unrequested_bytes)
+        self._connection_pool = EndpointConnectionPool(
+            clock, self.metrics.unrequested_bytes, self.metrics.connection_opened
+        )
         self._limits = LimitTracker(clock, lambda: self.follower.endpoint_by_id)
         limiter = EndpointLimiter(
             self._limits,
@@ -130,7 +132,9 @@
         self.follower.add_load_listener(self._wake_admission)
         slowdown = SlowdownTracker()
         self._directory = EndpointDirectory(self.follower, self._suspicions, clock)
-        self._watchdog = Watchdog(self._directory, self._suspicions, clock)
+        self._watchdog = Watchdog(
+            self._directory, self._suspicions, clock, self.metrics.connection_opened
+        )
         components = GatewayComponents(
             failure_domain=settings.failure_domain,
             follower=self.follower,
