--- a/packages/admission/src/lagoonwing_admission/_class_queue.py
+++ b/packages/admission/src/lagoonwing_admission/_class_queue.py
@@ -33,6 +33,17 @@
         first = self._order.first()
         return None if first is None else self._entry_by_id[first[2]][2]
 
+    def cost_before(self, due: float) -> float:
+        """Return the cost of the requests that go before a new one.
+
+        It is estimated from their number and the mean cost, so that it takes O(log n).
+        """
+        if not self._entry_by_id:
+            return 0.0
+        # Requests that are due at the same time go before a later one.
+        before = self._order.count_below((due, self._number + 1, WorkId("")))
+        return self.cost * before / len(self._entry_by_id)
+
     def add(self, work: WorkT) -> None:
         """Add a request."""
         self._number += 1
--- a/packages/admission/src/lagoonwing_admission/_members.py
+++ b/packages/admission/src/lagoonwing_admission/_members.py
@@ -65,9 +65,9 @@
             and (head := queue.head()) is not None
         ]
 
-    def cost_of(self, cost_class: CostClass) -> float:
-        """Return the cost of the queued requests of a class."""
-        return self.waiting[cost_class].cost
+    def cost_before(self, cost_class: CostClass, due: float) -> float:
+        """Return the cost of a class that goes before a new request with this due time."""
+        return self.waiting[cost_class].cost_before(due)
 
     def add(self, work: WorkT) -> None:
         """Add a request to the queue of its class."""
--- a/packages/admission/src/lagoonwing_admission/_ordered_set.py
+++ b/packages/admission/src/lagoonwing_admission/_ordered_set.py
@@ -31,6 +31,11 @@
         lowest: ItemT = self._items[0]
         return lowest
 
+    def count_below(self, item: ItemT) -> int:
+        """Return the number of items that are lower than this one."""
+        count: int = self._items.bisect_left(item)
+        return count
+
     def add(self, item: ItemT) -> None:
         """Add an item."""
         self._items.add(item)
--- a/packages/admission/src/lagoonwing_admission/_ranked.py
+++ b/packages/admission/src/lagoonwing_admission/_ranked.py
@@ -146,32 +146,40 @@
             work: The request; it is not in the queue.
             remote_cost: Cost that waits elsewhere for the same capacity and goes first.
         """
-        rank = self._rank_of(work)
+        if self._ignores_ranks:
+            return self._lane(work.rank).queue.work_ahead(work) + remote_cost
+        rank = work.rank
         lane = self._lane_by_rank.get(rank)
         own = lane.queue.work_ahead(work) if lane is not None else 0.0
         owed = lane.credit.owed if lane is not None else 0.0
-        costs = self._queued_costs()
-        urgent = sum(cost for other, cost in costs if other < rank)
+        urgent = sum(cost for other, cost in self._cost_by_rank.items() if other < rank)
+        remote = remote_cost * self._share_ahead(work, urgent + own)
         share = self._guaranteed_share(rank)
         left = max(share, 1.0 - self._demand.urgent_per_started(rank))
         ahead = min(
-            (urgent + own + remote_cost) / left,
-            max(0.0, own + work.cost - owed) / share + remote_cost,
+            (urgent + own + remote) / left, max(0.0, own + work.cost - owed) / share + remote
         )
-        less_urgent = [(other, cost) for other, cost in costs if other > rank]
-        shares = sum(self._guaranteed_share(other) for other, _ in less_urgent)
-        return ahead + min(sum(cost for _, cost in less_urgent), ahead * shares)
+        return ahead + self._less_urgent_ahead(rank, ahead)
+
+    def _share_ahead(self, work: WorkT, ahead: float) -> float:
+        """Return the share of the queue of this rank and more urgent ones that goes first.
+
+        Other gateways report only the cost of each rank. Their queues consist of the same members
+        as this one, so the same share of them goes before the request.
+        """
+        queued = sum(cost for other, cost in self._cost_by_rank.items() if other <= work.rank)
+        return min(1.0, (ahead + work.cost) / (queued + work.cost))
+
+    def _less_urgent_ahead(self, rank: int, ahead: float) -> float:
+        """Return the cost of less urgent ranks that starts meanwhile by their shares."""
+        less_urgent = {other: cost for other, cost in self._cost_by_rank.items() if other > rank}
+        shares = sum(self._guaranteed_share(other) for other in less_urgent)
+        return min(sum(less_urgent.values()), ahead * shares)
 
     def cost_by_rank(self) -> dict[int, float]:
         """Return the total cost of the queued requests of each rank that has any."""
         return dict(self._cost_by_rank)
 
-    def _queued_costs(self) -> list[tuple[int, float]]:
-        """Return the cost of the queued requests by the rank that orders them."""
-        if self._ignores_ranks:
-            return []
-        return list(self._cost_by_rank.items())
-
     def _in_order(self, now: float) -> Iterator[WorkT]:
         """Iterate over the candidates of all lanes; first those that a guarantee covers."""
         waiting = [lane for lane in self._lanes if lane.queue.has_ready()]
--- a/packages/admission/src/lagoonwing_admission/_weighted_fair.py
+++ b/packages/admission/src/lagoonwing_admission/_weighted_fair.py
@@ -160,9 +160,10 @@
     def work_ahead(self, work: WorkT) -> float:
         """Return the cost of work that would start before a new request."""
         member = self._member(work.member_id)
-        own = member.cost_of(CostClass.SHORT) + member.cost_of(CostClass.NORMAL)
+        own = member.cost_before(CostClass.SHORT, work.due)
+        own += member.cost_before(CostClass.NORMAL, work.due)
         if work.cost_class is CostClass.LONG:
-            own += member.cost_of(CostClass.LONG)
+            own += member.cost_before(CostClass.LONG, work.due)
         others = self._active_weight - (member.weight if len(member) else 0.0)
         lag = max(0.0, member.start - self._virtual)
         # While the member's own work drains, the other members get their shares, bounded by the
