--- a/bench/balance_bench.py
+++ b/bench/balance_bench.py
@@ -381,7 +381,9 @@
     parser.add_argument("--ages", type=float, nargs="+", default=AGES_S)
     parser.add_argument("--policies", nargs="+", choices=POLICIES, default=list(POLICIES))
     arguments = parser.parse_args()
-    print("| load | gateways | policy | longest/mean | idle beside overload | lost ms | p99 lost ms |")
+    print(
+        "| load | gateways | policy | longest/mean | idle beside overload | lost ms | p99 lost ms |"
+    )
     print("|---|---|---|---|---|---|---|")
     by_key = itertools.groupby(
         scenarios(arguments), key=lambda scenario: (scenario.shape, scenario.gateways)
--- a/packages/admission/src/lagoonwing_admission/_waiting_room.py
+++ b/packages/admission/src/lagoonwing_admission/_waiting_room.py
@@ -106,16 +106,18 @@
         first = self._expiries.first()
         return None if first is None else first[0]
 
-    def retry_after_s(self, work: WorkT, max_s: float, now: float) -> float:
+    def retry_after_s(self, work: WorkT, max_s: float, now: float, gateways: int = 1) -> float:
         """Return when the caller of a refused request should return, in seconds from now.
 
         Args:
             work: The refused request; it does not wait any more.
             max_s: Longest time that the caller honours.
             now: Time in seconds.
+            gateways: Gateways that promise returns from the same capacity, each an even part.
         """
         wait = expected_wait_s(work, self._queue, self._rate, self._remote_ahead)
-        return self._returns.promise(work.rank, work.cost, self._rate, wait, max_s, now)
+        rate = None if self._rate is None else self._rate / gateways
+        return self._returns.promise(work.rank, work.cost, rate, wait, max_s, now)
 
     def set_weight(self, member_id: MemberId, weight: float) -> None:
         """Set a member's weight, 1 by default."""
--- a/packages/gateway/src/lagoonwing_gateway/_admission_queue.py
+++ b/packages/gateway/src/lagoonwing_gateway/_admission_queue.py
@@ -78,6 +78,7 @@
         rng: random.Random,
         load_summary: Callable[[], LoadSummary],
         load_age: Callable[[], float],
+        gateways: Callable[[], int],
         metrics: GatewayMetrics,
     ) -> None:
         """Create an empty queue.
@@ -88,6 +89,7 @@
             rng: Random source.
             load_summary: Returns the demand at the other gateways.
             load_age: Returns the seconds since the registry last told it.
+            gateways: Returns the number of live gateways.
             metrics: Metrics of the gateway.
         """
         self._settings = settings
@@ -95,6 +97,7 @@
         self._rng = rng
         self._load_summary = load_summary
         self._load_age = load_age
+        self._gateways = gateways
         self._metrics = metrics
         self._numbers = itertools.count()
         self._room_by_service: dict[ServiceId, WaitingRoom[AdmissionRequest]] = {}
@@ -183,7 +186,8 @@
         """Return the refusal of a request with the time at which there will be capacity."""
         now = self._clock.now()
         room = self._room(request.service_id)
-        retry_after_s = room.retry_after_s(request, request.longest_retry_after_s(now), now)
+        longest_s = request.longest_retry_after_s(now)
+        retry_after_s = room.retry_after_s(request, longest_s, now, self._gateways())
         return NotAdmitted(code, detail, retry_after_s)
 
     def refusal_until(self, request: AdmissionRequest, ready_s: float) -> NotAdmitted:
--- a/packages/gateway/src/lagoonwing_gateway/_gateway.py
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -126,6 +126,7 @@
             rng,
             self.follower.load_summary,
             self.follower.load_age,
+            lambda: self.follower.gateways,
             self.metrics,
         )
         self.follower.add_listener(self._wake_admission)
--- a/tests/gateway/test_admission_queue.py
+++ b/tests/gateway/test_admission_queue.py
@@ -92,6 +92,7 @@
             random.Random(1),
             lambda: self.summary,
             lambda: 0.1,
+            lambda: 1,
             GatewayMetrics(),
         )
         self.outcome_by_name: dict[str, str | NotAdmitted | CallerGone] = {}
--- a/tests/gateway/test_unreported_work.py
+++ b/tests/gateway/test_unreported_work.py
@@ -344,14 +344,14 @@
         gateway.clock.advance(0.05)
         gateway.unreported_work.record_stream(SERVICE, 100.0, (LINK,), 2.0)
         gateway.unreported_work.record_call(CALL_SERVICE)
-    pressures = gateway.started_work.pressures()
-    assert pressures[SERVICE].started_cost_per_s == pytest.approx(2_000.0, rel=0.06)
-    assert pressures[CALL_SERVICE].started_cost_per_s == pytest.approx(20 * CALL_COST, rel=0.06)
+    rates = gateway.started_work.cost_per_s()
+    assert rates[SERVICE] == pytest.approx(2_000.0, rel=0.06)
+    assert rates[CALL_SERVICE] == pytest.approx(20 * CALL_COST, rel=0.06)
     (transfers,) = gateway.started_work.transfers()
     assert transfers.started_ms_per_s == pytest.approx(40.0, rel=0.06)
     assert gateway.started_work.cost_since(SERVICE, 0.5) == pytest.approx(1_000.0, rel=0.11)
     gateway.clock.advance(1.1)
-    assert gateway.started_work.pressures() == {}
+    assert gateway.started_work.cost_per_s() == {}
     assert gateway.started_work.transfers() == ()
 
 
