Only requests that a limit may hold back are asked whether they are hopeless

Cause: each wake-up asked every waiting request, which grows with the queue. Change: a table of its own. Ruled out: asking on grants only, since the verdict also follows from time.

--- a/packages/gateway/src/lagoonwing_gateway/_admission_queue.py
+++ b/packages/gateway/src/lagoonwing_gateway/_admission_queue.py
@@ -53,7 +53,7 @@
 
     Attributes:
         try_claim: Claims capacity for the request; returns None if there is none.
-        is_hopeless: Returns whether the request can't be served for another reason than load.
+        is_hopeless: Returns whether a limit of the endpoints keeps it from being served.
     """
 
     request: AdmissionRequest
@@ -102,6 +102,8 @@
         self._numbers = itertools.count()
         self._room_by_service: dict[ServiceId, WaitingRoom[AdmissionRequest]] = {}
         self._waiter_by_id: dict[WorkId, _Waiter[Any]] = {}
+        # Waiting requests that a limit of their endpoints may make hopeless.
+        self._limited_by_id: dict[WorkId, _Waiter[Any]] = {}
         self._seen_ranks: set[int] = set()
         self._is_run_scheduled = False
         self._timer: asyncio.TimerHandle | None = None
@@ -128,7 +130,7 @@
         request: AdmissionRequest,
         try_claim: Callable[[], ClaimT | None],
         responder: Responder,
-        is_hopeless: Callable[[], bool],
+        is_hopeless: Callable[[], bool] | None = None,
     ) -> ClaimT | NotAdmitted | CallerGone:
         """Wait until capacity can be claimed for a request.
 
@@ -139,15 +141,18 @@
             request: The request.
             try_claim: Claims capacity for it; returns None if there is none.
             responder: Tells when its caller disconnects.
-            is_hopeless: Returns whether it can't be served for another reason than load.
+            is_hopeless: Returns whether a limit of the endpoints keeps it from being served; None
+                if they have named none.
         """
         rejected = self._submit(request)
         if rejected is not None:
             return rejected
         waiter = _Waiter(
-            request, try_claim, is_hopeless, asyncio.get_running_loop().create_future()
+            request, try_claim, is_hopeless or _is_never, asyncio.get_running_loop().create_future()
         )
         self._waiter_by_id[request.work_id] = waiter
+        if is_hopeless is not None:
+            self._limited_by_id[request.work_id] = waiter
         self._seen_ranks.add(request.rank)
         responder.set_on_disconnect(lambda: waiter.resolve(CallerGone()))
         self.wake()
@@ -156,6 +161,7 @@
         finally:
             responder.set_on_disconnect(_ignore_disconnect)
             del self._waiter_by_id[request.work_id]
+            self._limited_by_id.pop(request.work_id, None)
             self._room(request.service_id).withdraw(request)
         self._record_outcome(request, outcome)
         return outcome
@@ -289,8 +295,8 @@
             waiter.resolve(self.refusal(request, ResultCode.NO_ENDPOINT, detail))
 
     def _hopeless(self, room: WaitingRoom[AdmissionRequest]) -> Iterator[_Waiter[Any]]:
-        """Yield the waiting requests that can't be served for another reason than load."""
-        for waiter in list(self._waiter_by_id.values()):
+        """Yield the waiting requests that a limit of the endpoints keeps from being served."""
+        for waiter in list(self._limited_by_id.values()):
             if self._room(waiter.request.service_id) is room and waiter.is_hopeless():
                 yield waiter
 
@@ -315,5 +321,10 @@
         return room
 
 
+def _is_never() -> bool:
+    """Return False: no limit was named."""
+    return False
+
+
 def _ignore_disconnect() -> None:
     """Ignore a disconnect after the wait has ended."""
--- a/packages/gateway/src/lagoonwing_gateway/_call_endpoints.py
+++ b/packages/gateway/src/lagoonwing_gateway/_call_endpoints.py
@@ -113,7 +113,7 @@
                 request,
                 lambda: self.claim(context, service, excluded, wait.waiter),
                 responder,
-                wait.is_hopeless,
+                wait.is_hopeless if wait.has_begun else None,
             )
         finally:
             wait.end()
--- a/packages/gateway/src/lagoonwing_gateway/_permit_wait.py
+++ b/packages/gateway/src/lagoonwing_gateway/_permit_wait.py
@@ -51,6 +51,11 @@
         self.waiter = Waiter(service_id, member_id, self._patience_s, is_started)
         self._limiter.join(self.waiter)
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the request waits for a permit, or was found not to get one in time."""
+        return self.waiter is not None or self.expected_s is not None
+
     @callback
     def end(self) -> None:
         """Leave those that wait."""
--- a/packages/gateway/src/lagoonwing_gateway/_stream_handler.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_handler.py
@@ -133,7 +133,7 @@
                 request,
                 lambda: failover.claim_path(waiter=wait.waiter),
                 call.responder,
-                wait.is_hopeless,
+                wait.is_hopeless if wait.has_begun else None,
             )
         finally:
             wait.end()
--- a/tests/gateway/test_admission_queue.py
+++ b/tests/gateway/test_admission_queue.py
@@ -108,7 +108,7 @@
         member: str = "m",
         returned_s: float = 0.0,
         patience_s: float = PATIENCE_S,
-        is_hopeless: Callable[[], bool] = lambda: False,
+        is_hopeless: Callable[[], bool] | None = None,
     ) -> None:
         """Let a request of a caller arrive, whose first attempt was `returned_s` ago."""
         now = self.clock.now()
@@ -130,7 +130,7 @@
         self._tasks.append(asyncio.create_task(self._async_serve(name, request, is_hopeless)))
 
     async def _async_serve(
-        self, name: str, request: AdmissionRequest, is_hopeless: Callable[[], bool]
+        self, name: str, request: AdmissionRequest, is_hopeless: Callable[[], bool] | None
     ) -> None:
         """Run one request like a handler does."""
         claim: str | NotAdmitted | CallerGone | None = self.queue.claim_now(
