--- a/packages/admission/src/lagoonwing_admission/_guarantee.py
+++ b/packages/admission/src/lagoonwing_admission/_guarantee.py
@@ -28,8 +28,8 @@
     whose requests are refused or expire would otherwise never have enough for one request.
 
     Attributes:
-        owed: The credit, at most twice the largest cost, so that a rank whose requests fit
-            nowhere does not start many of them at once afterwards.
+        owed: The credit. It grows no further at twice the largest cost, so that a rank whose
+            requests fit nowhere does not start many of them at once afterwards.
     """
 
     def __init__(self) -> None:
@@ -42,7 +42,8 @@
 
     def earn(self, cost: float) -> None:
         """Add the rank's share of a started request, of any rank."""
-        self.owed = min(self.owed + cost, 2.0 * self._largest)
+        if self.owed < 2.0 * self._largest:
+            self.owed += cost
 
     def spend(self, cost: float) -> None:
         """Remove the cost of a started request of this rank."""
--- a/packages/admission/src/lagoonwing_admission/_overtaking.py
+++ b/packages/admission/src/lagoonwing_admission/_overtaking.py
@@ -7,7 +7,7 @@
 from typing import Generic
 
 from lagoonwing_admission._queue import WorkT
-from lagoonwing_admission.const import MAX_RESERVE_S
+from lagoonwing_admission.const import MAX_RESERVE_S, RESERVE_FACTOR
 from lagoonwing_admission.models import WorkId
 
 
@@ -24,17 +24,23 @@
 
     Small requests that start where the first one does not fit would otherwise take all capacity
     that becomes free. Once work of its own cost has overtaken a request, those behind it are held
-    back until it fits, at most for `MAX_RESERVE_S`, since it may fit nowhere.
+    back until it fits, for a bounded time, since it may fit nowhere.
     """
 
     def __init__(self) -> None:
         self._overtaken_by_id: dict[WorkId, _Overtaken] = {}
         self._offered: Sequence[WorkT] = ()
 
-    def limit(self, candidates: list[WorkT], now: float) -> list[WorkT]:
-        """Return the candidates up to the first one for which capacity is reserved."""
+    def limit(self, candidates: list[WorkT], rate: float | None, now: float) -> list[WorkT]:
+        """Return the candidates up to the first one for which capacity is reserved.
+
+        Args:
+            candidates: Waiting requests in the order in which they would start.
+            rate: Cost that the service starts per second; nothing is reserved while it is unknown.
+            now: Time in seconds.
+        """
         for position, work in enumerate(candidates):
-            if self._is_reserved(work, now):
+            if rate and self._is_reserved(work, rate, now):
                 candidates = candidates[: position + 1]
                 break
         self._offered = candidates
@@ -54,14 +60,15 @@
         self._overtaken_by_id.pop(work.work_id, None)
         self._offered = [other for other in self._offered if other.work_id != work.work_id]
 
-    def _is_reserved(self, work: WorkT, now: float) -> bool:
+    def _is_reserved(self, work: WorkT, rate: float, now: float) -> bool:
         """Return whether those behind a request are held back for it."""
         overtaken = self._overtaken_by_id.get(work.work_id)
         if overtaken is None or overtaken.cost < work.cost:
             return False
         if overtaken.reserved_since is None:
             overtaken.reserved_since = now
-        if now - overtaken.reserved_since <= MAX_RESERVE_S:
+        longest_s = min(MAX_RESERVE_S, RESERVE_FACTOR * work.cost / rate)
+        if now - overtaken.reserved_since <= longest_s:
             return True
         del self._overtaken_by_id[work.work_id]
         return False
--- a/packages/admission/src/lagoonwing_admission/_return_schedule.py
+++ b/packages/admission/src/lagoonwing_admission/_return_schedule.py
@@ -4,7 +4,12 @@
 
 import random
 
-from lagoonwing_admission.const import MIN_RETURN_S, RETURN_SHARE, UNKNOWN_RATE_JITTER_S
+from lagoonwing_admission.const import (
+    MIN_KNOWN_RATE,
+    MIN_RETURN_S,
+    RETURN_SHARE,
+    UNKNOWN_RATE_JITTER_S,
+)
 
 
 class ReturnSchedule:
@@ -33,12 +38,12 @@
         Args:
             rank: Rank of the refused request.
             cost: Its expected cost.
-            rate: Cost that the service starts per second, None or 0 while unknown.
+            rate: Cost that the service starts per second, None while unknown.
             earliest_s: Time that the queue needs before it has capacity for the request.
             max_s: Longest time that the caller honours.
             now: Time in seconds.
         """
-        if not rate:
+        if rate is None or rate < MIN_KNOWN_RATE:
             return self._within(MIN_RETURN_S + self._rng.random() * UNKNOWN_RATE_JITTER_S, max_s)
         slot_s = cost / (rate * RETURN_SHARE)
         begin = max(self._clock(rank), now + max(MIN_RETURN_S, earliest_s))
--- a/packages/admission/src/lagoonwing_admission/_waiting_room.py
+++ b/packages/admission/src/lagoonwing_admission/_waiting_room.py
@@ -73,7 +73,7 @@
 
         There are fewer while capacity is reserved for a request that others have overtaken.
         """
-        return self._overtaking.limit(self._queue.candidates(now, limit), now)
+        return self._overtaking.limit(self._queue.candidates(now, limit), self._rate, now)
 
     def started(self, work: WorkT, now: float) -> None:
         """Record the start of a request, which may have started without waiting."""
--- a/packages/admission/src/lagoonwing_admission/const.py
+++ b/packages/admission/src/lagoonwing_admission/const.py
@@ -12,14 +12,18 @@
 DEMAND_GUARANTEE = 0.3
 # Time constant of the decaying totals of offered and started cost by rank.
 RANK_DEMAND_TIME_CONSTANT_S = 2.0
+# Lower rates, in cost per second, count as unknown.
+MIN_KNOWN_RATE = 1e-3
 # Share of the capacity that is promised to returning callers; the rest is for new requests.
 RETURN_SHARE = 0.5
 # Shortest promised time of return. An earlier return is treated as a new request.
 MIN_RETURN_S = 0.3
 # Span of the random part of a promise without a known rate.
 UNKNOWN_RATE_JITTER_S = 0.6
-# Longest time for which capacity is reserved for one request that others have overtaken.
-MAX_RESERVE_S = 0.1
+# Time for which capacity is reserved for a request that others have overtaken, relative to the
+# time in which the service starts work of its cost, and the longest such time.
+RESERVE_FACTOR = 2.5
+MAX_RESERVE_S = 0.5
 # Time constant of the average of the cost started per second.
 START_RATE_TIME_CONSTANT_S = 1.0
 # Share by which the usual time of a route's callers decays per second. Between two first
