--- a/packages/admission/src/lagoonwing_admission/_guarantee.py
+++ b/packages/admission/src/lagoonwing_admission/_guarantee.py
@@ -28,21 +28,19 @@
     whose requests are refused or expire would otherwise never have enough for one request.
 
     Attributes:
-        owed: The credit. It grows no further at twice the largest cost, so that a rank whose
-            requests fit nowhere does not start many of them at once afterwards.
+        owed: The credit.
     """
 
     def __init__(self) -> None:
         self.owed = 0.0
-        self._largest = 0.0
 
-    def offered(self, cost: float) -> None:
-        """Record a request that arrived."""
-        self._largest = max(self._largest, cost)
+    def earn(self, cost: float, limit: float) -> None:
+        """Add the rank's share of a started request, of any rank.
 
-    def earn(self, cost: float) -> None:
-        """Add the rank's share of a started request, of any rank."""
-        if self.owed < 2.0 * self._largest:
+        The credit grows no further at the limit, so that a rank whose requests fit nowhere does
+        not start many of them at once afterwards.
+        """
+        if self.owed < limit:
             self.owed += cost
 
     def spend(self, cost: float) -> None:
--- a/packages/admission/src/lagoonwing_admission/_ranked.py
+++ b/packages/admission/src/lagoonwing_admission/_ranked.py
@@ -45,6 +45,7 @@
         self._weight_by_member: dict[MemberId, float] = {}
         self._blocked: set[MemberId] = set()
         self._demand = RankDemand()
+        self._largest = 0.0
         self._cost_by_rank: dict[int, float] = {}
         self._count_by_rank: dict[int, int] = {}
 
@@ -58,13 +59,13 @@
         Without these calls every rank has the smallest guaranteed share.
         """
         self._demand.offered(self._rank_of(work), work.cost, now)
-        self._lane(work.rank).credit.offered(work.cost)
+        self._largest = max(self._largest, work.cost)
 
     def push(self, work: WorkT) -> None:
         """Add a request to the queue of its rank, member and class."""
         lane = self._lane(work.rank)
         lane.queue.push(work)
-        lane.credit.offered(work.cost)
+        self._largest = max(self._largest, work.cost)
         rank = work.rank
         self._count_by_rank[rank] = self._count_by_rank.get(rank, 0) + 1
         self._cost_by_rank[rank] = self._cost_by_rank.get(rank, 0.0) + work.cost
@@ -99,7 +100,7 @@
         if len(self._lanes) == 1:
             return
         for other in self._lanes:
-            other.credit.earn(work.cost * self._earned_share(other))
+            other.credit.earn(work.cost * self._earned_share(other), 2.0 * self._largest)
         lane.credit.spend(work.cost)
 
     def discard(self, work: WorkT) -> None:
