--- a/packages/admission/src/lagoonwing_admission/_ranked.py
+++ b/packages/admission/src/lagoonwing_admission/_ranked.py
@@ -169,7 +169,8 @@
         as this one, so the same share of them goes before the request.
         """
         queued = sum(cost for other, cost in self._cost_by_rank.items() if other <= work.rank)
-        return min(1.0, (ahead + work.cost) / (queued + work.cost))
+        total = queued + work.cost
+        return min(1.0, (ahead + work.cost) / total) if total > 0.0 else 1.0
 
     def _less_urgent_ahead(self, rank: int, ahead: float) -> float:
         """Return the cost of less urgent ranks that starts meanwhile by their shares."""
--- a/packages/admission/src/lagoonwing_admission/_waiting_room.py
+++ b/packages/admission/src/lagoonwing_admission/_waiting_room.py
@@ -45,7 +45,8 @@
         # Latest start and id of each waiting request.
         self._expiries: OrderedSet[tuple[float, WorkId]] = OrderedSet()
         self._rate: float | None = None
-        self._remote_ahead = 0.0
+        # Last known cost at other gateways that goes before work of a rank.
+        self._remote_ahead_by_rank: dict[int, float] = {}
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
@@ -61,7 +62,7 @@
             rate: Cost that all gateways start per second for this service, None while unknown.
         """
         self._rate = rate
-        self._remote_ahead = remote_ahead
+        self._remote_ahead_by_rank[work.rank] = remote_ahead
         self._queue.offered(work, now)
         verdict = self._check.check(work, self._queue, rate, now, remote_ahead)
         if isinstance(verdict, Admitted):
@@ -114,7 +115,8 @@
             max_s: Longest time that the caller honours.
             now: Time in seconds.
         """
-        wait = expected_wait_s(work, self._queue, self._rate, self._remote_ahead)
+        remote_ahead = self._remote_ahead_by_rank.get(work.rank, 0.0)
+        wait = expected_wait_s(work, self._queue, self._rate, remote_ahead)
         return self._returns.promise(work.rank, work.cost, self._rate, wait, max_s, now)
 
     def set_weight(self, member_id: MemberId, weight: float) -> None:
--- a/tests/admission/test_waiting_room.py
+++ b/tests/admission/test_waiting_room.py
@@ -77,6 +77,47 @@
     assert not len(room)
 
 
+def test_other_members_work_at_other_gateways_is_not_ahead() -> None:
+    """A surging member's backlog at other gateways must not have others refused here."""
+    room = make_room()
+    _submit(room, *(Work(member_id=MemberId("surging"), cost=50.0) for _ in range(20)))
+    calm = Work(member_id=MemberId("calm"), latest_start=2.0)
+    assert isinstance(room.submit(calm, 0.0, 5000.0, 1000.0), Admitted)
+    late = Work(member_id=MemberId("surging"), latest_start=2.0)
+    assert isinstance(room.submit(late, 0.0, 5000.0, 1000.0), Rejected)
+
+
+def test_returned_caller_is_admitted_where_a_new_one_is_not() -> None:
+    """A promise is worth nothing if the returned caller is counted behind the whole queue."""
+    room = make_room()
+    _submit(room, *(Work(cost=50.0, due=10.0) for _ in range(20)))
+    assert isinstance(room.submit(Work(due=11.0, latest_start=1.0), 0.0, 0.0, 1000.0), Rejected)
+    assert isinstance(room.submit(Work(due=9.0, latest_start=1.0), 0.0, 0.0, 1000.0), Admitted)
+
+
+def test_overtaken_request_gets_the_capacity_that_becomes_free() -> None:
+    """Small requests that start first must not take all capacity before a large one fits."""
+    room = make_room()
+    large = Work(cost=100.0, cost_class=CostClass.LONG, member_id=MemberId("a"))
+    room.submit(large, 0.0, 0.0, 1000.0)
+    for _ in range(20):
+        small = Work(cost=10.0, member_id=MemberId("b"), latest_start=9.0)
+        room.submit(small, 0.0, 0.0, 1000.0)
+    for _ in range(10):
+        offered = room.candidates(0.0, 4)
+        assert offered[0] is large
+        room.started(offered[1], 0.0)
+    assert room.candidates(0.0, 4) == [large]
+    # It may fit nowhere, so that others start again after 2.5 times 100 / 1000 s.
+    assert len(room.candidates(0.3, 4)) == 2
+
+
+def test_request_without_cost_is_admitted() -> None:
+    """A request whose cost is unknown and taken as 0 must not end in a division by zero."""
+    room = make_room()
+    assert room.submit(Work(cost=0.0), 0.0, 0.0, 100.0) == Admitted(0.0)
+
+
 def test_longest_wait_and_full_queue_have_their_own_reasons() -> None:
     """A log line that names the wrong reason would hide which bound has to be raised."""
     room = make_room(WaitingRoomSettings(admission=EarlyRefusal(max_requests=2, max_wait_s=1.0)))
@@ -130,9 +171,9 @@
     assert room.waiting_cost_by_rank() == {2: 10.0, 0: 10.0}
 
 
-def test_package_loads_no_graph_library() -> None:
+def test_gateway_loads_no_graph_library() -> None:
     """Each of 106 gateways would pay the memory of networkx and of the entry host's policy."""
-    code = "import sys, lagoonwing_admission; print(*sys.modules)"
+    code = "import sys, lagoonwing_admission, lagoonwing_gateway; print(*sys.modules)"
     loaded = subprocess.run(
         [sys.executable, "-c", code], capture_output=True, text=True, check=True
     ).stdout.split()
