--- a/packages/admission/src/lagoonwing_admission/_waiting_room.py
+++ b/packages/admission/src/lagoonwing_admission/_waiting_room.py
@@ -45,7 +45,8 @@
         # Latest start and id of each waiting request.
         self._expiries: OrderedSet[tuple[float, WorkId]] = OrderedSet()
         self._rate: float | None = None
-        self._remote_ahead = 0.0
+        # Last known cost at other gateways that goes before work of a rank.
+        self._remote_ahead_by_rank: dict[int, float] = {}
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
@@ -61,7 +62,7 @@
             rate: Cost that all gateways start per second for this service, None while unknown.
         """
         self._rate = rate
-        self._remote_ahead = remote_ahead
+        self._remote_ahead_by_rank[work.rank] = remote_ahead
         self._queue.offered(work, now)
         verdict = self._check.check(work, self._queue, rate, now, remote_ahead)
         if isinstance(verdict, Admitted):
@@ -73,7 +74,7 @@
 
         There are fewer while capacity is reserved for a request that others have overtaken.
         """
-        return self._overtaking.limit(self._queue.candidates(now, limit), now)
+        return self._overtaking.limit(self._queue.candidates(now, limit), self._rate, now)
 
     def started(self, work: WorkT, now: float) -> None:
         """Record the start of a request, which may have started without waiting."""
@@ -115,7 +116,8 @@
             now: Time in seconds.
             gateways: Gateways that promise returns from the same capacity, each an even part.
         """
-        wait = expected_wait_s(work, self._queue, self._rate, self._remote_ahead)
+        remote_ahead = self._remote_ahead_by_rank.get(work.rank, 0.0)
+        wait = expected_wait_s(work, self._queue, self._rate, remote_ahead)
         rate = None if self._rate is None else self._rate / gateways
         return self._returns.promise(work.rank, work.cost, rate, wait, max_s, now)
 
