--- a/bench/pace_simulation.py
+++ b/bench/pace_simulation.py
@@ -290,7 +290,9 @@
         """Send the registry's summary to all gateways."""
         now = self.clock.now()
         self.known_loads = {
-            one: EndpointLoad(load[0], load[1], 0) for one, load in self.load_by_id.items()
+            one: EndpointLoad(load[0], load[1], 0)
+            for one, load in self.load_by_id.items()
+            if load[0]
         }
         summary = LoadSummary(
             self.known_loads, slowdown_by_id=lowest_slowdowns(self.reports.values())
