--- a/packages/placement/src/lagoonwing_placement/_paths.py
+++ b/packages/placement/src/lagoonwing_placement/_paths.py
@@ -204,14 +204,13 @@
             position: {} for position in boundaries
         }
         prefixes_by_position[0][None] = _PathPrefix(0.0, 0.0, None, 0, None)
-        for position in boundaries[:-1]:
+        for index, position in enumerate(boundaries[:-1]):
             prefixes = prefixes_by_position[position]
             if not prefixes:
                 continue
+            ends = boundaries[index + 1 :]
             for candidate in candidates_by_position[position]:
-                self._extend(
-                    prefixes_by_position, position, candidate, boundaries, transfer_time_ms
-                )
+                self._extend(prefixes_by_position, position, candidate, ends, transfer_time_ms)
         return self._cheapest_path(prefixes_by_position, transfer_time_ms)
 
     def _extend(
@@ -219,10 +218,18 @@
         prefixes_by_position: dict[int, dict[FailureDomainId | None, _PathPrefix]],
         position: int,
         candidate: _Candidate,
-        boundaries: Sequence[int],
+        ends: Sequence[int],
         transfer_time_ms: float,
     ) -> None:
-        """Extend the path prefixes that end at a position by one candidate endpoint."""
+        """Extend the path prefixes that end at a position by one candidate endpoint.
+
+        Args:
+            prefixes_by_position: Prefixes found so far.
+            position: First layer that the candidate would run.
+            candidate: The endpoint.
+            ends: Ascending boundaries behind the position.
+            transfer_time_ms: Time to transfer the prompt's activations over a link.
+        """
         base_cost, base_first_ms, base_domain = math.inf, 0.0, None
         for domain, prefix in prefixes_by_position[position].items():
             cost, first_ms = prefix.cost_ms, prefix.first_token_ms
@@ -239,9 +246,9 @@
         if base_cost == math.inf:
             return
         base_cost += HOP_COST_MS + candidate.entry_cost_ms
-        for end in boundaries:
-            if not position < end <= candidate.layers.end:
-                continue
+        for end in ends:
+            if end > candidate.layers.end:
+                break
             count = end - position
             cost = base_cost + candidate.per_layer_ms * count
             prefixes = prefixes_by_position[end]
