--- a/bench/balance_bench.py
+++ b/bench/balance_bench.py
@@ -12,7 +12,7 @@
 import math
 import random
 import statistics
-from collections import Counter, deque
+from collections import deque
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
@@ -89,8 +89,8 @@
     gateway: int
     alive: Sequence[int]
     remote_ms: Sequence[float]
-    own_ms: Counter[int]
-    own_reported_ms: Counter[int]
+    own_ms: dict[int, float]
+    own_reported_ms: dict[int, float]
     service_ms: Sequence[float]
     age_s: float
     own_started: float
@@ -100,7 +100,7 @@
 
     def finish_ms(self, endpoint: int) -> float:
         """Return the time at which the request would be complete, by what is known."""
-        return self.remote_ms[endpoint] + self.own_ms[endpoint] + self.service_ms[endpoint]
+        return self.remote_ms[endpoint] + self.own_ms.get(endpoint, 0.0) + self.service_ms[endpoint]
 
     def speed(self, endpoint: int) -> float:
         """Return the relative speed of an endpoint."""
@@ -126,7 +126,8 @@
     factor = 1.0 + 0.35 * (view.gateways - 1)
     return min(
         view.alive,
-        key=lambda endpoint: view.finish_ms(endpoint) + view.own_ms[endpoint] * (factor - 1.0),
+        key=lambda endpoint: view.finish_ms(endpoint)
+        + view.own_ms.get(endpoint, 0.0) * (factor - 1.0),
     )
 
 
@@ -172,8 +173,8 @@
     work = unreported_work(view.others_per_s, view.age_s, view.own_started, view.gateways)
     loads = KnownLoads()
     for endpoint in view.alive:
-        own_ms = view.own_ms[endpoint]
-        known_ms = min(own_ms, view.own_reported_ms[endpoint])
+        own_ms = view.own_ms.get(endpoint, 0.0)
+        known_ms = min(own_ms, view.own_reported_ms.get(endpoint, 0.0))
         left_ms = max(0.0, view.remote_ms[endpoint] - view.age_s * 1_000)
         shared_ms = left_ms + known_ms + view.service_ms[endpoint]
         loads.add(shared_ms, own_ms - known_ms, view.speed(endpoint))
@@ -198,9 +199,9 @@
     """Work of all gateways at one moment."""
 
     total_ms: list[float]
-    own_ms: list[Counter[int]]
+    own_ms: list[dict[int, float]]
     started_per_s: float
-    own_per_s: Counter[int]
+    own_per_s: dict[int, float]
 
 
 @dataclass(slots=True)
@@ -232,7 +233,7 @@
         self._speeds = [SPEEDS[number % len(SPEEDS)] for number in range(scenario.endpoints)]
         self._alive = list(range(scenario.endpoints))
         self._free_at = [0.0] * scenario.endpoints
-        self._own_ms: list[Counter[int]] = [Counter() for _ in range(scenario.gateways)]
+        self._own_ms: list[dict[int, float]] = [{} for _ in range(scenario.gateways)]
         self._tokens: list[deque[int]] = [deque() for _ in range(scenario.gateways)]
         self._started: list[deque[tuple[float, float]]] = [
             deque() for _ in range(scenario.gateways)
@@ -277,7 +278,8 @@
         number = next(self._ids)
         self._running[number] = request
         heapq.heappush(self._ends, (self._free_at[endpoint], number))
-        self._own_ms[request.gateway][endpoint] += request.work_ms
+        own = self._own_ms[request.gateway]
+        own[endpoint] = own.get(endpoint, 0.0) + request.work_ms
         self._started[request.gateway].append((now, request.size))
         if now > MEASURED_FROM_S:
             fastest_ms = request.size * SERVICE_MS / max(SPEEDS)
@@ -319,12 +321,14 @@
         for own in self._own_ms:
             for endpoint, work_ms in own.items():
                 total_ms[endpoint] += work_ms
-        own_per_s: Counter[int] = Counter()
+        own_per_s: dict[int, float] = {}
         for gateway, started in enumerate(self._started):
             while started and started[0][0] < now - RATE_WINDOW_S:
                 started.popleft()
-            own_per_s[gateway] = sum(size for _, size in started)  # type: ignore[assignment]
-        return Report(total_ms, [own.copy() for own in self._own_ms], own_per_s.total(), own_per_s)
+            own_per_s[gateway] = sum(size for _, size in started)
+        return Report(
+            total_ms, [own.copy() for own in self._own_ms], sum(own_per_s.values()), own_per_s
+        )
 
     def _view(self, request: Request, now: float) -> View:
         """Return what the gateway of a request knows."""
@@ -381,7 +385,9 @@
     parser.add_argument("--ages", type=float, nargs="+", default=AGES_S)
     parser.add_argument("--policies", nargs="+", choices=POLICIES, default=list(POLICIES))
     arguments = parser.parse_args()
-    print("| load | gateways | policy | longest/mean | idle beside overload | lost ms | p99 lost ms |")
+    print(
+        "| load | gateways | policy | longest/mean | idle beside overload | lost ms | p99 lost ms |"
+    )
     print("|---|---|---|---|---|---|---|")
     by_key = itertools.groupby(
         scenarios(arguments), key=lambda scenario: (scenario.shape, scenario.gateways)
