Unreported prefill drains: steady load is no queue, a burst is

Cause: all work started since the reports counted as prefill queue. By calculation, with reports 0.35 s old, steady load at 0.3 of the prefill would have added about 0.1 s at each endpoint of a path, and bounds on the first event would refuse requests while endpoints are idle. Change: the queue is less by what endpoints had time for: since the reports for work at the reported rate, since own starts for a burst. The ranks of the draw are unchanged. Ruled out: draining a burst since the reports (it has just begun), or not at all (a gateway that is cut off would extrapolate 1.5 s of steady load as a queue).

--- a/packages/gateway/src/lagoonwing_gateway/_started_work.py
+++ b/packages/gateway/src/lagoonwing_gateway/_started_work.py
@@ -44,6 +44,12 @@
         recent = self._cost_by_service.get(service_id)
         return 0.0 if recent is None else recent.total_since(self._clock.now() - seconds)
 
+    def mean_age_s(self, service_id: ServiceId, seconds: float) -> float:
+        """Return the mean time since the requests started within the last seconds, by cost."""
+        now = self._clock.now()
+        recent = self._cost_by_service.get(service_id)
+        return 0.0 if recent is None else recent.mean_age_since(now - seconds, now)
+
     def pressures(self) -> dict[ServiceId, ServicePressure]:
         """Return the started cost per second of each service with recent starts."""
         since = self._clock.now() - STARTED_RATE_WINDOW_S
@@ -87,6 +93,14 @@
         else:
             buckets.append((now, amount))
 
+    def mean_age_since(self, since: float, now: float) -> float:
+        """Return the mean age of the amounts in the buckets that began after a time."""
+        recent = [
+            (now - begun_at, amount) for begun_at, amount in self._buckets if begun_at >= since
+        ]
+        total = sum(amount for _, amount in recent)
+        return sum(age_s * amount for age_s, amount in recent) / total if total else 0.0
+
     def total_since(self, since: float) -> float:
         """Return the total of the buckets that began after a time."""
         total = 0.0
--- a/packages/gateway/src/lagoonwing_gateway/_unreported_work.py
+++ b/packages/gateway/src/lagoonwing_gateway/_unreported_work.py
@@ -46,6 +46,11 @@
         """Time of which the reports in the summary don't tell yet."""
         return min(MAX_UNREPORTED_S, self.age_s + LOAD_REPORT_DELAY_S)
 
+    def started_cost_per_s(self, service_id: ServiceId) -> float:
+        """Return the cost of the requests that they start per second, as reported."""
+        pressure = self.summary.pressure_by_service.get(service_id)
+        return 0.0 if pressure is None else pressure.started_cost_per_s
+
 
 @dataclass(frozen=True, slots=True)
 class CallTarget:
@@ -144,11 +149,12 @@
         others = self._others()
         links = self._link_backlogs.remaining_ms(_transfers_by_link(others.summary))
         requests = self._expected_requests(service_id, mean_cost, others)
+        drain_ms = self._drain_ms(service_id, requests * mean_cost, others)
         backlogs = _DrawnBacklogs()
         if requests > 0.0:
             for holder_class in classes:
                 loads = self._stream_loads(holder_class, own_by_id, others, is_usable)
-                self._draw(holder_class, loads, requests, backlogs)
+                self._draw(holder_class, loads, requests, drain_ms, backlogs)
         return Backlogs(backlogs.prefill_ms_by_id, links, backlogs.sequences_by_id)
 
     def _stream_loads(
@@ -187,9 +193,14 @@
         holder_class: HolderClass,
         loads: _StreamLoads,
         requests: float,
+        drain_ms: float,
         backlogs: _DrawnBacklogs,
     ) -> None:
-        """Draw the unreported work at the endpoints of a class."""
+        """Draw the unreported work at the endpoints of a class.
+
+        Of the prefill that others have started since their reports, an endpoint has done what it
+        had time for beside the reported prefill.
+        """
         visit_load, prefill_ms = holder_class.visit_load, holder_class.prefill_ms
         work = requests * holder_class.share * visit_load
         known = loads.known
@@ -199,6 +210,7 @@
         ):
             added = drawn - shared - own
             added_ms = max(0.0, added) * prefill_ms / visit_load
+            added_ms = max(0.0, added_ms - max(0.0, drain_ms - done_ms))
             backlogs.prefill_ms_by_id[endpoint_id] = added_ms - done_ms
             backlogs.sequences_by_id[endpoint_id] = added - added_ms
 
@@ -222,13 +234,25 @@
             loads.add(target.base_cost + shared, unknown, target.capacity)
         return draw_loads(loads, in_flight, 1.0, self._rng)
 
+    def _drain_ms(self, service_id: ServiceId, cost: float, others: OthersLoad) -> float:
+        """Return the time that endpoints had for unreported work, in milliseconds.
+
+        Work at the reported rate began evenly since the reports. Work beyond it began when own
+        requests did: those of a burst have only just begun.
+        """
+        unreported_s = others.unreported_s
+        reported = others.started_cost_per_s(service_id) * unreported_s
+        reported_share = min(1.0, reported / cost) if cost else 1.0
+        # Requests that start evenly over a time have half of it as their mean age.
+        burst_s = min(unreported_s, 2 * self._started_work.mean_age_s(service_id, unreported_s))
+        return 1_000 * (reported_share * unreported_s + (1.0 - reported_share) * burst_s)
+
     def _expected_requests(
         self, service_id: ServiceId, mean_cost: float, others: OthersLoad
     ) -> float:
         """Return the expected number of requests that no report tells of yet."""
-        pressure = others.summary.pressure_by_service.get(service_id)
         cost = unreported_work(
-            0.0 if pressure is None else pressure.started_cost_per_s,
+            others.started_cost_per_s(service_id),
             others.unreported_s,
             self._started_work.cost_since(service_id, others.unreported_s),
             others.gateways,
--- a/tests/gateway/test_unreported_work.py
+++ b/tests/gateway/test_unreported_work.py
@@ -247,6 +247,36 @@
     assert 2_000 + prefill_ms_by_id[IDS[1]] == pytest.approx(1_600, abs=1)
 
 
+def test_steady_load_is_no_queue() -> None:
+    """Steady load of a third of the prefill: endpoints keep up, so no path is taken as full."""
+    # 10 endpoints and 5 ms a request: 667 requests per second take 0.33 s of each second.
+    gateway = Neighbours(make_summary({}, 667_000.0), 0.1, 26)
+    assert gateway.unreported_work.requests == 0.0
+    backlogs = gateway.backlogs()
+    assert gateway.unreported_work.requests == pytest.approx(233, rel=0.01)
+    assert max(backlogs.prefill_ms_by_id.values()) == 0.0
+    # The same when cut off, and where only own starts show it.
+    assert (
+        max(Neighbours(make_summary({}, 667_000.0), 9.0, 26).backlogs().prefill_ms_by_id.values())
+        == 0.0
+    )
+    gateway = Neighbours(LoadSummary({}), math.inf, 26)
+    for _ in range(60):
+        gateway.clock.advance(0.04)
+        gateway.unreported_work.record_stream(SERVICE, 1_000.0, (), 0.0)
+    assert max(gateway.backlogs().prefill_ms_by_id.values()) == 0.0
+
+
+def test_burst_is_a_queue() -> None:
+    """After a crash, what all gateways have just started is still before the endpoints."""
+    gateway = Neighbours(make_summary({}, 1_000.0), 0.1, 35)
+    gateway.unreported_work.record_stream(SERVICE, 6_000.0, (), 0.0)
+    gateway.clock.advance(0.005)
+    # 102 requests of 5 ms at ten endpoints; drawn positions lie between nothing and all of it.
+    prefill_ms = sorted(gateway.backlogs().prefill_ms_by_id.values())
+    assert 30.0 <= prefill_ms[-1] <= 55.0
+
+
 def test_own_work_counts_once() -> None:
     """Own work is known exactly: before and after it was reported, the load is the same."""
     own_by_id = {endpoint_id: EndpointLoad(5, 0, 100) for endpoint_id in IDS}
