--- a/tests/admission/test_returns_of_many_gateways.py
+++ b/tests/admission/test_returns_of_many_gateways.py
@@ -35,8 +35,9 @@
 
 @pytest.mark.parametrize("gateways", [1, 4, 26])
 def test_refused_callers_return_at_the_rate_of_the_returning_share(gateways: int) -> None:
-    """Load: 104 callers refused in one moment. Promises from the whole capacity at each gateway
-    would let them return all at once, into the next refusal.
+    """Load: 104 callers refused in one moment.
+
+    Promises from the whole capacity at each gateway would let all of them return at once.
     """
     promises: list[float] = []
     for number in range(gateways):
