--- a/packages/gateway/src/lagoonwing_gateway/_directory.py
+++ b/packages/gateway/src/lagoonwing_gateway/_directory.py
@@ -14,11 +14,13 @@
 from lagoonwing_core.callback import callback
 from lagoonwing_core.clock import Clock
 from lagoonwing_core.ids import EndpointId, ServiceId
+from lagoonwing_gateway._entry_choice import EntryCheck, entry_checks, failing_domains
 from lagoonwing_gateway._follower import CatalogFollower
 from lagoonwing_gateway._last_holders import last_holders
 from lagoonwing_gateway._plain_service import PLAIN_ENGINE, plain_holder
 from lagoonwing_gateway._suspicions import SuspicionTracker
 from lagoonwing_gateway.const import FAILURE_WINDOW_S, MAX_REPORTED_SHARE, OWN_PROGRESS_S
+from lagoonwing_gateway.models import RequestFailure
 from lagoonwing_placement import Holder, HolderGroup, group_holders
 
 
@@ -127,6 +129,25 @@
             return is_usable
         return lambda endpoint_id: endpoint_id in last_ids or is_usable(endpoint_id)
 
+    def entry_checks(
+        self,
+        service_id: ServiceId,
+        failures: Iterable[RequestFailure],
+        may_enter: EntryCheck,
+    ) -> Iterator[EntryCheck]:
+        """Return conditions for the entry of a request, the preferred one first.
+
+        Args:
+            service_id: Service of the request.
+            failures: Endpoints that have failed the request.
+            may_enter: Returns whether an endpoint may get the request at all.
+        """
+        entries = [self.record(endpoint_id) for endpoint_id in self.entry_ids(service_id)]
+        failed = [self.record(failure.endpoint_id) for failure in failures]
+        domains = failing_domains(filter(None, entries), self._suspicions)
+        domains.update(record.failure_domain for record in filter(None, failed))
+        return entry_checks(self.record, self._suspicions, domains, may_enter)
+
     def reported_suspects(self) -> tuple[EndpointId, ...]:
         """Return the suspected endpoints of which other gateways are told."""
         failing_by_service: dict[ServiceId, list[EndpointId]] = defaultdict(list)
--- a/packages/gateway/src/lagoonwing_gateway/_stream_failover.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_failover.py
@@ -155,11 +155,11 @@
         )
         excluded = {*call.progress.excluded, *avoided_ids}
         is_usable = components.directory.usability_check(groups, excluded)
-        path = None
-        if call.progress.send_count:
-            path = finder.find(groups, call.size, is_usable, self._proven_entry_check(may_enter))
-        if path is None:
-            path = finder.find(groups, call.size, is_usable, may_enter)
+        checks = components.directory.entry_checks(
+            call.service.service_id, call.progress.failures, may_enter
+        )
+        paths = (finder.find(groups, call.size, is_usable, check) for check in checks)
+        path = next((path for path in paths if path is not None), None)
         if path is not None and call.is_plain:
             # An endpoint without published figures may take as long as the route allows.
             path = replace(path, first_token_ms=call.context.route.objective_s * 1_000)
@@ -174,18 +174,6 @@
             )
         return path
 
-    def _proven_entry_check(
-        self, may_enter: Callable[[EndpointId], bool]
-    ) -> Callable[[EndpointId], bool]:
-        """Restrict the entries of a further attempt to those that have answered lately.
-
-        Attempts are few, and endpoints of one failure domain often fail together.
-        """
-        suspicions = self._components.suspicions
-        return lambda endpoint_id: (
-            may_enter(endpoint_id) and suspicions.has_served_recently(endpoint_id)
-        )
-
     def _find_condition(self, *, may_have_run: bool) -> ResendObstacle | None:
         """Return the condition that forbids another attempt, apart from the retry budget."""
         components = self._components
--- a/packages/gateway/src/lagoonwing_gateway/_suspicions.py
+++ b/packages/gateway/src/lagoonwing_gateway/_suspicions.py
@@ -14,6 +14,7 @@
 from lagoonwing_gateway.const import (
     AVOIDANCE_S,
     FAILED_REQUEST_AVOIDANCE_S,
+    FAILURE_WINDOW_S,
     MAX_CONSECUTIVE_FAILURES,
     MAX_SUSPICION_S,
     MIN_SUSPICION_S,
@@ -169,6 +170,14 @@
         is_recent = self._clock.now() <= served_at + RECENT_SUCCESS_S
         return is_recent and self._rates.failed_at(endpoint_id) < served_at
 
+    def has_failed_last(self, endpoint_id: EndpointId) -> bool | None:
+        """Return whether the last request to an endpoint failed; None if none is known lately."""
+        failed_at = self._rates.failed_at(endpoint_id)
+        served_at = self._rates.served_at(endpoint_id)
+        if max(failed_at, served_at) < self._clock.now() - FAILURE_WINDOW_S:
+            return None
+        return failed_at > served_at
+
     def has_refused(self, endpoint_ids: Iterable[EndpointId]) -> bool:
         """Return whether an endpoint is suspected because it refused a connection."""
         now = self._clock.now()
--- a/packages/gateway/src/lagoonwing_gateway/const.py
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -49,7 +49,10 @@
 MAX_FAILURE_SAMPLES = 64
 # Time for which this gateway alone avoids an endpoint after one failed request.
 FAILED_REQUEST_AVOIDANCE_S = 0.4
-# Time since the last success within which an endpoint is preferred for a second attempt.
+# Entries of a failure domain whose last request failed, at least and as FAILING_SHARE of those that
+# are known, from which requests prefer to enter elsewhere, or else where one was served lately.
+MIN_FAILED_ENTRIES = 2
+# Time since the last success within which an entry of such a domain is preferred all the same.
 RECENT_SUCCESS_S = 5.0
 # Share of a service's endpoints above which a gateway keeps suspicions that rest on failed requests
 # to itself: then its requests or its network are the likely cause.
