--- a/bench/admission_simulation.py
+++ b/bench/admission_simulation.py
@@ -310,7 +310,7 @@
 
     Attributes:
         served: Share of the callers that were served.
-        on_time: Share that started within the objective of an attempt's arrival.
+        on_time: Share that started within the objective of the first attempt.
         wait_p95: 95th percentile of the time from the first attempt to the start.
         refused_twice: Share that was refused twice or more and not served.
         expired: Share that was held until its latest start and then refused.
