Excesses below 10 ms are no evidence of slow endpoints; test over real connections

Cause: engines with passes of 1 ms have pauses that networks and event loops determine.

Result: tests/platform/test_slow_endpoints.py: a path with pauses of 300 ms is reported and counted, a path at a normal pace is not; tests/gateway/test_pace_tracker.py passes unchanged.

--- a/packages/gateway/src/lagoonwing_gateway/_pace_tracker.py
+++ b/packages/gateway/src/lagoonwing_gateway/_pace_tracker.py
@@ -21,6 +21,7 @@
 from lagoonwing_gateway._typical_pace import TypicalPace
 from lagoonwing_gateway.const import (
     MAX_SLOWDOWN,
+    MIN_PACE_EXCESS_S,
     PACE_CONFIRMATION_S,
     PACE_EXPLAINED_SHARE,
     PACE_HALF_LIFE_S,
@@ -166,7 +167,8 @@
     def _bounds_from(self, sample: PaceSample, now: float) -> Iterable[tuple[EndpointId, float]]:
         """Yield how slow each endpoint can be at most, given one stream."""
         excess = sample.ratio / self._typical.ratio - 1.0 - PACE_NOISE
-        if excess <= 0.0:
+        excess_s = excess * self._typical.ratio * sample.expected_s
+        if excess_s < MIN_PACE_EXCESS_S:
             for endpoint_id, _ in sample.shares:
                 yield endpoint_id, 1.0
             return
--- a/packages/gateway/src/lagoonwing_gateway/_paced_stream.py
+++ b/packages/gateway/src/lagoonwing_gateway/_paced_stream.py
@@ -51,11 +51,13 @@
 
     Attributes:
         taken_at: Time of the sample.
+        expected_s: Pause that the path and the load on it explain.
         ratio: The mean pause over the expected one.
         shares: Endpoints of the path with their shares of the expected pause.
     """
 
     taken_at: float
+    expected_s: float
     ratio: float
     shares: tuple[tuple[EndpointId, float], ...]
 
@@ -118,7 +120,7 @@
             (segment.endpoint_id, each_ms / 1_000 / expected_s)
             for segment, each_ms in zip(self._segments, pass_ms, strict=True)
         )
-        self.sample = PaceSample(now, pause_s / expected_s, shares)
+        self.sample = PaceSample(now, expected_s, pause_s / expected_s, shares)
         if self._events:
             self._events, self._pauses_s, self._window_from = 0, 0.0, self.last_event_at
         return self.sample
