--- a/packages/gateway/src/lagoonwing_gateway/const.py
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -161,7 +161,7 @@
 # Excess of a stream's pauses over the typical ones that is taken for noise.
 PACE_NOISE = 0.15
 # Shorter excesses are those of networks and event loops.
-MIN_PACE_EXCESS_S = 0.01
+MIN_PACE_EXCESS_S = 0.003
 # Slowdown from which an endpoint is reported, and from which it counts as slow.
 REPORTED_SLOWDOWN = 1.2
 SLOW_ENDPOINT_FACTOR = 1.5
