Draws take less processor time

Cause: a draw took 0.51 ms of processor time for 86 endpoints, the path search 0.70. Change: fewer calls per endpoint; no change of results. Ruled out: one draw for several choices (two requests would go to the same endpoints).

--- a/packages/gateway/src/lagoonwing_gateway/_unreported_work.py
+++ b/packages/gateway/src/lagoonwing_gateway/_unreported_work.py
@@ -171,11 +171,13 @@
         for endpoint_id, slots in holder_class.slots_by_id.items():
             remote = remote_by_id.get(endpoint_id, _NO_LOAD)
             own = own_by_id.get(endpoint_id, _NO_LOAD)
-            if remote.sequences + own.sequences >= slots or not is_usable(endpoint_id):
+            sequences = remote.sequences
+            if sequences + own.sequences >= slots or not is_usable(endpoint_id):
                 continue
             # Prefill that was reported has been done since, as far as there was time for it.
-            done_ms = min(unreported_ms, remote.prefill_ms)
-            shared = remote.prefill_ms - done_ms + remote.sequences
+            prefill_ms = remote.prefill_ms
+            done_ms = unreported_ms if unreported_ms < prefill_ms else prefill_ms
+            shared = prefill_ms - done_ms + sequences
             unknown = 0.0
             if own is not _NO_LOAD:
                 reported = reported_by_id.get(endpoint_id, _NO_LOAD)
@@ -201,7 +203,8 @@
         Of the prefill that others have started since their reports, an endpoint has done what it
         had time for beside the reported prefill.
         """
-        visit_load, prefill_ms = holder_class.visit_load, holder_class.prefill_ms
+        visit_load, prefill_by_id = holder_class.visit_load, backlogs.prefill_ms_by_id
+        prefill_share = holder_class.prefill_ms / visit_load
         work = requests * holder_class.share * visit_load
         known = loads.known
         drawn_loads = draw_loads(known, work, visit_load, self._rng)
@@ -209,9 +212,12 @@
             loads.endpoint_ids, loads.done_ms, known.shared, known.own, drawn_loads, strict=True
         ):
             added = drawn - shared - own
-            added_ms = max(0.0, added) * prefill_ms / visit_load
-            added_ms = max(0.0, added_ms - max(0.0, drain_ms - done_ms))
-            backlogs.prefill_ms_by_id[endpoint_id] = added_ms - done_ms
+            added_ms = added * prefill_share
+            if done_ms < drain_ms:
+                added_ms -= drain_ms - done_ms
+            if added_ms < 0.0:
+                added_ms = 0.0
+            prefill_by_id[endpoint_id] = added_ms - done_ms
             backlogs.sequences_by_id[endpoint_id] = added - added_ms
 
     def call_costs(self, service_id: ServiceId, targets: Sequence[CallTarget]) -> list[float]:
