--- a/packages/gateway/src/lagoonwing_gateway/_connection_pool.py
+++ b/packages/gateway/src/lagoonwing_gateway/_connection_pool.py
@@ -10,7 +10,13 @@
     IDLE_CONNECTION_TTL_S,
     MAX_IDLE_CONNECTIONS,
 )
-from lagoonwing_http import ClientConnection, ConnectionPool, OnUnrequestedBytes, PoolSettings
+from lagoonwing_http import (
+    ClientConnection,
+    ConnectionPool,
+    OnUnrequestedBytes,
+    PoolSettings,
+    ReadTurns,
+)
 
 _Key = tuple[EndpointId, int, str, int]
 _POOL_SETTINGS = PoolSettings(CONNECT_TIMEOUT_S, IDLE_CONNECTION_TTL_S, MAX_IDLE_CONNECTIONS)
@@ -19,8 +25,10 @@
 class EndpointConnectionPool(ConnectionPool[_Key]):
     """Connection pool keyed by endpoint incarnation and address."""
 
-    def __init__(self, clock: Clock, on_unrequested: OnUnrequestedBytes) -> None:
-        super().__init__(_POOL_SETTINGS, clock, on_unrequested)
+    def __init__(
+        self, clock: Clock, on_unrequested: OnUnrequestedBytes, read_turns: ReadTurns
+    ) -> None:
+        super().__init__(_POOL_SETTINGS, clock, on_unrequested, read_turns)
 
     async def async_take_for(self, record: EndpointRecord, fresh: bool) -> ClientConnection:
         """Return an idle connection to an endpoint.
--- a/packages/gateway/src/lagoonwing_gateway/_gateway.py
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -57,7 +57,7 @@
 from lagoonwing_gateway.models import CallerRequest, GatewayRefusal, RequestContext
 from lagoonwing_gateway.ports import Dialect, Responder
 from lagoonwing_gateway.settings import GatewaySettings
-from lagoonwing_http import BodyBudget, ResponseBudget
+from lagoonwing_http import BodyBudget, ReadTurns, ResponseBudget
 from lagoonwing_wire import Identity
 
 _PRUNE_INTERVAL_S = 1.0
@@ -72,6 +72,7 @@
         body_budget: Limit on the bytes of all request bodies; those of a request that is served
             are released when it ends.
         response_budget: Limit on the bytes of all responses.
+        read_turns: Turns of connections, to callers and endpoints, that read at full speed.
     """
 
     name = "gateway"
@@ -87,6 +88,7 @@
         self.is_draining = False
         self.body_budget = BodyBudget(MAX_REQUEST_BODIES_BYTES)
         self.response_budget = ResponseBudget(MAX_RESPONSES_BYTES)
+        self.read_turns = ReadTurns()
         self.metrics = GatewayMetrics()
         self._settings = settings
         self._clock = clock
@@ -97,7 +99,9 @@
         self.follower = CatalogFollower(
             settings, identity, clock, self._load_report, self._crash_tracker
         )
-        self._connection_pool = EndpointConnectionPool(clock, self.metrics.unrequested_bytes)
+        self._connection_pool = EndpointConnectionPool(
+            clock, self.metrics.unrequested_bytes, self.read_turns
+        )
         self._limits = LimitTracker(clock, lambda: self.follower.endpoint_by_id)
         limiter = EndpointLimiter(
             self._limits,
--- a/packages/http/src/lagoonwing_http/__init__.py
+++ b/packages/http/src/lagoonwing_http/__init__.py
@@ -5,6 +5,7 @@
 from lagoonwing_http._client import ClientConnection, async_open_connection
 from lagoonwing_http._exchange import Exchange, ResponseHead, ResponseMatch, ResponseMatcher
 from lagoonwing_http._pool import ConnectionPool, PoolSettings
+from lagoonwing_http._read_turns import ReadTurns
 from lagoonwing_http._request_body import BodyBudget, RequestBody
 from lagoonwing_http._response_budget import HeldBytes, ResponseBudget, ResponseSource
 from lagoonwing_http._response_writer import ResponseWriter, ignore_write_failure
@@ -33,6 +34,7 @@
     "HeldBytes",
     "OnUnrequestedBytes",
     "PoolSettings",
+    "ReadTurns",
     "RequestBody",
     "ResponseBudget",
     "ResponseHead",
--- a/packages/http/src/lagoonwing_http/_client.py
+++ b/packages/http/src/lagoonwing_http/_client.py
@@ -34,7 +34,6 @@
     LARGE_BODY_BYTES,
     LOGGED_BYTES,
     MAX_EARLIER_REQUESTS,
-    MIN_TURN_BYTES,
 )
 from lagoonwing_http.errors import AnswerBrokenError, ConnectError, ForeignAnswerError
 
@@ -148,9 +147,7 @@
         try:
             while True:
                 data = await self._stream.read_bytes(CONNECTION_READ_CHUNK_BYTES, partial=True)
-                turn = None
-                if len(data) >= MIN_TURN_BYTES:
-                    turn = self._read_turns.request(self._source())
+                turn = self._read_turns.request(self._source(), len(data))
                 self._pause = self._on_bytes(data)
                 # While the connection waits, only the exchange counts and holds the bytes.
                 del data
--- a/packages/http/src/lagoonwing_http/_pool.py
+++ b/packages/http/src/lagoonwing_http/_pool.py
@@ -47,6 +47,7 @@
         settings: PoolSettings,
         clock: Clock,
         on_unrequested: OnUnrequestedBytes | None = None,
+        read_turns: ReadTurns | None = None,
     ) -> None:
         """Create the pool.
 
@@ -54,12 +55,13 @@
             settings: Limits of the pool.
             clock: Time source.
             on_unrequested: Called when bytes arrive that no request asked for.
+            read_turns: Turns that its connections share with other readers, if any.
         """
         self._settings = settings
         self._clock = clock
         self._on_unrequested = on_unrequested
         self._idle_by_key: dict[KeyT, list[ClientConnection]] = {}
-        self._read_turns = ReadTurns()
+        self._read_turns = read_turns or ReadTurns()
         self._open: set[ClientConnection] = set()
         self._unreliable_until_by_key: dict[KeyT, float] = {}
 
--- a/packages/http/src/lagoonwing_http/_read_turns.py
+++ b/packages/http/src/lagoonwing_http/_read_turns.py
@@ -7,6 +7,7 @@
 from collections.abc import Hashable
 
 from lagoonwing_core.callback import callback
+from lagoonwing_http.const import MIN_TURN_BYTES
 
 
 class ReadTurns:
@@ -21,12 +22,15 @@
         self._is_scheduled = False
 
     @callback
-    def request(self, source: Hashable) -> asyncio.Future[None]:
-        """Return a future that is done when a connection may read again.
+    def request(self, source: Hashable, count: int) -> asyncio.Future[None] | None:
+        """Return a future that is done when a connection may read again; None if at once.
 
         Args:
             source: What its bytes count for.
+            count: Number of bytes of its last read.
         """
+        if count < MIN_TURN_BYTES:
+            return None
         turn = asyncio.get_running_loop().create_future()
         self._waiting_by_source.setdefault(source, deque()).append(turn)
         self._schedule()
--- a/tests/http/test_read_turns.py
+++ b/tests/http/test_read_turns.py
@@ -8,6 +8,15 @@
 
 ENDLESS_CONNECTIONS = 40
 LARGE_READS = 96
+LARGE_READ_BYTES = 64 * 1024
+SMALL_READ_BYTES = 1_000
+
+
+def _request(turns: ReadTurns) -> asyncio.Future[None]:
+    """Return a turn of a connection that reads at full speed."""
+    turn = turns.request("endless", LARGE_READ_BYTES)
+    assert turn is not None
+    return turn
 
 
 # Guards against a large answer that gets one read in forty beside forty endless ones.
@@ -18,7 +27,9 @@
 
     async def async_read(source: str, count: int | None) -> None:
         while count is None or reads[source] < count:
-            await turns.request(source)
+            turn = turns.request(source, LARGE_READ_BYTES)
+            assert turn is not None
+            await turn
             reads[source] += 1
 
     endless = [
@@ -35,7 +46,7 @@
 async def test_one_connection_reads_in_each_iteration() -> None:
     """Other tasks run between the reads."""
     turns = ReadTurns()
-    waiting = [turns.request("endless") for _ in range(10)]
+    waiting = [_request(turns) for _ in range(10)]
     done: list[int] = []
     while not all(turn.done() for turn in waiting):
         await asyncio.sleep(0)
@@ -47,9 +58,18 @@
 async def test_cancelled_turns_are_skipped() -> None:
     """The next connection gets its turn at once."""
     turns = ReadTurns()
-    cancelled = [turns.request("a") for _ in range(10)]
+    cancelled = [_request(turns) for _ in range(10)]
     for turn in cancelled:
         turn.cancel()
-    waiting = turns.request("a")
+    waiting = _request(turns)
     await asyncio.sleep(0)
     assert waiting.done()
+
+
+# Guards against streams at the speed of a model that wait behind large answers.
+async def test_small_reads_need_no_turn() -> None:
+    """Also while connections at full speed wait."""
+    turns = ReadTurns()
+    waiting = _request(turns)
+    assert turns.request("stream", SMALL_READ_BYTES) is None
+    await waiting
