--- a/packages/gateway/src/lagoonwing_gateway/_connection_pool.py
+++ b/packages/gateway/src/lagoonwing_gateway/_connection_pool.py
@@ -13,7 +13,13 @@
     MAX_IDLE_CONNECTIONS,
 )
 from lagoonwing_gateway.models import ConnectionReason
-from lagoonwing_http import ClientConnection, ConnectionPool, OnUnrequestedBytes, PoolSettings
+from lagoonwing_http import (
+    ClientConnection,
+    ConnectionPool,
+    OnUnrequestedBytes,
+    PoolSettings,
+    ReadTurns,
+)
 
 _Key = tuple[EndpointId, int, str, int]
 _POOL_SETTINGS = PoolSettings(CONNECT_TIMEOUT_S, IDLE_CONNECTION_TTL_S, MAX_IDLE_CONNECTIONS)
@@ -27,11 +33,12 @@
         clock: Clock,
         on_unrequested: OnUnrequestedBytes,
         on_connect: Callable[[ConnectionReason], None],
+        read_turns: ReadTurns,
     ) -> None:
         def count(fresh: bool) -> None:
             on_connect(ConnectionReason.FRESH if fresh else ConnectionReason.NO_IDLE)
 
-        super().__init__(_POOL_SETTINGS, clock, on_unrequested, count)
+        super().__init__(_POOL_SETTINGS, clock, on_unrequested, count, read_turns)
 
     async def async_take_for(self, record: EndpointRecord, fresh: bool) -> ClientConnection:
         """Return an idle connection to an endpoint.
--- a/packages/http/src/lagoonwing_http/_pool.py
+++ b/packages/http/src/lagoonwing_http/_pool.py
@@ -48,6 +48,7 @@
         clock: Clock,
         on_unrequested: OnUnrequestedBytes | None = None,
         on_connect: Callable[[bool], None] | None = None,
+        read_turns: ReadTurns | None = None,
     ) -> None:
         """Create the pool.
 
@@ -57,13 +58,14 @@
             on_unrequested: Called when bytes arrive that no request asked for.
             on_connect: Called before a connection is opened; its argument tells whether a new one
                 was asked for, rather than none being idle.
+            read_turns: Turns that its connections share with other readers, if any.
         """
         self._settings = settings
         self._clock = clock
         self._on_unrequested = on_unrequested
         self._on_connect = on_connect
         self._idle_by_key: dict[KeyT, list[ClientConnection]] = {}
-        self._read_turns = ReadTurns()
+        self._read_turns = read_turns or ReadTurns()
         self._open: set[ClientConnection] = set()
         self._unreliable_until_by_key: dict[KeyT, float] = {}
 
