--- a/packages/gateway/src/lagoonwing_gateway/_admission_request.py
+++ b/packages/gateway/src/lagoonwing_gateway/_admission_request.py
@@ -8,9 +8,9 @@
 from lagoonwing_core.ids import AttemptId, MemberId, RouteId, ServiceId
 from lagoonwing_gateway.const import (
     CALL_COST,
-    CALLER_OBJECTIVE_PATIENCE,
-    CALLER_PATIENCE_S,
-    CALLER_PAUSE_PATIENCE,
+    CALLER_EVENT_TIMEOUT_S,
+    EVENT_TIMEOUT_OBJECTIVES,
+    EVENT_TIMEOUT_PAUSES,
     MAX_RETRY_AFTER_SHARE,
     MIN_TIME_TO_SEND_S,
     STARTED_STREAM_RANK,
@@ -58,13 +58,13 @@
         return max(0.0, self.deadline - now) * MAX_RETRY_AFTER_SHARE
 
 
-def stream_patience_s(context: RequestContext) -> float:
+def caller_event_timeout_s(context: RequestContext) -> float:
     """Return the time without events after which the caller of a stream disconnects."""
     route = context.route
     return max(
-        CALLER_PATIENCE_S,
-        CALLER_OBJECTIVE_PATIENCE * route.objective_s,
-        CALLER_PAUSE_PATIENCE * (route.pause_objective_s or 0.0),
+        CALLER_EVENT_TIMEOUT_S,
+        EVENT_TIMEOUT_OBJECTIVES * route.objective_s,
+        EVENT_TIMEOUT_PAUSES * (route.pause_objective_s or 0.0),
     )
 
 
@@ -91,8 +91,8 @@
     if is_started:
         latest_start = now + STARTED_STREAM_WAIT_S
     else:
-        patience_s = stream_patience_s(context)
-        latest_start = context.request.received_at + patience_s - route.objective_s
+        timeout_s = caller_event_timeout_s(context)
+        latest_start = context.request.received_at + timeout_s - route.objective_s
     return AdmissionRequest(
         work_id,
         context.request.attempt_id,
--- a/packages/gateway/src/lagoonwing_gateway/const.py
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -124,9 +124,9 @@
 CALL_COST = 16.0
 # Time without events after which callers of streams disconnect: the longest of this time and of
 # these multiples of the route's objective and of its pause objective.
-CALLER_PATIENCE_S = 2.0
-CALLER_OBJECTIVE_PATIENCE = 4.0
-CALLER_PAUSE_PATIENCE = 8.0
+CALLER_EVENT_TIMEOUT_S = 2.0
+EVENT_TIMEOUT_OBJECTIVES = 4.0
+EVENT_TIMEOUT_PAUSES = 8.0
 # Rank of streams of which the caller has a part, and the time for which they wait; callers leave
 # after it.
 STARTED_STREAM_RANK = -1
--- a/tests/gateway/test_admission_queue.py
+++ b/tests/gateway/test_admission_queue.py
@@ -26,7 +26,7 @@
 
 SERVICE = ServiceId("models")
 COST = 800.0
-PATIENCE_S = 1.5
+WAIT_LIMIT_S = 1.5
 DEADLINE_S = 20.0
 
 
@@ -107,7 +107,7 @@
         rank: int = 1,
         member: str = "m",
         returned_s: float = 0.0,
-        patience_s: float = PATIENCE_S,
+        wait_limit_s: float = WAIT_LIMIT_S,
         is_hopeless: Callable[[], bool] | None = None,
     ) -> None:
         """Let a request of a caller arrive, whose first attempt was `returned_s` ago."""
@@ -123,7 +123,7 @@
             submitted=now,
             enqueued=now - returned_s,
             due=now - returned_s + 0.5,
-            latest_start=now + patience_s,
+            latest_start=now + wait_limit_s,
             deadline=now + DEADLINE_S,
         )
         self.responder_by_name[name] = FakeResponder()
@@ -248,12 +248,12 @@
     """Waiting up to the deadline loses the request: its caller disconnects long before."""
     full.submit("late")
     started_at = full.clock.now()
-    await asyncio.sleep(PATIENCE_S + RECHECK_INTERVAL_S)
+    await asyncio.sleep(WAIT_LIMIT_S + RECHECK_INTERVAL_S)
     outcome = full.outcome_by_name["late"]
     assert isinstance(outcome, NotAdmitted)
     assert outcome.code is ResultCode.NO_ENDPOINT
-    assert full.ended_at_by_name["late"] - started_at <= PATIENCE_S + 0.01
-    assert 0.0 < outcome.retry_after_s <= (DEADLINE_S - PATIENCE_S) * MAX_RETRY_AFTER_SHARE
+    assert full.ended_at_by_name["late"] - started_at <= WAIT_LIMIT_S + 0.01
+    assert 0.0 < outcome.retry_after_s <= (DEADLINE_S - WAIT_LIMIT_S) * MAX_RETRY_AFTER_SHARE
 
 
 @pytest.mark.looptime
@@ -299,7 +299,7 @@
 async def test_process_that_was_suspended_refuses_the_expired_first(full: QueueUnderTest) -> None:
     """After a suspension, those whose callers are gone must not take the free capacity."""
     full.submit("gone")
-    full.submit("patient", patience_s=10.0)
+    full.submit("patient", wait_limit_s=10.0)
     await full.async_settle()
     full.clock.suspended_s += 3.0
     full.release()
