--- a/tests/gateway/test_own_echo.py
+++ b/tests/gateway/test_own_echo.py
@@ -2,9 +2,15 @@
 
 from __future__ import annotations
 
-from lagoonwing_catalog.messages import EndpointLoad, LoadReport, LoadSummary
+from lagoonwing_catalog.messages import (
+    DomainTransfers,
+    EndpointLoad,
+    LoadReport,
+    LoadSummary,
+    ServicePressure,
+)
 from lagoonwing_core.clock import ManualClock
-from lagoonwing_core.ids import EndpointId
+from lagoonwing_core.ids import EndpointId, FailureDomainId, ServiceId
 from lagoonwing_gateway._own_echo import OwnEcho
 
 ENDPOINT = EndpointId("e")
@@ -47,3 +53,29 @@
     echo.record_lost_replica(2.5)
     small = LoadSummary({ENDPOINT: EndpointLoad(1, 100, 50)})
     assert echo.without_echo(small).load_by_id[ENDPOINT] == EndpointLoad(0, 0, 20)
+
+
+def test_own_demand_that_a_lost_replica_reported_is_removed() -> None:
+    """Own waiting requests and starts counted as those of others too, which refused new ones."""
+    service_id = ServiceId("s")
+    link = (FailureDomainId("a"), FailureDomainId("b"))
+    echo = OwnEcho(ManualClock())
+    echo.record_report(
+        LoadReport(
+            {},
+            pressure_by_service={service_id: ServicePressure(100.0, {0: 500.0, 1: 50.0})},
+            transfers=(DomainTransfers(*link, 30.0),),
+        )
+    )
+    echo.record_lost_replica(0.0)
+    summary = echo.without_echo(
+        LoadSummary(
+            {},
+            pressure_by_service={service_id: ServicePressure(300.0, {0: 700.0, 1: 20.0, 2: 5.0})},
+            transfers=(DomainTransfers(*link, 40.0),),
+        )
+    )
+    assert summary.pressure_by_service == {
+        service_id: ServicePressure(200.0, {0: 200.0, 1: 0.0, 2: 5.0})
+    }
+    assert summary.transfers == (DomainTransfers(*link, 10.0),)
