--- a/packages/gateway/src/lagoonwing_gateway/_pace_tracker.py
+++ b/packages/gateway/src/lagoonwing_gateway/_pace_tracker.py
@@ -175,7 +175,8 @@
         confirmed = self._confirmed(sample, now)
         explained = sum(confirmed.values()) >= PACE_EXPLAINED_SHARE * excess
         for endpoint_id, share in sample.shares:
-            if not explained or endpoint_id in confirmed:
+            # An endpoint whose published figures are zero has no part in the expected pause.
+            if share > 0.0 and (not explained or endpoint_id in confirmed):
                 yield endpoint_id, min(MAX_SLOWDOWN, 1.0 + excess / share)
 
     def _confirmed(self, sample: PaceSample, now: float) -> dict[EndpointId, float]:
--- a/tests/gateway/test_pace_tracker.py
+++ b/tests/gateway/test_pace_tracker.py
@@ -310,3 +310,21 @@
     summary = LoadSummary({}, slowdown_by_id={EndpointId("e-0"): 1e9, EndpointId("e-1"): -3.0})
     tracker.update({}, summary, (_ids(86),))
     assert tracker.slowdown_by_id() == {EndpointId("e-0"): MAX_SLOWDOWN}
+
+
+def test_endpoint_without_a_part_in_the_pause_is_not_blamed() -> None:
+    """An accelerator with a step factor of zero ended all estimates by a division by zero."""
+    clock = ManualClock()
+    tracker = PaceTracker(clock)
+    instant = Accelerator(AcceleratorKind("i"), 80_000.0, 0.0, 1.0)
+    stream = tracker.begin(
+        (
+            PacedSegment(EndpointId("instant"), ENGINE, instant, 4, 4),
+            PacedSegment(EndpointId("slow"), ENGINE, ACCELERATOR, 4, 4),
+        )
+    )
+    for _ in range(5):
+        stream.record_events(1, clock.now())
+        tracker.update({}, NO_SUMMARY, [{EndpointId("instant"), EndpointId("slow")}])
+        clock.advance(0.2)
+    assert set(tracker.report()) == {EndpointId("slow")}
