--- a/packages/gateway/src/lagoonwing_gateway/_probe_schedule.py
+++ b/packages/gateway/src/lagoonwing_gateway/_probe_schedule.py
@@ -62,8 +62,13 @@
 
     def __init__(self, suspicions: SuspicionTracker) -> None:
         self._suspicions = suspicions
+        # Endpoints that were probed within the minimum interval, the earliest first.
         self._probed_at_by_id: dict[EndpointId, float] = {}
 
+    def __len__(self) -> int:
+        """Return the number of endpoints that were probed lately."""
+        return len(self._probed_at_by_id)
+
     def silent_ids(self, streams: Iterable[WatchedStream], now: float) -> set[EndpointId]:
         """Return the endpoints without recent progress on streams that should have some."""
         silent_ids: set[EndpointId] = set()
@@ -79,7 +84,16 @@
     @callback
     def try_begin(self, endpoint_id: EndpointId, now: float) -> bool:
         """Return whether an endpoint may be probed now; if so, it counts as probed."""
-        if now < self._probed_at_by_id.get(endpoint_id, 0.0) + MIN_PROBE_INTERVAL_S:
+        self._discard_outdated(now)
+        if endpoint_id in self._probed_at_by_id:
             return False
         self._probed_at_by_id[endpoint_id] = now
         return True
+
+    def _discard_outdated(self, now: float) -> None:
+        """Discard the endpoints that may be probed again."""
+        while self._probed_at_by_id:
+            earliest_id = next(iter(self._probed_at_by_id))
+            if now < self._probed_at_by_id[earliest_id] + MIN_PROBE_INTERVAL_S:
+                return
+            del self._probed_at_by_id[earliest_id]
--- a/tests/gateway/test_probe_schedule.py
+++ b/tests/gateway/test_probe_schedule.py
@@ -11,7 +11,11 @@
 from lagoonwing_core.ids import EndpointId
 from lagoonwing_gateway._probe_schedule import ProbeSchedule, WatchedStream
 from lagoonwing_gateway._suspicions import SuspicionTracker
-from lagoonwing_gateway.const import MAX_PROBE_SILENCE_S, WATCH_INTERVAL_S
+from lagoonwing_gateway.const import (
+    MAX_PROBE_SILENCE_S,
+    MIN_PROBE_INTERVAL_S,
+    WATCH_INTERVAL_S,
+)
 
 ENDPOINTS = 86
 PATH_ENDPOINTS = 9
@@ -143,3 +147,13 @@
     assert schedule.silent_ids([stream], clock.now()) == set()
     clock.advance(0.15)
     assert schedule.silent_ids([stream], clock.now()) == set(path)
+
+
+def test_state_of_endpoints_that_are_gone_is_discarded() -> None:
+    """Endpoints under ever new ids left an entry each, for as long as the gateway ran."""
+    schedule = ProbeSchedule(SuspicionTracker(ManualClock(100.0)))
+    for number in range(1_000):
+        now = 100.0 + number * MIN_PROBE_INTERVAL_S
+        assert schedule.try_begin(EndpointId(f"e-{number}"), now)
+        assert not schedule.try_begin(EndpointId(f"e-{number}"), now)
+    assert len(schedule) <= 2
