--- a/packages/gateway/src/lagoonwing_gateway/_stream_call.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_call.py
@@ -69,7 +69,8 @@
         """Mean cost of the service's streams."""
         if self.is_plain:
             return CALL_COST
-        return self.engine.mean_prompt_tokens + self.engine.mean_output_tokens
+        # Published means may be zero.
+        return max(1.0, self.engine.mean_prompt_tokens + self.engine.mean_output_tokens)
 
     @property
     def engine(self) -> Engine:
