--- a/packages/placement/src/lagoonwing_placement/_paths.py
+++ b/packages/placement/src/lagoonwing_placement/_paths.py
@@ -158,13 +158,35 @@
         for criterion in self._criteria():
             found = self._search(groups, size, is_usable, may_enter, criterion)
             if found is None:
-                break
+                return late
             path, timing = found
             if self.bounds is None or timing.is_within(self.bounds):
                 return path
             if not timing.is_full(self.bounds):
                 late = path
-        return late
+        return late or self._find_idle(groups, size, is_usable, may_enter)
+
+    def _find_idle(
+        self,
+        groups: Sequence[HolderGroup],
+        size: RequestSize,
+        is_usable: Callable[[EndpointId], bool],
+        may_enter: Callable[[EndpointId], bool],
+    ) -> Path | None:
+        """Return the best path over endpoints without requests, or None.
+
+        A full path whose times sum up to less than those of an idle one hides it from the search
+        by the bounds.
+        """
+
+        def is_idle(endpoint_id: EndpointId) -> bool:
+            load = self.load_by_id.get(endpoint_id, _NO_LOAD)
+            return not load.sequences and is_usable(endpoint_id)
+
+        found = self._search(groups, size, is_idle, may_enter, _Criterion.BOUNDS)
+        if found is None or self.bounds is None or found[1].is_full(self.bounds):
+            return None
+        return found[0]
 
     def _criteria(self) -> tuple[_Criterion, ...]:
         """Return the criteria to search by until a path is within the bounds."""
--- a/tests/placement/test_path_bounds.py
+++ b/tests/placement/test_path_bounds.py
@@ -4,6 +4,7 @@
 
 import random
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -139,6 +140,24 @@
     assert _find({}, {}, size=RequestSize(8_000, 100)) is not None
 
 
+def test_idle_endpoint_beside_a_full_one_is_not_refused() -> None:
+    """A full fast endpoint whose times sum up to less hid an idle one of an older accelerator."""
+    # Without load, its pauses are 158 ms and its first token takes 560 ms.
+    old = Accelerator(AcceleratorKind("old"), 80_000.0, 2.5, 14.0)
+    engine = msgspec.structs.replace(ENGINE, accelerators=(ACCELERATOR, old))
+    all_layers = LayerRange(0, 8)
+    groups = group_holders(
+        engine,
+        [
+            Holder(FIRST[0], DOMAIN, ACCELERATOR, all_layers, engine.slots),
+            Holder(FIRST[1], DOMAIN, old, all_layers, engine.slots),
+        ],
+    )
+    loads = {FIRST[0]: EndpointLoad(51, 1_000, 0)}
+    path = PathFinder(engine, loads, random.Random(1), DOMAIN, bounds=BOUNDS).find(groups, SIZE)
+    assert _ids(path) == {FIRST[1]}
+
+
 @settings(max_examples=200, deadline=None, derandomize=True)
 @given(
     sequences=st.lists(st.integers(0, 70), min_size=4, max_size=4),
