--- a/packages/gateway/src/lagoonwing_gateway/_own_echo.py
+++ b/packages/gateway/src/lagoonwing_gateway/_own_echo.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterable, Mapping
 
 import msgspec
@@ -30,8 +29,8 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._report = LoadReport({})
-        self._echo = LoadReport({})
-        self._echo_until = -math.inf
+        # Last reports to lost replicas, with the time until which the others count them.
+        self._echoes: list[tuple[float, LoadReport]] = []
 
     @callback
     def record_report(self, report: LoadReport) -> None:
@@ -45,22 +44,28 @@
         if not (report.load_by_id or report.pressure_by_service or report.transfers):
             # A replica that refused the subscription got none.
             return
-        self._echo = report
-        self._echo_until = last_message_at + REPLICA_LOAD_TTL_S
+        self._echoes.append((last_message_at + REPLICA_LOAD_TTL_S, report))
         self._report = LoadReport({})
 
     def without_echo(self, summary: LoadSummary) -> LoadSummary:
         """Return a summary without own load and demand."""
-        if self._clock.now() >= self._echo_until:
-            return summary
-        return msgspec.structs.replace(
-            summary,
-            load_by_id=_subtract_loads(summary.load_by_id, self._echo.load_by_id),
-            pressure_by_service=_subtract_pressures(
-                summary.pressure_by_service, self._echo.pressure_by_service
-            ),
-            transfers=_subtract_transfers(summary.transfers, self._echo.transfers),
-        )
+        now = self._clock.now()
+        self._echoes = [(until, echo) for until, echo in self._echoes if now < until]
+        for _, echo in self._echoes:
+            summary = _subtract(summary, echo)
+        return summary
+
+
+def _subtract(summary: LoadSummary, echo: LoadReport) -> LoadSummary:
+    """Return a summary without an own report."""
+    return msgspec.structs.replace(
+        summary,
+        load_by_id=_subtract_loads(summary.load_by_id, echo.load_by_id),
+        pressure_by_service=_subtract_pressures(
+            summary.pressure_by_service, echo.pressure_by_service
+        ),
+        transfers=_subtract_transfers(summary.transfers, echo.transfers),
+    )
 
 
 def _subtract_loads(
--- a/tests/gateway/test_own_echo.py
+++ b/tests/gateway/test_own_echo.py
@@ -79,3 +79,19 @@
         service_id: ServicePressure(200.0, {0: 200.0, 1: 0.0, 2: 5.0})
     }
     assert summary.transfers == (DomainTransfers(*link, 10.0),)
+
+
+def test_echoes_of_two_lost_replicas_are_both_removed() -> None:
+    """A second loss within 2.5 s made the report to the first replica count as load of others."""
+    clock = ManualClock()
+    echo = OwnEcho(clock)
+    echo.record_report(OWN)
+    echo.record_lost_replica(0.0)
+    clock.advance(1.0)
+    echo.record_report(LoadReport({ENDPOINT: EndpointLoad(1, 100, 5)}))
+    echo.record_lost_replica(1.0)
+    assert echo.without_echo(WITH_ECHO).load_by_id[ENDPOINT] == EndpointLoad(1, 100, 5)
+    clock.advance(1.5)
+    assert echo.without_echo(WITH_ECHO).load_by_id[ENDPOINT] == EndpointLoad(4, 400, 35)
+    clock.advance(1.0)
+    assert echo.without_echo(WITH_ECHO) == WITH_ECHO
