--- a/bench/pace_simulation.py
+++ b/bench/pace_simulation.py
@@ -76,7 +76,9 @@
 
     def report(self) -> dict[EndpointId, float]:
         """Return the endpoints of slow paths."""
-        return {one: factor for one, factor in super().report().items() if factor > 1.0}
+        return {
+            endpoint_id: factor for endpoint_id, factor in super().report().items() if factor > 1.0
+        }
 
 
 @dataclass
@@ -167,8 +169,10 @@
         }
         self.groups = group_holders(ENGINE, self.holder_by_id.values())
         slow_ids = self.rng.sample(self.ids, scenario.slow)
-        self.factor_by_id = {one: self.rng.uniform(3.0, 12.0) for one in slow_ids}
-        self.load_by_id: dict[EndpointId, list[int]] = {one: [0, 0] for one in self.ids}
+        self.factor_by_id = {endpoint_id: self.rng.uniform(3.0, 12.0) for endpoint_id in slow_ids}
+        self.load_by_id: dict[EndpointId, list[int]] = {
+            endpoint_id: [0, 0] for endpoint_id in self.ids
+        }
         self.known_loads: dict[EndpointId, EndpointLoad] = {}
         self.reports: dict[int, LoadReport] = {}
         self.measures = Measures()
@@ -290,8 +294,8 @@
         """Send the registry's summary to all gateways."""
         now = self.clock.now()
         self.known_loads = {
-            one: EndpointLoad(load[0], load[1], 0)
-            for one, load in self.load_by_id.items()
+            endpoint_id: EndpointLoad(load[0], load[1], 0)
+            for endpoint_id, load in self.load_by_id.items()
             if load[0]
         }
         summary = LoadSummary(
@@ -307,22 +311,28 @@
         now = self.clock.now()
         believed = dict.fromkeys(self.ids, 0.0)
         for gateway in self.gateways:
-            for one, factor in self.known_slowdowns(gateway).items():
-                believed[one] += (factor > SLOW_ENDPOINT_FACTOR) / len(self.gateways)
+            for endpoint_id, factor in self.known_slowdowns(gateway).items():
+                believed[endpoint_id] += (factor > SLOW_ENDPOINT_FACTOR) / len(self.gateways)
         if self.is_slow_time(now):
-            sound = [believed[one] for one in self.ids if one not in self.factor_by_id]
+            sound = [
+                believed[endpoint_id]
+                for endpoint_id in self.ids
+                if endpoint_id not in self.factor_by_id
+            ]
             self.measures.blamed.append(mean(sound))
-            for one in self.factor_by_id:
-                if believed[one] >= 0.5:
-                    self.measures.found_at_by_id.setdefault(one, now)
+            for endpoint_id in self.factor_by_id:
+                if believed[endpoint_id] >= 0.5:
+                    self.measures.found_at_by_id.setdefault(endpoint_id, now)
             if self.factor_by_id and now >= self.scenario.onset + 1.0:
-                self.measures.known.append(mean(believed[one] for one in self.factor_by_id))
+                self.measures.known.append(
+                    mean(believed[endpoint_id] for endpoint_id in self.factor_by_id)
+                )
         elif now >= self.scenario.recovery:
-            for one in self.factor_by_id:
-                if believed[one] >= 0.5:
-                    self.measures.cleared_at_by_id.pop(one, None)
+            for endpoint_id in self.factor_by_id:
+                if believed[endpoint_id] >= 0.5:
+                    self.measures.cleared_at_by_id.pop(endpoint_id, None)
                 else:
-                    self.measures.cleared_at_by_id.setdefault(one, now)
+                    self.measures.cleared_at_by_id.setdefault(endpoint_id, now)
         self.at(now + 0.1, self.measure)
 
 
--- a/packages/gateway/src/lagoonwing_gateway/_pace_tracker.py
+++ b/packages/gateway/src/lagoonwing_gateway/_pace_tracker.py
@@ -71,8 +71,10 @@
         self._clock = clock
         self._streams: set[PacedStream] = set()
         self._typical = TypicalPace()
+        # Last samples of streams that have ended.
         self._samples: list[PaceSample] = []
         self._estimate_by_id: dict[EndpointId, _Estimate] = {}
+        # How slow endpoints can be at most, given the streams here.
         self._own_by_id: dict[EndpointId, float] = {}
         self._slowdown_by_id: dict[EndpointId, float] = {}
         self._slow_ids: set[EndpointId] = set()
@@ -192,12 +194,12 @@
 
     def _merge(self, summary: LoadSummary, now: float) -> None:
         """Combine the observations here with those of other gateways."""
-        told = summary.slowdown_by_id
-        changed = {**(told if summary is not self._summary else {}), **self._own_by_id}
+        reported_by_id = summary.slowdown_by_id
+        changed = {**(reported_by_id if summary is not self._summary else {}), **self._own_by_id}
         self._summary = summary
         for endpoint_id, factor in changed.items():
-            told_factor = told.get(endpoint_id, factor)
-            is_called_slow = max(factor, told_factor) > REPORTED_SLOWDOWN
+            reported_factor = reported_by_id.get(endpoint_id, factor)
+            is_called_slow = max(factor, reported_factor) > REPORTED_SLOWDOWN
             estimate = self._estimate_by_id.get(endpoint_id)
             if estimate is None:
                 if not is_called_slow:
@@ -206,7 +208,7 @@
                 self._estimate_by_id[endpoint_id] = estimate
             elif is_called_slow:
                 estimate.slow_seen_at = now
-            estimate.observe(min(MAX_SLOWDOWN, max(1.0, min(factor, told_factor))), now)
+            estimate.observe(min(MAX_SLOWDOWN, max(1.0, min(factor, reported_factor))), now)
 
     def _relative_slowdowns(
         self, peer_groups: Iterable[Collection[EndpointId]], now: float
--- a/packages/http/src/lagoonwing_http/_exchange.py
+++ b/packages/http/src/lagoonwing_http/_exchange.py
@@ -49,6 +49,7 @@
 
     Attributes:
         match_response: Returns whether response headers belong to this request.
+        source: Where the response comes from, for its budget and for read turns.
     """
 
     def __init__(self, match_response: ResponseMatcher) -> None:
--- a/tests/gateway/test_pace_tracker.py
+++ b/tests/gateway/test_pace_tracker.py
@@ -53,7 +53,7 @@
     def __init__(self, tracker: PaceTracker, path: list[EndpointId]) -> None:
         self.path = path
         self.observed: PacedStream = tracker.begin(
-            tuple(PacedSegment(one, ENGINE, ACCELERATOR, 1, 1) for one in path)
+            tuple(PacedSegment(endpoint_id, ENGINE, ACCELERATOR, 1, 1) for endpoint_id in path)
         )
         self.next_at = 0.0
 
@@ -107,8 +107,8 @@
                     continue
                 stream.observed.record_events(1, now)
                 pass_s = [
-                    0.01 * self.slowdown_by_id.get(one, 1.0) * self.rng.uniform(0.85, 1.15)
-                    for one in stream.path
+                    0.01 * self.slowdown_by_id.get(endpoint_id, 1.0) * self.rng.uniform(0.85, 1.15)
+                    for endpoint_id in stream.path
                 ]
                 stream.next_at = now + sum(pass_s) * self.common_factor
 
@@ -134,7 +134,7 @@
 
     def sound_blamed(self) -> float:
         """Return the share of sound endpoints that are taken to be slow, over all gateways."""
-        sound = [one for one in self.ids if one not in self.slowdown_by_id]
+        sound = [endpoint_id for endpoint_id in self.ids if endpoint_id not in self.slowdown_by_id]
         return sum(map(self.believed, sound)) / len(sound)
 
 
@@ -143,9 +143,11 @@
     """11 of 86 endpoints run 4 to 12 times slower: found within a second, the others cleared."""
     site = _Site(gateways, 86, streams)
     site.run(3.0)
-    site.slowdown_by_id = {one: 4.0 + number % 9 for number, one in enumerate(site.some_ids())}
+    site.slowdown_by_id = {
+        endpoint_id: 4.0 + number % 9 for number, endpoint_id in enumerate(site.some_ids())
+    }
     site.run(1.2)
-    found = [site.believed(one) > 0.5 for one in site.slowdown_by_id]
+    found = [site.believed(endpoint_id) > 0.5 for endpoint_id in site.slowdown_by_id]
     assert sum(found) >= 9
     site.run(2.0)
     assert site.sound_blamed() <= 0.05
@@ -182,7 +184,7 @@
     site.run(2.0)
     site.slowdown_by_id = {}
     site.run(3.0)
-    assert max(site.believed(one) for one in slow) <= 0.1
+    assert max(site.believed(endpoint_id) for endpoint_id in slow) <= 0.1
 
 
 def test_slowdown_without_new_evidence_decays() -> None:
@@ -208,12 +210,12 @@
     site.run(2.0)
     site.slowdown_by_id = dict.fromkeys(site.some_ids(), 8.0)
     site.run(1.2)
-    assert sum(site.believed(one) > 0.0 for one in site.slowdown_by_id) >= 9
+    assert sum(site.believed(endpoint_id) > 0.0 for endpoint_id in site.slowdown_by_id) >= 9
     site.run(2.0)
     assert site.sound_blamed() <= 0.1
 
 
-def test_gateway_whose_streams_cross_one_slow_endpoint_is_put_right() -> None:
+def test_gateway_whose_streams_cross_one_slow_endpoint_is_corrected() -> None:
     """Its reports make sound endpoints look slow only until the other gateways' arrive."""
     site = _Site(26, 24, streams=4)
     site.run(2.0)
@@ -245,7 +247,7 @@
     clock = ManualClock()
     tracker = PaceTracker(clock)
     stream = tracker.begin(
-        tuple(PacedSegment(one, ENGINE, ACCELERATOR, 1, 1) for one in _ids(HOPS))
+        tuple(PacedSegment(endpoint_id, ENGINE, ACCELERATOR, 1, 1) for endpoint_id in _ids(HOPS))
     )
     stream.record_events(1, clock.now())
     for _ in range(round(seconds / pause_s)):
@@ -265,7 +267,7 @@
     assert tracker.slowdown_by_id()
 
 
-def test_stopped_gateway_blames_nobody() -> None:
+def test_stopped_gateway_calls_no_endpoint_slow() -> None:
     """A gateway that stood still for 3 s saw long pauses that are its own."""
     tracker, clock, stream = _alone(1.0, 0.08)
     clock.advance(3.0)
@@ -292,7 +294,7 @@
     clock = ManualClock()
     tracker = PaceTracker(clock)
     stream = tracker.begin(
-        tuple(PacedSegment(one, ENGINE, ACCELERATOR, 1, 1) for one in _ids(HOPS))
+        tuple(PacedSegment(endpoint_id, ENGINE, ACCELERATOR, 1, 1) for endpoint_id in _ids(HOPS))
     )
     loads = dict.fromkeys(_ids(HOPS), EndpointLoad(8, 0, 0))
     stream.record_events(1, clock.now())
@@ -303,7 +305,7 @@
     assert not tracker.slowdown_by_id()
 
 
-def test_slowdowns_told_by_others_are_bounded() -> None:
+def test_slowdowns_reported_by_others_are_bounded() -> None:
     """A report out of range can't make an endpoint look slower than the bound."""
     clock = ManualClock()
     tracker = PaceTracker(clock)
--- a/tests/gateway/test_path_bounds_of_streams.py
+++ b/tests/gateway/test_path_bounds_of_streams.py
@@ -78,4 +78,6 @@
     others = OthersLoad(LoadSummary({}), math.inf, 1)
     work = UnreportedWork(lambda: others, StartedWork(clock), clock, random.Random(1))
     service_id = ServiceId("s")
-    assert work.stream_backlogs(service_id, mean_cost, (), {}, lambda one: True) == Backlogs()
+    assert (
+        work.stream_backlogs(service_id, mean_cost, (), {}, lambda endpoint_id: True) == Backlogs()
+    )
--- a/tests/placement/test_path_bounds.py
+++ b/tests/placement/test_path_bounds.py
@@ -91,20 +91,20 @@
 
 def test_load_that_lengthens_pauses_over_the_bound_fills_a_path() -> None:
     """Overload of all endpoints: another stream would make the pauses of all too long."""
-    loads = {one: EndpointLoad(50, 1_000, 0) for one in (*FIRST, *LAST)}
+    loads = {endpoint_id: EndpointLoad(50, 1_000, 0) for endpoint_id in (*FIRST, *LAST)}
     assert _find(loads, {}) is None
     assert _find(loads, {}, bounds=None) is not None
 
 
 def test_queued_prefill_over_the_bound_fills_a_path() -> None:
     """Overload by prompts: a further request would get its first token too late."""
-    loads = {one: EndpointLoad(2, 1_000, 600) for one in (*FIRST, *LAST)}
+    loads = {endpoint_id: EndpointLoad(2, 1_000, 600) for endpoint_id in (*FIRST, *LAST)}
     assert _find(loads, {}) is None
 
 
 def test_loaded_endpoints_are_avoided_while_others_are_within_the_bounds() -> None:
     """Overload of one endpoint of each half: the other ones are used."""
-    loads = {one: EndpointLoad(50, 1_000, 0) for one in (FIRST[0], LAST[0])}
+    loads = {endpoint_id: EndpointLoad(50, 1_000, 0) for endpoint_id in (FIRST[0], LAST[0])}
     assert _ids(_find(loads, {})) == {FIRST[1], LAST[1]}
 
 
@@ -131,7 +131,7 @@
 def test_load_on_a_slow_endpoint_is_bounded() -> None:
     """Streams don't pile up on slow endpoints either: load may double their time at most."""
     slow = dict.fromkeys((*FIRST, *LAST), 8.0)
-    loads = {one: EndpointLoad(60, 1_000, 0) for one in (*FIRST, *LAST)}
+    loads = {endpoint_id: EndpointLoad(60, 1_000, 0) for endpoint_id in (*FIRST, *LAST)}
     assert _find(loads, slow) is None
 
 
@@ -168,13 +168,16 @@
 ) -> None:
     """Whatever the load: a path over the pause bound is one that would be without load, too."""
     ids = (*FIRST, *LAST)
-    loads = {one: EndpointLoad(count, 0, 0) for one, count in zip(ids, sequences, strict=True)}
+    loads = {
+        endpoint_id: EndpointLoad(count, 0, 0)
+        for endpoint_id, count in zip(ids, sequences, strict=True)
+    }
     slowdown_by_id = dict(zip(ids, slowdowns, strict=True))
     path = _find(loads, slowdown_by_id)
     if path is None:
         assert any(sequences)
         return
-    idle_ms = sum(3 * 21.0 / 2 * slowdown_by_id[one] for one in _ids(path))
+    idle_ms = sum(3 * 21.0 / 2 * slowdown_by_id[endpoint_id] for endpoint_id in _ids(path))
     assert path.pause_ms <= BOUNDS.pause_ms or idle_ms > BOUNDS.pause_ms
 
 
--- a/tests/platform/test_slow_endpoints.py
+++ b/tests/platform/test_slow_endpoints.py
@@ -28,7 +28,7 @@
 
 
 async def test_slow_stream_is_reported(deployment: Deployment) -> None:
-    """A path whose events come far too late: its endpoints are reported and counted."""
+    """Events of a slow path that don't reach the tracker would leave it unknown to all gateways."""
     await async_start_engines(deployment)
     for endpoint in deployment.endpoints:
         endpoint.handler_override = _async_send_slowly
@@ -43,7 +43,7 @@
 
 
 async def test_fast_streams_are_not_reported(deployment: Deployment) -> None:
-    """Streams at a normal pace: the load report is as small as before."""
+    """Sound endpoints in each report would make it grow with the number of endpoints."""
     await async_start_engines(deployment)
     for number in range(5):
         assert (await deployment.async_send_request("stream", f"a-{number}")).code == 200
--- a/tests/registry/test_load_totals.py
+++ b/tests/registry/test_load_totals.py
@@ -1,4 +1,4 @@
-"""Sums of load reports: what a gateway is told of the others."""
+"""Sums of load reports: what a gateway learns of the others."""
 
 from __future__ import annotations
 
