--- a/packages/gateway/src/lagoonwing_gateway/_pace_tracker.py
+++ b/packages/gateway/src/lagoonwing_gateway/_pace_tracker.py
@@ -17,7 +17,7 @@
 from lagoonwing_core.clock import Clock
 from lagoonwing_core.events import EventCode, log_event
 from lagoonwing_core.ids import EndpointId
-from lagoonwing_gateway._paced_stream import PacedSegment, PacedStream, PaceSample
+from lagoonwing_gateway._paced_stream import NO_LOAD, PacedSegment, PacedStream, PaceSample
 from lagoonwing_gateway._typical_pace import TypicalPace
 from lagoonwing_gateway.const import (
     MAX_SLOWDOWN,
@@ -83,10 +83,11 @@
 
     @callback
     def begin(self, segments: tuple[PacedSegment, ...]) -> PacedStream:
-        """Observe a stream until `end` is called; without segments it is not observed."""
+        """Observe a stream until `end` is called, if published figures explain its pauses."""
+        if not any(segment.expected_pass_ms(NO_LOAD) for segment in segments):
+            return PacedStream(())
         stream = PacedStream(segments)
-        if segments:
-            self._streams.add(stream)
+        self._streams.add(stream)
         return stream
 
     @callback
--- a/packages/gateway/src/lagoonwing_gateway/_paced_stream.py
+++ b/packages/gateway/src/lagoonwing_gateway/_paced_stream.py
@@ -12,7 +12,7 @@
 from lagoonwing_gateway.const import PACE_SILENCE_FACTOR, PACE_WINDOW_S
 from lagoonwing_placement import PREFILL_CHUNK_TOKENS, prefill_ms, step_ms
 
-_NO_LOAD = EndpointLoad(0, 0, 0)
+NO_LOAD = EndpointLoad(0, 0, 0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,7 +107,7 @@
         if now - self._window_from < PACE_WINDOW_S or not (self._events or silence_s):
             return None
         pass_ms = [
-            segment.expected_pass_ms(load_by_id.get(segment.endpoint_id, _NO_LOAD))
+            segment.expected_pass_ms(load_by_id.get(segment.endpoint_id, NO_LOAD))
             for segment in self._segments
         ]
         expected_s = sum(pass_ms) / 1_000
--- a/tests/gateway/test_pace_tracker.py
+++ b/tests/gateway/test_pace_tracker.py
@@ -4,6 +4,7 @@
 
 import random
 
+import msgspec
 import pytest
 
 from lagoonwing_catalog.messages import EndpointLoad, LoadReport, LoadSummary
@@ -330,3 +331,20 @@
         tracker.update({}, NO_SUMMARY, [{EndpointId("instant"), EndpointId("slow")}])
         clock.advance(0.2)
     assert set(tracker.report()) == {EndpointId("slow")}
+
+
+def test_engine_without_published_step_times_is_not_called_slow() -> None:
+    """Queued prefill alone explained the pauses, so the endpoint that had some looked slow."""
+    clock = ManualClock()
+    tracker = PaceTracker(clock)
+    engine = msgspec.structs.replace(ENGINE, step_ms=0.0, per_sequence_ms=0.0)
+    ids = _ids(HOPS)
+    stream = tracker.begin(
+        tuple(PacedSegment(endpoint_id, engine, ACCELERATOR, 1, 1) for endpoint_id in ids)
+    )
+    loads = {ids[0]: EndpointLoad(2, 0, 20)}
+    for _ in range(20):
+        stream.record_events(1, clock.now())
+        tracker.update(loads, NO_SUMMARY, (_ids(86),))
+        clock.advance(0.08)
+    assert not tracker.slowdown_by_id()
