--- a/packages/gateway/src/lagoonwing_gateway/_pace_tracker.py
+++ b/packages/gateway/src/lagoonwing_gateway/_pace_tracker.py
@@ -17,7 +17,7 @@
 from lagoonwing_core.clock import Clock
 from lagoonwing_core.events import EventCode, log_event
 from lagoonwing_core.ids import EndpointId
-from lagoonwing_gateway._paced_stream import PacedSegment, PacedStream, PaceSample
+from lagoonwing_gateway._paced_stream import NO_LOAD, PacedSegment, PacedStream, PaceSample
 from lagoonwing_gateway._typical_pace import TypicalPace
 from lagoonwing_gateway.const import (
     MAX_SLOWDOWN,
@@ -71,8 +71,10 @@
         self._clock = clock
         self._streams: set[PacedStream] = set()
         self._typical = TypicalPace()
+        # Last samples of streams that have ended.
         self._samples: list[PaceSample] = []
         self._estimate_by_id: dict[EndpointId, _Estimate] = {}
+        # How slow endpoints can be at most, given the streams here.
         self._own_by_id: dict[EndpointId, float] = {}
         self._slowdown_by_id: dict[EndpointId, float] = {}
         self._slow_ids: set[EndpointId] = set()
@@ -81,10 +83,11 @@
 
     @callback
     def begin(self, segments: tuple[PacedSegment, ...]) -> PacedStream:
-        """Observe a stream until `end` is called; without segments it is not observed."""
+        """Observe a stream until `end` is called, if published figures explain its pauses."""
+        if not any(segment.expected_pass_ms(NO_LOAD) for segment in segments):
+            return PacedStream(())
         stream = PacedStream(segments)
-        if segments:
-            self._streams.add(stream)
+        self._streams.add(stream)
         return stream
 
     @callback
@@ -175,7 +178,8 @@
         confirmed = self._confirmed(sample, now)
         explained = sum(confirmed.values()) >= PACE_EXPLAINED_SHARE * excess
         for endpoint_id, share in sample.shares:
-            if not explained or endpoint_id in confirmed:
+            # An endpoint whose published figures are zero has no part in the expected pause.
+            if share > 0.0 and (not explained or endpoint_id in confirmed):
                 yield endpoint_id, min(MAX_SLOWDOWN, 1.0 + excess / share)
 
     def _confirmed(self, sample: PaceSample, now: float) -> dict[EndpointId, float]:
@@ -191,12 +195,12 @@
 
     def _merge(self, summary: LoadSummary, now: float) -> None:
         """Combine the observations here with those of other gateways."""
-        told = summary.slowdown_by_id
-        changed = {**(told if summary is not self._summary else {}), **self._own_by_id}
+        reported_by_id = summary.slowdown_by_id
+        changed = {**(reported_by_id if summary is not self._summary else {}), **self._own_by_id}
         self._summary = summary
         for endpoint_id, factor in changed.items():
-            told_factor = told.get(endpoint_id, factor)
-            is_called_slow = max(factor, told_factor) > REPORTED_SLOWDOWN
+            reported_factor = reported_by_id.get(endpoint_id, factor)
+            is_called_slow = max(factor, reported_factor) > REPORTED_SLOWDOWN
             estimate = self._estimate_by_id.get(endpoint_id)
             if estimate is None:
                 if not is_called_slow:
@@ -205,7 +209,7 @@
                 self._estimate_by_id[endpoint_id] = estimate
             elif is_called_slow:
                 estimate.slow_seen_at = now
-            estimate.observe(min(MAX_SLOWDOWN, max(1.0, min(factor, told_factor))), now)
+            estimate.observe(min(MAX_SLOWDOWN, max(1.0, min(factor, reported_factor))), now)
 
     def _relative_slowdowns(
         self, peer_groups: Iterable[Collection[EndpointId]], now: float
