--- a/packages/gateway/src/lagoonwing_gateway/_admission_queue.py
+++ b/packages/gateway/src/lagoonwing_gateway/_admission_queue.py
@@ -54,12 +54,14 @@
     Attributes:
         try_claim: Claims capacity for the request; returns None if there is none.
         is_hopeless: Returns whether a limit of the endpoints keeps it from being served.
+        is_started: Whether capacity has been claimed for it.
     """
 
     request: AdmissionRequest
     try_claim: Callable[[], ClaimT | None]
     is_hopeless: Callable[[], bool]
     future: asyncio.Future[ClaimT | NotAdmitted | CallerGone]
+    is_started: bool = False
 
     @callback
     def resolve(self, outcome: ClaimT | NotAdmitted | CallerGone) -> None:
@@ -104,6 +106,8 @@
         self._waiter_by_id: dict[WorkId, _Waiter[Any]] = {}
         # Waiting requests that a limit of their endpoints may make hopeless.
         self._limited_by_id: dict[WorkId, _Waiter[Any]] = {}
+        # Services of which a started request has not taken its capacity yet.
+        self._starting_services: set[ServiceId] = set()
         self._seen_ranks: set[int] = set()
         self._is_run_scheduled = False
         self._timer: asyncio.TimerHandle | None = None
@@ -117,6 +121,8 @@
         self, request: AdmissionRequest, try_claim: Callable[[], ClaimT | None]
     ) -> ClaimT | None:
         """Claim capacity for a request that no waiting one precedes, or return None."""
+        if request.service_id in self._starting_services:
+            return None
         room = self._room(request.service_id)
         if any(rank <= request.rank for rank in room.waiting_cost_by_rank()):
             return None
@@ -163,6 +169,10 @@
             del self._waiter_by_id[request.work_id]
             self._limited_by_id.pop(request.work_id, None)
             self._room(request.service_id).withdraw(request)
+            if waiter.is_started:
+                # The next run follows once the caller of this method has taken its capacity.
+                self._starting_services.discard(request.service_id)
+                self.wake()
         self._record_outcome(request, outcome)
         return outcome
 
@@ -262,18 +272,22 @@
         """Start or refuse waiting requests of all services."""
         self._is_run_scheduled = False
         now = self._clock.now()
-        for room in list(self._room_by_service.values()):
+        for service_id, room in list(self._room_by_service.items()):
             if len(room):
-                self._run_room(room, now)
+                self._run_room(service_id, room, now)
         self._set_timer(now)
 
     @callback
-    def _run_room(self, room: WaitingRoom[AdmissionRequest], now: float) -> None:
+    def _run_room(
+        self, service_id: ServiceId, room: WaitingRoom[AdmissionRequest], now: float
+    ) -> None:
         """Refuse what has waited too long, and start the first request that finds capacity."""
         for request in room.expired(now):
             self._refuse(request, "no capacity became free in time")
         for waiter in self._hopeless(room):
             self._refuse(waiter.request, "no permit becomes free in time")
+        if service_id in self._starting_services:
+            return
         for request in room.candidates(now, MAX_ADMISSION_CANDIDATES):
             waiter = self._waiter_by_id[request.work_id]
             if waiter.future.done():
@@ -281,9 +295,9 @@
             claim = waiter.try_claim()
             if claim is not None:
                 room.started(request, now)
+                waiter.is_started = True
+                self._starting_services.add(service_id)
                 waiter.resolve(claim)
-                # The request takes its capacity before the next run tries another one.
-                self.wake()
                 return
 
     @callback
--- a/tests/gateway/test_admission_queue.py
+++ b/tests/gateway/test_admission_queue.py
@@ -104,6 +104,7 @@
         self,
         name: str,
         *,
+        service: ServiceId = SERVICE,
         rank: int = 1,
         member: str = "m",
         returned_s: float = 0.0,
@@ -116,7 +117,7 @@
             self.queue.next_work_id(),
             AttemptId(name),
             RouteId("r"),
-            SERVICE,
+            service,
             MemberId(member),
             rank,
             COST,
@@ -196,6 +197,37 @@
     assert full.slots.free == 0
 
 
+@pytest.mark.looptime
+async def test_arrival_does_not_claim_what_a_started_request_is_about_to_take(
+    full: QueueUnderTest,
+) -> None:
+    """A request that arrives between a start and its use of the claim must not overrun the slot."""
+    full.submit("waiting")
+    await full.async_settle()
+    full.release()
+    # Runs after the queue has started the waiting request, and before that has taken its slot.
+    full.submit("new")
+    await full.async_settle()
+    assert full.slots.started == ["waiting"]
+    assert full.slots.free == 0
+
+
+@pytest.mark.looptime
+async def test_start_in_one_service_repeats_none_in_another(full: QueueUnderTest) -> None:
+    """The next run of the queue must not start a second request before a first one took its slot.
+
+    The start in the first service schedules that run, which then precedes the start in the second.
+    """
+    full.submit("a")
+    for name in ("b", "c"):
+        full.submit(name, service=ServiceId("other"))
+    await full.async_settle()
+    full.release(2)
+    await full.async_settle()
+    assert full.slots.started == ["a", "b"]
+    assert full.queue.waiting_cost_by_service() == {ServiceId("other"): {1: COST}}
+
+
 @pytest.mark.looptime
 async def test_surge_starts_the_most_urgent_first(full: QueueUnderTest) -> None:
     """In a surge the less urgent must not take capacity because they arrived earlier."""
