--- a/packages/gateway/src/lagoonwing_gateway/_admission_queue.py
+++ b/packages/gateway/src/lagoonwing_gateway/_admission_queue.py
@@ -170,9 +170,10 @@
             self._limited_by_id.pop(request.work_id, None)
             self._room(request.service_id).withdraw(request)
             if waiter.is_started:
-                # The next run follows once the caller of this method has taken its capacity.
                 self._starting_services.discard(request.service_id)
-                self.wake()
+            # The next run follows once the caller of this method has taken its capacity, if any. A
+            # request that was in the way of others may also have left without starting.
+            self.wake()
         self._record_outcome(request, outcome)
         return outcome
 
--- a/tests/gateway/test_admission_queue.py
+++ b/tests/gateway/test_admission_queue.py
@@ -275,6 +275,18 @@
     assert isinstance(full.outcome_by_name["gone"], CallerGone)
 
 
+@pytest.mark.looptime
+async def test_next_request_starts_once_a_disconnected_one_has_left(full: QueueUnderTest) -> None:
+    """Capacity must not stay idle if a run of the queue finds only a caller that has just left."""
+    full.submit("gone")
+    full.submit("next")
+    await full.async_settle()
+    full.release()
+    full.responder_by_name["gone"].disconnect()
+    await full.async_settle()
+    assert full.slots.started == ["next"]
+
+
 @pytest.mark.looptime
 async def test_request_is_refused_when_its_caller_would_be_gone(full: QueueUnderTest) -> None:
     """Waiting up to the deadline loses the request: its caller disconnects long before."""
