--- a/packages/gateway/src/lagoonwing_gateway/_admission_queue.py
+++ b/packages/gateway/src/lagoonwing_gateway/_admission_queue.py
@@ -150,6 +150,9 @@
             is_hopeless: Returns whether a limit of the endpoints keeps it from being served; None
                 if they have named none.
         """
+        if responder.is_disconnected:
+            # The callback for a disconnect is not called for one that has already happened.
+            return CallerGone()
         rejected = self._submit(request)
         if rejected is not None:
             return rejected
--- a/tests/gateway/test_admission_queue.py
+++ b/tests/gateway/test_admission_queue.py
@@ -287,6 +287,16 @@
     assert full.slots.started == ["next"]
 
 
+@pytest.mark.looptime
+async def test_caller_that_left_before_its_wait_does_not_wait(full: QueueUnderTest) -> None:
+    """A caller that leaves between two attempts would keep its place up to the latest start."""
+    full.submit("gone")
+    full.responder_by_name["gone"].disconnect()
+    await full.async_settle()
+    assert isinstance(full.outcome_by_name["gone"], CallerGone)
+    assert full.queue.waiting_cost_by_service() == {}
+
+
 @pytest.mark.looptime
 async def test_request_is_refused_when_its_caller_would_be_gone(full: QueueUnderTest) -> None:
     """Waiting up to the deadline loses the request: its caller disconnects long before."""
