--- a/packages/gateway/src/lagoonwing_gateway/_admission_queue.py
+++ b/packages/gateway/src/lagoonwing_gateway/_admission_queue.py
@@ -69,6 +69,12 @@
         if not self.future.done():
             self.future.set_result(outcome)
 
+    @callback
+    def fail(self, error: Exception) -> None:
+        """End the wait with an error, which is raised where the request waits."""
+        if not self.future.done():
+            self.future.set_exception(error)
+
 
 class AdmissionQueue:
     """Waiting requests of one gateway, in one waiting room per service."""
@@ -296,7 +302,11 @@
             waiter = self._waiter_by_id[request.work_id]
             if waiter.future.done():
                 continue
-            claim = waiter.try_claim()
+            try:
+                claim = waiter.try_claim()
+            except Exception as error:
+                self._fail(waiter, error)
+                continue
             if claim is not None:
                 room.started(request, now)
                 waiter.is_started = True
@@ -312,10 +322,23 @@
         if waiter is not None:
             waiter.resolve(self.refusal(request, ResultCode.NO_ENDPOINT, detail))
 
+    @callback
+    def _fail(self, waiter: _Waiter[Any], error: Exception) -> None:
+        """End a wait by an error of its own check, so that the other requests are still tried."""
+        self._room(waiter.request.service_id).withdraw(waiter.request)
+        waiter.fail(error)
+
     def _hopeless(self, room: WaitingRoom[AdmissionRequest]) -> Iterator[_Waiter[Any]]:
         """Yield the waiting requests that a limit of the endpoints keeps from being served."""
         for waiter in list(self._limited_by_id.values()):
-            if self._room(waiter.request.service_id) is room and waiter.is_hopeless():
+            if self._room(waiter.request.service_id) is not room:
+                continue
+            try:
+                is_hopeless = waiter.is_hopeless()
+            except Exception as error:
+                self._fail(waiter, error)
+                continue
+            if is_hopeless:
                 yield waiter
 
     @callback
--- a/tests/gateway/test_admission_queue.py
+++ b/tests/gateway/test_admission_queue.py
@@ -96,6 +96,7 @@
             GatewayMetrics(),
         )
         self.outcome_by_name: dict[str, str | NotAdmitted | CallerGone] = {}
+        self.error_by_name: dict[str, Exception] = {}
         self.ended_at_by_name: dict[str, float] = {}
         self.responder_by_name: dict[str, FakeResponder] = {}
         self._tasks: list[asyncio.Task[None]] = []
@@ -110,8 +111,10 @@
         returned_s: float = 0.0,
         wait_limit_s: float = WAIT_LIMIT_S,
         is_hopeless: Callable[[], bool] | None = None,
+        try_claim: Callable[[], str | None] | None = None,
     ) -> None:
         """Let a request of a caller arrive, whose first attempt was `returned_s` ago."""
+        claim = try_claim or (lambda: self.slots.try_claim(name))
         now = self.clock.now()
         request = AdmissionRequest(
             self.queue.next_work_id(),
@@ -128,22 +131,30 @@
             deadline=now + DEADLINE_S,
         )
         self.responder_by_name[name] = FakeResponder()
-        self._tasks.append(asyncio.create_task(self._async_serve(name, request, is_hopeless)))
+        self._tasks.append(
+            asyncio.create_task(self._async_serve(name, request, claim, is_hopeless))
+        )
 
     async def _async_serve(
-        self, name: str, request: AdmissionRequest, is_hopeless: Callable[[], bool] | None
+        self,
+        name: str,
+        request: AdmissionRequest,
+        try_claim: Callable[[], str | None],
+        is_hopeless: Callable[[], bool] | None,
     ) -> None:
         """Run one request like a handler does."""
-        claim: str | NotAdmitted | CallerGone | None = self.queue.claim_now(
-            request, lambda: self.slots.try_claim(name)
-        )
+        claim: str | NotAdmitted | CallerGone | None = self.queue.claim_now(request, try_claim)
         if claim is None:
-            claim = await self.queue.async_claim(
-                request,
-                lambda: self.slots.try_claim(name),
-                self.responder_by_name[name],  # type: ignore[arg-type]
-                is_hopeless,
-            )
+            try:
+                claim = await self.queue.async_claim(
+                    request,
+                    try_claim,
+                    self.responder_by_name[name],  # type: ignore[arg-type]
+                    is_hopeless,
+                )
+            except RuntimeError as error:
+                self.error_by_name[name] = error
+                return
         if isinstance(claim, str):
             self.slots.take(name)
         self.outcome_by_name[name] = claim
@@ -297,6 +308,41 @@
     assert full.queue.waiting_cost_by_service() == {}
 
 
+@pytest.mark.looptime
+async def test_failing_claim_ends_only_its_own_request(full: QueueUnderTest) -> None:
+    """An error in the claim of the first request must not keep those behind it from starting."""
+
+    def fail() -> str | None:
+        raise RuntimeError("broken path")
+
+    # Not tried on arrival, since another request of its rank waits.
+    full.submit("waiting", member="a")
+    await full.async_settle()
+    full.submit("broken", member="b", returned_s=1.0, try_claim=fail)
+    full.submit("next", member="c")
+    await full.async_settle()
+    full.release(2)
+    await full.async_settle()
+    assert full.slots.started == ["waiting", "next"]
+    assert isinstance(full.error_by_name["broken"], RuntimeError)
+
+
+@pytest.mark.looptime
+async def test_failing_check_ends_only_its_own_request(full: QueueUnderTest) -> None:
+    """An error of one request must not keep the others waiting beyond their latest start."""
+
+    def fail() -> bool:
+        raise RuntimeError("broken limit")
+
+    full.submit("broken", is_hopeless=fail)
+    full.submit("next", service=ServiceId("other"))
+    await full.async_settle()
+    full.release()
+    await full.async_settle()
+    assert full.slots.started == ["next"]
+    assert isinstance(full.error_by_name["broken"], RuntimeError)
+
+
 @pytest.mark.looptime
 async def test_request_is_refused_when_its_caller_would_be_gone(full: QueueUnderTest) -> None:
     """Waiting up to the deadline loses the request: its caller disconnects long before."""
