--- a/packages/gateway/src/lagoonwing_gateway/_call_handler.py
+++ b/packages/gateway/src/lagoonwing_gateway/_call_handler.py
@@ -207,9 +207,14 @@
         claim = self._endpoints.claim(call.context, call.service, excluded)
         if claim is None:
             return False
-        connection = await self._async_connect_if_allowed(call, claim.record)
+        connection: ClientConnection | None = None
+        try:
+            connection = await self._async_connect_if_allowed(call, claim.record)
+        finally:
+            # A disconnect of the caller cancels the connection attempt.
+            if connection is None:
+                self._endpoints.give_up(claim)
         if connection is None:
-            self._endpoints.give_up(claim)
             return False
         call.reservation = replace(claim, connection=connection)
         return True
--- a/packages/gateway/src/lagoonwing_gateway/_stream_failover.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_failover.py
@@ -58,9 +58,14 @@
         claim = self.claim_path(silent_ids)
         if claim is None:
             return False
-        connection = await self._async_connect_if_allowed(claim.path)
+        connection: ClientConnection | None = None
+        try:
+            connection = await self._async_connect_if_allowed(claim.path)
+        finally:
+            # A disconnect of the caller cancels the connection attempt.
+            if connection is None:
+                self._components.limiter.give_back(claim.permit)
         if connection is None:
-            self._components.limiter.give_back(claim.permit)
             return False
         self._reservation = replace(claim, connection=connection)
         return True
