--- a/packages/admission/src/lagoonwing_admission/_check.py
+++ b/packages/admission/src/lagoonwing_admission/_check.py
@@ -8,6 +8,7 @@
 from lagoonwing_admission._bounds import QueueBounds
 from lagoonwing_admission._queue import WorkT
 from lagoonwing_admission._ranked import RankedQueue
+from lagoonwing_admission.const import MIN_KNOWN_RATE
 from lagoonwing_admission.models import (
     AdmissionPolicy,
     Admitted,
@@ -56,7 +57,7 @@
         Args:
             work: The request; it is not in the queue.
             queue: Queue in which it would wait.
-            rate: Cost that is started per second, None or 0 while unknown.
+            rate: Cost that is started per second, None or below MIN_KNOWN_RATE while unknown.
             now: Time in seconds.
             remote_cost_ahead: Cost that waits elsewhere for the same capacity and goes first.
         """
@@ -77,7 +78,7 @@
     work: WorkT, queue: RankedQueue[WorkT], rate: float | None, remote_cost_ahead: float
 ) -> float:
     """Return the estimated queueing time of a new request, 0 while the rate is unknown."""
-    if not rate:
+    if rate is None or rate < MIN_KNOWN_RATE:
         return 0.0
     return queue.work_ahead(work, remote_cost_ahead) / rate
 
--- a/tests/admission/test_waiting_room.py
+++ b/tests/admission/test_waiting_room.py
@@ -118,6 +118,16 @@
     assert room.submit(Work(cost=0.0), 0.0, 0.0, 100.0) == Admitted(0.0)
 
 
+def test_rate_that_decayed_in_a_pause_is_unknown() -> None:
+    """The first starts after a pause would be refused for a rate that only says that none began."""
+    room = make_room()
+    room.started(Work(cost=800.0), 0.0)
+    rate = room.started_cost_per_s(20.0)
+    assert rate > 0.0
+    assert room.submit(Work(cost=800.0, latest_start=22.0), 20.0, 0.0, rate) == Admitted(0.0)
+    assert room.submit(Work(cost=800.0, latest_start=22.0), 20.0, 0.0, rate) == Admitted(0.0)
+
+
 def test_longest_wait_and_full_queue_have_their_own_reasons() -> None:
     """A log line that names the wrong reason would hide which bound has to be raised."""
     room = make_room(WaitingRoomSettings(admission=EarlyRefusal(max_requests=2, max_wait_s=1.0)))
