--- a/packages/admission/src/lagoonwing_admission/_ranked.py
+++ b/packages/admission/src/lagoonwing_admission/_ranked.py
@@ -178,6 +178,12 @@
         shares = sum(self._guaranteed_share(other) for other in less_urgent)
         return min(sum(less_urgent.values()), ahead * shares)
 
+    def has_work_before(self, rank: int) -> bool:
+        """Return whether a queued request goes before a new one of this rank, by rank alone."""
+        if self._ignores_ranks:
+            return bool(self._count_by_rank)
+        return any(other <= rank for other in self._count_by_rank)
+
     def cost_by_rank(self) -> dict[int, float]:
         """Return the total cost of the queued requests of each rank that has any."""
         return dict(self._cost_by_rank)
--- a/packages/admission/src/lagoonwing_admission/_waiting_room.py
+++ b/packages/admission/src/lagoonwing_admission/_waiting_room.py
@@ -125,6 +125,10 @@
         """Set a member's weight, 1 by default."""
         self._queue.set_weight(member_id, weight)
 
+    def has_work_before(self, rank: int) -> bool:
+        """Return whether a waiting request goes before a new one of this rank."""
+        return self._queue.has_work_before(rank)
+
     def waiting_cost_by_rank(self) -> dict[int, float]:
         """Return the cost of the waiting requests of each rank that has any."""
         return self._queue.cost_by_rank()
--- a/packages/gateway/src/lagoonwing_gateway/_admission_queue.py
+++ b/packages/gateway/src/lagoonwing_gateway/_admission_queue.py
@@ -130,7 +130,7 @@
         if request.service_id in self._starting_services:
             return None
         room = self._room(request.service_id)
-        if any(rank <= request.rank for rank in room.waiting_cost_by_rank()):
+        if room.has_work_before(request.rank):
             return None
         claim = try_claim()
         if claim is not None:
--- a/tests/gateway/test_admission_queue.py
+++ b/tests/gateway/test_admission_queue.py
@@ -10,6 +10,7 @@
 import pytest
 
 from lagoonwing_admission import WaitingRoomSettings
+from lagoonwing_admission.models import FirstComeFirstServed
 from lagoonwing_catalog.messages import LoadSummary, ServicePressure
 from lagoonwing_core.clock import LoopClock
 from lagoonwing_core.ids import AttemptId, MemberId, RouteId, ServiceId
@@ -82,12 +83,12 @@
 class QueueUnderTest:
     """A queue with fake capacity and callers."""
 
-    def __init__(self, free: int) -> None:
+    def __init__(self, free: int, settings: WaitingRoomSettings | None = None) -> None:
         self.slots = Slots(free)
         self.summary = LoadSummary({})
         self.clock = SuspendableClock()
         self.queue = AdmissionQueue(
-            WaitingRoomSettings(),
+            settings or WaitingRoomSettings(),
             self.clock,
             random.Random(1),
             lambda: self.summary,
@@ -262,6 +263,19 @@
     assert full.slots.started == ["first"]
 
 
+@pytest.mark.looptime
+async def test_urgent_arrival_does_not_pass_others_where_ranks_are_ignored() -> None:
+    """With first come, first served, urgent arrivals would otherwise take all that becomes free."""
+    first_come = QueueUnderTest(free=0, settings=WaitingRoomSettings(FirstComeFirstServed()))
+    first_come.submit("first", rank=2)
+    await first_come.async_settle()
+    first_come.slots.free = 1
+    first_come.submit("urgent", rank=0)
+    await first_come.async_settle()
+    assert first_come.slots.started == ["first"]
+    first_come.cancel()
+
+
 @pytest.mark.looptime
 async def test_returned_caller_precedes_later_ones(full: QueueUnderTest) -> None:
     """A caller that obeyed Retry-After is lost if it is refused again while others start."""
