--- a/packages/admission/src/lagoonwing_admission/_make.py
+++ b/packages/admission/src/lagoonwing_admission/_make.py
@@ -1,4 +1,4 @@
-"""Creates what a queue policy names."""
+"""Factories for the queue and the headroom of a queue policy."""
 
 from __future__ import annotations
 
--- a/packages/admission/src/lagoonwing_admission/_overtaking.py
+++ b/packages/admission/src/lagoonwing_admission/_overtaking.py
@@ -58,7 +58,7 @@
     def forget(self, work: WorkT) -> None:
         """Forget a request that does not wait any more."""
         self._overtaken_by_id.pop(work.work_id, None)
-        self._offered = [other for other in self._offered if other.work_id != work.work_id]
+        self._offered = [offered for offered in self._offered if offered.work_id != work.work_id]
 
     def _is_reserved(self, work: WorkT, rate: float, now: float) -> bool:
         """Return whether those behind a request are held back for it."""
--- a/packages/admission/src/lagoonwing_admission/_rank_demand.py
+++ b/packages/admission/src/lagoonwing_admission/_rank_demand.py
@@ -37,7 +37,9 @@
         """Return the offered cost of more urgent ranks relative to the started cost."""
         if not self._started:
             return 0.0
-        urgent = sum(cost for other, cost in self._offered_by_rank.items() if other < rank)
+        urgent = sum(
+            cost for offered_rank, cost in self._offered_by_rank.items() if offered_rank < rank
+        )
         return urgent / self._started
 
     def _decay(self, now: float) -> None:
--- a/packages/admission/src/lagoonwing_admission/_ranked.py
+++ b/packages/admission/src/lagoonwing_admission/_ranked.py
@@ -99,8 +99,8 @@
         self._demand.started(work.cost)
         if len(self._lanes) == 1:
             return
-        for other in self._lanes:
-            other.credit.earn(work.cost * self._earned_share(other), 2.0 * self._largest)
+        for earner in self._lanes:
+            earner.credit.earn(work.cost * self._earned_share(earner), 2.0 * self._largest)
         lane.credit.spend(work.cost)
 
     def discard(self, work: WorkT) -> None:
@@ -153,7 +153,7 @@
         lane = self._lane_by_rank.get(rank)
         own = lane.queue.work_ahead(work) if lane is not None else 0.0
         owed = lane.credit.owed if lane is not None else 0.0
-        urgent = sum(cost for other, cost in self._cost_by_rank.items() if other < rank)
+        urgent = sum(cost for queued_rank, cost in self._cost_by_rank.items() if queued_rank < rank)
         remote = remote_cost * self._share_ahead(work, urgent + own)
         share = self._guaranteed_share(rank)
         left = max(share, 1.0 - self._demand.urgent_per_started(rank))
@@ -168,21 +168,27 @@
         Other gateways report only the cost of each rank. Their queues consist of the same members
         as this one, so the same share of them goes before the request.
         """
-        queued = sum(cost for other, cost in self._cost_by_rank.items() if other <= work.rank)
+        queued = sum(
+            cost for queued_rank, cost in self._cost_by_rank.items() if queued_rank <= work.rank
+        )
         total = queued + work.cost
         return min(1.0, (ahead + work.cost) / total) if total > 0.0 else 1.0
 
     def _less_urgent_ahead(self, rank: int, ahead: float) -> float:
         """Return the cost of less urgent ranks that starts meanwhile by their shares."""
-        less_urgent = {other: cost for other, cost in self._cost_by_rank.items() if other > rank}
-        shares = sum(self._guaranteed_share(other) for other in less_urgent)
+        less_urgent = {
+            queued_rank: cost
+            for queued_rank, cost in self._cost_by_rank.items()
+            if queued_rank > rank
+        }
+        shares = sum(self._guaranteed_share(queued_rank) for queued_rank in less_urgent)
         return min(sum(less_urgent.values()), ahead * shares)
 
     def has_work_before(self, rank: int) -> bool:
         """Return whether a queued request goes before a new one of this rank, by rank alone."""
         if self._ignores_ranks:
             return bool(self._count_by_rank)
-        return any(other <= rank for other in self._count_by_rank)
+        return any(queued_rank <= rank for queued_rank in self._count_by_rank)
 
     def cost_by_rank(self) -> dict[int, float]:
         """Return the total cost of the queued requests of each rank that has any."""
--- a/packages/admission/src/lagoonwing_admission/_return_schedule.py
+++ b/packages/admission/src/lagoonwing_admission/_return_schedule.py
@@ -62,12 +62,12 @@
 
     def _clock(self, rank: int) -> float:
         """Return the latest clock of this rank and of more urgent ones."""
-        clocks = (clock for other, clock in self._clock_by_rank.items() if other <= rank)
+        clocks = (clock for known_rank, clock in self._clock_by_rank.items() if known_rank <= rank)
         return max(clocks, default=0.0)
 
     def _advance(self, rank: int, begin: float, slot_s: float) -> None:
         """Advance the clocks of this rank and of less urgent ones by a slot."""
         self._clock_by_rank[rank] = begin + slot_s
-        for other in self._clock_by_rank:
-            if other > rank:
-                self._clock_by_rank[other] += slot_s
+        for known_rank in self._clock_by_rank:
+            if known_rank > rank:
+                self._clock_by_rank[known_rank] += slot_s
--- a/packages/gateway/src/lagoonwing_gateway/_admission_log.py
+++ b/packages/gateway/src/lagoonwing_gateway/_admission_log.py
@@ -22,12 +22,12 @@
 
     Args:
         request: The request.
-        decision: What became of it.
+        decision: "started", "refused", "expired" or "caller_gone".
         waited_s: Time for which it waited.
         queued: Requests for the same service that still wait.
-        age_s: Age of what is known of the other gateways.
-        expected_wait_s: Expected wait on arrival, if it was refused for it.
-        rate: Cost started per second by all gateways, on which that rests.
+        age_s: Age of the load summary of the other gateways.
+        expected_wait_s: Expected wait on arrival; None unless it was refused then.
+        rate: Cost started per second by all gateways, from which that was calculated.
     """
     log_event(
         EventCode.ADMISSION_DECIDED,
--- a/packages/gateway/src/lagoonwing_gateway/_admission_queue.py
+++ b/packages/gateway/src/lagoonwing_gateway/_admission_queue.py
@@ -49,7 +49,7 @@
 
 @dataclass(slots=True, eq=False)
 class _Waiter(Generic[ClaimT]):
-    """A request that waits, and how it learns that it may start.
+    """A waiting request and the future that gets its outcome.
 
     Attributes:
         try_claim: Claims capacity for the request; returns None if there is none.
@@ -96,7 +96,7 @@
             clock: Time source.
             rng: Random source.
             load_summary: Returns the demand at the other gateways.
-            load_age: Returns the seconds since the registry last told it.
+            load_age: Returns the age of that summary in seconds.
             gateways: Returns the number of live gateways.
             metrics: Metrics of the gateway.
         """
@@ -163,7 +163,10 @@
         if rejected is not None:
             return rejected
         waiter = _Waiter(
-            request, try_claim, is_hopeless or _is_never, asyncio.get_running_loop().create_future()
+            request,
+            try_claim,
+            is_hopeless or _is_never_hopeless,
+            asyncio.get_running_loop().create_future(),
         )
         self._waiter_by_id[request.work_id] = waiter
         if is_hopeless is not None:
@@ -362,8 +365,8 @@
         return room
 
 
-def _is_never() -> bool:
-    """Return False: no limit was named."""
+def _is_never_hopeless() -> bool:
+    """Return False, for requests that no limit of an endpoint concerns."""
     return False
 
 
--- a/packages/gateway/src/lagoonwing_gateway/_admission_request.py
+++ b/packages/gateway/src/lagoonwing_gateway/_admission_request.py
@@ -1,4 +1,4 @@
-"""What admission knows of one request: its rank, its cost and how long its caller waits."""
+"""Admission requests of streams and calls: rank, cost and how long the caller waits."""
 
 from __future__ import annotations
 
@@ -27,11 +27,12 @@
 
     Attributes:
         rank: Urgency; lower ranks start first.
-        cost: Tokens of the request, or what stands for them.
+        cost: Tokens of a stream; a constant for a call.
         submitted: Time at which this gateway received the request or its stream was interrupted.
         enqueued: Time of the caller's first attempt.
         due: Time by which the caller wants the first event or the response.
-        latest_start: Time after which the caller would be gone before it got anything.
+        latest_start: Time after which its caller would disconnect before the first event, or before
+            the response of a call could be ready.
         deadline: Time by which the caller must have the final response.
     """
 
--- a/packages/gateway/src/lagoonwing_gateway/_call_endpoints.py
+++ b/packages/gateway/src/lagoonwing_gateway/_call_endpoints.py
@@ -10,7 +10,7 @@
 from lagoonwing_core.callback import callback
 from lagoonwing_core.ids import EndpointId
 from lagoonwing_core.result_codes import ResultCode
-from lagoonwing_gateway._admission_request import call_admission
+from lagoonwing_gateway._admission_request import AdmissionRequest, call_admission
 from lagoonwing_gateway._components import GatewayComponents
 from lagoonwing_gateway._permit_pool import Permit
 from lagoonwing_gateway._permit_queue import Waiter
@@ -111,6 +111,18 @@
             return claim
         if not components.directory.call_endpoints(service.service_id, excluded):
             return queue.refusal(request, ResultCode.NO_ENDPOINT, "no endpoint can take the call")
+        return await self._async_wait(request, context, service, excluded, responder)
+
+    async def _async_wait(
+        self,
+        request: AdmissionRequest,
+        context: RequestContext,
+        service: Service,
+        excluded: Iterable[EndpointId],
+        responder: Responder,
+    ) -> EndpointClaim | LimitReached | NotAdmitted | CallerGone:
+        """Wait for capacity, or for a permit if only limits hold the call back."""
+        components = self._components
         is_held_back = self._is_held_back(service, excluded)
         if is_held_back:
             request.limit_wait(context.route.objective_s * PERMIT_WAIT_SHARE)
@@ -119,7 +131,7 @@
             entry_ids = components.directory.entry_ids(service.service_id)
             wait.begin(service.service_id, context.member_id, entry_ids, is_started=False)
         try:
-            outcome = await queue.async_claim(
+            outcome = await components.admission_queue.async_claim(
                 request,
                 lambda: self.claim(context, service, excluded, wait.waiter),
                 responder,
--- a/packages/gateway/src/lagoonwing_gateway/_stream_handler.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_handler.py
@@ -8,7 +8,7 @@
 
 from lagoonwing_catalog.models import Service
 from lagoonwing_core.result_codes import ResultCode
-from lagoonwing_gateway._admission_request import stream_admission
+from lagoonwing_gateway._admission_request import AdmissionRequest, stream_admission
 from lagoonwing_gateway._components import GatewayComponents
 from lagoonwing_gateway._final_response import KeptFailure, respond_unserved
 from lagoonwing_gateway._permit_wait import PermitWait
@@ -129,6 +129,13 @@
             detail = "no path over the layers is left"
             call.progress.not_admitted = queue.refusal(request, ResultCode.NO_ENDPOINT, detail)
             return None
+        return await self._async_wait_for_path(call, failover, request)
+
+    async def _async_wait_for_path(
+        self, call: StreamCall, failover: StreamFailover, request: AdmissionRequest
+    ) -> PathClaim | None:
+        """Wait for capacity, or for a permit if only limits hold the stream back."""
+        components = self._components
         is_held_back = failover.is_held_back()
         if is_held_back and not call.progress.started:
             request.limit_wait(call.context.route.objective_s * PERMIT_WAIT_SHARE)
@@ -141,7 +148,7 @@
                 is_started=call.progress.started,
             )
         try:
-            outcome = await queue.async_claim(
+            outcome = await components.admission_queue.async_claim(
                 request,
                 lambda: failover.claim_path(waiter=wait.waiter),
                 call.responder,
