--- a/packages/gateway/src/lagoonwing_gateway/_admission_queue.py
+++ b/packages/gateway/src/lagoonwing_gateway/_admission_queue.py
@@ -49,17 +49,19 @@
 
 @dataclass(slots=True, eq=False)
 class _Waiter(Generic[ClaimT]):
-    """A request that waits, and how it learns that it may start.
+    """A waiting request and the future that gets its outcome.
 
     Attributes:
         try_claim: Claims capacity for the request; returns None if there is none.
         is_hopeless: Returns whether a limit of the endpoints keeps it from being served.
+        is_started: Whether capacity has been claimed for it.
     """
 
     request: AdmissionRequest
     try_claim: Callable[[], ClaimT | None]
     is_hopeless: Callable[[], bool]
     future: asyncio.Future[ClaimT | NotAdmitted | CallerGone]
+    is_started: bool = False
 
     @callback
     def resolve(self, outcome: ClaimT | NotAdmitted | CallerGone) -> None:
@@ -67,6 +69,12 @@
         if not self.future.done():
             self.future.set_result(outcome)
 
+    @callback
+    def fail(self, error: Exception) -> None:
+        """End the wait with an error, which is raised where the request waits."""
+        if not self.future.done():
+            self.future.set_exception(error)
+
 
 class AdmissionQueue:
     """Waiting requests of one gateway, in one waiting room per service."""
@@ -88,7 +96,7 @@
             clock: Time source.
             rng: Random source.
             load_summary: Returns the demand at the other gateways.
-            load_age: Returns the seconds since the registry last told it.
+            load_age: Returns the age of that summary in seconds.
             gateways: Returns the number of live gateways.
             metrics: Metrics of the gateway.
         """
@@ -104,6 +112,8 @@
         self._waiter_by_id: dict[WorkId, _Waiter[Any]] = {}
         # Waiting requests that a limit of their endpoints may make hopeless.
         self._limited_by_id: dict[WorkId, _Waiter[Any]] = {}
+        # Services of which a started request has not taken its capacity yet.
+        self._starting_services: set[ServiceId] = set()
         self._seen_ranks: set[int] = set()
         self._is_run_scheduled = False
         self._timer: asyncio.TimerHandle | None = None
@@ -117,8 +127,10 @@
         self, request: AdmissionRequest, try_claim: Callable[[], ClaimT | None]
     ) -> ClaimT | None:
         """Claim capacity for a request that no waiting one precedes, or return None."""
+        if request.service_id in self._starting_services:
+            return None
         room = self._room(request.service_id)
-        if any(rank <= request.rank for rank in room.waiting_cost_by_rank()):
+        if room.has_work_before(request.rank):
             return None
         claim = try_claim()
         if claim is not None:
@@ -144,11 +156,17 @@
             is_hopeless: Returns whether a limit of the endpoints keeps it from being served; None
                 if they have named none.
         """
+        if responder.is_disconnected:
+            # The callback for a disconnect is not called for one that has already happened.
+            return CallerGone()
         rejected = self._submit(request)
         if rejected is not None:
             return rejected
         waiter = _Waiter(
-            request, try_claim, is_hopeless or _is_never, asyncio.get_running_loop().create_future()
+            request,
+            try_claim,
+            is_hopeless or _is_never_hopeless,
+            asyncio.get_running_loop().create_future(),
         )
         self._waiter_by_id[request.work_id] = waiter
         if is_hopeless is not None:
@@ -163,6 +181,11 @@
             del self._waiter_by_id[request.work_id]
             self._limited_by_id.pop(request.work_id, None)
             self._room(request.service_id).withdraw(request)
+            if waiter.is_started:
+                self._starting_services.discard(request.service_id)
+            # The next run follows once the caller of this method has taken its capacity, if any. A
+            # request that was in the way of others may also have left without starting.
+            self.wake()
         self._record_outcome(request, outcome)
         return outcome
 
@@ -262,28 +285,36 @@
         """Start or refuse waiting requests of all services."""
         self._is_run_scheduled = False
         now = self._clock.now()
-        for room in list(self._room_by_service.values()):
+        for service_id, room in list(self._room_by_service.items()):
             if len(room):
-                self._run_room(room, now)
+                self._run_room(service_id, room, now)
         self._set_timer(now)
 
     @callback
-    def _run_room(self, room: WaitingRoom[AdmissionRequest], now: float) -> None:
+    def _run_room(
+        self, service_id: ServiceId, room: WaitingRoom[AdmissionRequest], now: float
+    ) -> None:
         """Refuse what has waited too long, and start the first request that finds capacity."""
         for request in room.expired(now):
             self._refuse(request, "no capacity became free in time")
         for waiter in self._hopeless(room):
             self._refuse(waiter.request, "no permit becomes free in time")
+        if service_id in self._starting_services:
+            return
         for request in room.candidates(now, MAX_ADMISSION_CANDIDATES):
             waiter = self._waiter_by_id[request.work_id]
             if waiter.future.done():
                 continue
-            claim = waiter.try_claim()
+            try:
+                claim = waiter.try_claim()
+            except Exception as error:
+                self._fail(waiter, error)
+                continue
             if claim is not None:
                 room.started(request, now)
+                waiter.is_started = True
+                self._starting_services.add(service_id)
                 waiter.resolve(claim)
-                # The request takes its capacity before the next run tries another one.
-                self.wake()
                 return
 
     @callback
@@ -294,10 +325,23 @@
         if waiter is not None:
             waiter.resolve(self.refusal(request, ResultCode.NO_ENDPOINT, detail))
 
+    @callback
+    def _fail(self, waiter: _Waiter[Any], error: Exception) -> None:
+        """End a wait by an error of its own check, so that the other requests are still tried."""
+        self._room(waiter.request.service_id).withdraw(waiter.request)
+        waiter.fail(error)
+
     def _hopeless(self, room: WaitingRoom[AdmissionRequest]) -> Iterator[_Waiter[Any]]:
         """Yield the waiting requests that a limit of the endpoints keeps from being served."""
         for waiter in list(self._limited_by_id.values()):
-            if self._room(waiter.request.service_id) is room and waiter.is_hopeless():
+            if self._room(waiter.request.service_id) is not room:
+                continue
+            try:
+                is_hopeless = waiter.is_hopeless()
+            except Exception as error:
+                self._fail(waiter, error)
+                continue
+            if is_hopeless:
                 yield waiter
 
     @callback
@@ -321,8 +365,8 @@
         return room
 
 
-def _is_never() -> bool:
-    """Return False: no limit was named."""
+def _is_never_hopeless() -> bool:
+    """Return False, for requests that no limit of an endpoint concerns."""
     return False
 
 
--- a/tests/gateway/test_admission_queue.py
+++ b/tests/gateway/test_admission_queue.py
@@ -10,6 +10,7 @@
 import pytest
 
 from lagoonwing_admission import WaitingRoomSettings
+from lagoonwing_admission.models import FirstComeFirstServed
 from lagoonwing_catalog.messages import LoadSummary, ServicePressure
 from lagoonwing_core.clock import LoopClock
 from lagoonwing_core.ids import AttemptId, MemberId, RouteId, ServiceId
@@ -82,12 +83,12 @@
 class QueueUnderTest:
     """A queue with fake capacity and callers."""
 
-    def __init__(self, free: int) -> None:
+    def __init__(self, free: int, settings: WaitingRoomSettings | None = None) -> None:
         self.slots = Slots(free)
         self.summary = LoadSummary({})
         self.clock = SuspendableClock()
         self.queue = AdmissionQueue(
-            WaitingRoomSettings(),
+            settings or WaitingRoomSettings(),
             self.clock,
             random.Random(1),
             lambda: self.summary,
@@ -96,6 +97,7 @@
             GatewayMetrics(),
         )
         self.outcome_by_name: dict[str, str | NotAdmitted | CallerGone] = {}
+        self.error_by_name: dict[str, Exception] = {}
         self.ended_at_by_name: dict[str, float] = {}
         self.responder_by_name: dict[str, FakeResponder] = {}
         self._tasks: list[asyncio.Task[None]] = []
@@ -104,19 +106,22 @@
         self,
         name: str,
         *,
+        service: ServiceId = SERVICE,
         rank: int = 1,
         member: str = "m",
         returned_s: float = 0.0,
         wait_limit_s: float = WAIT_LIMIT_S,
         is_hopeless: Callable[[], bool] | None = None,
+        try_claim: Callable[[], str | None] | None = None,
     ) -> None:
         """Let a request of a caller arrive, whose first attempt was `returned_s` ago."""
+        claim = try_claim or (lambda: self.slots.try_claim(name))
         now = self.clock.now()
         request = AdmissionRequest(
             self.queue.next_work_id(),
             AttemptId(name),
             RouteId("r"),
-            SERVICE,
+            service,
             MemberId(member),
             rank,
             COST,
@@ -127,22 +132,30 @@
             deadline=now + DEADLINE_S,
         )
         self.responder_by_name[name] = FakeResponder()
-        self._tasks.append(asyncio.create_task(self._async_serve(name, request, is_hopeless)))
+        self._tasks.append(
+            asyncio.create_task(self._async_serve(name, request, claim, is_hopeless))
+        )
 
     async def _async_serve(
-        self, name: str, request: AdmissionRequest, is_hopeless: Callable[[], bool] | None
+        self,
+        name: str,
+        request: AdmissionRequest,
+        try_claim: Callable[[], str | None],
+        is_hopeless: Callable[[], bool] | None,
     ) -> None:
         """Run one request like a handler does."""
-        claim: str | NotAdmitted | CallerGone | None = self.queue.claim_now(
-            request, lambda: self.slots.try_claim(name)
-        )
+        claim: str | NotAdmitted | CallerGone | None = self.queue.claim_now(request, try_claim)
         if claim is None:
-            claim = await self.queue.async_claim(
-                request,
-                lambda: self.slots.try_claim(name),
-                self.responder_by_name[name],  # type: ignore[arg-type]
-                is_hopeless,
-            )
+            try:
+                claim = await self.queue.async_claim(
+                    request,
+                    try_claim,
+                    self.responder_by_name[name],  # type: ignore[arg-type]
+                    is_hopeless,
+                )
+            except RuntimeError as error:
+                self.error_by_name[name] = error
+                return
         if isinstance(claim, str):
             self.slots.take(name)
         self.outcome_by_name[name] = claim
@@ -196,6 +209,37 @@
     assert full.slots.free == 0
 
 
+@pytest.mark.looptime
+async def test_arrival_does_not_claim_what_a_started_request_is_about_to_take(
+    full: QueueUnderTest,
+) -> None:
+    """A request that arrives between a start and its use of the claim must not overrun the slot."""
+    full.submit("waiting")
+    await full.async_settle()
+    full.release()
+    # Runs after the queue has started the waiting request, and before that has taken its slot.
+    full.submit("new")
+    await full.async_settle()
+    assert full.slots.started == ["waiting"]
+    assert full.slots.free == 0
+
+
+@pytest.mark.looptime
+async def test_start_in_one_service_repeats_none_in_another(full: QueueUnderTest) -> None:
+    """The next run of the queue must not start a second request before a first one took its slot.
+
+    The start in the first service schedules that run, which then precedes the start in the second.
+    """
+    full.submit("a")
+    for name in ("b", "c"):
+        full.submit(name, service=ServiceId("other"))
+    await full.async_settle()
+    full.release(2)
+    await full.async_settle()
+    assert full.slots.started == ["a", "b"]
+    assert full.queue.waiting_cost_by_service() == {ServiceId("other"): {1: COST}}
+
+
 @pytest.mark.looptime
 async def test_surge_starts_the_most_urgent_first(full: QueueUnderTest) -> None:
     """In a surge the less urgent must not take capacity because they arrived earlier."""
@@ -219,6 +263,19 @@
     assert full.slots.started == ["first"]
 
 
+@pytest.mark.looptime
+async def test_urgent_arrival_does_not_pass_others_where_ranks_are_ignored() -> None:
+    """With first come, first served, urgent arrivals would otherwise take all that becomes free."""
+    first_come = QueueUnderTest(free=0, settings=WaitingRoomSettings(FirstComeFirstServed()))
+    first_come.submit("first", rank=2)
+    await first_come.async_settle()
+    first_come.slots.free = 1
+    first_come.submit("urgent", rank=0)
+    await first_come.async_settle()
+    assert first_come.slots.started == ["first"]
+    first_come.cancel()
+
+
 @pytest.mark.looptime
 async def test_returned_caller_precedes_later_ones(full: QueueUnderTest) -> None:
     """A caller that obeyed Retry-After is lost if it is refused again while others start."""
@@ -243,6 +300,63 @@
     assert isinstance(full.outcome_by_name["gone"], CallerGone)
 
 
+@pytest.mark.looptime
+async def test_next_request_starts_once_a_disconnected_one_has_left(full: QueueUnderTest) -> None:
+    """Capacity must not stay idle if a run of the queue finds only a caller that has just left."""
+    full.submit("gone")
+    full.submit("next")
+    await full.async_settle()
+    full.release()
+    full.responder_by_name["gone"].disconnect()
+    await full.async_settle()
+    assert full.slots.started == ["next"]
+
+
+@pytest.mark.looptime
+async def test_caller_that_left_before_its_wait_does_not_wait(full: QueueUnderTest) -> None:
+    """A caller that leaves between two attempts would keep its place up to the latest start."""
+    full.submit("gone")
+    full.responder_by_name["gone"].disconnect()
+    await full.async_settle()
+    assert isinstance(full.outcome_by_name["gone"], CallerGone)
+    assert full.queue.waiting_cost_by_service() == {}
+
+
+@pytest.mark.looptime
+async def test_failing_claim_ends_only_its_own_request(full: QueueUnderTest) -> None:
+    """An error in the claim of the first request must not keep those behind it from starting."""
+
+    def fail() -> str | None:
+        raise RuntimeError("broken path")
+
+    # Not tried on arrival, since another request of its rank waits.
+    full.submit("waiting", member="a")
+    await full.async_settle()
+    full.submit("broken", member="b", returned_s=1.0, try_claim=fail)
+    full.submit("next", member="c")
+    await full.async_settle()
+    full.release(2)
+    await full.async_settle()
+    assert full.slots.started == ["waiting", "next"]
+    assert isinstance(full.error_by_name["broken"], RuntimeError)
+
+
+@pytest.mark.looptime
+async def test_failing_check_ends_only_its_own_request(full: QueueUnderTest) -> None:
+    """An error of one request must not keep the others waiting beyond their latest start."""
+
+    def fail() -> bool:
+        raise RuntimeError("broken limit")
+
+    full.submit("broken", is_hopeless=fail)
+    full.submit("next", service=ServiceId("other"))
+    await full.async_settle()
+    full.release()
+    await full.async_settle()
+    assert full.slots.started == ["next"]
+    assert isinstance(full.error_by_name["broken"], RuntimeError)
+
+
 @pytest.mark.looptime
 async def test_request_is_refused_when_its_caller_would_be_gone(full: QueueUnderTest) -> None:
     """Waiting up to the deadline loses the request: its caller disconnects long before."""
