--- a/packages/gateway/src/lagoonwing_gateway/_even_load.py
+++ b/packages/gateway/src/lagoonwing_gateway/_even_load.py
@@ -12,7 +12,7 @@
 import random
 from dataclasses import dataclass, field
 
-from lagoonwing_gateway.const import OWN_SAMPLE_SHARE, OWN_TURN_WEIGHT
+from lagoonwing_gateway.const import MIN_FILLED_LOAD, OWN_SAMPLE_SHARE, OWN_TURN_WEIGHT
 
 
 @dataclass(slots=True)
@@ -69,7 +69,8 @@
     """
     known = list(zip(loads.shared, loads.own, loads.capacities, strict=True))
     level = fill_level(loads, work)
-    if work <= 0.0 or level == math.inf:
+    filled = level - min(loads.shared, default=level)
+    if filled < MIN_FILLED_LOAD or level == math.inf:
         return [shared + own for shared, own, _ in known]
     # Exponential draws make the probabilities of the least turn those of the shares, exactly.
     draw = rng.expovariate
@@ -82,7 +83,7 @@
         )
         for shared, own, capacity in known
     ]
-    first_turn, rest = min(turns), (level - min(loads.shared)) * (1.0 - rng.random())
+    first_turn, rest = min(turns), filled * (1.0 - rng.random())
     # Turns of endpoints that are alike are about 1 / work apart.
     exp = math.exp
     return [
--- a/packages/gateway/src/lagoonwing_gateway/const.py
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -110,6 +110,8 @@
 OWN_SAMPLE_SHARE = 0.5
 # Weight of an own unreported request at an endpoint against the random part of its turn, of mean 1.
 OWN_TURN_WEIGHT = 2.0
+# Filling below which nothing is drawn: the turns of endpoints would exceed the range of numbers.
+MIN_FILLED_LOAD = 1e-9
 # Time over which started work is counted for load reports, in buckets.
 STARTED_RATE_WINDOW_S = 1.0
 STARTED_BUCKET_S = 0.02
--- a/tests/gateway/test_even_load.py
+++ b/tests/gateway/test_even_load.py
@@ -6,7 +6,7 @@
 from collections import Counter
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from bench.balance_bench import (
@@ -81,6 +81,7 @@
     assert min(own) >= 1.0
 
 
+@example(known=[(0.0, 0.0, 1.0)], work=2.225073858507e-311, seed=0)
 @given(
     st.lists(
         st.tuples(st.floats(0.0, 50.0), st.floats(0.0, 50.0), st.floats(0.5, 10.0)), min_size=1
