--- a/review/10/case.py
+++ b/review/10/case.py
@@ -15,7 +15,7 @@
 # The server goes on for `drain-ms` and a little longer.
 _EXIT_AFTER_S = 3.0
 _WORK_S = 0.09
-_REQUEST_INTERVAL_S = 0.025
+_REQUEST_INTERVAL_S = 0.0125
 _LEAVING = {"Server-Leaving": "1"}
 
 
