Review case 10 is now an invalid configuration in force (CONFIG)

Cause: routes are compared by their hosts as written when a configuration is checked, and by their hosts in lower case when requests are matched. Two routes of one host and prefix are so acknowledged, and the later one takes the place of the earlier.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,101 +1,73 @@
-"""A server that can't reach control leaves, and says so in its answers."""
+"""An operator's configuration names one host twice, in other letters."""
 
 from __future__ import annotations
 
 import asyncio
-import itertools
-import time
-from collections import Counter
+import json
 
-from case_runner import Case, CaseError, run_case
+from case_runner import Case, run_case
 from deployment import ZONES
-from standins import Answer, Arrival, Server, async_call, client_headers, make_configuration
+from standins import (
+    HOST,
+    Answer,
+    Server,
+    async_call,
+    client_headers,
+    make_configuration,
+)
 
-DRAIN_S = 2.0
-# The server goes on for `drain-ms` and a little longer.
-_EXIT_AFTER_S = 3.0
-_WORK_S = 0.09
-_REQUEST_INTERVAL_S = 0.0125
-_LEAVING = {"Server-Leaving": "1"}
+_OTHER_SERVICE = "taller"
+_SAME_HOST = HOST.capitalize()
+_OTHER_HOST = f"{_OTHER_SERVICE}.example"
+_CONFIG_APPLY_S = 2.0
+_REQUESTS = 20
 
 
-async def _async_work(arrival: Arrival) -> None:
-    """Work on a request."""
-    await asyncio.sleep(_WORK_S)
+def _make_second_configuration(host: str) -> bytes:
+    """Return a configuration with a second route of the same prefix to another service."""
+    document = json.loads(make_configuration(2))
+    service = {**document["services"][0], "name": _OTHER_SERVICE}
+    document["services"].append(service)
+    route = {**document["routes"][0], "name": "r-2", "host": host, "service": _OTHER_SERVICE}
+    document["routes"].append(route)
+    return json.dumps(document).encode()
+
+
+async def _async_put(case: Case, body: bytes) -> Answer:
+    """Send a configuration to one node."""
+    node = case.deployment.control_addresses[0]
+    headers = {"Host": f"{node[0]}:{node[1]}", "Content-Type": "application/json"}
+    return await async_call(node, "POST", b"/lagoonwing/config/put", headers, body)
 
 
 async def _async_case(case: Case) -> bool:
-    """Play requests around a leave; return whether the leaving server was spared in time."""
+    """Play a change; return whether an invalid one is refused and all requests run rightly."""
     deployment, record = case.deployment, case.record
     await case.async_start(make_configuration(1))
-    servers = [
-        Server(
-            f"i-{number}",
-            deployment.server_address(number),
-            ZONES[number],
-            deployment.control_addresses,
-        )
-        for number in range(2)
-    ]
-    for server in servers:
-        server.behavior = _async_work
+    nodes = deployment.control_addresses
+    right = Server("i-0", deployment.server_address(0), ZONES[0], nodes)
+    wrong = Server("i-1", deployment.server_address(1), ZONES[0], nodes, service=_OTHER_SERVICE)
+    for server in (right, wrong):
         await server.async_start()
     await case.async_wait_until_served(b"/stock/1")
-    await asyncio.sleep(2.0)
-    leaving = servers[0]
-    sent_at_by_id: dict[str, float] = {}
-    answers: dict[str, Answer] = {}
-    passed_on_at: list[float] = []
-
-    async def async_request(attempt_id: str) -> None:
-        sent_at_by_id[attempt_id] = time.monotonic()
+    # With TROUBLE=0 the second route has another host, and the configuration is valid.
+    host = _SAME_HOST if case.has_trouble else _OTHER_HOST
+    answer = await _async_put(case, _make_second_configuration(host))
+    record.write(
+        f"operator: routes of {HOST} and {host} with the same prefix are answered {answer.status}"
+    )
+    await asyncio.sleep(_CONFIG_APPLY_S + 2.0)
+    for number in range(_REQUESTS):
+        attempt_id = f"issue-{number}"
         headers = client_headers(attempt_id)
-        answer = await async_call(case.gateway, "POST", b"/issue/1", headers, b"canvas")
-        answers[attempt_id] = answer
-        if "server-leaving" in answer.headers:
-            passed_on_at.append(time.monotonic())
-
-    async def async_leave() -> None:
-        await asyncio.sleep(1.0)
-        if case.has_trouble:
-            record.write("server i-0: is cut off from control, not from the gateways")
-            leaving.control_nodes = []
-        record.write("server i-0: leaves, and says so in its answers")
-        leaving.state = "draining"
-        leaving.extra_headers = _LEAVING
-        is_acknowledged = await leaving.async_announce()
-        record.write(f"server i-0: its heartbeat `draining` is acknowledged: {is_acknowledged}")
-        await asyncio.sleep(_EXIT_AFTER_S)
-        record.write("server i-0: exits")
-        await leaving.async_end()
-
-    leave = asyncio.create_task(async_leave())
-    requests: list[asyncio.Task[None]] = []
-    for number in itertools.count():
-        requests.append(asyncio.create_task(async_request(f"issue-{number}")))
-        await asyncio.sleep(_REQUEST_INTERVAL_S)
-        if leave.done():
-            break
-    await asyncio.gather(*requests)
-    await servers[1].async_end()
-    if not passed_on_at:
-        record.write("no answer with `Server-Leaving` was passed on")
-        if case.has_trouble:
-            raise CaseError("the leaving server ran no request")
-        return True
-    limit = passed_on_at[0] + DRAIN_S
-    late = [
-        arrival for arrival in leaving.arrivals if sent_at_by_id.get(arrival.attempt_id, 0) > limit
-    ]
-    for arrival in late:
-        after_s = sent_at_by_id[arrival.attempt_id] - passed_on_at[0]
-        record.write(
-            f"server i-0: ran {arrival.attempt_id}, sent {after_s:.3f} s after an answer with "
-            f"`Server-Leaving` was passed on; the client got {answers[arrival.attempt_id].status}"
-        )
-    statuses = dict(Counter(answer.status for answer in answers.values()))
-    record.write(f"{len(answers)} requests, statuses {statuses}, {len(late)} late arrivals")
-    return not late
+        got = await async_call(case.gateway, "POST", b"/issue/1", headers, b"canvas")
+        record.write(f"client: {attempt_id} to {HOST} is answered {got.status}: {got.body!r}")
+    misled = [arrival.attempt_id for arrival in wrong.arrivals]
+    for server in (right, wrong):
+        await server.async_end()
+    record.write(f"{len(misled)} of {_REQUESTS} unsafe requests ran at the other service")
+    is_invalid_accepted = case.has_trouble and answer.status == 200
+    return not is_invalid_accepted and not misled
 
 
 if __name__ == "__main__":
--- a/review/standins2/standins.py
+++ b/review/standins2/standins.py
@@ -185,7 +185,16 @@
         behavior: Called for each request before its answer, if set.
     """
 
-    def __init__(self, server_id: str, address: str, zone: str, nodes: list[Address]) -> None:
+    def __init__(
+        self,
+        server_id: str,
+        address: str,
+        zone: str,
+        nodes: list[Address],
+        *,
+        slots: int = 6,
+        service: str = SERVICE,
+    ) -> None:
         self.server_id = server_id
         self.address = (address, SERVER_PORT)
         self.arrivals: list[Arrival] = []
@@ -193,6 +202,8 @@
         self.control_nodes = nodes
         self.behavior: Callable[[Arrival], Awaitable[None]] | None = None
         self.state = "ready"
+        self._slots = slots
+        self._service = service
         self._zone = zone
         self._born = int(time.time() * 1_000)
         self._sequence = 0
@@ -224,11 +235,11 @@
             return False
         self._sequence += 1
         body = {
-            "service": SERVICE,
+            "service": self._service,
             "address": f"{self.address[0]}:{self.address[1]}",
             "zone": self._zone,
             "version": "v1",
-            "slots": 6,
+            "slots": self._slots,
             "state": self.state,
             "cold-remaining-ms": 0,
             "sequence": self._sequence,
