--- a/review/standins2/case_runner.py
+++ b/review/standins2/case_runner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import traceback
 from collections.abc import Awaitable, Callable
@@ -79,6 +80,7 @@
         async_case: Runs the case; returns whether the rule held.
         registries: Number of registry machines.
     """
+    signal.signal(signal.SIGTERM, _exit_on_signal)
     record = Record(Path(file).resolve().parent / "record.txt")
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"case {Path(file).resolve().parent.name}, disruption: {has_trouble}")
@@ -100,6 +102,11 @@
     sys.exit(code)
 
 
+def _exit_on_signal(number: int, frame: object) -> None:
+    """End the case, and with it all processes that it started."""
+    sys.exit(EXIT_COULD_NOT_RUN)
+
+
 async def _async_run(case: Case, async_case: Callable[[Case], Awaitable[bool]]) -> bool:
     """Run a case within its time."""
     async with asyncio.timeout(_MAX_RUN_S):
