--- a/review/10/case.py
+++ b/review/10/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from pathlib import Path
 
 from case_runner import Case, run_case
 from deployment import ZONES
@@ -71,4 +72,4 @@
 
 
 if __name__ == "__main__":
-    run_case(__file__, _async_case)
+    run_case(_async_case, Path(__file__).with_name("record.txt"))
--- a/review/standins2/case_runner.py
+++ b/review/standins2/case_runner.py
@@ -72,18 +72,20 @@
         raise CaseError("no request is served")
 
 
-def run_case(file: str, async_case: Callable[[Case], Awaitable[bool]], registries: int = 3) -> None:
+def run_case(
+    async_case: Callable[[Case], Awaitable[bool]], record_file: Path, registries: int = 3
+) -> None:
     """Run a case and exit: 0 if the rule held, 1 if it was broken, 2 if the case couldn't run.
 
     Args:
-        file: File of the case; its record is written beside it.
         async_case: Runs the case; returns whether the rule held.
+        record_file: File to which the case writes what was sent, answered and run.
         registries: Number of registry machines.
     """
     signal.signal(signal.SIGTERM, _exit_on_signal)
-    record = Record(Path(file).resolve().parent / "record.txt")
+    record = Record(record_file)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
-    record.write(f"case {Path(file).resolve().parent.name}, disruption: {has_trouble}")
+    record.write(f"case {record_file.parent.name}, disruption: {has_trouble}")
     deployment: Deployment | None = None
     code = EXIT_COULD_NOT_RUN
     try:
