--- a/packages/fakes/src/lagoonwing_fakes/platform/_endpoint.py
+++ b/packages/fakes/src/lagoonwing_fakes/platform/_endpoint.py
@@ -154,6 +154,14 @@
         self.finish({"sequence": self.endpoint.orders, "busy": False})
 
 
+class _HealthHandler(RequestHandler):
+    """Serves health checks."""
+
+    def get(self) -> None:
+        """Say that the endpoint is healthy."""
+        self.finish()
+
+
 class _OrderHandler(RequestHandler):
     """Handles placement orders to an engine."""
 
@@ -188,6 +196,7 @@
         [
             (PATH_REPORT, _ReportHandler, arguments),
             (PATH_ORDER, _OrderHandler, arguments),
+            ("/healthz", _HealthHandler),
             (".*", WorkHandler, arguments),
         ],
         log_function=lambda handler: None,
--- a/packages/gateway/src/lagoonwing_gateway/_directory.py
+++ b/packages/gateway/src/lagoonwing_gateway/_directory.py
@@ -68,6 +68,11 @@
         }
         self._suspicions.retain_only(endpoint_id for endpoint_id in self._id_by_address.values())
 
+    def service(self, service_id: ServiceId) -> Service | None:
+        """Return a service of the document in force."""
+        routes = self._follower.routes
+        return None if routes is None else routes.service_by_id.get(service_id)
+
     def record(self, endpoint_id: EndpointId) -> EndpointRecord | None:
         """Return the record of an endpoint if it is ready."""
         record = self._follower.endpoint_by_id.get(endpoint_id)
@@ -200,6 +205,11 @@
                 reported.extend(failing_ids)
         return tuple(reported)
 
+    @property
+    def told_suspects(self) -> int:
+        """Number of endpoints that are avoided because other gateways suspect them."""
+        return len(self._suspected_elsewhere())
+
     def _suspected_elsewhere(self) -> set[EndpointId]:
         """Return the endpoints that other gateways suspect and that make no progress here."""
         now = self._clock.now()
--- a/packages/gateway/src/lagoonwing_gateway/_endpoint_client.py
+++ b/packages/gateway/src/lagoonwing_gateway/_endpoint_client.py
@@ -10,6 +10,7 @@
 from lagoonwing_catalog.models import EndpointRecord
 from lagoonwing_core.callback import callback
 from lagoonwing_core.clock import Clock
+from lagoonwing_gateway._answer_times import AnswerTimes
 from lagoonwing_gateway._connection_pool import EndpointConnectionPool
 from lagoonwing_gateway._limit_tracker import LimitTracker
 from lagoonwing_gateway.const import MAX_RESPONSE_BODY_BYTES
@@ -63,10 +64,12 @@
         dialect: Dialect,
         connection_pool: EndpointConnectionPool,
         limits: LimitTracker,
+        answer_times: AnswerTimes,
         budget: ResponseBudget,
         clock: Clock,
     ) -> None:
         self._dialect = dialect
+        self._answer_times = answer_times
         self._limits = limits
         self._budget = budget
         self._connection_pool = connection_pool
@@ -109,8 +112,11 @@
             AnswerBrokenError: The connection closed first.
             TimeoutError: No head arrived in time.
         """
-        async with asyncio.timeout(timeout):
-            head = await open_exchange.exchange.async_read_head()
+        service_id = open_exchange.endpoint.service_id
+        with self._answer_times.waiting(service_id, open_exchange.sent_at):
+            async with asyncio.timeout(timeout):
+                head = await open_exchange.exchange.async_read_head()
+        self._answer_times.record_answer(service_id)
         info = self._dialect.response_info(head)
         self._limits.record_response(open_exchange.endpoint, info)
         return head, info
--- a/packages/gateway/src/lagoonwing_gateway/_gateway.py
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -20,6 +20,7 @@
 from lagoonwing_core.ids import EndpointId, RouteId, ServiceId
 from lagoonwing_core.result_codes import ResultCode
 from lagoonwing_gateway._admission_queue import AdmissionQueue
+from lagoonwing_gateway._answer_times import AnswerTimes
 from lagoonwing_gateway._call_handler import CallHandler
 from lagoonwing_gateway._components import GatewayComponents
 from lagoonwing_gateway._connection_pool import EndpointConnectionPool
@@ -32,6 +33,7 @@
 from lagoonwing_gateway._limit_tracker import LimitTracker
 from lagoonwing_gateway._load_tracker import LoadTracker
 from lagoonwing_gateway._pace_tracker import PaceTracker
+from lagoonwing_gateway._reach import ReachMonitor
 from lagoonwing_gateway._refusals import (
     not_run_refusal,
     permanent_refusal,
@@ -141,6 +143,15 @@
         self._watchdog = Watchdog(
             self._directory, self._suspicions, clock, self.metrics.connection_opened
         )
+        answer_times = AnswerTimes(clock)
+        self._reach = ReachMonitor(
+            self._directory,
+            self._suspicions,
+            answer_times,
+            clock,
+            rng,
+            self.metrics.connection_opened,
+        )
         components = GatewayComponents(
             failure_domain=settings.failure_domain,
             follower=self.follower,
@@ -156,7 +167,12 @@
             limiter=limiter,
             admission_queue=self._admission_queue,
             endpoint_client=EndpointClient(
-                dialect, self._connection_pool, self._limits, self.response_budget, clock
+                dialect,
+                self._connection_pool,
+                self._limits,
+                answer_times,
+                self.response_budget,
+                clock,
             ),
             dialect=dialect,
             response_budget=self.response_budget,
@@ -185,6 +201,7 @@
             loop.create_task(self._async_prune()),
             loop.create_task(self._async_update_pace()),
             loop.create_task(self._watchdog.async_run()),
+            loop.create_task(self._reach.async_run()),
             loop.create_task(self._limit_reporter.async_run()),
         ]
 
@@ -193,6 +210,7 @@
         for task in self._tasks:
             task.cancel()
         await self._watchdog.async_unload()
+        await self._reach.async_unload()
         await self.follower.async_unload()
         self._connection_pool.close()
 
@@ -218,6 +236,9 @@
         unreported = suspected - len(self._directory.reported_suspects())
         self.metrics.set_gauge("suspected_endpoints", suspected)
         self.metrics.set_gauge("unreported_suspects", unreported)
+        told = len(self.follower.load_summary().suspects)
+        self.metrics.set_gauge("suspects_of_others", told)
+        self.metrics.set_gauge("unreachable_services", len(self._reach.unreachable_services()))
         self.metrics.set_gauge("slow_endpoints", self._pace_tracker.slow_count)
         self.metrics.set_gauge("traits_with_crashes", self._crash_tracker.trait_count)
         self.metrics.set_gauge("limited_endpoints", len(self._limits.rate_by_id()))
--- a/packages/gateway/src/lagoonwing_gateway/_request_log.py
+++ b/packages/gateway/src/lagoonwing_gateway/_request_log.py
@@ -54,6 +54,7 @@
     age_s: float,
     load_age_s: float,
     unreported: float,
+    told_suspects: int,
 ) -> None:
     """Log the chosen path and what the choice rests on.
 
@@ -66,6 +67,7 @@
         age_s: Age of the catalog copy.
         load_age_s: Age of the load summary; infinite without any.
         unreported: Expected number of requests that others have started since their reports.
+        told_suspects: Number of endpoints that are avoided because other gateways suspect them.
     """
     segments = ",".join(
         f"{segment.endpoint_id}={segment.layers.first}-{segment.layers.end}"
@@ -85,6 +87,7 @@
         age_s=round(age_s, 3),
         load_age_s=None if math.isinf(load_age_s) else round(load_age_s, 3),
         unreported=round(unreported, 1),
+        told_suspects=told_suspects,
     )
 
 
--- a/packages/gateway/src/lagoonwing_gateway/_stream_failover.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_failover.py
@@ -200,6 +200,7 @@
                 components.follower.age(),
                 components.follower.load_age(),
                 components.unreported_work.requests,
+                components.directory.told_suspects,
             )
         return path
 
--- a/packages/gateway/src/lagoonwing_gateway/_suspicions.py
+++ b/packages/gateway/src/lagoonwing_gateway/_suspicions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -52,6 +52,12 @@
         self._progress_at_by_id: dict[EndpointId, float] = {}
         self._failures_by_id: dict[EndpointId, int] = {}
         self._rates = FailureRates()
+        self._on_failure: Callable[[EndpointId, FailureEvidence], None] = _ignore_failure
+
+    @callback
+    def set_failure_listener(self, listener: Callable[[EndpointId, FailureEvidence], None]) -> None:
+        """Set the callback for each failed connection or request."""
+        self._on_failure = listener
 
     @callback
     def record_progress(self, endpoint_ids: Iterable[EndpointId]) -> None:
@@ -76,6 +82,7 @@
         is_last_resort: bool = False,
     ) -> None:
         """Suspect an endpoint; the duration doubles with each repeated failure."""
+        self._on_failure(endpoint_id, evidence)
         now = self._clock.now()
         suspicion = self._suspicion_by_id.get(endpoint_id)
         duration_s = MIN_SUSPICION_S
@@ -110,6 +117,7 @@
         self, endpoint_id: EndpointId, reason: str, evidence: FailureEvidence
     ) -> None:
         """Record a request that failed; suspect an endpoint that fails too many of them."""
+        self._on_failure(endpoint_id, evidence)
         self._rates.record_failure(endpoint_id, evidence, self._clock.now())
         self._suspect_if_failing(endpoint_id, reason, evidence)
 
@@ -224,3 +232,7 @@
         for table in tables:
             for endpoint_id in table.keys() - retained:
                 del table[endpoint_id]
+
+
+def _ignore_failure(endpoint_id: EndpointId, evidence: FailureEvidence) -> None:
+    """Ignore failures until somebody wants to know of them."""
--- a/packages/gateway/src/lagoonwing_gateway/const.py
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -78,6 +78,21 @@
 # A single packet may be lost, so an endpoint is down only if several attempts time out.
 PROBE_ATTEMPTS = 2
 MIN_PROBE_INTERVAL_S = 0.5
+# Endpoints of a service that are probed first when one has failed, and at most.
+REACH_SAMPLE = 2
+MAX_REACH_PROBES = 8
+REACH_ANSWER_TIMEOUT_S = 0.5
+# Time for which a service that was found reachable is not examined again, and the time for which an
+# answer to any request shows that it is.
+REACH_MEMORY_S = 1.0
+REACH_ANSWER_MEMORY_S = 0.2
+# Time without an answer of any endpoint of a service that owes one until the service is examined.
+SERVICE_SILENCE_S = 0.8
+# Interval at which an unreachable service is probed, the probes in a row that must find an endpoint
+# before it counts as reached, and the time after that within which another cut doubles them.
+REACH_PROBE_INTERVAL_S = 0.25
+MIN_REACH_SUCCESSES = 2
+REACH_FLAP_WINDOW_S = 10.0
 # Time without events after which a stream is resumed on another path, if there is one. Healthy
 # endpoints may be silent for about a second; callers leave after two.
 STREAM_STALL_TIMEOUT_S = 1.2
--- a/packages/gateway/src/lagoonwing_gateway/models.py
+++ b/packages/gateway/src/lagoonwing_gateway/models.py
@@ -222,13 +222,15 @@
     """Why the gateway opens a connection to an endpoint.
 
     NO_IDLE: no idle connection to it is kept. FRESH: the request must not use a kept one.
-    PROBE_SILENT: nothing comes through it. PROBE_FAILED: a request to it failed.
+    PROBE_SILENT: nothing comes through it. PROBE_FAILED: a request to it failed. PROBE_REACH: it is
+    not known whether its service is reached.
     """
 
     NO_IDLE = "no_idle"
     FRESH = "fresh"
     PROBE_SILENT = "probe_silent"
     PROBE_FAILED = "probe_failed"
+    PROBE_REACH = "probe_reach"
 
 
 class ResendObstacle(Enum):
