Responses over HTTP are the product's: HttpResponder moves out of platform/

Cause: a gateway is going to answer other gateways too, with the same rules for slow readers, aborts and framing; they stood in the platform's front server, which decides nothing. Ruled out: a second responder for peers, whose rules would drift apart.

--- a/packages/gateway/src/lagoonwing_gateway/__init__.py
+++ b/packages/gateway/src/lagoonwing_gateway/__init__.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from lagoonwing_gateway._gateway import Gateway
+from lagoonwing_gateway._http_responder import HttpResponder
 from lagoonwing_gateway._server_sent_events import ServerSentEvents
 from lagoonwing_gateway.settings import GatewaySettings, RetryBudgetSettings
 
-__all__ = ["Gateway", "GatewaySettings", "RetryBudgetSettings", "ServerSentEvents"]
+__all__ = ["Gateway", "GatewaySettings", "HttpResponder", "RetryBudgetSettings", "ServerSentEvents"]
