A gateway that reaches no endpoint hands its requests over to one that does (RECOVER)

What callers saw: 503 (codes 4000, 3002), 502 or 504 from gateways that were partitioned from all endpoints, for as long as the cut lasted, while the others served. Cause: a gateway has one way to a service, its own connections. Class: a component that can't do its work keeps taking it, and has no way to pass it to one that can. Change: requests of a service that ReachMonitor finds unreachable go to another gateway, which serves them as its own: it chooses, limits, retries and refuses, so that attempts, the retry budget, limits and quarantine hold once. It is told how often a request was sent before and whether that may have run. Peers come from the registry: a ring over all gateways gives each one eight, which reach their services and don't drain; nothing is exchanged between gateways while nothing is cut. A peer declines if it drains, has an older document, or reaches no endpoint itself; a request that was handed over is never handed over again. What waits for the service here when the cut is noticed goes on there, and streams after their last event. Why it works: what is decided is decided at one gateway, so a wrong verdict of the monitor costs one hop and no request.

--- a/packages/catalog/src/lagoonwing_catalog/messages.py
+++ b/packages/catalog/src/lagoonwing_catalog/messages.py
@@ -92,16 +92,25 @@
     sequence_by_id: dict[EndpointId, tuple[int, int]]
 
 
+class HandoverAddress(msgspec.Struct, frozen=True, array_like=True):
+    """Address at which a gateway takes requests of other gateways."""
+
+    address: str
+    port: int
+
+
 class Subscribe(msgspec.Struct, frozen=True, array_like=True, tag=20):
     """Request to a replica for all changes after a revision.
 
     Attributes:
         after: Last revision known to the gateway; 0 for the full state.
         failure_domain: Failure domain of the gateway.
+        handover: Address at which it takes requests of other gateways, if it does.
     """
 
     after: Revision
     failure_domain: FailureDomainId
+    handover: HandoverAddress | None = None
 
 
 class ReplicaAddress(msgspec.Struct, frozen=True, array_like=True):
@@ -198,6 +207,8 @@
     Attributes:
         suspects: Endpoints to which the gateway sends no requests.
         slowdown_by_id: Slowdown factor of endpoints that seem slow or recently did.
+        unreachable_services: Services of which the gateway reaches no endpoint.
+        is_draining: Whether it takes no new requests.
     """
 
     load_by_id: dict[EndpointId, EndpointLoad]
@@ -205,6 +216,8 @@
     pressure_by_service: dict[ServiceId, ServicePressure] = {}
     slowdown_by_id: dict[EndpointId, float] = {}
     transfers: tuple[DomainTransfers, ...] = ()
+    unreachable_services: tuple[ServiceId, ...] = ()
+    is_draining: bool = False
 
 
 class LoadSummary(msgspec.Struct, frozen=True, array_like=True, tag=25):
@@ -355,6 +368,31 @@
     replicas: tuple[ReplicaAddress, ...]
 
 
+class PeerGateway(msgspec.Struct, frozen=True, array_like=True):
+    """A gateway that takes requests of others.
+
+    Attributes:
+        unreachable_services: Services of which it reaches no endpoint itself.
+    """
+
+    gateway_id: HostId
+    handover: HandoverAddress
+    failure_domain: FailureDomainId
+    unreachable_services: tuple[ServiceId, ...]
+
+
+class ReplicaGateways(msgspec.Struct, frozen=True, array_like=True, tag=34):
+    """Gateways that follow one replica and take requests of others, for the other replicas."""
+
+    gateways: tuple[PeerGateway, ...]
+
+
+class PeerList(msgspec.Struct, frozen=True, array_like=True, tag=35):
+    """Gateways to which one gateway may hand requests over, the preferred ones first."""
+
+    peers: tuple[PeerGateway, ...]
+
+
 CatalogMessage = (
     Submit
     | Submitted
@@ -376,5 +414,7 @@
     | PermitGrant
     | RelayedGrant
     | ReplicaList
+    | ReplicaGateways
+    | PeerList
 )
 CATALOG_DECODER = msgspec.msgpack.Decoder(CatalogMessage)
--- a/packages/gateway/src/lagoonwing_gateway/_admission_queue.py
+++ b/packages/gateway/src/lagoonwing_gateway/_admission_queue.py
@@ -196,6 +196,13 @@
             self._is_run_scheduled = True
             asyncio.get_running_loop().call_soon(self._run)
 
+    @callback
+    def end_waits(self, service_id: ServiceId, detail: str) -> None:
+        """End the waits for a service whose endpoints can't be used here any more."""
+        for waiter in list(self._waiter_by_id.values()):
+            if waiter.request.service_id == service_id and not waiter.future.done():
+                self._refuse(waiter.request, detail)
+
     def waiting_cost_by_service(self) -> dict[ServiceId, dict[int, float]]:
         """Return the cost of the waiting requests by rank, for services with any."""
         return {
--- a/packages/gateway/src/lagoonwing_gateway/_call_handler.py
+++ b/packages/gateway/src/lagoonwing_gateway/_call_handler.py
@@ -20,6 +20,7 @@
     failure_evidence,
 )
 from lagoonwing_gateway._final_response import KeptFailure, respond_unserved
+from lagoonwing_gateway._handover import HandoverTask
 from lagoonwing_gateway._request_log import log_attempt
 from lagoonwing_gateway.const import (
     CALL_RETRY_TIMEOUT_SHARE,
@@ -96,6 +97,8 @@
         self._budget = components.budget
         self._crash_tracker = components.crash_tracker
         self._watchdog = components.watchdog
+        self._handover = components.handover
+        self._handover_relay = components.handover_relay
         self._endpoint_client = components.endpoint_client
         self._response_budget = components.response_budget
         self._clock = components.clock
@@ -106,17 +109,26 @@
         self, context: RequestContext, service: Service, responder: Responder
     ) -> GatewayRefusal | None:
         """Serve one call; return the refusal to send, or None if the call was answered."""
-        call = _Call(context, service, responder, KeptFailure(self._response_budget))
+        call = _Call(
+            context,
+            service,
+            responder,
+            KeptFailure(self._response_budget),
+            context.request.earlier_sends,
+        )
         self._endpoints.record_call(service)
         try:
-            last_outcome = await self._async_run_attempts(call)
+            last_outcome = await self._async_run(call)
         finally:
             failure = call.failure.take()
             unused = call.take_reservation()
             if unused is not None:
                 self._endpoints.give_up(unused)
-        if isinstance(last_outcome, Completed | CallerGone):
-            return None
+        match last_outcome:
+            case Completed() | CallerGone():
+                return None
+            case GatewayRefusal():
+                return last_outcome
         return respond_unserved(
             context,
             failure or last_outcome,
@@ -128,6 +140,24 @@
             rng=self._rng,
         )
 
+    async def _async_run(self, call: _Call) -> AttemptOutcome | GatewayRefusal:
+        """Run attempts here, then at another gateway if no endpoint answers this one."""
+        last_outcome = await self._async_run_attempts(call)
+        if isinstance(last_outcome, Completed | CallerGone):
+            return last_outcome
+        if not await self._handover.async_is_due(call.context, call.service.service_id):
+            return last_outcome
+        task = HandoverTask(
+            call.context,
+            call.service.service_id,
+            call.send_count,
+            call.failure.may_have_run,
+            call.context.request.last_event_id,
+        )
+        if not task.may_be_sent:
+            return last_outcome
+        return await self._handover_relay.async_call(task, call.responder)
+
     async def _async_run_attempts(self, call: _Call) -> AttemptOutcome:
         """Run attempts until one completes; return the outcome of the last one."""
         context = call.context
@@ -136,6 +166,8 @@
         while connect_attempts < MAX_CONNECT_ATTEMPTS + context.route.max_attempts:
             if call.responder.is_disconnected:
                 return CallerGone()
+            if await self._handover.async_is_due(context, call.service.service_id):
+                break
             claim = await self._async_next_claim(call, last_outcome)
             if claim is None:
                 break
@@ -233,6 +265,11 @@
         connection.close()
         return None
 
+    def _may_hand_over(self, call: _Call) -> bool:
+        """Return whether a call that waits here may be sent to another gateway."""
+        is_due = self._handover.is_due(call.context, call.service.service_id)
+        return is_due and self._may_reserve(call)
+
     def _may_reserve(self, call: _Call) -> bool:
         """Return whether attempts and time are left for another attempt."""
         if call.context.route.kind is RequestKind.UNSAFE:
@@ -316,7 +353,7 @@
 
         Raises:
             AnswerBrokenError: The connection closed before the response was complete.
-            TimeoutError: The deadline has passed, or another attempt is reserved.
+            TimeoutError: The deadline has passed, or another attempt is to follow.
         """
         response = asyncio.ensure_future(
             self._endpoint_client.async_complete_response(
@@ -329,6 +366,8 @@
                 await asyncio.wait((response,), timeout=patience_s)
                 if response.done():
                     break
+                if self._may_hand_over(call):
+                    raise TimeoutError
                 if await self._async_try_reserve(call, record) and not response.done():
                     raise TimeoutError
                 patience_s = SILENCE_RECHECK_INTERVAL_S
--- a/packages/gateway/src/lagoonwing_gateway/_components.py
+++ b/packages/gateway/src/lagoonwing_gateway/_components.py
@@ -13,6 +13,8 @@
 from lagoonwing_gateway._endpoint_client import EndpointClient
 from lagoonwing_gateway._endpoint_limiter import EndpointLimiter
 from lagoonwing_gateway._follower import CatalogFollower
+from lagoonwing_gateway._handover import Handover
+from lagoonwing_gateway._handover_relay import HandoverRelay
 from lagoonwing_gateway._load_tracker import LoadTracker
 from lagoonwing_gateway._pace_tracker import PaceTracker
 from lagoonwing_gateway._retry_budget import RetryBudget
@@ -45,6 +47,8 @@
     endpoint_client: EndpointClient
     dialect: Dialect
     response_budget: ResponseBudget
+    handover: Handover
+    handover_relay: HandoverRelay
     metrics: GatewayMetrics
     clock: Clock
     rng: random.Random
--- a/packages/gateway/src/lagoonwing_gateway/_final_response.py
+++ b/packages/gateway/src/lagoonwing_gateway/_final_response.py
@@ -50,6 +50,11 @@
         self._failure: Failed | None = None
         self._held: HeldBytes | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any attempt may have been executed."""
+        return self._failure is not None
+
     @callback
     def record(self, outcome: AttemptOutcome) -> AttemptOutcome:
         """Record the outcome of an attempt; return it without its response, which is kept here."""
--- a/packages/gateway/src/lagoonwing_gateway/_follower.py
+++ b/packages/gateway/src/lagoonwing_gateway/_follower.py
@@ -19,6 +19,8 @@
     LimitExtract,
     LoadReport,
     LoadSummary,
+    PeerGateway,
+    PeerList,
     PermitGrant,
     Refused,
     ReplicaList,
@@ -57,6 +59,7 @@
         routes: Index of the active document; None before the first one is received.
         endpoint_by_id: Records of all endpoints.
         gateways: Number of live gateways; a conservative default until a replica reports it.
+        peers: Gateways to which this one may hand requests over, as last told.
     """
 
     name = "catalog_follower"
@@ -72,6 +75,7 @@
         self.routes: RouteTable | None = None
         self.endpoint_by_id: dict[EndpointId, EndpointRecord] = {}
         self.gateways = INITIAL_GATEWAY_COUNT
+        self.peers: tuple[PeerGateway, ...] = ()
         self._settings = settings
         self._clock = clock
         self._make_report = make_report
@@ -200,6 +204,8 @@
                 self._apply(message)
             case ReplicaList(replicas=replicas):
                 self._links.set_replicas(replicas)
+            case PeerList(peers=peers):
+                self.peers = peers
             case LoadSummary():
                 self._summary = self._own_echo.without_echo(message)
                 self._summary_received_at = self._clock.now()
@@ -293,7 +299,7 @@
         self._source = channel
         self._source_last_message_at = self._clock.now()
         self._source_age = MAX_SOURCE_AGE_S
-        message = Subscribe(self._revision, self._settings.failure_domain)
+        message = Subscribe(self._revision, self._settings.failure_domain, self._settings.handover)
         reply = await channel.async_call(message, SUBSCRIBE_TIMEOUT_S)
         match reply:
             case Result(tag="ok", ok=Subscribed(replicas=replicas, gateways=gateways)):
--- a/packages/gateway/src/lagoonwing_gateway/_gateway.py
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -29,10 +29,14 @@
 from lagoonwing_gateway._endpoint_client import EndpointClient
 from lagoonwing_gateway._endpoint_limiter import EndpointLimiter
 from lagoonwing_gateway._follower import CatalogFollower
+from lagoonwing_gateway._handover import Handover
+from lagoonwing_gateway._handover_client import HandoverClient
+from lagoonwing_gateway._handover_relay import HandoverRelay
 from lagoonwing_gateway._limit_reporter import LimitReporter
 from lagoonwing_gateway._limit_tracker import LimitTracker
 from lagoonwing_gateway._load_tracker import LoadTracker
 from lagoonwing_gateway._pace_tracker import PaceTracker
+from lagoonwing_gateway._peer_table import PeerTable
 from lagoonwing_gateway._reach import ReachMonitor
 from lagoonwing_gateway._refusals import (
     not_run_refusal,
@@ -152,6 +156,18 @@
             rng,
             self.metrics.connection_opened,
         )
+        self._reach.add_listener(self._on_reach_changed)
+        self._handover_client = HandoverClient(
+            identity, self.response_budget, clock, self.read_turns
+        )
+        handover = Handover(
+            self._handover_client,
+            PeerTable(lambda: self.follower.peers, clock, rng),
+            self._reach,
+            self.follower,
+            clock,
+            self.metrics,
+        )
         components = GatewayComponents(
             failure_domain=settings.failure_domain,
             follower=self.follower,
@@ -165,6 +181,8 @@
             budget=RetryBudget(settings.retry_budget, clock),
             crash_tracker=self._crash_tracker,
             limiter=limiter,
+            handover=handover,
+            handover_relay=HandoverRelay(handover, dialect, clock),
             admission_queue=self._admission_queue,
             endpoint_client=EndpointClient(
                 dialect,
@@ -213,6 +231,7 @@
         await self._reach.async_unload()
         await self.follower.async_unload()
         self._connection_pool.close()
+        self._handover_client.close()
 
     @property
     def active_requests(self) -> int:
@@ -332,6 +351,25 @@
         log_refusal(request.attempt_id, None, refusal, 0.0)
         responder.refuse(request, refusal)
 
+    def reason_to_decline(self, request: CallerRequest, version: int) -> str | None:
+        """Return why a request of another gateway is not taken, or None if it is.
+
+        Args:
+            request: The request.
+            version: Version of the document that the other gateway has applied.
+        """
+        routes = self.follower.routes
+        if self.is_draining:
+            return "the gateway drains"
+        if routes is None or routes.version < version:
+            return "the configuration is older"
+        route = routes.match(request.host, request.path)
+        if route is None:
+            return None
+        if all(self._reach.is_unreachable(split.service_id) for split in route.splits):
+            return "no endpoint of the service answers"
+        return None
+
     async def _async_answer(self, request: CallerRequest, responder: Responder) -> None:
         """Answer one request of a caller."""
         route_id = None
@@ -398,7 +436,9 @@
         if request.budget_s is not None:
             budget_s = min(budget_s, request.budget_s)
         first_attempt_at = request.received_at
-        if request.budget_s is not None:
+        if request.handed_over is not None:
+            first_attempt_at -= request.handed_over.first_attempt_age_s
+        elif request.budget_s is not None:
             first_attempts = self._first_attempts_by_route[route.route_id]
             first_attempt_at = first_attempts.first_attempt(request.budget_s, first_attempt_at)
         return RequestContext(
@@ -441,6 +481,8 @@
             pressure_by_service=self._pressure_by_service(),
             slowdown_by_id=self._pace_tracker.report(),
             transfers=self._started_work.transfers(),
+            unreachable_services=self._reach.unreachable_services(),
+            is_draining=self.is_draining,
         )
 
     def _pressure_by_service(self) -> dict[ServiceId, ServicePressure]:
@@ -454,6 +496,13 @@
             for service_id in started_by_service.keys() | waiting_by_service.keys()
         }
 
+    @callback
+    def _on_reach_changed(self) -> None:
+        """Let what waits for an unreachable service go on elsewhere."""
+        for service_id in self._reach.unreachable_services():
+            self._admission_queue.end_waits(service_id, "no endpoint of the service answers")
+        self._wake_admission()
+
     @callback
     def _wake_admission(self) -> None:
         """Try waiting requests, since capacity may have become free."""
@@ -472,6 +521,7 @@
         while True:
             await asyncio.sleep(_PRUNE_INTERVAL_S)
             self._connection_pool.prune()
+            self._handover_client.prune()
 
 
 def _no_idle_connections() -> None:
--- a/packages/gateway/src/lagoonwing_gateway/_reach.py
+++ b/packages/gateway/src/lagoonwing_gateway/_reach.py
@@ -10,7 +10,7 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from lagoonwing_catalog.models import EndpointRecord
@@ -28,9 +28,11 @@
     MIN_REACH_SUCCESSES,
     REACH_ANSWER_MEMORY_S,
     REACH_FLAP_WINDOW_S,
+    REACH_HEDGE_S,
     REACH_MEMORY_S,
     REACH_PROBE_INTERVAL_S,
     REACH_SAMPLE,
+    REACH_SETTLE_S,
     SERVICE_SILENCE_S,
 )
 from lagoonwing_gateway.models import ConnectionReason, FailureEvidence
@@ -71,6 +73,7 @@
         self._examination_by_service: dict[ServiceId, asyncio.Task[bool]] = {}
         self._reached_at_by_service: dict[ServiceId, float] = {}
         self._last_cut_by_service: dict[ServiceId, tuple[float, int]] = {}
+        self._last_failure_by_service: dict[ServiceId, tuple[float, EndpointId]] = {}
         self._listeners: list[Callable[[], None]] = []
         self._tasks = TaskSet("reach_monitor")
         suspicions.set_failure_listener(self._on_failure)
@@ -103,6 +106,12 @@
         for examination in list(self._examination_by_service.values()):
             examination.cancel()
 
+    async def async_settled(self, service_id: ServiceId) -> None:
+        """Wait for a moment until a running examination of a service has ended."""
+        examination = self._examination_by_service.get(service_id)
+        if examination is not None:
+            await asyncio.wait((examination,), timeout=REACH_SETTLE_S)
+
     async def async_reaches_other(self, record: EndpointRecord) -> bool:
         """Return whether another endpoint of the service is reached now.
 
@@ -116,10 +125,22 @@
         record = self._directory.record(endpoint_id)
         if record is None or evidence is FailureEvidence.RESPONSE:
             return
-        since = self._clock.now() - REACH_ANSWER_MEMORY_S
-        if not self._answer_times.has_answered_since(record.service_id, since):
+        if self._is_doubtful(record.service_id, endpoint_id):
             self._examine_soon(record.service_id, endpoint_id)
 
+    def _is_doubtful(self, service_id: ServiceId, endpoint_id: EndpointId) -> bool:
+        """Return whether a failure, and the one before it, may mean that none is reached.
+
+        It does if no endpoint has answered lately, or since another one has failed.
+        """
+        now = self._clock.now()
+        failed_at, failed_id = self._last_failure_by_service.get(service_id, (now, endpoint_id))
+        self._last_failure_by_service[service_id] = (now, endpoint_id)
+        since = now - REACH_ANSWER_MEMORY_S
+        if failed_id != endpoint_id:
+            since = max(since, failed_at)
+        return not self._answer_times.has_answered_since(service_id, since)
+
     @callback
     def _examine_soon(self, service_id: ServiceId, endpoint_id: EndpointId | None) -> None:
         """Examine a service, unless that is done, or was done a moment ago."""
@@ -156,9 +177,7 @@
         started_at = self._clock.now()
         records = self._candidates(service_id)
         others = [record for record in records if record.endpoint_id != endpoint_id] or records
-        is_reached = await self._async_reaches_any(others[:REACH_SAMPLE])
-        if not is_reached:
-            is_reached = await self._async_reaches_any(others[REACH_SAMPLE:])
+        is_reached = await self._async_reaches_any(others)
         if is_reached:
             self._reached_at_by_service[service_id] = self._clock.now()
         elif others and not self.is_unreachable(service_id):
@@ -220,24 +239,44 @@
             listener()
 
     async def _async_reaches_any(self, records: Sequence[EndpointRecord]) -> bool:
-        """Probe endpoints at the same time; return whether one answers."""
-        probes = [asyncio.ensure_future(self._async_reaches(record)) for record in records]
+        """Probe some endpoints, and soon the others; return whether one answers."""
+        probes = [
+            asyncio.ensure_future(self._async_reaches(record)) for record in records[:REACH_SAMPLE]
+        ]
         try:
-            for probe in asyncio.as_completed(probes):
-                if await probe:
-                    return True
-            return False
+            if await _async_any(probes, REACH_HEDGE_S):
+                return True
+            probes += [
+                asyncio.ensure_future(self._async_reaches(record))
+                for record in records[REACH_SAMPLE:]
+            ]
+            return await _async_any(probes, None)
         finally:
-            _cancel_all(probes)
+            for probe in probes:
+                probe.cancel()
 
     async def _async_reaches(self, record: EndpointRecord) -> bool:
         """Return whether an endpoint answers."""
         return await async_probe_reach(
-            record, self._health_path(record.service_id), self._on_connect
+            record.address,
+            record.port,
+            self._health_path(record.service_id),
+            lambda: self._on_connect(ConnectionReason.PROBE_REACH),
         )
 
 
-def _cancel_all(tasks: Iterable[asyncio.Task[bool]]) -> None:
-    """Cancel tasks whose result is not needed."""
-    for task in tasks:
-        task.cancel()
+async def _async_any(probes: Sequence[asyncio.Task[bool]], timeout: float | None) -> bool:
+    """Wait until a probe succeeds; return False when all have failed, or at the timeout."""
+    loop = asyncio.get_running_loop()
+    deadline = None if timeout is None else loop.time() + timeout
+    pending = set(probes)
+    while pending:
+        left_s = None if deadline is None else max(0.0, deadline - loop.time())
+        done, pending = await asyncio.wait(
+            pending, timeout=left_s, return_when=asyncio.FIRST_COMPLETED
+        )
+        if any(probe.result() for probe in done):
+            return True
+        if not done:
+            return False
+    return False
--- a/packages/gateway/src/lagoonwing_gateway/_reach_probe.py
+++ b/packages/gateway/src/lagoonwing_gateway/_reach_probe.py
@@ -1,4 +1,4 @@
-"""Finds out whether an endpoint answers this gateway at all."""
+"""Finds out whether an endpoint, or another gateway, answers this gateway at all."""
 
 from __future__ import annotations
 
@@ -7,9 +7,7 @@
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
-from lagoonwing_catalog.models import EndpointRecord
 from lagoonwing_gateway.const import PROBE_ATTEMPTS, PROBE_TIMEOUT_S, REACH_ANSWER_TIMEOUT_S
-from lagoonwing_gateway.models import ConnectionReason
 from lagoonwing_http import (
     AnswerBrokenError,
     ClientConnection,
@@ -19,20 +17,30 @@
 )
 
 
+def _ignore_connect() -> None:
+    """Ignore that a connection is opened."""
+
+
 async def async_probe_reach(
-    record: EndpointRecord, health_path: str, on_connect: Callable[[ConnectionReason], None]
+    address: str, port: int, path: str, on_connect: Callable[[], None] = _ignore_connect
 ) -> bool:
-    """Return whether an endpoint answers a health check, whatever it says.
+    """Return whether a server answers a request, whatever it says.
 
     An open connection is no proof: whatever stands between may accept it, and pass nothing on.
+
+    Args:
+        address: IP address of the server.
+        port: TCP port of the server.
+        path: Path of the request.
+        on_connect: Called before each attempt to connect.
     """
-    connection = await _async_connect(record, on_connect)
+    connection = await _async_connect(address, port, on_connect)
     if connection is None:
         return False
     try:
         exchange = connection.send(
-            RequestStartLine("GET", health_path, "HTTP/1.1"),
-            HTTPHeaders({"Host": record.socket_address, "Connection": "close"}),
+            RequestStartLine("GET", path, "HTTP/1.1"),
+            HTTPHeaders({"Host": f"{address}:{port}", "Connection": "close"}),
             b"",
             lambda headers: ResponseMatch.OWN,
         )
@@ -46,14 +54,14 @@
 
 
 async def _async_connect(
-    record: EndpointRecord, on_connect: Callable[[ConnectionReason], None]
+    address: str, port: int, on_connect: Callable[[], None]
 ) -> ClientConnection | None:
-    """Connect to an endpoint; a single packet may be lost."""
+    """Open a connection; a single packet may be lost."""
     for _ in range(PROBE_ATTEMPTS):
-        on_connect(ConnectionReason.PROBE_REACH)
+        on_connect()
         try:
             return await async_open_connection(
-                record.address, record.port, PROBE_TIMEOUT_S, lambda connection: None
+                address, port, PROBE_TIMEOUT_S, lambda connection: None
             )
         except ConnectError as error:
             if error.refused:
--- a/packages/gateway/src/lagoonwing_gateway/_request_log.py
+++ b/packages/gateway/src/lagoonwing_gateway/_request_log.py
@@ -93,7 +93,7 @@
 
 def log_late_stream(
     context: RequestContext,
-    endpoint_ids: tuple[EndpointId, ...],
+    endpoint_ids: tuple[str, ...],
     events: int,
     first_event_s: float,
     longest_pause_s: float,
--- a/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
@@ -19,9 +19,9 @@
 from lagoonwing_gateway._paced_stream import PacedSegment, PacedStream
 from lagoonwing_gateway._patient_reader import GivenUpError, PatientReader
 from lagoonwing_gateway._probe_schedule import WatchedStream
-from lagoonwing_gateway._request_log import log_late_stream
 from lagoonwing_gateway._stream_call import StreamCall
 from lagoonwing_gateway._stream_failover import PathClaim, StreamFailover
+from lagoonwing_gateway._stream_relay import StreamRelay
 from lagoonwing_gateway.const import (
     CRASH_CONFIRM_TIMEOUT_S,
     DEADLINE_MARGIN_S,
@@ -73,6 +73,7 @@
         self._down_ids: list[EndpointId] = []
         self._first_record: EndpointRecord | None = None
         self._paced = PacedStream(())
+        self._relay = StreamRelay(call, components.dialect, components.metrics, components.clock)
 
     async def async_run(self) -> AttemptOutcome:
         """Reserve the path, send the request and relay its events."""
@@ -278,49 +279,15 @@
         self, head: ResponseHead, events: list[StreamEvent], stream: WatchedStream
     ) -> None:
         """Send complete events to the caller."""
-        progress = self._progress
         self._components.suspicions.record_progress(self._endpoint_ids)
-        self._send(head, b"".join(event.content for event in events))
-        self._record_event_timing()
-        self._paced.record_events(len(events), progress.last_event_at)
-        stream.record_event(progress.last_event_at)
-        progress.events += len(events)
-        progress.last_event_id = events[-1].event_id or progress.last_event_id
+        self._relay.forward(head, events)
+        self._paced.record_events(len(events), self._progress.last_event_at)
+        stream.record_event(self._progress.last_event_at)
 
     def _finish(self, head: ResponseHead) -> None:
         """Terminate the response to the caller normally."""
-        progress = self._progress
-        if not progress.started:
-            self._send(head, b"")
-        self._responder.finish()
+        self._relay.finish(head, self._endpoint_ids)
         self._components.crash_tracker.record_served(self._context)
-        log_late_stream(
-            self._context,
-            self._endpoint_ids,
-            progress.events,
-            progress.first_event_s,
-            progress.longest_pause_s,
-        )
-
-    def _send(self, head: ResponseHead, content: bytes) -> None:
-        """Send bytes to the caller; the first ones are preceded by the endpoint's response head."""
-        if self._progress.started:
-            self._responder.write(content)
-            return
-        self._progress.started = True
-        headers = self._components.dialect.caller_headers(head)
-        self._responder.start_stream(head.status, headers, content)
-
-    def _record_event_timing(self) -> None:
-        """Record how long the caller waited for an event."""
-        progress = self._progress
-        now = self._components.clock.now()
-        if progress.events == 0:
-            progress.first_event_s = now - self._context.request.received_at
-            self._components.metrics.first_event(progress.first_event_s)
-        else:
-            progress.longest_pause_s = max(progress.longest_pause_s, now - progress.last_event_at)
-        progress.last_event_at = now
 
     async def _async_examine_first_endpoint(self, reader: PatientReader) -> bool:
         """Return whether the endpoint that ended the connection is known to be down.
--- a/packages/gateway/src/lagoonwing_gateway/_stream_handler.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_handler.py
@@ -11,6 +11,7 @@
 from lagoonwing_gateway._admission_request import AdmissionRequest, stream_admission
 from lagoonwing_gateway._components import GatewayComponents
 from lagoonwing_gateway._final_response import KeptFailure, respond_unserved
+from lagoonwing_gateway._handover import HandoverTask
 from lagoonwing_gateway._permit_wait import PermitWait
 from lagoonwing_gateway._plain_service import PLAIN_REQUEST_SIZE, layered_engine
 from lagoonwing_gateway._refusals import quarantine_refusal
@@ -18,6 +19,7 @@
 from lagoonwing_gateway._stream_attempt import StreamAttempt
 from lagoonwing_gateway._stream_call import StreamCall, StreamProgress
 from lagoonwing_gateway._stream_failover import PathClaim, StreamFailover
+from lagoonwing_gateway._stream_relay import StreamRelay
 from lagoonwing_gateway.const import (
     MAX_CONNECT_ATTEMPTS,
     PERMIT_WAIT_SHARE,
@@ -49,7 +51,11 @@
     ) -> GatewayRefusal | None:
         """Serve one stream; return the refusal to send, or None if it was answered."""
         failure = KeptFailure(self._components.response_budget)
-        progress = StreamProgress(failure, last_event_id=context.request.last_event_id)
+        progress = StreamProgress(
+            failure,
+            last_event_id=context.request.last_event_id,
+            send_count=context.request.earlier_sends,
+        )
         call = StreamCall(context, service, _size(context, service), responder, progress)
         failover = StreamFailover(self._components, call)
         entry_ids = self._components.directory.entry_ids(service.service_id)
@@ -69,6 +75,8 @@
         obstacle: ResendObstacle | None = None
         for _ in range(MAX_CONNECT_ATTEMPTS + context.route.max_attempts):
             claim = failover.take_reservation()
+            if claim is None and await self._async_is_handover_due(call):
+                break
             if claim is None:
                 obstacle = failover.find_obstacle(last_outcome)
                 if obstacle is not None:
@@ -100,9 +108,41 @@
                     if not progress.started or not _may_recover(last_outcome):
                         progress.excluded.update(blamed_ids)
                     last_outcome = progress.failure.record(last_outcome)
-        return self._finish_unserved(
-            call, last_outcome, obstacle or ResendObstacle.CONNECT_ATTEMPTS
+        obstacle = obstacle or ResendObstacle.CONNECT_ATTEMPTS
+        if await self._async_is_handover_due(call):
+            return await self._async_hand_over(call, last_outcome, obstacle)
+        return self._finish_unserved(call, last_outcome, obstacle)
+
+    async def _async_is_handover_due(self, call: StreamCall) -> bool:
+        """Return whether a stream must go on at another gateway."""
+        return await self._components.handover.async_is_due(call.context, call.service.service_id)
+
+    async def _async_hand_over(
+        self, call: StreamCall, last_outcome: AttemptOutcome, obstacle: ResendObstacle
+    ) -> GatewayRefusal | None:
+        """Serve a stream, or the rest of it, through another gateway."""
+        progress = call.progress
+        task = HandoverTask(
+            call.context,
+            call.service.service_id,
+            progress.send_count,
+            progress.failure.may_have_run,
+            progress.last_event_id,
         )
+        if not task.may_be_sent:
+            return self._finish_unserved(call, last_outcome, obstacle)
+        components = self._components
+        relay = StreamRelay(call, components.dialect, components.metrics, components.clock)
+        outcome = await components.handover_relay.async_stream(task, call, relay)
+        progress.send_count = task.send_count
+        match outcome:
+            case Completed() | CallerGone():
+                return None
+            case GatewayRefusal() if not progress.started:
+                return outcome
+            case GatewayRefusal(detail=detail):
+                outcome = Failed(detail, ())
+        return self._finish_unserved(call, outcome, ResendObstacle.NO_PEER)
 
     async def _async_claim_path(
         self, call: StreamCall, failover: StreamFailover
--- a/packages/gateway/src/lagoonwing_gateway/const.py
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -82,6 +82,10 @@
 REACH_SAMPLE = 2
 MAX_REACH_PROBES = 8
 REACH_ANSWER_TIMEOUT_S = 0.5
+# Time after which the others are probed as well, and the time for which a failed request waits for
+# the result before it is sent again.
+REACH_HEDGE_S = 0.15
+REACH_SETTLE_S = 0.1
 # Time for which a service that was found reachable is not examined again, and the time for which an
 # answer to any request shows that it is.
 REACH_MEMORY_S = 1.0
@@ -295,3 +299,14 @@
 GRANT_NEWS_TTL_S = 0.1
 # Longest Retry-After because of a limit.
 MAX_LIMIT_RETRY_S = 5.0
+# Idle connections between gateways are closed by the one that opened them, then by the other.
+HANDOVER_IDLE_CONNECTION_TTL_S = 10.0
+HANDOVER_IDLE_TIMEOUT_S = 30.0
+HANDOVER_CONNECT_TIMEOUT_S = 0.3
+# Peers that are tried for one request, and the time for which one that failed is avoided.
+MAX_HANDOVER_ATTEMPTS = 3
+PEER_AVOIDANCE_S = 1.0
+# Time without an answer of a peer after which it is probed; a frozen one answers nothing.
+PEER_PATIENCE_S = 1.0
+# Maximum size of a request that a peer hands over.
+MAX_HANDOVER_BYTES = 64 * 1024 * 1024
--- a/packages/gateway/src/lagoonwing_gateway/diagnostics.py
+++ b/packages/gateway/src/lagoonwing_gateway/diagnostics.py
@@ -58,6 +58,16 @@
             registry=self.registry,
             buckets=LATENCY_BUCKETS_S,
         )
+        self._handed_over = Counter(
+            "lagoonwing_gateway_handed_over_total",
+            "Requests that were sent to another gateway, since no endpoint of theirs answers here.",
+            registry=self.registry,
+        )
+        self._handovers_ended = Counter(
+            "lagoonwing_gateway_handovers_ended_total",
+            "Requests that were sent to another gateway, by how that ended.",
+            registry=self.registry,
+        )
         self._gauge = Gauge(
             "lagoonwing_gateway", "State of the gateway by name.", registry=self.registry
         )
@@ -94,6 +104,14 @@
         """Record how long a request waited for capacity."""
         self._waited.observe({}, seconds)
 
+    def handed_over(self) -> None:
+        """Count a request that is sent to another gateway."""
+        self._handed_over.inc({})
+
+    def handover_ended(self, outcome: str) -> None:
+        """Count the end of an exchange with another gateway."""
+        self._handovers_ended.inc({"outcome": outcome})
+
     def set_gauge(self, name: str, value: float) -> None:
         """Set a gauge of the gateway's state."""
         self._gauge.set({"name": name}, value)
--- a/packages/gateway/src/lagoonwing_gateway/models.py
+++ b/packages/gateway/src/lagoonwing_gateway/models.py
@@ -8,11 +8,28 @@
 from tornado.httputil import HTTPHeaders
 
 from lagoonwing_catalog.models import EndpointRecord, MemberKeys, Route
-from lagoonwing_core.ids import AttemptId, EndpointId, MemberId
+from lagoonwing_core.ids import AttemptId, EndpointId, HostId, MemberId
 from lagoonwing_core.result_codes import ResultCode
 from lagoonwing_placement import Path, RequestSize
 
 
+@dataclass(frozen=True, slots=True)
+class HandedOver:
+    """What another gateway says of a request that it hands over.
+
+    Attributes:
+        gateway_id: The gateway that the caller has met.
+        send_count: Number of times that it was sent to an endpoint before.
+        may_have_run: Whether one of these may have executed it.
+        first_attempt_age_s: Seconds since the caller's first attempt.
+    """
+
+    gateway_id: HostId
+    send_count: int
+    may_have_run: bool
+    first_attempt_age_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class CallerRequest:
     """A complete request from a caller.
@@ -26,6 +43,7 @@
         prompt_parts: Ids of the parts of the prompt in order; the last one is the request's own.
         last_event_id: Id of the last stream event received by the caller, if it resumes a stream.
         received_at: Time at which the request was completely read.
+        handed_over: Set if another gateway hands it over; it is not handed over once more.
     """
 
     attempt_id: AttemptId | None
@@ -41,6 +59,12 @@
     last_event_id: str | None
     received_at: float
     prompt_parts: tuple[str, ...] = ()
+    handed_over: HandedOver | None = None
+
+    @property
+    def earlier_sends(self) -> int:
+        """Number of times that another gateway has sent it to an endpoint."""
+        return 0 if self.handed_over is None else self.handed_over.send_count
 
 
 @dataclass(frozen=True, slots=True)
@@ -243,6 +267,7 @@
     RETRY_BUDGET = "retry_budget"
     NO_PATH = "no_path"
     CONNECT_ATTEMPTS = "connect_attempts"
+    NO_PEER = "no_peer"
 
 
 AttemptOutcome = Completed | NotRun | Failed | CallerGone
--- a/packages/gateway/src/lagoonwing_gateway/settings.py
+++ b/packages/gateway/src/lagoonwing_gateway/settings.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from lagoonwing_admission import WaitingRoomSettings
-from lagoonwing_catalog.messages import ReplicaAddress
+from lagoonwing_catalog.messages import HandoverAddress, ReplicaAddress
 from lagoonwing_core.ids import FailureDomainId
 
 
@@ -34,6 +34,7 @@
             answers; they may change.
         drain_grace_s: Time after SIGTERM within which the process must exit.
         admission: Order of waiting requests, and the bounds of the queue.
+        handover: Address at which it takes requests of other gateways; None if it takes none.
     """
 
     failure_domain: FailureDomainId
@@ -41,3 +42,4 @@
     retry_budget: RetryBudgetSettings
     drain_grace_s: float
     admission: WaitingRoomSettings = WaitingRoomSettings()
+    handover: HandoverAddress | None = None
--- a/packages/lagoonwing/src/lagoonwing/_gateway_role.py
+++ b/packages/lagoonwing/src/lagoonwing/_gateway_role.py
@@ -8,12 +8,13 @@
 from lagoonwing._addresses import split_listen_address
 from lagoonwing._queue_policies import build_waiting_room_settings
 from lagoonwing._seeds import SeedReader
+from lagoonwing_catalog.messages import HandoverAddress
 from lagoonwing_core.clock import LoopClock
 from lagoonwing_core.diagnostics import MetricsServer
 from lagoonwing_core.ids import FailureDomainId, HostId
 from lagoonwing_core.runtime import Runtime
 from lagoonwing_core.settings import HostSettings
-from lagoonwing_gateway import Gateway, GatewaySettings, RetryBudgetSettings
+from lagoonwing_gateway import Gateway, GatewaySettings, HandoverServer, RetryBudgetSettings
 from lagoonwing_platform.dialect import PlatformDialect
 from lagoonwing_platform.front_server import FrontServer
 from lagoonwing_wire import Identity
@@ -51,12 +52,17 @@
         ),
         drain_grace_s=section.drain_grace_s,
         admission=build_waiting_room_settings(section),
+        handover=HandoverAddress(settings.address, settings.peer_port),
     )
     dialect = PlatformDialect(lambda endpoint_id: gateway.endpoint_address(endpoint_id))
     rng = random.Random(time.time_ns())
     gateway = Gateway(gateway_settings, identity, dialect, clock, rng)
     runtime = Runtime(clock)
     runtime.register(gateway)
+    listen_address = settings.peer_listen_address or settings.address
+    runtime.register(
+        HandoverServer(gateway, identity, HandoverAddress(listen_address, settings.peer_port))
+    )
     runtime.register(
         FrontServer(
             gateway,
--- a/packages/registry/src/lagoonwing_registry/_service.py
+++ b/packages/registry/src/lagoonwing_registry/_service.py
@@ -27,6 +27,7 @@
     Refused,
     RelayedDemand,
     RelayedGrant,
+    ReplicaGateways,
     ReplicaLoad,
     Submit,
     Subscribe,
@@ -254,6 +255,8 @@
                 self._subscribers.update_report(channel, message)
             case ReplicaLoad():
                 self._subscribers.update_remote(channel.peer_id, message)
+            case ReplicaGateways():
+                self._subscribers.update_remote_gateways(channel.peer_id, message)
             case CrashExtract():
                 self._crash_relay.merge(message)
             case LimitExtract():
@@ -300,7 +303,7 @@
         """Push crashes and limits, which take effect before the first document, then changes."""
         self._crash_relay.push_all_to(channel)
         self._limit_relay.push_all_to(channel)
-        self._subscribers.add(channel, message.after, message.failure_domain)
+        self._subscribers.add(channel, message)
 
     async def _async_answer_read_index(self) -> ReadIndexReply | Refused:
         """Answer a read-index request of another replica."""
@@ -334,6 +337,9 @@
         """Push loads to gateways and replicas."""
         self._peers.push_all(self._subscribers.push_loads())
         self._subscribers.push_replicas()
+        gateways = self._subscribers.push_peers()
+        if gateways is not None:
+            self._peers.push_all(gateways)
 
     async def _async_check_liveness(self) -> None:
         """Report announcements to the leader; as the leader, mark lost endpoints."""
--- a/packages/registry/src/lagoonwing_registry/_subscribers.py
+++ b/packages/registry/src/lagoonwing_registry/_subscribers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Any
 
@@ -11,16 +11,22 @@
     CatalogMessage,
     Delta,
     Freshness,
+    HandoverAddress,
     LoadReport,
+    PeerGateway,
+    PeerList,
     ReplicaAddress,
+    ReplicaGateways,
     ReplicaList,
     ReplicaLoad,
+    Subscribe,
 )
 from lagoonwing_core.callback import callback
 from lagoonwing_core.clock import Clock
 from lagoonwing_core.ids import EndpointId, FailureDomainId, HostId, Revision
 from lagoonwing_registry._load_totals import LoadTotals, lowest_slowdowns
-from lagoonwing_registry.const import GATEWAY_TIMEOUT_S
+from lagoonwing_registry._peer_lists import PeerRing
+from lagoonwing_registry.const import GATEWAY_TIMEOUT_S, GATEWAYS_REFRESH_INTERVAL_S
 from lagoonwing_wire import Channel
 
 _EMPTY_REPORT = LoadReport({})
@@ -33,14 +39,20 @@
     Attributes:
         pushed_revision: Last revision sent to the gateway.
         report: Last load report of the gateway.
+        handover: Address at which it takes requests of other gateways, if it does.
         pushed_replicas: Last list of replicas sent to the gateway.
+        pushed_peers: Last list of peers sent to the gateway.
+        ring: Ring that this list was taken from.
     """
 
     pushed_revision: Revision
     failure_domain: FailureDomainId
     last_message_at: float
+    handover: HandoverAddress | None
     report: LoadReport = _EMPTY_REPORT
     pushed_replicas: tuple[ReplicaAddress, ...] = ()
+    pushed_peers: tuple[PeerGateway, ...] = ()
+    ring: PeerRing | None = None
 
 
 @dataclass(slots=True)
@@ -49,6 +61,7 @@
 
     load: ReplicaLoad
     last_message_at: float
+    gateways: tuple[PeerGateway, ...] = ()
 
 
 class Subscribers:
@@ -67,11 +80,17 @@
         self._clock = clock
         self._subscriber_by_channel: dict[Channel[Any], _Subscriber] = {}
         self._remote_by_host: dict[HostId, _RemoteLoad] = {}
+        self._known_gateways: frozenset[PeerGateway] = frozenset()
+        self._ring = PeerRing(())
+        self._sent_gateways: tuple[PeerGateway, ...] = ()
+        self._sent_gateways_at = 0.0
 
     @callback
-    def add(self, channel: Channel[Any], after: Revision, failure_domain: FailureDomainId) -> None:
+    def add(self, channel: Channel[Any], request: Subscribe) -> None:
         """Subscribe a gateway to all changes after a revision."""
-        subscriber = _Subscriber(after, failure_domain, self._clock.now())
+        subscriber = _Subscriber(
+            request.after, request.failure_domain, self._clock.now(), request.handover
+        )
         self._subscriber_by_channel[channel] = subscriber
         self._push_changes(channel)
 
@@ -91,7 +110,16 @@
     @callback
     def update_remote(self, host_id: HostId, load: ReplicaLoad) -> None:
         """Store the loads of the gateways subscribed to another replica."""
-        self._remote_by_host[host_id] = _RemoteLoad(load, self._clock.now())
+        known = self._remote_by_host.get(host_id)
+        gateways = () if known is None else known.gateways
+        self._remote_by_host[host_id] = _RemoteLoad(load, self._clock.now(), gateways)
+
+    @callback
+    def update_remote_gateways(self, host_id: HostId, message: ReplicaGateways) -> None:
+        """Store the gateways that follow another replica, if its loads are known."""
+        remote = self._remote_by_host.get(host_id)
+        if remote is not None:
+            remote.gateways = message.gateways
 
     def gateways(self) -> int:
         """Return the number of live gateways known to this replica."""
@@ -165,6 +193,53 @@
             if subscriber.pushed_replicas != replicas and channel.push(ReplicaList(replicas)):
                 subscriber.pushed_replicas = replicas
 
+    @callback
+    def push_peers(self) -> ReplicaGateways | None:
+        """Push its peers to each gateway; return the gateways here if other replicas need them."""
+        local = tuple(sorted(self._local_gateways(), key=lambda gateway: gateway.gateway_id))
+        remote = (gateway for host in self._remote_by_host.values() for gateway in host.gateways)
+        # A gateway that has just changed its replica is known by both for a while.
+        gateway_by_id = {gateway.gateway_id: gateway for gateway in (*remote, *local)}
+        gateways = frozenset(gateway_by_id.values())
+        if gateways != self._known_gateways:
+            self._known_gateways = gateways
+            self._ring = PeerRing(gateways)
+        for channel, subscriber in self._subscriber_by_channel.items():
+            if subscriber.ring is not self._ring:
+                self._push_peers_to(channel, subscriber)
+        return self._take_gateways(local)
+
+    @callback
+    def _push_peers_to(self, channel: Channel[Any], subscriber: _Subscriber) -> None:
+        """Push its peers to one gateway if they have changed."""
+        peers = self._ring.peers(channel.peer_id, subscriber.failure_domain)
+        if subscriber.pushed_peers != peers and not channel.push(PeerList(peers)):
+            return
+        subscriber.pushed_peers = peers
+        subscriber.ring = self._ring
+
+    def _local_gateways(self) -> Iterator[PeerGateway]:
+        """Yield the gateways that follow this replica and take requests of others."""
+        for channel, subscriber in self._subscriber_by_channel.items():
+            report = subscriber.report
+            if subscriber.handover is not None and not report.is_draining:
+                yield PeerGateway(
+                    channel.peer_id,
+                    subscriber.handover,
+                    subscriber.failure_domain,
+                    report.unreachable_services,
+                )
+
+    @callback
+    def _take_gateways(self, gateways: tuple[PeerGateway, ...]) -> ReplicaGateways | None:
+        """Return what to send to the other replicas; None while they know it."""
+        now = self._clock.now()
+        is_due = now >= self._sent_gateways_at + GATEWAYS_REFRESH_INTERVAL_S
+        if gateways == self._sent_gateways and not is_due:
+            return None
+        self._sent_gateways, self._sent_gateways_at = gateways, now
+        return ReplicaGateways(gateways)
+
     def _suspects(self) -> tuple[EndpointId, ...]:
         """Return the endpoints suspected by any gateway subscribed here."""
         return _union(
--- a/packages/registry/src/lagoonwing_registry/const.py
+++ b/packages/registry/src/lagoonwing_registry/const.py
@@ -41,3 +41,7 @@
 DEMAND_TTL_S = 0.6
 # Time after which a permit that has not been received is taken for lost.
 PERMIT_TRANSIT_S = 0.5
+# Gateways to which one gateway may hand requests over.
+PEERS_PER_GATEWAY = 8
+# Interval at which the gateways of a replica are repeated to the others without a change.
+GATEWAYS_REFRESH_INTERVAL_S = 2.0
