--- a/packages/gateway/src/lagoonwing_gateway/_answer_times.py
+++ b/packages/gateway/src/lagoonwing_gateway/_answer_times.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from collections import defaultdict
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -38,7 +39,7 @@
 
     def has_answered_since(self, service_id: ServiceId, since: float) -> bool:
         """Return whether any endpoint of a service answered after a point in time."""
-        return self._answered_at_by_service.get(service_id, 0.0) > since
+        return self._answered_at_by_service.get(service_id, -math.inf) > since
 
     def silent_services(self, silence_s: float) -> tuple[ServiceId, ...]:
         """Return the services that owe an answer and have given none for so long."""
--- a/packages/gateway/src/lagoonwing_gateway/_directory.py
+++ b/packages/gateway/src/lagoonwing_gateway/_directory.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Callable, Collection, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
 
+from lagoonwing_catalog.messages import EndpointLoad
 from lagoonwing_catalog.models import (
     EndpointRecord,
     EndpointState,
@@ -95,6 +96,25 @@
         """Return the endpoints at which requests may enter: those that hold the first layer."""
         return self._entry_ids_by_service.get(service_id, ())
 
+    def ids_of_service(self, service_id: ServiceId) -> tuple[EndpointId, ...]:
+        """Return the ready endpoints of a service."""
+        return tuple(record.endpoint_id for record in self._ready_by_service.get(service_id, ()))
+
+    def without_services(
+        self, load_by_id: Mapping[EndpointId, EndpointLoad], service_ids: Collection[ServiceId]
+    ) -> dict[EndpointId, EndpointLoad]:
+        """Return the loads of the endpoints of all other services."""
+        left_out = {
+            endpoint_id
+            for service_id in service_ids
+            for endpoint_id in self.ids_of_service(service_id)
+        }
+        return {
+            endpoint_id: load
+            for endpoint_id, load in load_by_id.items()
+            if endpoint_id not in left_out
+        }
+
     def ids_by_service(self) -> Collection[Collection[EndpointId]]:
         """Return the ready endpoints of each service."""
         return self._ids_by_service
@@ -189,12 +209,21 @@
         domains.update(record.failure_domain for record in filter(None, failed))
         return entry_checks(self.record, self._suspicions, domains, may_enter)
 
-    def reported_suspects(self) -> tuple[EndpointId, ...]:
-        """Return the suspected endpoints of which other gateways are told."""
+    def reported_suspects(
+        self, withheld: Collection[ServiceId] = frozenset()
+    ) -> tuple[EndpointId, ...]:
+        """Return the suspected endpoints of which other gateways are told.
+
+        Args:
+            withheld: Services that this gateway may not reach: what it knows of their endpoints
+                says more about its own network.
+        """
         failing_by_service: dict[ServiceId, list[EndpointId]] = defaultdict(list)
         reported: list[EndpointId] = []
         for endpoint_id in self._suspicions.suspected():
             record = self.record(endpoint_id)
+            if record is not None and record.service_id in withheld:
+                continue
             if record is None or not self._suspicions.is_last_resort(endpoint_id):
                 reported.append(endpoint_id)
             else:
--- a/packages/gateway/src/lagoonwing_gateway/_failure_rates.py
+++ b/packages/gateway/src/lagoonwing_gateway/_failure_rates.py
@@ -93,14 +93,15 @@
     def discard_silences(self, endpoint_id: EndpointId) -> None:
         """Discard the failures of an endpoint that was only silent and goes on."""
         history = self._history_by_id.get(endpoint_id)
-        if history is None or not history.has_silence:
-            return
-        kept = [item for item in history.samples if item.evidence is not FailureEvidence.SILENT]
-        history.samples = deque(kept, maxlen=MAX_FAILURE_SAMPLES)
-        failed_at = (item.at for item in reversed(kept) if item.evidence is not None)
-        history.failed_at = next(failed_at, -math.inf)
-        history.is_unproven = False
-        history.has_silence = False
+        if history is not None and history.has_silence:
+            _discard(history, frozenset({FailureEvidence.SILENT}))
+
+    @callback
+    def discard_unanswered(self, endpoint_id: EndpointId) -> None:
+        """Discard the failures of an endpoint that gave no response, as it could not be reached."""
+        history = self._history_by_id.get(endpoint_id)
+        if history is not None:
+            _discard(history, frozenset(FailureEvidence) - {FailureEvidence.RESPONSE})
 
     def is_failing(self, endpoint_id: EndpointId, now: float) -> bool:
         """Return whether an endpoint fails so often that it should be avoided."""
@@ -133,3 +134,13 @@
     def _history(self, endpoint_id: EndpointId) -> _History:
         """Return the history of an endpoint; an empty one is created."""
         return self._history_by_id.setdefault(endpoint_id, _History())
+
+
+def _discard(history: _History, evidences: frozenset[FailureEvidence]) -> None:
+    """Discard the failures with some evidence."""
+    kept = [item for item in history.samples if item.evidence not in evidences]
+    history.samples = deque(kept, maxlen=MAX_FAILURE_SAMPLES)
+    failed_at = (item.at for item in reversed(kept) if item.evidence is not None)
+    history.failed_at = next(failed_at, -math.inf)
+    history.is_unproven = False
+    history.has_silence = False
--- a/packages/gateway/src/lagoonwing_gateway/_gateway.py
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -13,7 +13,7 @@
 
 from lagoonwing_admission import FirstAttempts
 from lagoonwing_catalog.messages import LoadReport, ServicePressure
-from lagoonwing_catalog.models import RequestKind, Route, Service
+from lagoonwing_catalog.models import EndpointRecord, RequestKind, Route, Service
 from lagoonwing_core.callback import callback
 from lagoonwing_core.clock import Clock
 from lagoonwing_core.events import EventCode, log_event
@@ -38,6 +38,7 @@
 from lagoonwing_gateway._pace_tracker import PaceTracker
 from lagoonwing_gateway._peer_table import PeerTable
 from lagoonwing_gateway._reach import ReachMonitor
+from lagoonwing_gateway._reach_probe import async_probe_reach
 from lagoonwing_gateway._refusals import (
     not_run_refusal,
     permanent_refusal,
@@ -66,7 +67,12 @@
     STARTUP_WAIT_SHARE,
 )
 from lagoonwing_gateway.diagnostics import GatewayMetrics
-from lagoonwing_gateway.models import CallerRequest, GatewayRefusal, RequestContext
+from lagoonwing_gateway.models import (
+    CallerRequest,
+    ConnectionReason,
+    GatewayRefusal,
+    RequestContext,
+)
 from lagoonwing_gateway.ports import Dialect, Responder
 from lagoonwing_gateway.settings import GatewaySettings
 from lagoonwing_http import BodyBudget, ReadTurns, ResponseBudget
@@ -154,7 +160,7 @@
             answer_times,
             clock,
             rng,
-            self.metrics.connection_opened,
+            self._async_probe_endpoint,
         )
         self._reach.add_listener(self._on_reach_changed)
         self._handover_client = HandoverClient(
@@ -252,7 +258,8 @@
         self.metrics.set_gauge("current_age_seconds", -1.0 if math.isinf(age) else age)
         self.metrics.set_gauge("gateways", self.follower.gateways)
         suspected = len(self._suspicions.suspected())
-        unreported = suspected - len(self._directory.reported_suspects())
+        reported = self._directory.reported_suspects(self._reach.doubtful_services())
+        unreported = suspected - len(reported)
         self.metrics.set_gauge("suspected_endpoints", suspected)
         self.metrics.set_gauge("unreported_suspects", unreported)
         told = len(self.follower.load_summary().suspects)
@@ -475,13 +482,15 @@
         """Return the load report of this gateway."""
         own_by_id = self._load_tracker.local_loads()
         self._unreported_work.record_report(own_by_id)
+        unreachable = self._reach.unreachable_services()
         return LoadReport(
-            own_by_id,
-            self._directory.reported_suspects(),
+            # Requests that hang here take no place at their endpoints.
+            self._directory.without_services(own_by_id, unreachable) if unreachable else own_by_id,
+            self._directory.reported_suspects(self._reach.doubtful_services()),
             pressure_by_service=self._pressure_by_service(),
             slowdown_by_id=self._pace_tracker.report(),
             transfers=self._started_work.transfers(),
-            unreachable_services=self._reach.unreachable_services(),
+            unreachable_services=unreachable,
             is_draining=self.is_draining,
         )
 
@@ -496,6 +505,16 @@
             for service_id in started_by_service.keys() | waiting_by_service.keys()
         }
 
+    async def _async_probe_endpoint(self, record: EndpointRecord) -> bool:
+        """Return whether an endpoint answers a health check."""
+        service = self._directory.service(record.service_id)
+        return await async_probe_reach(
+            record.address,
+            record.port,
+            "/" if service is None else service.health_path,
+            lambda: self.metrics.connection_opened(ConnectionReason.PROBE_REACH),
+        )
+
     @callback
     def _on_reach_changed(self) -> None:
         """Let what waits for an unreachable service go on elsewhere."""
--- a/packages/gateway/src/lagoonwing_gateway/_reach.py
+++ b/packages/gateway/src/lagoonwing_gateway/_reach.py
@@ -10,7 +10,7 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 
 from lagoonwing_catalog.models import EndpointRecord
@@ -18,10 +18,8 @@
 from lagoonwing_core.clock import Clock
 from lagoonwing_core.events import EventCode, log_event
 from lagoonwing_core.ids import EndpointId, ServiceId
-from lagoonwing_core.tasks import TaskSet
 from lagoonwing_gateway._answer_times import AnswerTimes
 from lagoonwing_gateway._directory import EndpointDirectory
-from lagoonwing_gateway._reach_probe import async_probe_reach
 from lagoonwing_gateway._suspicions import SuspicionTracker
 from lagoonwing_gateway.const import (
     MAX_REACH_PROBES,
@@ -35,7 +33,7 @@
     REACH_SETTLE_S,
     SERVICE_SILENCE_S,
 )
-from lagoonwing_gateway.models import ConnectionReason, FailureEvidence
+from lagoonwing_gateway.models import FailureEvidence
 
 
 @dataclass(slots=True)
@@ -62,20 +60,30 @@
         answer_times: AnswerTimes,
         clock: Clock,
         rng: random.Random,
-        on_connect: Callable[[ConnectionReason], None],
+        async_probe: Callable[[EndpointRecord], Awaitable[bool]],
     ) -> None:
+        """Create the monitor.
+
+        Args:
+            directory: Endpoints by service.
+            suspicions: Tells of failed connections and requests.
+            answer_times: Tells when endpoints have answered.
+            clock: Time source.
+            rng: Random source for the choice of endpoints.
+            async_probe: Returns whether an endpoint answers.
+        """
         self._directory = directory
+        self._suspicions = suspicions
         self._answer_times = answer_times
         self._clock = clock
         self._rng = rng
-        self._on_connect = on_connect
+        self._async_probe = async_probe
         self._cut_by_service: dict[ServiceId, _Cut] = {}
-        self._examination_by_service: dict[ServiceId, asyncio.Task[bool]] = {}
+        self._examination_by_service: dict[ServiceId, asyncio.Task[None]] = {}
         self._reached_at_by_service: dict[ServiceId, float] = {}
         self._last_cut_by_service: dict[ServiceId, tuple[float, int]] = {}
         self._last_failure_by_service: dict[ServiceId, tuple[float, EndpointId]] = {}
         self._listeners: list[Callable[[], None]] = []
-        self._tasks = TaskSet("reach_monitor")
         suspicions.set_failure_listener(self._on_failure)
 
     @callback
@@ -91,6 +99,10 @@
         """Return the services of which no endpoint is reached."""
         return tuple(sorted(self._cut_by_service))
 
+    def doubtful_services(self) -> frozenset[ServiceId]:
+        """Return the services that are unreachable, or may be until an examination has ended."""
+        return frozenset((*self._cut_by_service, *self._examination_by_service))
+
     async def async_run(self) -> None:
         """Look for silent services, and for endpoints of unreachable ones, until cancelled."""
         while True:
@@ -102,7 +114,6 @@
 
     async def async_unload(self) -> None:
         """Cancel running examinations."""
-        await self._tasks.async_cancel()
         for examination in list(self._examination_by_service.values()):
             examination.cancel()
 
@@ -112,13 +123,6 @@
         if examination is not None:
             await asyncio.wait((examination,), timeout=REACH_SETTLE_S)
 
-    async def async_reaches_other(self, record: EndpointRecord) -> bool:
-        """Return whether another endpoint of the service is reached now.
-
-        If none is, the failure of this endpoint says more about the network here than about it.
-        """
-        return await self._async_examined(record.service_id, record.endpoint_id)
-
     @callback
     def _on_failure(self, endpoint_id: EndpointId, evidence: FailureEvidence) -> None:
         """Examine the service of an endpoint that did not answer."""
@@ -148,27 +152,14 @@
             return
         reached_at = self._reached_at_by_service.get(service_id, -math.inf)
         if self._clock.now() >= reached_at + REACH_MEMORY_S:
-            self._tasks.spawn(self._async_examine_unasked(service_id, endpoint_id))
-
-    async def _async_examine_unasked(
-        self, service_id: ServiceId, endpoint_id: EndpointId | None
-    ) -> None:
-        """Examine a service of which nobody waits to know."""
-        await self._async_examined(service_id, endpoint_id)
-
-    async def _async_examined(self, service_id: ServiceId, endpoint_id: EndpointId | None) -> bool:
-        """Return whether a service is reached; concurrent callers share one examination."""
-        examination = self._examination_by_service.get(service_id)
-        if examination is None:
             examination = asyncio.ensure_future(self._async_examine(service_id, endpoint_id))
             self._examination_by_service[service_id] = examination
             examination.add_done_callback(
                 lambda done: self._examination_by_service.pop(service_id, None)
             )
-        return await asyncio.shield(examination)
 
-    async def _async_examine(self, service_id: ServiceId, endpoint_id: EndpointId | None) -> bool:
-        """Probe endpoints of a service; return whether one answers.
+    async def _async_examine(self, service_id: ServiceId, endpoint_id: EndpointId | None) -> None:
+        """Probe endpoints of a service, which is unreachable if none answers.
 
         Args:
             service_id: The service.
@@ -182,12 +173,6 @@
             self._reached_at_by_service[service_id] = self._clock.now()
         elif others and not self.is_unreachable(service_id):
             self._begin_cut(service_id, len(others), self._clock.now() - started_at)
-        return is_reached
-
-    def _health_path(self, service_id: ServiceId) -> str:
-        """Return the path of the health checks of a service."""
-        service = self._directory.service(service_id)
-        return "/" if service is None else service.health_path
 
     def _candidates(self, service_id: ServiceId) -> list[EndpointRecord]:
         """Return endpoints at which requests may enter, a random choice if there are many."""
@@ -229,6 +214,7 @@
         """Record that a service is reached again; what failed during the cut says nothing."""
         now = self._clock.now()
         del self._cut_by_service[service_id]
+        self._suspicions.forget_failures(self._directory.ids_of_service(service_id))
         self._last_cut_by_service[service_id] = (now, cut.wanted_successes)
         log_event(EventCode.SERVICE_REACHED, service=service_id, seconds=round(now - cut.since, 3))
         self._notify()
@@ -241,13 +227,13 @@
     async def _async_reaches_any(self, records: Sequence[EndpointRecord]) -> bool:
         """Probe some endpoints, and soon the others; return whether one answers."""
         probes = [
-            asyncio.ensure_future(self._async_reaches(record)) for record in records[:REACH_SAMPLE]
+            asyncio.ensure_future(self._async_probe(record)) for record in records[:REACH_SAMPLE]
         ]
         try:
             if await _async_any(probes, REACH_HEDGE_S):
                 return True
             probes += [
-                asyncio.ensure_future(self._async_reaches(record))
+                asyncio.ensure_future(self._async_probe(record))
                 for record in records[REACH_SAMPLE:]
             ]
             return await _async_any(probes, None)
@@ -255,15 +241,6 @@
             for probe in probes:
                 probe.cancel()
 
-    async def _async_reaches(self, record: EndpointRecord) -> bool:
-        """Return whether an endpoint answers."""
-        return await async_probe_reach(
-            record.address,
-            record.port,
-            self._health_path(record.service_id),
-            lambda: self._on_connect(ConnectionReason.PROBE_REACH),
-        )
-
 
 async def _async_any(probes: Sequence[asyncio.Task[bool]], timeout: float | None) -> bool:
     """Wait until a probe succeeds; return False when all have failed, or at the timeout."""
--- a/packages/gateway/src/lagoonwing_gateway/_suspicions.py
+++ b/packages/gateway/src/lagoonwing_gateway/_suspicions.py
@@ -101,6 +101,16 @@
             seconds=duration_s,
         )
 
+    @callback
+    def forget_failures(self, endpoint_ids: Iterable[EndpointId]) -> None:
+        """Forget that endpoints did not answer, since none could be reached at that time."""
+        for endpoint_id in endpoint_ids:
+            self._failures_by_id.pop(endpoint_id, None)
+            self._rates.discard_unanswered(endpoint_id)
+            suspicion = self._suspicion_by_id.get(endpoint_id)
+            if suspicion is not None and suspicion.evidence is not FailureEvidence.RESPONSE:
+                del self._suspicion_by_id[endpoint_id]
+
     @callback
     def record_soft_failure(
         self, endpoint_id: EndpointId, reason: str, evidence: FailureEvidence
