A refused connection is a crash only if other endpoints accept one (RECOVER)

Cause: a gateway whose connections are all reset took each endpoint of its running streams for one that had crashed under these streams, and told all gateways so: parts of sound prompts could be quarantined. Change: before a refused connection counts as a crash, the watchdog connects to up to four other endpoints of the service; if none accepts, the evidence is that of a broken connection. A service with one endpoint is judged as before. Ruled out: waiting for ReachMonitor, whose health checks may take longer than the 0.05 s that a failed stream waits; two compared endpoints: after the loss of a third of them both would be down one time in ten.

--- a/packages/gateway/src/lagoonwing_gateway/_gateway.py
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -151,7 +151,7 @@
         slowdown = SlowdownTracker()
         self._directory = EndpointDirectory(self.follower, self._suspicions, clock)
         self._watchdog = Watchdog(
-            self._directory, self._suspicions, clock, self.metrics.connection_opened
+            self._directory, self._suspicions, clock, self.metrics.connection_opened, rng
         )
         answer_times = AnswerTimes(clock)
         self._reach = ReachMonitor(
--- a/packages/gateway/src/lagoonwing_gateway/_watchdog.py
+++ b/packages/gateway/src/lagoonwing_gateway/_watchdog.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable
 
 from lagoonwing_catalog.models import EndpointRecord
@@ -21,6 +22,7 @@
 from lagoonwing_gateway._probe_schedule import ProbeSchedule, WatchedStream
 from lagoonwing_gateway._suspicions import SuspicionTracker
 from lagoonwing_gateway.const import (
+    COMPARED_ENDPOINTS,
     LOOP_DELAY_WARNING_S,
     PROBE_ATTEMPTS,
     PROBE_TIMEOUT_S,
@@ -41,11 +43,13 @@
         suspicions: SuspicionTracker,
         clock: Clock,
         on_connect: Callable[[ConnectionReason], None],
+        rng: random.Random,
     ) -> None:
         self._directory = directory
         self._suspicions = suspicions
         self._clock = clock
         self._on_connect = on_connect
+        self._rng = rng
         self._streams: set[WatchedStream] = set()
         self._schedule = ProbeSchedule(suspicions)
         self._probe_by_incarnation: dict[_Incarnation, asyncio.Task[FailureEvidence | None]] = {}
@@ -131,6 +135,8 @@
                 continue
             connection.close()
             return None
+        if evidence is FailureEvidence.REFUSED and not await self._async_is_alone(record):
+            evidence = FailureEvidence.BROKEN
         is_silent = evidence is not FailureEvidence.REFUSED
         if is_silent and self._suspicions.has_progress_since(record.endpoint_id, started_at):
             return None
@@ -139,3 +145,27 @@
             if record.endpoint_id in stream.endpoint_ids:
                 stream.interrupt(record, evidence)
         return evidence
+
+    async def _async_is_alone(self, record: EndpointRecord) -> bool:
+        """Return whether an endpoint refuses connections that others of its service accept.
+
+        A gateway whose connections are all refused has lost its network; without another endpoint
+        there is nothing to compare with.
+        """
+        ids = set(self._directory.ids_of_service(record.service_id)) - {record.endpoint_id}
+        chosen = self._rng.sample(sorted(ids), min(len(ids), COMPARED_ENDPOINTS))
+        others = [self._directory.record(endpoint_id) for endpoint_id in chosen]
+        accepted = await asyncio.gather(*(self._async_accepts(other) for other in others if other))
+        return not accepted or any(accepted)
+
+    async def _async_accepts(self, record: EndpointRecord) -> bool:
+        """Return whether an endpoint accepts a connection."""
+        self._on_connect(ConnectionReason.PROBE_FAILED)
+        try:
+            connection = await async_open_connection(
+                record.address, record.port, PROBE_TIMEOUT_S, lambda connection: None
+            )
+        except ConnectError:
+            return False
+        connection.close()
+        return True
--- a/packages/gateway/src/lagoonwing_gateway/const.py
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -78,6 +78,8 @@
 # A single packet may be lost, so an endpoint is down only if several attempts time out.
 PROBE_ATTEMPTS = 2
 MIN_PROBE_INTERVAL_S = 0.5
+# Endpoints to which connections are compared with the refused one of another.
+COMPARED_ENDPOINTS = 4
 # Endpoints of a service that are probed first when one has failed, and at most.
 REACH_SAMPLE = 2
 MAX_REACH_PROBES = 8
--- a/tests/gateway/test_reach.py
+++ b/tests/gateway/test_reach.py
@@ -5,15 +5,15 @@
 import asyncio
 import random
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 from typing import cast
 
 import pytest
+from reach_support import CatalogStandIn, make_endpoint
 
-from lagoonwing_catalog.messages import EndpointLoad, LoadSummary
-from lagoonwing_catalog.models import EndpointRecord, EndpointState
+from lagoonwing_catalog.messages import EndpointLoad
+from lagoonwing_catalog.models import EndpointRecord
 from lagoonwing_core.clock import LoopClock
-from lagoonwing_core.ids import EndpointId, FailureDomainId, ServiceId
+from lagoonwing_core.ids import EndpointId, ServiceId
 from lagoonwing_gateway._answer_times import AnswerTimes
 from lagoonwing_gateway._directory import EndpointDirectory
 from lagoonwing_gateway._follower import CatalogFollower
@@ -29,23 +29,6 @@
 SILENT_PROBE_S = 0.5
 
 
-@dataclass
-class _Follower:
-    """Stands in for the catalog follower of a gateway."""
-
-    endpoint_by_id: dict[EndpointId, EndpointRecord]
-    routes: None = None
-    summary: LoadSummary = field(default_factory=lambda: LoadSummary({}))
-
-    def add_listener(self, listener: Callable[[], None]) -> None:
-        """Keep the listener for the only change of the catalog."""
-        self.on_change = listener
-
-    def load_summary(self) -> LoadSummary:
-        """Return the last load summary."""
-        return self.summary
-
-
 class _Gateway:
     """What a gateway knows of eight endpoints of each of two services.
 
@@ -56,8 +39,12 @@
 
     def __init__(self, count: int = 8) -> None:
         self.clock = LoopClock()
-        records = [_record(service, number) for service in (CUT, SOUND) for number in range(count)]
-        self.follower = _Follower({record.endpoint_id: record for record in records})
+        records = [
+            make_endpoint(service, number, 1_000 + number)
+            for service in (CUT, SOUND)
+            for number in range(count)
+        ]
+        self.follower = CatalogStandIn({record.endpoint_id: record for record in records})
         self.suspicions = SuspicionTracker(self.clock)
         self.directory = EndpointDirectory(
             cast(CatalogFollower, self.follower), self.suspicions, self.clock
@@ -127,21 +114,6 @@
         return False
 
 
-def _record(service_id: ServiceId, number: int) -> EndpointRecord:
-    """Return the record of an endpoint."""
-    return EndpointRecord(
-        endpoint_id=EndpointId(f"{service_id}-{number}"),
-        service_id=service_id,
-        address="127.0.0.1",
-        port=1_000 + number,
-        failure_domain=FailureDomainId(f"d-{number % 2}"),
-        slots=8,
-        state=EndpointState.READY,
-        sequence=1,
-        started_ms=1,
-    )
-
-
 @pytest.mark.looptime
 async def test_failures_of_one_endpoint_are_no_cut() -> None:
     """An endpoint that has crashed is suspected; its service stays reachable."""
