--- a/packages/gateway/src/lagoonwing_gateway/_answer_times.py
+++ b/packages/gateway/src/lagoonwing_gateway/_answer_times.py
@@ -20,6 +20,7 @@
         self._clock = clock
         self._numbers = itertools.count()
         self._answered_at_by_service: dict[ServiceId, float] = {}
+        self._newly_answered_at_by_service: dict[ServiceId, float] = {}
         self._sent_at_by_service: defaultdict[ServiceId, dict[int, float]] = defaultdict(dict)
 
     @contextmanager
@@ -33,14 +34,26 @@
             del self._sent_at_by_service[service_id][number]
 
     @callback
-    def record_answer(self, service_id: ServiceId) -> None:
-        """Record that an endpoint has just answered, whatever it said."""
-        self._answered_at_by_service[service_id] = self._clock.now()
+    def record_answer(self, service_id: ServiceId, *, is_reused: bool = False) -> None:
+        """Record that an endpoint has just answered, whatever it said.
+
+        Args:
+            service_id: Service of the endpoint.
+            is_reused: Whether it answered on a connection that had been used before.
+        """
+        now = self._clock.now()
+        self._answered_at_by_service[service_id] = now
+        if not is_reused:
+            self._newly_answered_at_by_service[service_id] = now
 
     def has_answered_since(self, service_id: ServiceId, since: float) -> bool:
         """Return whether any endpoint of a service answered after a point in time."""
         return self._answered_at_by_service.get(service_id, -math.inf) > since
 
+    def has_newly_answered_since(self, service_id: ServiceId, since: float) -> bool:
+        """Return whether one answered on a new connection; kept ones may outlive the way there."""
+        return self._newly_answered_at_by_service.get(service_id, -math.inf) > since
+
     def silent_services(self, silence_s: float) -> tuple[ServiceId, ...]:
         """Return the services that owe an answer and have given none for so long."""
         before = self._clock.now() - silence_s
--- a/packages/gateway/src/lagoonwing_gateway/_endpoint_client.py
+++ b/packages/gateway/src/lagoonwing_gateway/_endpoint_client.py
@@ -38,12 +38,14 @@
     Attributes:
         endpoint: The endpoint to which the request was sent.
         sent_at: Time at which the request was written.
+        is_reused: Whether the connection had been used before.
     """
 
     connection: ClientConnection
     exchange: Exchange
     endpoint: EndpointRecord
     sent_at: float
+    is_reused: bool
 
     def close(self) -> None:
         """Close the exchange and drop the bytes of its response."""
@@ -91,7 +93,8 @@
             ConnectError: The connection had ended; nothing was sent.
         """
         request = outgoing.request
-        match_response = self._dialect.response_matcher(request, is_reused=connection.was_used)
+        is_reused = connection.was_used
+        match_response = self._dialect.response_matcher(request, is_reused=is_reused)
         exchange = connection.send(
             RequestStartLine(request.method, request.target, "HTTP/1.1"),
             self._dialect.outgoing_headers(outgoing),
@@ -101,7 +104,7 @@
         )
         record = outgoing.endpoint
         exchange.count_in(self._budget, (record.service_id, record.endpoint_id))
-        return OpenExchange(connection, exchange, outgoing.endpoint, self._clock.now())
+        return OpenExchange(connection, exchange, outgoing.endpoint, self._clock.now(), is_reused)
 
     async def async_head(
         self, open_exchange: OpenExchange, timeout: float
@@ -116,7 +119,7 @@
         with self._answer_times.waiting(service_id, open_exchange.sent_at):
             async with asyncio.timeout(timeout):
                 head = await open_exchange.exchange.async_read_head()
-        self._answer_times.record_answer(service_id)
+        self._answer_times.record_answer(service_id, is_reused=open_exchange.is_reused)
         info = self._dialect.response_info(head)
         self._limits.record_response(open_exchange.endpoint, info)
         return head, info
--- a/packages/gateway/src/lagoonwing_gateway/_reach.py
+++ b/packages/gateway/src/lagoonwing_gateway/_reach.py
@@ -135,7 +135,7 @@
     def _is_doubtful(self, service_id: ServiceId, endpoint_id: EndpointId) -> bool:
         """Return whether a failure, and the one before it, may mean that none is reached.
 
-        It does if no endpoint has answered lately, or since another one has failed.
+        It does if no endpoint has answered on a new connection lately, or since another one failed.
         """
         now = self._clock.now()
         failed_at, failed_id = self._last_failure_by_service.get(service_id, (now, endpoint_id))
@@ -143,7 +143,7 @@
         since = now - REACH_ANSWER_MEMORY_S
         if failed_id != endpoint_id:
             since = max(since, failed_at)
-        return not self._answer_times.has_answered_since(service_id, since)
+        return not self._answer_times.has_newly_answered_since(service_id, since)
 
     @callback
     def _examine_soon(self, service_id: ServiceId, endpoint_id: EndpointId | None) -> None:
--- a/tests/gateway/test_reach.py
+++ b/tests/gateway/test_reach.py
@@ -222,3 +222,15 @@
         own = {gateway.ids(CUT)[0]: load, gateway.ids(SOUND)[0]: load}
         reported = gateway.directory.without_services(own, gateway.reach.unreachable_services())
         assert reported == {gateway.ids(SOUND)[0]: load}
+
+
+@pytest.mark.looptime
+async def test_answers_on_kept_connections_do_not_hide_a_cut() -> None:
+    """Connections that are open may live on while new ones are refused."""
+    async with _Gateway() as gateway:
+        gateway.cut(CUT)
+        for number in range(10):
+            gateway.answer_times.record_answer(CUT, is_reused=True)
+            gateway.fail(gateway.ids(CUT)[number % 2 : number % 2 + 1])
+            await asyncio.sleep(0.1)
+        assert gateway.reach.is_unreachable(CUT)
