--- a/packages/gateway/src/lagoonwing_gateway/_call_handler.py
+++ b/packages/gateway/src/lagoonwing_gateway/_call_handler.py
@@ -265,10 +265,12 @@
         connection.close()
         return None
 
-    def _may_hand_over(self, call: _Call) -> bool:
-        """Return whether a call that waits here may be sent to another gateway."""
-        is_due = self._handover.is_due(call.context, call.service.service_id)
-        return is_due and self._may_reserve(call)
+    async def _async_may_hand_over(self, call: _Call) -> bool:
+        """Return whether a call that waits here is certain to be taken by another gateway."""
+        service_id = call.service.service_id
+        if not self._handover.is_due(call.context, service_id) or not self._may_reserve(call):
+            return False
+        return await self._handover.async_is_confirmed(service_id)
 
     def _may_reserve(self, call: _Call) -> bool:
         """Return whether attempts and time are left for another attempt."""
@@ -366,7 +368,7 @@
                 await asyncio.wait((response,), timeout=patience_s)
                 if response.done():
                     break
-                if self._may_hand_over(call):
+                if await self._async_may_hand_over(call) and not response.done():
                     raise TimeoutError
                 if await self._async_try_reserve(call, record) and not response.done():
                     raise TimeoutError
--- a/packages/gateway/src/lagoonwing_gateway/_gateway.py
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -19,6 +19,7 @@
 from lagoonwing_core.events import EventCode, log_event
 from lagoonwing_core.ids import EndpointId, RouteId, ServiceId
 from lagoonwing_core.result_codes import ResultCode
+from lagoonwing_core.tasks import TaskSet
 from lagoonwing_gateway._admission_queue import AdmissionQueue
 from lagoonwing_gateway._answer_times import AnswerTimes
 from lagoonwing_gateway._call_handler import CallHandler
@@ -166,7 +167,7 @@
         self._handover_client = HandoverClient(
             identity, self.response_budget, clock, self.read_turns
         )
-        handover = Handover(
+        self._handover = Handover(
             self._handover_client,
             PeerTable(lambda: self.follower.peers, clock, rng),
             self._reach,
@@ -187,8 +188,8 @@
             budget=RetryBudget(settings.retry_budget, clock),
             crash_tracker=self._crash_tracker,
             limiter=limiter,
-            handover=handover,
-            handover_relay=HandoverRelay(handover, dialect, clock),
+            handover=self._handover,
+            handover_relay=HandoverRelay(self._handover, dialect, clock),
             admission_queue=self._admission_queue,
             endpoint_client=EndpointClient(
                 dialect,
@@ -216,6 +217,7 @@
         self._idle = asyncio.Event()
         self._idle.set()
         self._tasks: list[asyncio.Task[None]] = []
+        self._background = TaskSet(self.name)
 
     async def async_setup(self) -> None:
         """Start serving."""
@@ -233,6 +235,7 @@
         """Stop serving."""
         for task in self._tasks:
             task.cancel()
+        await self._background.async_cancel()
         await self._watchdog.async_unload()
         await self._reach.async_unload()
         await self.follower.async_unload()
@@ -377,6 +380,10 @@
             return "no endpoint of the service answers"
         return None
 
+    async def async_may_take(self, service_id: ServiceId) -> bool:
+        """Return whether requests for a service may be handed over to this gateway now."""
+        return not self.is_draining and await self._reach.async_is_reached(service_id)
+
     async def _async_answer(self, request: CallerRequest, responder: Responder) -> None:
         """Answer one request of a caller."""
         route_id = None
@@ -519,9 +526,14 @@
     def _on_reach_changed(self) -> None:
         """Let what waits for an unreachable service go on elsewhere."""
         for service_id in self._reach.unreachable_services():
-            self._admission_queue.end_waits(service_id, "no endpoint of the service answers")
+            self._background.spawn(self._async_end_waits(service_id))
         self._wake_admission()
 
+    async def _async_end_waits(self, service_id: ServiceId) -> None:
+        """End the waits for a service once another gateway is known to reach it."""
+        if await self._handover.async_is_confirmed(service_id):
+            self._admission_queue.end_waits(service_id, "no endpoint of the service answers")
+
     @callback
     def _wake_admission(self) -> None:
         """Try waiting requests, since capacity may have become free."""
--- a/packages/gateway/src/lagoonwing_gateway/_handover.py
+++ b/packages/gateway/src/lagoonwing_gateway/_handover.py
@@ -24,6 +24,7 @@
 from lagoonwing_gateway._reach import ReachMonitor
 from lagoonwing_gateway._reach_probe import async_probe_reach
 from lagoonwing_gateway.const import (
+    CONFIRMED_REACH_S,
     DEADLINE_MARGIN_S,
     MAX_HANDOVER_ATTEMPTS,
     MIN_TIME_TO_SEND_S,
@@ -104,6 +105,7 @@
         self._follower = follower
         self._clock = clock
         self._metrics = metrics
+        self._question_by_service: dict[ServiceId, asyncio.Task[bool]] = {}
 
     def is_due(self, context: RequestContext, service_id: ServiceId) -> bool:
         """Return whether a request must be handed over, since this gateway can't serve it."""
@@ -118,6 +120,31 @@
         await self._reach.async_settled(service_id)
         return self.is_due(context, service_id)
 
+    async def async_is_confirmed(self, service_id: ServiceId) -> bool:
+        """Return whether a peer says that it reaches a service that this gateway doesn't.
+
+        What still may be answered here is given up only then: endpoints that all fall silent for a
+        moment are no reason.
+        """
+        if not self._reach.is_unreachable(service_id):
+            return False
+        question = self._question_by_service.get(service_id)
+        if question is None:
+            question = asyncio.ensure_future(self._async_confirm(service_id))
+            self._question_by_service[service_id] = question
+            question.add_done_callback(
+                lambda done: asyncio.get_running_loop().call_later(
+                    CONFIRMED_REACH_S, self._question_by_service.pop, service_id, None
+                )
+            )
+        is_confirmed = await asyncio.shield(question)
+        return is_confirmed and self._reach.is_unreachable(service_id)
+
+    async def _async_confirm(self, service_id: ServiceId) -> bool:
+        """Ask a peer whether it reaches a service."""
+        peer = self._peers.choose(service_id, ())
+        return peer is not None and await self._client.async_ask_reach(peer, service_id)
+
     async def async_ask(self, task: HandoverTask) -> PeerAnswer | NotTaken:
         """Hand a request over; a peer that can't take it is followed by another one."""
         while len(task.tried) < MAX_HANDOVER_ATTEMPTS and task.may_be_sent:
--- a/packages/gateway/src/lagoonwing_gateway/_handover_client.py
+++ b/packages/gateway/src/lagoonwing_gateway/_handover_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 from dataclasses import dataclass
 
@@ -9,7 +10,7 @@
 
 from lagoonwing_catalog.messages import PeerGateway
 from lagoonwing_core.clock import Clock
-from lagoonwing_core.ids import HostId
+from lagoonwing_core.ids import HostId, ServiceId
 from lagoonwing_gateway._handover_codec import (
     HANDOVER_HEADERS,
     HANDOVER_PATH,
@@ -17,6 +18,7 @@
     HEADER_ID,
     HEADER_REFUSAL,
     HEADER_TOKEN,
+    REACH_PATH,
     decode_refusal,
     handover_token,
 )
@@ -24,11 +26,13 @@
     HANDOVER_CONNECT_TIMEOUT_S,
     HANDOVER_IDLE_CONNECTION_TTL_S,
     MAX_IDLE_CONNECTIONS,
+    REACH_QUESTION_TIMEOUT_S,
 )
 from lagoonwing_gateway.models import GatewayRefusal
 from lagoonwing_http import (
     AnswerBrokenError,
     ClientConnection,
+    ConnectError,
     ConnectionPool,
     Exchange,
     PoolSettings,
@@ -114,8 +118,25 @@
             peer.gateway_id, handover.address, handover.port, fresh
         )
 
+    async def async_ask_reach(self, peer: PeerGateway, service_id: ServiceId) -> bool:
+        """Return whether a peer says that it reaches a service now."""
+        try:
+            async with asyncio.timeout(REACH_QUESTION_TIMEOUT_S):
+                connection = await self.async_connect(peer, fresh=False)
+                exchange = self.send(peer, connection, service_id.encode(), REACH_PATH)
+                try:
+                    return isinstance(await exchange.async_head(), ResponseHead)
+                finally:
+                    exchange.close()
+        except (AnswerBrokenError, ConnectError, TimeoutError):
+            return False
+
     def send(
-        self, peer: PeerGateway, connection: ClientConnection, content: bytes
+        self,
+        peer: PeerGateway,
+        connection: ClientConnection,
+        content: bytes,
+        path: str = HANDOVER_PATH,
     ) -> HandedExchange:
         """Send an encoded request.
 
@@ -136,7 +157,7 @@
             return ResponseMatch.OWN if is_own else ResponseMatch.UNKNOWN
 
         exchange = connection.send(
-            RequestStartLine("POST", HANDOVER_PATH, "HTTP/1.1"), headers, content, match_response
+            RequestStartLine("POST", path, "HTTP/1.1"), headers, content, match_response
         )
         exchange.count_in(self._budget, (peer.gateway_id,))
         return HandedExchange(connection, exchange)
--- a/packages/gateway/src/lagoonwing_gateway/_handover_codec.py
+++ b/packages/gateway/src/lagoonwing_gateway/_handover_codec.py
@@ -19,6 +19,8 @@
 from lagoonwing_placement import RequestSize
 
 HANDOVER_PATH = "/handover"
+# Asks whether the peer reaches the service named in the body.
+REACH_PATH = "/reach"
 HEADER_ID = "Lagoonwing-Handover-Id"
 HEADER_TOKEN = "Lagoonwing-Handover-Token"
 # Says that the peer did not take the request, and why.
--- a/packages/gateway/src/lagoonwing_gateway/_handover_server.py
+++ b/packages/gateway/src/lagoonwing_gateway/_handover_server.py
@@ -20,6 +20,7 @@
 from lagoonwing_catalog.messages import HandoverAddress
 from lagoonwing_core.callback import callback
 from lagoonwing_core.events import EventCode, log_event
+from lagoonwing_core.ids import ServiceId
 from lagoonwing_gateway._gateway import Gateway
 from lagoonwing_gateway._handover_codec import (
     HANDOVER_PATH,
@@ -27,6 +28,7 @@
     HEADER_ID,
     HEADER_REFUSAL,
     HEADER_TOKEN,
+    REACH_PATH,
     decode_handover,
     encode_refusal,
     handover_token,
@@ -37,6 +39,7 @@
 from lagoonwing_http import RequestBody
 from lagoonwing_wire import Identity
 
+_STATUS_OK = 200
 _STATUS_NOT_TAKEN = 503
 
 
@@ -115,7 +118,15 @@
         if content is None:
             responder.decline("the bodies of other requests take all memory for them")
             return
-        declined = self._serve(content, responder)
+        if not hmac.compare_digest(self._headers.get(HEADER_TOKEN, ""), self._token):
+            declined: str | None = "the sender does not hold the shared key"
+        elif self._path == REACH_PATH:
+            asyncio.get_running_loop().create_task(self._async_tell_reach(content, responder))
+            return
+        elif self._path == HANDOVER_PATH:
+            declined = self._serve(content, responder)
+        else:
+            declined = "the path is not known"
         if declined is not None:
             self._gateway.body_budget.release(len(content))
             responder.decline(declined)
@@ -124,11 +135,17 @@
         """Discard an incomplete request."""
         self._body.discard()
 
+    async def _async_tell_reach(self, content: bytes, responder: _PeerResponder) -> None:
+        """Say whether this gateway reaches a service, and takes requests for it."""
+        self._gateway.body_budget.release(len(content))
+        service_id = ServiceId(content.decode(errors="replace"))
+        if await self._gateway.async_may_take(service_id):
+            responder.send_response(_STATUS_OK, HTTPHeaders(), b"")
+        else:
+            responder.decline("no endpoint of the service answers, or the gateway drains")
+
     def _serve(self, content: bytes, responder: _PeerResponder) -> str | None:
         """Serve a request; return why it is declined, if it is."""
-        token = self._headers.get(HEADER_TOKEN, "")
-        if self._path != HANDOVER_PATH or not hmac.compare_digest(token, self._token):
-            return "the sender does not hold the shared key"
         loop = asyncio.get_running_loop()
         try:
             request, version = decode_handover(content, loop.time())
--- a/packages/gateway/src/lagoonwing_gateway/_patient_reader.py
+++ b/packages/gateway/src/lagoonwing_gateway/_patient_reader.py
@@ -122,7 +122,7 @@
         components.watchdog.probe_all(silent_ids)
         self._record_silence(silent_ids)
         blamed_ids = silent_ids or self._endpoint_ids
-        if self._failover.may_hand_over():
+        if await self._failover.async_may_hand_over():
             raise GivenUpError(Failed("no endpoint answers", blamed_ids, is_silence=True))
         if await self._failover.async_try_reserve(blamed_ids):
             raise GivenUpError(Failed("the path fell silent", blamed_ids, is_silence=True))
--- a/packages/gateway/src/lagoonwing_gateway/_reach.py
+++ b/packages/gateway/src/lagoonwing_gateway/_reach.py
@@ -123,6 +123,16 @@
         if examination is not None:
             await asyncio.wait((examination,), timeout=REACH_SETTLE_S)
 
+    async def async_is_reached(self, service_id: ServiceId) -> bool:
+        """Return whether an endpoint of a service answers now."""
+        since = self._clock.now() - REACH_ANSWER_MEMORY_S
+        if self.is_unreachable(service_id):
+            return False
+        if not self._answer_times.has_answered_since(service_id, since):
+            self._examine(service_id, None)
+            await asyncio.wait((self._examination_by_service[service_id],))
+        return not self.is_unreachable(service_id)
+
     @callback
     def _on_failure(self, endpoint_id: EndpointId, evidence: FailureEvidence) -> None:
         """Examine the service of an endpoint that did not answer."""
@@ -152,6 +162,12 @@
             return
         reached_at = self._reached_at_by_service.get(service_id, -math.inf)
         if self._clock.now() >= reached_at + REACH_MEMORY_S:
+            self._examine(service_id, endpoint_id)
+
+    @callback
+    def _examine(self, service_id: ServiceId, endpoint_id: EndpointId | None) -> None:
+        """Start an examination, unless one is running."""
+        if service_id not in self._examination_by_service:
             examination = asyncio.ensure_future(self._async_examine(service_id, endpoint_id))
             self._examination_by_service[service_id] = examination
             examination.add_done_callback(
--- a/packages/gateway/src/lagoonwing_gateway/_stream_failover.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_failover.py
@@ -136,12 +136,15 @@
         first_id = path.segments[0].endpoint_id
         return PathClaim(path, limiter.take(first_id, service_id, member_id, waiter))
 
-    def may_hand_over(self) -> bool:
-        """Return whether the stream may go on at another gateway, whatever runs here."""
-        components, call = self._components, self._call
-        if not components.handover.is_due(call.context, call.service.service_id):
+    async def async_may_hand_over(self) -> bool:
+        """Return whether the stream is certain to go on at another gateway, whatever runs here."""
+        handover, call = self._components.handover, self._call
+        service_id = call.service.service_id
+        if not handover.is_due(call.context, service_id):
+            return False
+        if self._find_condition(may_have_run=True) is not None:
             return False
-        return self._find_condition(may_have_run=True) is None
+        return await handover.async_is_confirmed(service_id)
 
     def may_find_path(self) -> bool:
         """Return whether there would be a path if nothing else ran and nothing was suspected."""
--- a/packages/gateway/src/lagoonwing_gateway/const.py
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -312,3 +312,7 @@
 PEER_PATIENCE_S = 1.0
 # Maximum size of a request that a peer hands over.
 MAX_HANDOVER_BYTES = 64 * 1024 * 1024
+# Time within which a peer must say whether it reaches a service, which it may have to find out, and
+# the time for which what it says holds.
+REACH_QUESTION_TIMEOUT_S = 0.8
+CONFIRMED_REACH_S = 0.5
