Endpoints that ask for a pause, or leave, get no requests (BUDGET, DRAIN)

What callers saw: nothing; endpoints that had answered 503 with Retry-After got a request every 0.4 s from each gateway, and those that said Server-Leaving got their full part. Cause: no code read either header. Class: what an endpoint says of itself, unread, with a choice in several places. Change: EndpointNotices holds both by incarnation, for this gateway alone, and is asked by the directory for each choice and by EndpointClient.send immediately before a request is written. Idle connections to such an endpoint are closed. While all endpoints decline, requests are refused at once with Retry-After no earlier than the first is back (4007). A pause has a bound (one hour), a random bit at its end, and is no failure; junk is none. HEADER_PAUSE is read from 503 only. Evidence: five tests of tests/platform/test_endpoint_notices.py failed on the parent commit and pass. Ruled out: pausing the endpoint that At-Server names: the one that answers asked for the pause.

--- a/packages/gateway/src/lagoonwing_gateway/_admission_queue.py
+++ b/packages/gateway/src/lagoonwing_gateway/_admission_queue.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
@@ -32,6 +33,7 @@
     MAX_ADMISSION_CANDIDATES,
     RECHECK_INTERVAL_S,
     REPAIR_JITTER_S,
+    RETRY_AFTER_JITTER_S,
 )
 from lagoonwing_gateway.diagnostics import GatewayMetrics
 from lagoonwing_gateway.models import CallerGone, NotAdmitted
@@ -237,6 +239,21 @@
             min(jittered_s, longest_s),
         )
 
+    def refusal_while_declined(self, request: AdmissionRequest, ready_in_s: float) -> NotAdmitted:
+        """Return the refusal of a request while all endpoints leave or want a pause.
+
+        Args:
+            request: The request.
+            ready_in_s: Time until the first of them takes requests; infinite if all leave.
+        """
+        self._metrics.not_admitted("endpoints_decline")
+        if math.isinf(ready_in_s):
+            return self.refusal(request, ResultCode.NO_ENDPOINT, "all endpoints leave")
+        detail = "all endpoints that could run it want a pause"
+        # The caller can't be served earlier, however long it is going to wait.
+        retry_after_s = ready_in_s + self._rng.random() * RETRY_AFTER_JITTER_S
+        return NotAdmitted(ResultCode.ENDPOINTS_PAUSED, detail, retry_after_s)
+
     @callback
     def _submit(self, request: AdmissionRequest) -> NotAdmitted | None:
         """Let a request wait, or return its refusal."""
--- a/packages/gateway/src/lagoonwing_gateway/_call_endpoints.py
+++ b/packages/gateway/src/lagoonwing_gateway/_call_endpoints.py
@@ -106,6 +106,10 @@
             service.service_id,
             components.clock.now(),
         )
+        entry_ids = components.directory.entry_ids(service.service_id)
+        ready_in_s = components.notices.all_ready_in_s(entry_ids)
+        if ready_in_s > 0:
+            return queue.refusal_while_declined(request, ready_in_s)
         claim = queue.claim_now(request, lambda: self.claim(context, service, excluded))
         if claim is not None:
             return claim
--- a/packages/gateway/src/lagoonwing_gateway/_call_handler.py
+++ b/packages/gateway/src/lagoonwing_gateway/_call_handler.py
@@ -421,7 +421,8 @@
             return Failed("the answer is not the endpoint's own", blamed_ids)
         if info.status >= FIRST_FAILURE_STATUS:
             reason = f"the endpoint answered {info.status}"
-            self._record_failure(call, record, reason, FailureEvidence.RESPONSE)
+            if info.pause_s is None:
+                self._record_failure(call, record, reason, FailureEvidence.RESPONSE)
             return Failed(reason, blamed_ids, response)
         self._suspicions.record_progress(blamed_ids)
         self._suspicions.record_served(blamed_ids)
--- a/packages/gateway/src/lagoonwing_gateway/_components.py
+++ b/packages/gateway/src/lagoonwing_gateway/_components.py
@@ -12,6 +12,7 @@
 from lagoonwing_gateway._directory import EndpointDirectory
 from lagoonwing_gateway._endpoint_client import EndpointClient
 from lagoonwing_gateway._endpoint_limiter import EndpointLimiter
+from lagoonwing_gateway._endpoint_notices import EndpointNotices
 from lagoonwing_gateway._follower import CatalogFollower
 from lagoonwing_gateway._handover import Handover
 from lagoonwing_gateway._handover_relay import HandoverRelay
@@ -42,6 +43,7 @@
     unreported_work: UnreportedWork
     budget: RetryBudget
     crash_tracker: CrashTracker
+    notices: EndpointNotices
     limiter: EndpointLimiter
     admission_queue: AdmissionQueue
     endpoint_client: EndpointClient
--- a/packages/gateway/src/lagoonwing_gateway/_connection_pool.py
+++ b/packages/gateway/src/lagoonwing_gateway/_connection_pool.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from lagoonwing_catalog.models import EndpointRecord
+from lagoonwing_core.callback import callback
 from lagoonwing_core.clock import Clock
 from lagoonwing_core.ids import EndpointId
 from lagoonwing_gateway.const import (
@@ -48,3 +49,8 @@
         """
         key = (record.endpoint_id, record.started_ms, record.address, record.port)
         return await self.async_acquire(key, record.address, record.port, fresh)
+
+    @callback
+    def close_idle_to(self, record: EndpointRecord) -> None:
+        """Close idle connections to an endpoint that takes no requests."""
+        self.close_idle((record.endpoint_id, record.started_ms, record.address, record.port))
--- a/packages/gateway/src/lagoonwing_gateway/_directory.py
+++ b/packages/gateway/src/lagoonwing_gateway/_directory.py
@@ -26,15 +26,33 @@
 from lagoonwing_placement import Holder, HolderGroup, group_holders
 
 
+def _is_always_true(endpoint_id: EndpointId) -> bool:
+    """Return True, for endpoints that say nothing of themselves."""
+    return True
+
+
 class EndpointDirectory:
     """Index of the catalog's endpoint records, rebuilt after each change."""
 
     def __init__(
-        self, follower: CatalogFollower, suspicions: SuspicionTracker, clock: Clock
+        self,
+        follower: CatalogFollower,
+        suspicions: SuspicionTracker,
+        clock: Clock,
+        may_send: Callable[[EndpointId], bool] = _is_always_true,
     ) -> None:
+        """Create the index.
+
+        Args:
+            follower: Catalog with the records.
+            suspicions: Endpoints that failed lately.
+            clock: Time source.
+            may_send: Returns whether an endpoint takes requests now, by what it says of itself.
+        """
         self._follower = follower
         self._suspicions = suspicions
         self._clock = clock
+        self._may_send = may_send
         self._ready_by_service: dict[ServiceId, list[EndpointRecord]] = {}
         self._entry_ids_by_service: dict[ServiceId, tuple[EndpointId, ...]] = {}
         self._id_by_address: dict[str, EndpointId] = {}
@@ -127,7 +145,7 @@
         records = [
             record
             for record in self._ready_by_service.get(service_id, ())
-            if record.endpoint_id not in unusable
+            if record.endpoint_id not in unusable and self._may_send(record.endpoint_id)
         ]
         suspected = self._suspected_elsewhere()
         unsuspected = [
@@ -138,6 +156,10 @@
         ]
         return unsuspected or list(records)
 
+    def may_send(self, endpoint_id: EndpointId) -> bool:
+        """Return whether an endpoint takes requests now, by what it says of itself."""
+        return self._may_send(endpoint_id)
+
     def holder_groups(self, service: Service, engine: Engine) -> tuple[HolderGroup, ...]:
         """Return the holders of a service's layers in groups, cached until the catalog changes."""
         cached = self._groups_by_service.get(service.service_id)
@@ -180,10 +202,14 @@
         unusable = excluded_ids | self._suspected_elsewhere()
 
         def is_usable(endpoint_id: EndpointId) -> bool:
-            return endpoint_id not in unusable and self._suspicions.is_usable(endpoint_id)
+            if endpoint_id in unusable or not self._may_send(endpoint_id):
+                return False
+            return self._suspicions.is_usable(endpoint_id)
 
         def is_last_resort(endpoint_id: EndpointId) -> bool:
-            return endpoint_id not in excluded_ids and self._suspicions.is_last_resort(endpoint_id)
+            if endpoint_id in excluded_ids or not self._may_send(endpoint_id):
+                return False
+            return self._suspicions.is_last_resort(endpoint_id)
 
         last_ids = last_holders(groups, is_usable, is_last_resort)
         if not last_ids:
--- a/packages/gateway/src/lagoonwing_gateway/_endpoint_client.py
+++ b/packages/gateway/src/lagoonwing_gateway/_endpoint_client.py
@@ -12,7 +12,7 @@
 from lagoonwing_core.clock import Clock
 from lagoonwing_gateway._answer_times import AnswerTimes
 from lagoonwing_gateway._connection_pool import EndpointConnectionPool
-from lagoonwing_gateway._limit_tracker import LimitTracker
+from lagoonwing_gateway._endpoint_notices import EndpointNotices
 from lagoonwing_gateway.const import MAX_RESPONSE_BODY_BYTES
 from lagoonwing_gateway.models import (
     CompleteResponse,
@@ -58,6 +58,10 @@
             self.connection.close()
 
 
+class EndpointDeclinesError(ConnectError):
+    """The endpoint has said that it wants no requests; that is no failure of it."""
+
+
 class EndpointClient:
     """Sends requests to endpoints."""
 
@@ -65,14 +69,14 @@
         self,
         dialect: Dialect,
         connection_pool: EndpointConnectionPool,
-        limits: LimitTracker,
+        notices: EndpointNotices,
         answer_times: AnswerTimes,
         budget: ResponseBudget,
         clock: Clock,
     ) -> None:
         self._dialect = dialect
         self._answer_times = answer_times
-        self._limits = limits
+        self._notices = notices
         self._budget = budget
         self._connection_pool = connection_pool
         self._clock = clock
@@ -90,9 +94,13 @@
         """Send a request over a connection to its endpoint.
 
         Raises:
+            EndpointDeclinesError: The endpoint wants no requests now; nothing was sent.
             ConnectError: The connection had ended; nothing was sent.
         """
         request = outgoing.request
+        if not self._notices.may_send(outgoing.endpoint.endpoint_id):
+            connection.close()
+            raise EndpointDeclinesError("the endpoint wants no requests now")
         is_reused = connection.was_used
         match_response = self._dialect.response_matcher(request, is_reused=is_reused)
         exchange = connection.send(
@@ -121,7 +129,7 @@
                 head = await open_exchange.exchange.async_read_head()
         self._answer_times.record_answer(service_id, is_reused=open_exchange.is_reused)
         info = self._dialect.response_info(head)
-        self._limits.record_response(open_exchange.endpoint, info)
+        self._notices.record_response(open_exchange.endpoint, info)
         return head, info
 
     async def async_complete_response(
--- a/packages/gateway/src/lagoonwing_gateway/_gateway.py
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -29,6 +29,7 @@
 from lagoonwing_gateway._directory import EndpointDirectory
 from lagoonwing_gateway._endpoint_client import EndpointClient
 from lagoonwing_gateway._endpoint_limiter import EndpointLimiter
+from lagoonwing_gateway._endpoint_notices import EndpointNotices
 from lagoonwing_gateway._follower import CatalogFollower
 from lagoonwing_gateway._handover import Handover
 from lagoonwing_gateway._handover_client import HandoverClient
@@ -130,6 +131,10 @@
             self.read_turns,
         )
         self._limits = LimitTracker(clock, lambda: self.follower.endpoint_by_id)
+        self._notices = EndpointNotices(
+            self._limits, lambda: self.follower.endpoint_by_id, clock, rng
+        )
+        self._notices.add_listener(self._on_endpoint_declines)
         limiter = EndpointLimiter(
             self._limits,
             clock,
@@ -150,7 +155,9 @@
         self.follower.add_listener(self._wake_admission)
         self.follower.add_load_listener(self._wake_admission)
         slowdown = SlowdownTracker()
-        self._directory = EndpointDirectory(self.follower, self._suspicions, clock)
+        self._directory = EndpointDirectory(
+            self.follower, self._suspicions, clock, self._notices.may_send
+        )
         self._watchdog = Watchdog(
             self._directory, self._suspicions, clock, self.metrics.connection_opened, rng
         )
@@ -187,6 +194,7 @@
             unreported_work=self._unreported_work,
             budget=RetryBudget(settings.retry_budget, clock),
             crash_tracker=self._crash_tracker,
+            notices=self._notices,
             limiter=limiter,
             handover=self._handover,
             handover_relay=HandoverRelay(self._handover, dialect, clock),
@@ -194,7 +202,7 @@
             endpoint_client=EndpointClient(
                 dialect,
                 self._connection_pool,
-                self._limits,
+                self._notices,
                 answer_times,
                 self.response_budget,
                 clock,
@@ -270,6 +278,8 @@
         self.metrics.set_gauge("unreachable_services", len(self._reach.unreachable_services()))
         self.metrics.set_gauge("slow_endpoints", self._pace_tracker.slow_count)
         self.metrics.set_gauge("traits_with_crashes", self._crash_tracker.trait_count)
+        self.metrics.set_gauge("leaving_endpoints", self._notices.leaving_count)
+        self.metrics.set_gauge("paused_endpoints", self._notices.paused_count)
         self.metrics.set_gauge("limited_endpoints", len(self._limits.rate_by_id()))
         for rank, count in self._admission_queue.waiting_count_by_rank().items():
             self.metrics.set_gauge(f"waiting_rank_{rank}", count)
@@ -512,6 +522,15 @@
             for service_id in started_by_service.keys() | waiting_by_service.keys()
         }
 
+    @callback
+    def _on_endpoint_declines(self, endpoint: EndpointRecord) -> None:
+        """Close idle connections to an endpoint, and end waits that it was the last to serve."""
+        self._connection_pool.close_idle_to(endpoint)
+        entry_ids = self._directory.entry_ids(endpoint.service_id)
+        if entry_ids and not any(map(self._notices.may_send, entry_ids)):
+            detail = "all endpoints that could run it leave or want a pause"
+            self._admission_queue.end_waits(endpoint.service_id, detail)
+
     async def _async_probe_endpoint(self, record: EndpointRecord) -> bool:
         """Return whether an endpoint answers a health check."""
         service = self._directory.service(record.service_id)
@@ -553,6 +572,7 @@
             await asyncio.sleep(_PRUNE_INTERVAL_S)
             self._connection_pool.prune()
             self._handover_client.prune()
+            self._notices.discard_gone()
 
 
 def _no_idle_connections() -> None:
--- a/packages/gateway/src/lagoonwing_gateway/_reach.py
+++ b/packages/gateway/src/lagoonwing_gateway/_reach.py
@@ -192,7 +192,11 @@
 
     def _candidates(self, service_id: ServiceId) -> list[EndpointRecord]:
         """Return endpoints at which requests may enter, a random choice if there are many."""
-        ids = list(self._directory.entry_ids(service_id))
+        ids = [
+            endpoint_id
+            for endpoint_id in self._directory.entry_ids(service_id)
+            if self._directory.may_send(endpoint_id)
+        ]
         chosen = self._rng.sample(ids, min(len(ids), MAX_REACH_PROBES + 1))
         records = (self._directory.record(endpoint_id) for endpoint_id in chosen)
         return [record for record in records if record is not None]
--- a/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_attempt.py
@@ -12,6 +12,7 @@
 from lagoonwing_gateway._disconnect import async_run_until_disconnect
 from lagoonwing_gateway._endpoint_client import (
     RESPONSE_ERRORS,
+    EndpointDeclinesError,
     OpenExchange,
     failure_evidence,
 )
@@ -132,6 +133,8 @@
                     record, fresh=not is_first
                 )
             open_exchange = components.endpoint_client.send(outgoing, self._connection)
+        except EndpointDeclinesError:
+            return None
         except ConnectError as error:
             components.suspicions.record_failure(
                 record.endpoint_id, str(error), failure_evidence(error)
@@ -331,7 +334,7 @@
             self._record_failure(self._endpoint_ids[0], reason, FailureEvidence.BROKEN)
             return Failed(reason, self._endpoint_ids[:1])
         reason = f"the endpoint answered {info.status}"
-        if info.status >= FIRST_FAILURE_STATUS:
+        if info.status >= FIRST_FAILURE_STATUS and info.pause_s is None:
             self._record_failure(at_fault, reason, FailureEvidence.RESPONSE)
         response = CompleteResponse(info, components.dialect.caller_headers(head), body)
         return Failed(reason, (at_fault,), response)
--- a/packages/gateway/src/lagoonwing_gateway/_stream_failover.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_failover.py
@@ -151,8 +151,12 @@
         components, call = self._components, self._call
         groups = components.directory.holder_groups(call.service, call.engine)
         finder = PathFinder(call.engine, {}, components.rng, components.failure_domain)
-        excluded = call.progress.excluded
-        path = finder.find(groups, call.size, lambda endpoint_id: endpoint_id not in excluded)
+        excluded, may_send = call.progress.excluded, components.directory.may_send
+        path = finder.find(
+            groups,
+            call.size,
+            lambda endpoint_id: endpoint_id not in excluded and may_send(endpoint_id),
+        )
         return path is not None
 
     def is_held_back(self) -> bool:
--- a/packages/gateway/src/lagoonwing_gateway/_stream_handler.py
+++ b/packages/gateway/src/lagoonwing_gateway/_stream_handler.py
@@ -162,6 +162,11 @@
         if not call.progress.started and request.submitted + repair_s > request.latest_start:
             call.progress.not_admitted = queue.refusal_until(request, repair_s)
             return None
+        entry_ids = components.directory.entry_ids(call.service.service_id)
+        ready_in_s = components.notices.all_ready_in_s(entry_ids)
+        if ready_in_s > 0:
+            call.progress.not_admitted = queue.refusal_while_declined(request, ready_in_s)
+            return None
         claim = queue.claim_now(request, failover.claim_path)
         if claim is not None:
             return claim
--- a/packages/gateway/src/lagoonwing_gateway/const.py
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -316,3 +316,8 @@
 # the time for which what it says holds.
 REACH_QUESTION_TIMEOUT_S = 0.8
 CONFIRMED_REACH_S = 0.5
+# Longest pause of an endpoint; by then it has another incarnation, or has been forgotten.
+MAX_PAUSE_S = 3_600.0
+# Random part of the time until a gateway returns after a pause, as a share of it and at most.
+RETURN_SPREAD_SHARE = 0.2
+MAX_RETURN_SPREAD_S = 0.5
--- a/packages/gateway/src/lagoonwing_gateway/models.py
+++ b/packages/gateway/src/lagoonwing_gateway/models.py
@@ -107,6 +107,8 @@
         is_encoded: Whether a content encoding was applied to the body.
         at_fault: Address and port of the endpoint on the path that failed, if named.
         named_limit: What the response says of the endpoint's limit; None if that can't be read.
+        is_leaving: Whether the endpoint says that it leaves.
+        pause_s: Seconds for which the endpoint wants no requests of this gateway, if it says so.
     """
 
     status: int
@@ -115,6 +117,8 @@
     is_encoded: bool
     at_fault: str | None
     named_limit: NamedLimit | None = None
+    is_leaving: bool = False
+    pause_s: float | None = None
 
     @property
     def is_success(self) -> bool:
--- a/packages/http/src/lagoonwing_http/__init__.py
+++ b/packages/http/src/lagoonwing_http/__init__.py
@@ -4,6 +4,7 @@
 
 from lagoonwing_http._client import ClientConnection, async_open_connection
 from lagoonwing_http._exchange import Exchange, ResponseHead, ResponseMatch, ResponseMatcher
+from lagoonwing_http._header_numbers import parse_seconds
 from lagoonwing_http._pool import ConnectionPool, PoolSettings
 from lagoonwing_http._read_turns import ReadTurns
 from lagoonwing_http._request_body import BodyBudget, RequestBody
@@ -45,4 +46,5 @@
     "UnrequestedBytes",
     "async_open_connection",
     "ignore_write_failure",
+    "parse_seconds",
 ]
--- a/packages/http/src/lagoonwing_http/_pool.py
+++ b/packages/http/src/lagoonwing_http/_pool.py
@@ -126,6 +126,12 @@
                 del self._idle_by_key[key]
         self._open = {connection for connection in self._open if not connection.closed}
 
+    @callback
+    def close_idle(self, key: KeyT) -> None:
+        """Close the idle connections of a key."""
+        for connection in self._idle_by_key.pop(key, []):
+            connection.close()
+
     @callback
     def close(self) -> None:
         """Close all connections."""
@@ -148,8 +154,7 @@
     def _on_unrequested_bytes(self, key: KeyT, arrival: UnrequestedBytes) -> None:
         """Handle bytes that no request asked for; no connection to the endpoint is kept."""
         self._unreliable_until_by_key[key] = self._clock.now() + UNREQUESTED_BYTES_MEMORY_S
-        for connection in self._idle_by_key.pop(key, []):
-            connection.close()
+        self.close_idle(key)
         if self._on_unrequested is not None:
             self._on_unrequested(arrival)
 
--- a/packages/http/src/lagoonwing_http/const.py
+++ b/packages/http/src/lagoonwing_http/const.py
@@ -28,3 +28,5 @@
 MAX_EARLIER_REQUESTS = 16
 # Of what is wrong with an answer; it may quote the answer.
 MAX_DETAIL_CHARACTERS = 120
+# Characters of a number in a header.
+MAX_NUMBER_CHARACTERS = 32
--- a/tests/platform/test_endpoint_notices.py
+++ b/tests/platform/test_endpoint_notices.py
@@ -29,7 +29,7 @@
     """Start plain endpoints that serve all kinds of requests."""
     document = json.loads(make_document())
     for route in document["routes"]:
-        route.update({"service": "plain", "max-attempts": 2})
+        route.update({"service": "plain", "max-attempts": 3})
     await deployment.async_set_document(routes=document["routes"])
     for number in range(count):
         await deployment.async_add_endpoint(f"p-{number}", "plain")
