--- a/packages/http/src/lagoonwing_http/_response_parser.py
+++ b/packages/http/src/lagoonwing_http/_response_parser.py
@@ -21,6 +21,8 @@
 _FOLDED_LINE = re.compile(rb"\n[ \t]")
 _SWITCHING_PROTOCOLS = 101
 _STATUSES_WITHOUT_BODY = (204, 304)
+# Highest status of a class; the parser below takes any three digits from 200 on.
+_LAST_STATUS = 599
 # The parser needs to know of a request only whether its response has a body.
 _REQUEST_BY_METHOD = {
     method: h11.Request(method=method, target="/", headers=[("Host", "endpoint")])
@@ -122,6 +124,8 @@
     def _on_response(self, response: h11.Response) -> None:
         """Handle the head of the response."""
         raw_head = self._take_raw_head()
+        if response.status_code > _LAST_STATUS:
+            raise AnswerBrokenError(f"the status {response.status_code} belongs to no class")
         framing = _FRAMING_HEADER.findall(raw_head)
         if len(framing) > 1 or any(b"," in value for value in framing):
             raise AnswerBrokenError("the length of the answer is ambiguous")
