--- a/packages/gateway/src/lagoonwing_gateway/_handover_codec.py
+++ b/packages/gateway/src/lagoonwing_gateway/_handover_codec.py
@@ -122,6 +122,7 @@
 
     Raises:
         msgspec.MsgspecError: The bytes are no request.
+        HTTPInputError: A header in it can't be one.
     """
     message = _DECODER.decode(content)
     headers = HTTPHeaders()
--- a/packages/gateway/src/lagoonwing_gateway/_handover_server.py
+++ b/packages/gateway/src/lagoonwing_gateway/_handover_server.py
@@ -11,6 +11,7 @@
 from tornado.httputil import (
     HTTPConnection,
     HTTPHeaders,
+    HTTPInputError,
     HTTPMessageDelegate,
     HTTPServerConnectionDelegate,
     RequestStartLine,
@@ -149,7 +150,7 @@
         loop = asyncio.get_running_loop()
         try:
             request, version = decode_handover(content, loop.time())
-        except (msgspec.MsgspecError, ValueError) as error:
+        except (msgspec.MsgspecError, HTTPInputError) as error:
             return f"the request can't be read: {type(error).__name__}"
         reason = self._gateway.reason_to_decline(request, version)
         if reason is None:
