The soak learns gateways that reach no endpoint; its endpoints answer health checks

The lookup of a connection's process moved to the stand-ins. Ruled out: a cut by the endpoints' faults: these hold for all gateways.

--- a/packages/fakes/src/lagoonwing_fakes/platform/__init__.py
+++ b/packages/fakes/src/lagoonwing_fakes/platform/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from lagoonwing_fakes.platform._connection_owner import connection_owner
 from lagoonwing_fakes.platform._crashing_prompts import Arrival, CrashingPrompts
 from lagoonwing_fakes.platform._documents import make_document
 from lagoonwing_fakes.platform._endpoint import Endpoint, WorkHandler, start_endpoint
@@ -19,6 +20,7 @@
     "Processes",
     "SystemProcess",
     "WorkHandler",
+    "connection_owner",
     "heartbeat_path",
     "make_caller_headers",
     "make_document",
--- a/soak/const.py
+++ b/soak/const.py
@@ -24,3 +24,5 @@
 MAX_PAUSE_S = 1.6
 # Less than the timeout of the routes, at which a gateway may abort a response.
 ANSWER_TIMEOUT_S = 2.9
+# Longest time for which a gateway reaches no endpoint.
+MAX_CUT_S = 6.0
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -27,6 +27,7 @@
 from soak.const import EVENT_PAUSE_S, EVENTS, MAX_RESTART_S, MIN_RESTART_S
 from soak.crashing_part import CRASHING_PART, HEADER_PROMPT_PARTS, CrashingPartRecord
 from soak.faulty_connections import FaultyConnection, ReceivedRequest
+from soak.gateway_cuts import GatewayCuts
 from soak.second_answers import AnswerRecords, SecondAnswers
 
 
@@ -45,6 +46,7 @@
 
 PAUSES = (LinkFault.PROCESS_PAUSE, LinkFault.HOST_PAUSE)
 _BACKLOG = 100
+HEALTH_PATH = "/healthz"
 
 
 @dataclass
@@ -74,6 +76,7 @@
         request_limit: Requests per second that it names as its limit, if any.
         answers_twice: Whether it repeats some answers later; not for streams.
         make_faulty_connection: Returns what answers calls on a new connection, if set.
+        cuts: Cuts of gateways from all endpoints, if any come.
     """
 
     def __init__(
@@ -86,6 +89,7 @@
         self.fault = LinkFault.NONE
         self.request_limit: float | None = None
         self.answers_twice = False
+        self.cuts: GatewayCuts | None = None
         self.make_faulty_connection: Callable[[asyncio.StreamWriter], FaultyConnection] | None
         self.make_faulty_connection = None
         self.is_engine = service == "engines"
@@ -221,9 +225,12 @@
     ) -> None:
         """Serve one connection."""
         self._writers.add(writer)
+        owner = 0 if self.cuts is None else self.cuts.owner(writer)
         second_answers = SecondAnswers(self._rng, writer)
         faulty = self.make_faulty_connection and self.make_faulty_connection(writer)
         try:
+            if self.cuts is not None:
+                self.cuts.refuse_if_cut(owner)
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
                 lines = head.split("\r\n")
@@ -231,22 +238,33 @@
                 headers = {name.lower(): value for name, value in headers.items()}
                 body = await reader.readexactly(int(headers.get("content-length", "0")))
                 await self._is_running.wait()
+                if self.cuts is not None:
+                    await self.cuts.async_pass(owner)
                 if faulty is not None and HEADER_ATTEMPT_ID.lower() in headers:
                     await self._async_respond_faultily(lines[0], headers, body, faulty)
                     continue
                 if self.answers_twice and HEADER_ATTEMPT_ID.lower() in headers:
                     await self._async_respond_twice(headers, second_answers)
                     continue
-                await self._async_respond(lines[0].split()[1], headers, body, writer)
+                await self._async_respond(lines[0].split()[1], headers, body, writer, owner)
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             writer.transport.abort()
         finally:
             self._writers.discard(writer)
 
     async def _async_respond(
-        self, path: str, headers: dict[str, str], body: bytes, writer: asyncio.StreamWriter
+        self,
+        path: str,
+        headers: dict[str, str],
+        body: bytes,
+        writer: asyncio.StreamWriter,
+        owner: int,
     ) -> None:
         """Respond to one request."""
+        if path == HEALTH_PATH:
+            await self._async_apply_fault(writer)
+            _write(writer, 200, {}, b"")
+            return
         if path == PATH_REPORT:
             _write(writer, 200, {}, b'{"sequence":%d,"busy":false}' % self._orders)
             return
@@ -275,7 +293,7 @@
             writer.transport.abort()
             return
         if self.is_engine:
-            await self._async_stream(headers, echo, writer)
+            await self._async_stream(headers, echo, writer, owner)
         else:
             _write(writer, 200, echo, f"done {attempt_id}".encode())
             await writer.drain()
@@ -323,7 +341,11 @@
                 pass
 
     async def _async_stream(
-        self, headers: dict[str, str], echo: dict[str, str], writer: asyncio.StreamWriter
+        self,
+        headers: dict[str, str],
+        echo: dict[str, str],
+        writer: asyncio.StreamWriter,
+        owner: int,
     ) -> None:
         """Stream the events that follow the last event id received by the caller."""
         head = {**echo, "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}
@@ -341,6 +363,8 @@
             await writer.drain()
             await asyncio.sleep(EVENT_PAUSE_S)
             await self._is_running.wait()
+            if self.cuts is not None:
+                await self.cuts.async_pass(owner)
             if self.fault is LinkFault.RESET:
                 writer.transport.abort()
                 raise ConnectionError
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,8 +7,9 @@
 import signal
 
 from lagoonwing_fakes.platform import SystemProcess
-from soak.const import MAX_PAUSE_S, MIN_PAUSE_S
+from soak.const import MAX_CUT_S, MAX_PAUSE_S, MIN_PAUSE_S
 from soak.endpoints import PAUSES, LinkFault, SoakEndpoint
+from soak.gateway_cuts import GatewayCut
 from soak.models import SoakContext
 from soak.proxy import Proxy, ProxyFault
 
@@ -109,6 +110,21 @@
                 endpoint.set_fault(LinkFault.NONE)
             await asyncio.sleep(self._context.rng.uniform(0.2, 1.0))
 
+    async def async_cut_gateways(self) -> None:
+        """Cut gateways off from all endpoints, one or all, for some seconds, repeatedly."""
+        context = self._context
+        assert context.cuts is not None
+        while True:
+            await asyncio.sleep(context.rng.uniform(0.3, 2.0))
+            gateways = context.processes.gateways
+            kind = context.rng.choice(list(GatewayCut))
+            for process in context.rng.sample(gateways, context.rng.choice((1, 1, len(gateways)))):
+                if process.popen is not None:
+                    context.outcome.record_fault(f"cut off ({kind.value}) {process.name}")
+                    context.cuts.cut(process.popen.pid, kind)
+            await asyncio.sleep(context.rng.uniform(0.5, MAX_CUT_S))
+            context.cuts.heal()
+
     async def _async_fault_link(self, proxy: Proxy) -> None:
         """Inject a fault into the peer links of a replica for a random time."""
         fault = self._context.rng.choice(
@@ -132,6 +148,8 @@
 
     def clear_all(self) -> None:
         """Clear all faults and resume suspended processes."""
+        if self._context.cuts is not None:
+            self._context.cuts.heal()
         for endpoint in self._context.endpoints:
             endpoint.set_fault(LinkFault.NONE)
         for proxy in self._context.proxies:
--- a/soak/models.py
+++ b/soak/models.py
@@ -10,11 +10,12 @@
 
 from lagoonwing_fakes.platform import Processes
 from soak.endpoints import RequestRecord, SoakEndpoint
+from soak.gateway_cuts import GatewayCuts
 from soak.proxy import Proxy
 
 
 class Scenario(Enum):
-    """What happens after recovery from the random faults."""
+    """What happens after recovery from the random faults; CUT_GATEWAYS: beside them."""
 
     NONE = "none"
     PAUSES = "pauses"
@@ -22,6 +23,7 @@
     LIMITS = "limits"
     SECOND_ANSWERS = "second_answers"
     FAULTY_ANSWERS = "faulty_answers"
+    CUT_GATEWAYS = "cut_gateways"
 
 
 @dataclass
@@ -56,6 +58,7 @@
         drained_at_by_id: Time at which the drain of an endpoint was accepted.
         accepted_version: Highest accepted version of the document.
         has_recovered: Whether all faults are cleared and the recovery time has passed.
+        cuts: Cuts of gateways from all endpoints, if any come.
         sends_crashing_part: Whether callers also send requests that crash engines.
     """
 
@@ -69,3 +72,4 @@
     accepted_version: int = 0
     has_recovered: bool = False
     sends_crashing_part: bool = False
+    cuts: GatewayCuts | None = None
--- a/soak/run.py
+++ b/soak/run.py
@@ -28,6 +28,7 @@
 from soak.faults import Faults
 from soak.faulty_answers import DEFAULT_ANSWER_FAULTS, AnswerFault
 from soak.faulty_callers import FAULTY_ENDPOINTS, FAULTY_ENGINES, FaultyAnswersPlay
+from soak.gateway_cuts import GatewayCuts
 from soak.kept_callers import KEPT_CALLERS, KeptCaller
 from soak.models import Outcome, Scenario, SoakContext
 from soak.named_limits import LIMIT, LIMITS_S, limit_violations
@@ -59,6 +60,8 @@
             Proxy(item.address, item.listen_address, PEER_PORT, rng)
             for item in processes.registries
         ]
+        if scenario is Scenario.CUT_GATEWAYS:
+            self.context.cuts = GatewayCuts(processes)
         self._callers = Callers(self.context)
         self.operators = Operators(self.context)
         self._faults = Faults(self.context)
@@ -80,6 +83,8 @@
                 loop.create_task(self._faults.async_supervise()),
             ]
             faults = [loop.create_task(self._faults.async_inject()) for _ in range(2)]
+            if self.context.cuts is not None:
+                faults.append(loop.create_task(self._faults.async_cut_gateways()))
             await asyncio.sleep(self._seconds)
             for task in faults:
                 task.cancel()
@@ -110,6 +115,7 @@
         for number in range(plain + engines):
             service = "plain" if number < plain else "engines"
             endpoint = SoakEndpoint(f"e-{number}", service, context.requests, context.rng)
+            endpoint.cuts = context.cuts
             await endpoint.async_setup()
             context.endpoints.append(endpoint)
         for proxy in context.proxies:
--- a/tests/platform/cut_links.py
+++ b/tests/platform/cut_links.py
@@ -7,8 +7,7 @@
 from collections.abc import Callable
 from enum import Enum
 
-from connection_owner import connection_owner
-
+from lagoonwing_fakes.platform import connection_owner
 from lagoonwing_fakes.platform.const import ADDRESS
 
 _CHUNK_BYTES = 64 * 1024
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -17,6 +17,7 @@
 PAUSE_SEEDS = (1, 2)
 LIMIT_SEEDS = (1, 2)
 SECOND_ANSWER_SEEDS = (11,)
+CUT_SEEDS = (1, 2)
 FAULTY_ANSWERS_S = 10.0
 # An odd seed stops no gateway, an even one does.
 FAULTY_ANSWER_SEEDS = (1, 2)
@@ -37,6 +38,13 @@
     assert outcome.violations == [], outcome.faults
 
 
+@pytest.mark.parametrize("seed", CUT_SEEDS)
+def test_gateways_without_endpoints_break_no_guarantee(seed: int, tmp_path: Path) -> None:
+    """Gateways are cut off from all endpoints while they, others and registries are killed."""
+    outcome = asyncio.run(SoakRun(seed, SECONDS, tmp_path, Scenario.CUT_GATEWAYS).async_run())
+    assert outcome.violations == [], outcome.faults
+
+
 def test_prompt_part_that_crashes_engines_is_kept_from_them(tmp_path: Path) -> None:
     """Engines get few requests with a part that crashed five, and streams without it are served."""
     outcome = asyncio.run(SoakRun(1, SECONDS, tmp_path, Scenario.CRASHING_PART).async_run())
