A probe that ends in an error does not end the watch over reach

What callers would see: a gateway that hands requests over for ever, since the loop that looks for the end of a cut had died; found by reading the change. Cause: the result of a probe was taken without asking whether it ended in an error (a health path that can't be sent). Change: such a probe has found nothing; unreachable services are rechecked at the same time. What endpoints say of themselves is looked up only for those that have said anything. Evidence: test_probes_that_end_in_an_error_end_with_the_error failed on the parent and passes.

--- a/packages/gateway/src/lagoonwing_gateway/_endpoint_notices.py
+++ b/packages/gateway/src/lagoonwing_gateway/_endpoint_notices.py
@@ -78,7 +78,7 @@
 
     def may_send(self, endpoint_id: EndpointId) -> bool:
         """Return whether an endpoint may get a request now, as far as it says itself."""
-        return self.ready_in_s(endpoint_id) <= 0.0
+        return endpoint_id not in self._notice_by_id or self.ready_in_s(endpoint_id) <= 0.0
 
     def ready_in_s(self, endpoint_id: EndpointId) -> float:
         """Return the time until an endpoint takes requests; infinite if it leaves."""
--- a/packages/gateway/src/lagoonwing_gateway/_reach.py
+++ b/packages/gateway/src/lagoonwing_gateway/_reach.py
@@ -109,8 +109,8 @@
             await asyncio.sleep(REACH_PROBE_INTERVAL_S)
             for service_id in self._answer_times.silent_services(SERVICE_SILENCE_S):
                 self._examine_soon(service_id, None)
-            for service_id in list(self._cut_by_service):
-                await self._async_recheck(service_id)
+            rechecks = (self._async_recheck(service_id) for service_id in self._cut_by_service)
+            await asyncio.gather(*rechecks)
 
     async def async_unload(self) -> None:
         """Cancel running examinations."""
@@ -272,8 +272,13 @@
         done, pending = await asyncio.wait(
             pending, timeout=left_s, return_when=asyncio.FIRST_COMPLETED
         )
-        if any(probe.result() for probe in done):
+        if any(map(_has_succeeded, done)):
             return True
         if not done:
             return False
     return False
+
+
+def _has_succeeded(probe: asyncio.Task[bool]) -> bool:
+    """Return whether a probe found its endpoint; one that could not be sent did not."""
+    return not probe.cancelled() and probe.exception() is None and probe.result()
--- a/tests/gateway/test_reach.py
+++ b/tests/gateway/test_reach.py
@@ -35,6 +35,7 @@
     Attributes:
         answering: Endpoints that answer this gateway.
         is_refused: Whether the others refuse connections; otherwise they are silent.
+        is_broken: Whether probes end in an error.
     """
 
     def __init__(self, count: int = 8) -> None:
@@ -52,6 +53,7 @@
         self.follower.on_change()
         self.answering = set(self.follower.endpoint_by_id)
         self.is_refused = True
+        self.is_broken = False
         self.probes = 0
         self.answer_times = AnswerTimes(self.clock)
         self.reach = ReachMonitor(
@@ -107,6 +109,8 @@
     async def _async_probe(self, record: EndpointRecord) -> bool:
         """Probe an endpoint."""
         self.probes += 1
+        if self.is_broken:
+            raise ValueError("a line of the request has a line break")
         if record.endpoint_id in self.answering:
             return True
         if not self.is_refused:
@@ -234,3 +238,15 @@
             gateway.fail(gateway.ids(CUT)[number % 2 : number % 2 + 1])
             await asyncio.sleep(0.1)
         assert gateway.reach.is_unreachable(CUT)
+
+
+@pytest.mark.looptime
+async def test_probes_that_end_in_an_error_end_with_the_error() -> None:
+    """A health path that can't be sent makes no service unreachable for ever."""
+    async with _Gateway() as gateway:
+        gateway.is_broken = True
+        gateway.fail(gateway.ids(CUT)[:1])
+        await gateway.async_until(lambda: gateway.reach.is_unreachable(CUT))
+        await asyncio.sleep(1.0)
+        gateway.is_broken = False
+        assert await gateway.async_until(lambda: not gateway.reach.is_unreachable(CUT)) <= AIM_S
