Tests: streams go on when the cut begins, and when the peer that serves them is killed

Change: two tests in tests/platform/test_handover_failures.py; streams of that play may pause between events, and its endpoints no longer run a request again whose connection has closed. Ruled out: three runs of one stream were the stand-in's (a closed connection made it answer again); the log of one such request shows two sends.

--- a/tests/platform/cut_gateways.py
+++ b/tests/platform/cut_gateways.py
@@ -14,6 +14,7 @@
 from cut_links import CutLinks, CutMode
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 from tornado.iostream import StreamClosedError
+from tornado.web import Finish
 
 from lagoonwing_core.tasks import TaskSet
 from lagoonwing_fakes.platform import (
@@ -29,7 +30,12 @@
     start_endpoint,
 )
 from lagoonwing_fakes.platform.const import ANNOUNCE_INTERVAL_S, CALLER_PORT, CONTROL_PORT, EVENTS
-from lagoonwing_platform.const import HEADER_SIGNATURE, PATH_PUT_DOCUMENT
+from lagoonwing_platform.const import (
+    HEADER_LAST_EVENT,
+    HEADER_SIGNATURE,
+    HEADER_TOKENS,
+    PATH_PUT_DOCUMENT,
+)
 
 GATEWAYS = 4
 REGISTRIES = 3
@@ -71,6 +77,7 @@
     tasks: TaskSet = field(default_factory=lambda: TaskSet("cut_play"))
     numbers: itertools.count[int] = field(default_factory=itertools.count)
     port_by_endpoint: dict[str, int] = field(default_factory=dict)
+    event_pause_s: float = 0.0
 
     def cut(self, gateway: SystemProcess, mode: CutMode) -> None:
         """Cut a gateway off from all endpoints."""
@@ -135,7 +142,7 @@
     async def async_start(self) -> None:
         """Open the links, and wait until all gateways serve."""
         for endpoint in self.endpoints:
-            endpoint.handler_override = _async_work
+            endpoint.handler_override = self._async_work
             self.port_by_endpoint[endpoint.endpoint_id] = await self.links.async_open(endpoint.port)
         self.tasks.spawn(self._async_announce())
         async with asyncio.timeout(START_TIMEOUT_S):
@@ -145,6 +152,31 @@
                 while not await self._async_serves(gateway):  # noqa: ASYNC110
                     await asyncio.sleep(0.1)
 
+    async def _async_work(self, handler: WorkHandler) -> None:
+        """Work for a while, and answer whoever still waits."""
+        await asyncio.sleep(WORK_S)
+        try:
+            if self.event_pause_s and HEADER_TOKENS in handler.request.headers:
+                await self._async_send_events(handler)
+            else:
+                await handler.send_response()
+        except StreamClosedError as error:
+            # The handler would run the request once more for nobody.
+            raise Finish from error
+
+    async def _async_send_events(self, handler: WorkHandler) -> None:
+        """Send the events after the last one that the caller has, with pauses."""
+        endpoint = handler.endpoint
+        endpoint.executed_ids.append(handler.attempt_id)
+        handler.set_header(HEADER_SIGNATURE, f"stamp-{endpoint.endpoint_id}")
+        handler.set_header("Content-Type", "text/event-stream")
+        first = int(handler.request.headers.get(HEADER_LAST_EVENT, "0")) + 1
+        for number in range(first, EVENTS + 1):
+            handler.write(f"id: {number}\ndata: token {number}\n\n")
+            await handler.flush()
+            await asyncio.sleep(self.event_pause_s)
+        handler.finish()
+
     async def _async_configure(self) -> bool:
         """Send the document; return whether it was accepted."""
         return await self._async_control(PATH_PUT_DOCUMENT, _document()) == 200
@@ -213,19 +245,12 @@
             endpoint.crash()
 
 
-async def _async_work(handler: WorkHandler) -> None:
-    """Work for a while, and answer whoever still waits."""
-    await asyncio.sleep(WORK_S)
-    with suppress(StreamClosedError):
-        await handler.send_response()
-
-
 def _document() -> bytes:
     """Return a document with a service for calls and one for streams, both without layers."""
     document = json.loads(make_document())
     for route in document["routes"]:
         if route["kind"] == "stream":
-            route["service"] = "streams"
+            route.update({"service": "streams", "max-attempts": 4})
     plain = next(item for item in document["services"] if item["name"] == "plain")
     document["services"] = [
         {**plain, "max-connections": 1_000},
--- a/tests/platform/test_handover_failures.py
+++ b/tests/platform/test_handover_failures.py
@@ -58,6 +58,36 @@
         assert [item for item in refused if runs[item.attempt_id]] == []
 
 
+async def test_stream_goes_on_when_its_peer_is_killed(tmp_path: Path) -> None:
+    """The caller gets each event once and in order, from two peers."""
+    async with async_run_play(tmp_path, NETWORK + 5) as play:
+        play.event_pause_s = 0.15
+        cut_off, killed, *_ = play.processes.gateways
+        play.cut(cut_off, CutMode.RESET)
+        for kind in KINDS:
+            await play.async_call(cut_off, kind)
+        play.sent.clear()
+        await asyncio.sleep(1.0)
+        streams = [asyncio.ensure_future(play.async_call(cut_off, "stream")) for _ in range(24)]
+        await asyncio.sleep(0.4)
+        killed.signal(signal.SIGKILL)
+        await asyncio.gather(*streams)
+        assert [item for item in play.sent if not item.is_whole] == []
+        assert max(play.runs()[item.attempt_id] for item in play.sent) == 2
+
+
+async def test_stream_that_runs_when_the_cut_begins_goes_on(tmp_path: Path) -> None:
+    """The rest of it comes through a peer, under the first endpoint's head."""
+    async with async_run_play(tmp_path, NETWORK + 6) as play:
+        play.event_pause_s = 0.15
+        cut_off = play.processes.gateways[0]
+        streams = [asyncio.ensure_future(play.async_call(cut_off, "stream")) for _ in range(12)]
+        await asyncio.sleep(0.4)
+        play.cut(cut_off, CutMode.RESET)
+        await asyncio.gather(*streams)
+        assert [item for item in play.sent if not item.is_whole] == []
+
+
 async def test_gateway_without_endpoints_and_registries_is_served_by_its_peers(
     tmp_path: Path,
 ) -> None:
