The gateway's requests are resolved and its loads reported in modules of their own

Measured: tests/gateway, tests/docs and four files of tests/platform pass. Ruled out: splitting the constructor, which only wires.

--- a/packages/gateway/src/lagoonwing_gateway/_gateway.py
+++ b/packages/gateway/src/lagoonwing_gateway/_gateway.py
@@ -6,18 +6,16 @@
 import contextlib
 import math
 import random
-from collections import defaultdict
 from collections.abc import Callable
 
 from aioprometheus.collectors import Registry
 
-from lagoonwing_admission import FirstAttempts
-from lagoonwing_catalog.messages import LoadReport, ServicePressure
-from lagoonwing_catalog.models import EndpointRecord, RequestKind, Route, Service
+from lagoonwing_catalog.messages import LoadReport
+from lagoonwing_catalog.models import EndpointRecord, RequestKind
 from lagoonwing_core.callback import callback
 from lagoonwing_core.clock import Clock
 from lagoonwing_core.events import EventCode, log_event
-from lagoonwing_core.ids import EndpointId, RouteId, ServiceId
+from lagoonwing_core.ids import EndpointId, ServiceId
 from lagoonwing_core.result_codes import ResultCode
 from lagoonwing_core.tasks import TaskSet
 from lagoonwing_gateway._admission_queue import AdmissionQueue
@@ -36,6 +34,7 @@
 from lagoonwing_gateway._handover_relay import HandoverRelay
 from lagoonwing_gateway._limit_reporter import LimitReporter
 from lagoonwing_gateway._limit_tracker import LimitTracker
+from lagoonwing_gateway._load_reporter import LoadReporter
 from lagoonwing_gateway._load_tracker import LoadTracker
 from lagoonwing_gateway._pace_tracker import PaceTracker
 from lagoonwing_gateway._peer_table import PeerTable
@@ -45,10 +44,10 @@
     not_run_refusal,
     permanent_refusal,
     quarantine_refusal,
-    startup_refusal,
     unknown_outcome_refusal,
 )
 from lagoonwing_gateway._request_log import log_refusal
+from lagoonwing_gateway._request_resolver import RequestResolver
 from lagoonwing_gateway._retry_budget import RetryBudget
 from lagoonwing_gateway._slowdown import SlowdownTracker
 from lagoonwing_gateway._started_work import StartedWork
@@ -213,8 +212,15 @@
             clock=clock,
             rng=rng,
         )
-        self._first_attempts_by_route: defaultdict[RouteId, FirstAttempts] = defaultdict(
-            FirstAttempts
+        self._resolver = RequestResolver(self.follower, clock, rng)
+        self._load_reporter = LoadReporter(
+            self._load_tracker,
+            self._unreported_work,
+            self._started_work,
+            self._admission_queue,
+            self._pace_tracker,
+            self._directory,
+            self._reach,
         )
         self._call_handler = CallHandler(components)
         self._stream_handler = StreamHandler(components)
@@ -399,7 +405,7 @@
         route_id = None
         try:
             await self._async_wait_for_routes(request)
-            context_or_refusal = self._resolve(request)
+            context_or_refusal = self._resolver.resolve(request)
             if isinstance(context_or_refusal, RequestContext):
                 route_id = context_or_refusal.route.route_id
             refusal = await self._async_serve_or_refuse(context_or_refusal, responder)
@@ -439,43 +445,13 @@
             case RequestContext():
                 return await self._async_dispatch(context_or_refusal, responder)
 
-    def _resolve(self, request: CallerRequest) -> RequestContext | GatewayRefusal:
-        """Return the route and member of a request, or its refusal."""
-        routes = self.follower.routes
-        if routes is None:
-            return startup_refusal(self._clock.now() - self._started_at, self._rng)
-        route = routes.match(request.host, request.path)
-        if route is None:
-            return permanent_refusal(
-                ResultCode.NOT_FOUND, f"no route for {request.host}{request.path}"
-            )
-        member = None
-        if not route.is_public and routes.requires_keys:
-            member = routes.member_by_key(request.key) if request.key is not None else None
-            if member is None:
-                return permanent_refusal(ResultCode.BAD_KEY, "the key is not known")
-        if request.attempt_id is None:
-            return permanent_refusal(ResultCode.MALFORMED_REQUEST, "the request has no id")
-        budget_s = route.timeout_s
-        if request.budget_s is not None:
-            budget_s = min(budget_s, request.budget_s)
-        first_attempt_at = request.received_at
-        if request.handed_over is not None:
-            first_attempt_at -= request.handed_over.first_attempt_age_s
-        elif request.budget_s is not None:
-            first_attempts = self._first_attempts_by_route[route.route_id]
-            first_attempt_at = first_attempts.first_attempt(request.budget_s, first_attempt_at)
-        return RequestContext(
-            request, route, member, request.received_at + budget_s, first_attempt_at
-        )
-
     async def _async_dispatch(
         self, context: RequestContext, responder: Responder
     ) -> GatewayRefusal | None:
         """Dispatch a request to the handler for its kind."""
         if self._crash_tracker.is_quarantined(context):
             return quarantine_refusal()
-        service = self._service(context.route)
+        service = self._resolver.service(context.route)
         if service is None:
             return permanent_refusal(ResultCode.UNKNOWN_SERVICE, "the route's service is not known")
         match context.route.kind:
@@ -484,43 +460,10 @@
             case _:
                 return await self._call_handler.async_serve(context, service, responder)
 
-    def _service(self, route: Route) -> Service | None:
-        """Return a service of a route, selected randomly by weight."""
-        routes = self.follower.routes
-        assert routes is not None
-        splits = [split for split in route.splits if split.weight > 0]
-        if len(splits) == 1:
-            return routes.service_by_id.get(splits[0].service_id)
-        selected = self._rng.choices(splits, [split.weight for split in splits])[0]
-        return routes.service_by_id.get(selected.service_id)
-
     @callback
     def _load_report(self) -> LoadReport:
         """Return the load report of this gateway."""
-        own_by_id = self._load_tracker.local_loads()
-        self._unreported_work.record_report(own_by_id)
-        unreachable = self._reach.unreachable_services()
-        return LoadReport(
-            # Requests that hang here take no place at their endpoints.
-            self._directory.without_services(own_by_id, unreachable) if unreachable else own_by_id,
-            self._directory.reported_suspects(self._reach.doubtful_services()),
-            pressure_by_service=self._pressure_by_service(),
-            slowdown_by_id=self._pace_tracker.report(),
-            transfers=self._started_work.transfers(),
-            unreachable_services=unreachable,
-            is_draining=self.is_draining,
-        )
-
-    def _pressure_by_service(self) -> dict[ServiceId, ServicePressure]:
-        """Return the demand at this gateway: what it has started lately and what waits."""
-        started_by_service = self._started_work.cost_per_s()
-        waiting_by_service = self._admission_queue.waiting_cost_by_service()
-        return {
-            service_id: ServicePressure(
-                started_by_service.get(service_id, 0.0), waiting_by_service.get(service_id, {})
-            )
-            for service_id in started_by_service.keys() | waiting_by_service.keys()
-        }
+        return self._load_reporter.report(is_draining=self.is_draining)
 
     @callback
     def _on_endpoint_declines(self, endpoint: EndpointRecord) -> None:
