Soak: a request that a cut holds up is not one that was routed late

Trace: gateway-0 was cut off (hang) at 3178.94 and killed at 3179.73, e-0 drained at 3180.55; both requests were theirs and arrived when the cut ended, in the stand-in, which had read them before. The users' rules don't count what a cut link held up. Change: such a request isn't recorded as reaching its endpoint; its run still is. Ruled out: a late choice by a gateway: the one that sent them had been dead for 0.8 s.

--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -66,6 +66,19 @@
     answers: AnswerRecords = field(default_factory=AnswerRecords)
 
 
+@dataclass
+class _Link:
+    """A connection, as seen by cuts.
+
+    Attributes:
+        owner: Process id of the gateway at the other end; 0 if it is none.
+        is_held_up: Whether the last request on it was held up by a cut.
+    """
+
+    owner: int
+    is_held_up: bool = False
+
+
 class SoakEndpoint:
     """One simulated endpoint; the soak test sets its fault.
 
@@ -225,12 +238,12 @@
     ) -> None:
         """Serve one connection."""
         self._writers.add(writer)
-        owner = 0 if self.cuts is None else self.cuts.owner(writer)
+        link = _Link(0 if self.cuts is None else self.cuts.owner(writer))
         second_answers = SecondAnswers(self._rng, writer)
         faulty = self.make_faulty_connection and self.make_faulty_connection(writer)
         try:
             if self.cuts is not None:
-                self.cuts.refuse_if_cut(owner)
+                self.cuts.refuse_if_cut(link.owner)
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
                 lines = head.split("\r\n")
@@ -239,14 +252,14 @@
                 body = await reader.readexactly(int(headers.get("content-length", "0")))
                 await self._is_running.wait()
                 if self.cuts is not None:
-                    await self.cuts.async_pass(owner)
+                    link.is_held_up = await self.cuts.async_pass(link.owner)
                 if faulty is not None and HEADER_ATTEMPT_ID.lower() in headers:
                     await self._async_respond_faultily(lines[0], headers, body, faulty)
                     continue
                 if self.answers_twice and HEADER_ATTEMPT_ID.lower() in headers:
                     await self._async_respond_twice(headers, second_answers)
                     continue
-                await self._async_respond(lines[0].split()[1], headers, body, writer, owner)
+                await self._async_respond(lines[0].split()[1], headers, body, writer, link)
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             writer.transport.abort()
         finally:
@@ -258,7 +271,7 @@
         headers: dict[str, str],
         body: bytes,
         writer: asyncio.StreamWriter,
-        owner: int,
+        link: _Link,
     ) -> None:
         """Respond to one request."""
         if path == HEALTH_PATH:
@@ -275,9 +288,11 @@
         echo = {HEADER_ATTEMPT_ID: attempt_id}
         if self.request_limit is not None:
             echo[HEADER_LIMIT] = f"{self.request_limit:g}"
-        self._requests.reached.append(
-            (self.endpoint_id, attempt_id, asyncio.get_running_loop().time())
-        )
+        if not link.is_held_up:
+            # What a cut held up was sent before, whenever it arrives.
+            self._requests.reached.append(
+                (self.endpoint_id, attempt_id, asyncio.get_running_loop().time())
+            )
         if _has_crashing_part(headers):
             self._requests.crashing_part.reached_at.append(asyncio.get_running_loop().time())
         if headers.get(HEADER_EXPECTED_ENDPOINT.lower(), self.endpoint_id) != self.endpoint_id:
@@ -293,7 +308,7 @@
             writer.transport.abort()
             return
         if self.is_engine:
-            await self._async_stream(headers, echo, writer, owner)
+            await self._async_stream(headers, echo, writer, link.owner)
         else:
             _write(writer, 200, echo, f"done {attempt_id}".encode())
             await writer.drain()
--- a/soak/gateway_cuts.py
+++ b/soak/gateway_cuts.py
@@ -56,16 +56,18 @@
         if self._cut_by_process.get(owner) in (GatewayCut.RESET, GatewayCut.NEW_ONLY):
             raise ConnectionError
 
-    async def async_pass(self, owner: int) -> None:
-        """Wait until bytes may pass to or from a gateway.
+    async def async_pass(self, owner: int) -> bool:
+        """Wait until bytes may pass to or from a gateway; return whether they were held up.
 
         Raises:
             ConnectionError: The connection is reset.
         """
+        is_held_up = self._cut_by_process.get(owner) is GatewayCut.HANG
         while (kind := self._cut_by_process.get(owner)) is GatewayCut.HANG:
             await self._changed.wait()
         if kind is GatewayCut.RESET:
             raise ConnectionError
+        return is_held_up
 
     def _notify(self) -> None:
         """Wake what waits for the end of a cut."""
