--- a/packages/core/src/lagoonwing_core/settings/models.py
+++ b/packages/core/src/lagoonwing_core/settings/models.py
@@ -280,7 +280,9 @@
             description="Log lines per second, with a burst of two seconds; drops are counted.",
         ),
     ] = DEFAULT_LOG_LINES_PER_S
-    peer_port: Annotated[Port, Meta(description="Port of the stream server.")] = DEFAULT_PEER_PORT
+    peer_port: Annotated[
+        Port, Meta(description="Port for other processes: of the stream server, or of a gateway.")
+    ] = DEFAULT_PEER_PORT
     peer_listen_address: Annotated[
         IpAddress | None,
         Meta(description="Listen address of the stream server, if `address` is a proxy."),
--- a/packages/gateway/src/lagoonwing_gateway/_handover.py
+++ b/packages/gateway/src/lagoonwing_gateway/_handover.py
@@ -76,17 +76,6 @@
     head: ResponseHead | GatewayRefusal
 
 
-@dataclass(frozen=True, slots=True)
-class NotTaken:
-    """No peer has answered.
-
-    Attributes:
-        is_late: Whether the deadline has passed meanwhile.
-    """
-
-    is_late: bool
-
-
 class Handover:
     """Finds a peer for a request."""
 
@@ -145,8 +134,12 @@
         peer = self._peers.choose(service_id, ())
         return peer is not None and await self._client.async_ask_reach(peer, service_id)
 
-    async def async_ask(self, task: HandoverTask) -> PeerAnswer | NotTaken:
-        """Hand a request over; a peer that can't take it is followed by another one."""
+    async def async_ask(self, task: HandoverTask) -> PeerAnswer | None:
+        """Hand a request over; a peer that can't take it is followed by another one.
+
+        Returns:
+            The answer of the peer that took it, or None if none did, or the deadline is near.
+        """
         while len(task.tried) < MAX_HANDOVER_ATTEMPTS and task.may_be_sent:
             peer = self._peers.choose(task.service_id, task.tried)
             if peer is None or self._left_s(task) < MIN_TIME_TO_SEND_S:
@@ -155,7 +148,7 @@
             answer = await self._async_ask_peer(task, peer)
             if answer is not None:
                 return answer
-        return NotTaken(self._left_s(task) < MIN_TIME_TO_SEND_S)
+        return None
 
     @callback
     def end(self, task: HandoverTask, answer: PeerAnswer, outcome: str, reason: str = "") -> None:
--- a/packages/gateway/src/lagoonwing_gateway/_handover_relay.py
+++ b/packages/gateway/src/lagoonwing_gateway/_handover_relay.py
@@ -4,7 +4,7 @@
 
 from lagoonwing_core.clock import Clock
 from lagoonwing_gateway._disconnect import async_run_until_disconnect
-from lagoonwing_gateway._handover import Handover, HandoverTask, NotTaken, PeerAnswer
+from lagoonwing_gateway._handover import Handover, HandoverTask, PeerAnswer
 from lagoonwing_gateway._stream_call import StreamCall
 from lagoonwing_gateway._stream_relay import StreamRelay
 from lagoonwing_gateway.const import (
@@ -55,7 +55,7 @@
         """Ask peers until one has answered."""
         while True:
             answer = await self._handover.async_ask(task)
-            if isinstance(answer, NotTaken):
+            if answer is None:
                 return _unserved(task)
             if isinstance(answer.head, GatewayRefusal):
                 return self._take_refusal(task, answer, answer.head)
@@ -70,7 +70,7 @@
         progress = call.progress
         while True:
             answer = await self._handover.async_ask(task)
-            if isinstance(answer, NotTaken):
+            if answer is None:
                 return _unserved(task)
             head = answer.head
             if isinstance(head, GatewayRefusal):
