Two routes that no request tells apart are refused; one place decides what selects a route (CONFIG)

Cause: the check compared hosts as written, the lookup lowered them, and the dialect cut the port off the host of a request but not of a route.

Change: `_route_keys.py` of the catalog says what selects a route, and check, lookup and dialect ask it. Hosts are the same without port, white space and ASCII case; a host in brackets keeps its colons; prefixes stay bytes, as they have to begin the path. The trailing dot is told apart by requests, so both spellings may have routes, and each is served by the other's where none of its own matches. The check moved from the platform's decoder to the registry, which refuses with INVALID_CHANGE (400). What an older build has committed is never refused: replicas remember the documents of the log and acknowledge the same bytes again, after a read barrier; without one, there is no clear answer (503). A clash in force goes to the route that older gateways use, with a log line (614).

--- a/packages/catalog/src/lagoonwing_catalog/_state_machine.py
+++ b/packages/catalog/src/lagoonwing_catalog/_state_machine.py
@@ -6,7 +6,12 @@
 
 import msgspec
 
-from lagoonwing_catalog._state import CatalogState, decode_snapshot, encode_snapshot
+from lagoonwing_catalog._state import (
+    CatalogState,
+    StoredDocument,
+    decode_snapshot,
+    encode_snapshot,
+)
 from lagoonwing_catalog.messages import (
     ApplyResult,
     Command,
@@ -31,11 +36,14 @@
     Attributes:
         state: Catalog state; modified by `apply` and `restore` only.
         on_applied: Callback after each change and each restore.
+        on_document: Callback with each committed document, also an overtaken one, and with the
+            active document of a restored snapshot.
     """
 
     def __init__(self, on_applied: Callable[[], None] = lambda: None) -> None:
         self.state = CatalogState()
         self.on_applied = on_applied
+        self.on_document: Callable[[StoredDocument], None] = lambda stored: None
 
     def apply(self, index: LogIndex, command: bytes) -> bytes:
         """Apply a command and return its encoded result."""
@@ -51,12 +59,15 @@
     def restore(self, snapshot: bytes) -> None:
         """Replace the state with a snapshot; an empty one resets it."""
         self.state = decode_snapshot(snapshot) if snapshot else CatalogState()
+        if self.state.stored is not None:
+            self.on_document(self.state.stored)
         self.on_applied()
 
     def _apply(self, command: Command) -> bool:
         """Apply a command and return whether the state changed."""
         match command:
             case PutDocument(stored=stored):
+                self.on_document(stored)
                 return self.state.put_document(stored)
             case PutEndpoint(record=record):
                 return self.state.put_endpoint(record)
--- a/packages/catalog/src/lagoonwing_catalog/_validation.py
+++ b/packages/catalog/src/lagoonwing_catalog/_validation.py
@@ -4,25 +4,53 @@
 
 from collections.abc import Iterator
 
+from lagoonwing_catalog._route_keys import RouteKey, keyed_routes
 from lagoonwing_catalog.errors import ValidationIssue
 from lagoonwing_catalog.models import Document, Route
 from lagoonwing_core.ids import ServiceId
 
+# Longest text of a document that is quoted in a reason.
+_MAX_QUOTED_CHARACTERS = 80
+
 
 def find_validation_issues(document: Document) -> tuple[ValidationIssue, ...]:
     """Return all validation issues of a document."""
-    return (*_route_issues(document), *_service_issues(document), *_key_issues(document))
+    return (
+        *_clash_issues(document),
+        *_route_issues(document),
+        *_service_issues(document),
+        *_key_issues(document),
+    )
+
+
+def _clash_issues(document: Document) -> Iterator[ValidationIssue]:
+    """Yield the issues of routes that no request can tell from an earlier one."""
+    first_by_key: dict[RouteKey, Route] = {}
+    seen: set[tuple[str, str]] = set()
+    for key, route in keyed_routes(document.routes):
+        other = first_by_key.setdefault(key, route)
+        host_and_prefix = (route.host, route.path_prefix)
+        if other is not route:
+            reason = (
+                f"has the host and prefix of {other.route_id}: hosts {_quote(other.host)} and "
+                f"{_quote(route.host)}, prefix {_quote(route.path_prefix)}"
+            )
+            yield ValidationIssue(
+                route.route_id, reason, passes_older_builds=host_and_prefix not in seen
+            )
+        seen.add(host_and_prefix)
+
+
+def _quote(text: str) -> str:
+    """Return a text of a document for a reason, truncated if long."""
+    is_long = len(text) > _MAX_QUOTED_CHARACTERS
+    return repr(text[:_MAX_QUOTED_CHARACTERS]) + ("..." if is_long else "")
 
 
 def _route_issues(document: Document) -> Iterator[ValidationIssue]:
-    """Yield the issues of routes."""
+    """Yield the issues of single routes."""
     service_ids = {service.service_id for service in document.services}
-    route_by_host_and_prefix: dict[tuple[str, str], Route] = {}
     for route in document.routes:
-        host_and_prefix = (route.host, route.path_prefix)
-        other = route_by_host_and_prefix.setdefault(host_and_prefix, route)
-        if other is not route:
-            yield ValidationIssue(route.route_id, f"has the host and prefix of {other.route_id}")
         if route.timeout_s <= 0:
             yield ValidationIssue(route.route_id, "the timeout is not positive")
         if not route.path_prefix.startswith("/") or not route.path_prefix.endswith("/"):
--- a/packages/catalog/src/lagoonwing_catalog/errors.py
+++ b/packages/catalog/src/lagoonwing_catalog/errors.py
@@ -12,7 +12,9 @@
     Attributes:
         subject: Id of the invalid route, service or member.
         reason: Human-readable description.
+        passes_older_builds: Whether older builds accept a document with this issue.
     """
 
     subject: str
     reason: str
+    passes_older_builds: bool = False
--- a/packages/gateway/src/lagoonwing_gateway/_follower.py
+++ b/packages/gateway/src/lagoonwing_gateway/_follower.py
@@ -41,6 +41,7 @@
     FOLLOW_INTERVAL_S,
     INITIAL_GATEWAY_COUNT,
     LOAD_SUMMARY_TTL_S,
+    MAX_LOGGED_ROUTES,
     MAX_SOURCE_AGE_S,
     REPORT_INTERVAL_S,
     SOURCE_TIMEOUT_S,
@@ -244,6 +245,7 @@
             self.endpoint_by_id[record.endpoint_id] = record
         if delta.document is not None:
             self.routes = RouteTable(decompress_document(delta.document))
+            _log_shadowed_routes(self.routes)
             self._routes_available.set()
         self._revision = delta.revision
         log_event(
@@ -339,5 +341,19 @@
             self._crash_receiver = source
 
 
+def _log_shadowed_routes(routes: RouteTable) -> None:
+    """Log the routes of a document, accepted by an older build, that get no requests."""
+    for route, winner in routes.shadowed_routes[:MAX_LOGGED_ROUTES]:
+        log_event(
+            EventCode.ROUTE_SHADOWED,
+            version=routes.version,
+            route=route.route_id,
+            host=route.host,
+            prefix=route.path_prefix,
+            by=winner.route_id,
+            by_host=winner.host,
+        )
+
+
 def _ignore_message(message: CatalogMessage) -> None:
     """Ignore what is said of limits until a handler is set."""
--- a/packages/gateway/src/lagoonwing_gateway/const.py
+++ b/packages/gateway/src/lagoonwing_gateway/const.py
@@ -321,3 +321,5 @@
 # Random part of the time until a gateway returns after a pause, as a share of it and at most.
 RETURN_SPREAD_SHARE = 0.2
 MAX_RETURN_SPREAD_S = 0.5
+# Routes without requests that are logged for one document.
+MAX_LOGGED_ROUTES = 5
--- a/packages/registry/src/lagoonwing_registry/_service.py
+++ b/packages/registry/src/lagoonwing_registry/_service.py
@@ -9,7 +9,14 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from lagoonwing_catalog import CatalogStateMachine, is_unchanged, make_stored_document, supersedes
+from lagoonwing_catalog import (
+    CatalogStateMachine,
+    ValidationIssue,
+    find_validation_issues,
+    is_unchanged,
+    make_stored_document,
+    supersedes,
+)
 from lagoonwing_catalog.const import PROTOCOL
 from lagoonwing_catalog.messages import (
     CATALOG_DECODER,
@@ -41,6 +48,7 @@
 from lagoonwing_core.ids import EndpointId, HostId, Revision, Term
 from lagoonwing_core.result_codes import ResultCode
 from lagoonwing_core.tasks import async_repeat
+from lagoonwing_registry._committed_documents import CommittedDocuments
 from lagoonwing_registry._crash_relay import CrashRelay
 from lagoonwing_registry._known_services import KnownServices
 from lagoonwing_registry._limit_relay import LimitRelay
@@ -52,6 +60,7 @@
 from lagoonwing_registry._subscribers import Subscribers
 from lagoonwing_registry.const import (
     LIVENESS_INTERVAL_S,
+    MAX_NAMED_ISSUES,
     MAX_SUBSCRIBE_AGE_S,
     PUSH_INTERVAL_S,
     READ_POLL_INTERVAL_S,
@@ -86,6 +95,7 @@
         self._proposer = Proposer(log, self._peers)
         self._liveness = Liveness(settings.announce_interval_s)
         self._known_services = KnownServices(state_machine)
+        self._committed_documents = CommittedDocuments()
         self._subscribers = Subscribers(
             state_machine, log.staleness_s, self._peers.replicas, self._clock
         )
@@ -106,6 +116,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._push_scheduled = False
         state_machine.on_applied = self._schedule_push
+        state_machine.on_document = self._committed_documents.record
         log.on_leadership_change = self._on_leadership
         server.register(PROTOCOL, self._handlers())
 
@@ -180,7 +191,13 @@
     async def async_put_document(
         self, document: Document, source: bytes
     ) -> Result[ApplyResult, Refusal]:
-        """Activate a valid document if its version is the highest."""
+        """Activate a document if it is valid and its version is the highest.
+
+        A refusal with the code `INVALID_CHANGE` means that it is invalid.
+        """
+        issues = find_validation_issues(document)
+        if issues:
+            return await self._async_answer_invalid(document, source, issues)
         command = PutDocument(make_stored_document(document, source))
         result = await self._proposer.async_submit(command)
         match result:
@@ -198,6 +215,32 @@
                 )
         return result
 
+    async def _async_answer_invalid(
+        self, document: Document, source: bytes, issues: tuple[ValidationIssue, ...]
+    ) -> Result[ApplyResult, Refusal]:
+        """Refuse an invalid document, unless an older build has accepted it."""
+        reason = "; ".join(
+            f"{issue.subject}: {issue.reason}" for issue in issues[:MAX_NAMED_ISSUES]
+        )
+        refusal = Refusal(ResultCode.INVALID_CHANGE, reason)
+        if all(issue.passes_older_builds for issue in issues):
+            barrier = await self._async_read_barrier()
+            if self._committed_documents.holds(document.version, source):
+                revision = self.state_machine.state.revision
+                log_event(
+                    EventCode.DOCUMENT_ACCEPTED,
+                    version=document.version,
+                    revision=revision,
+                    changed=False,
+                    routes=len(document.routes),
+                    invalid_now=reason,
+                )
+                return Ok(ApplyResult(revision, False))
+            if barrier.is_error():
+                refusal = barrier.error
+        log_event(EventCode.DOCUMENT_REFUSED, version=document.version, reason=refusal.detail)
+        return Error(refusal)
+
     async def async_read_document(self) -> Result[bytes | None, Refusal]:
         """Return the original bytes of the newest document, if any.
 
--- a/packages/registry/src/lagoonwing_registry/const.py
+++ b/packages/registry/src/lagoonwing_registry/const.py
@@ -45,3 +45,7 @@
 PEERS_PER_GATEWAY = 8
 # Interval at which the gateways of a replica are repeated to the others without a change.
 GATEWAYS_REFRESH_INTERVAL_S = 2.0
+# Committed documents that a replica remembers.
+MAX_COMMITTED_DOCUMENTS = 256
+# Issues of an invalid document that a refusal names.
+MAX_NAMED_ISSUES = 5
