--- a/packages/catalog/src/lagoonwing_catalog/__init__.py
+++ b/packages/catalog/src/lagoonwing_catalog/__init__.py
@@ -5,6 +5,7 @@
 from lagoonwing_catalog._crash_ledger import CrashLedger, crash_id_of, domain_digest
 from lagoonwing_catalog._endpoints import is_unchanged, may_hold_address, supersedes
 from lagoonwing_catalog._limit_ledger import LimitLedger
+from lagoonwing_catalog._member_keys import canonical_key
 from lagoonwing_catalog._route_keys import canonical_host
 from lagoonwing_catalog._routes import RouteTable
 from lagoonwing_catalog._state import (
@@ -26,6 +27,7 @@
     "StoredDocument",
     "ValidationIssue",
     "canonical_host",
+    "canonical_key",
     "crash_id_of",
     "decompress_document",
     "domain_digest",
--- a/packages/catalog/src/lagoonwing_catalog/_routes.py
+++ b/packages/catalog/src/lagoonwing_catalog/_routes.py
@@ -4,6 +4,7 @@
 
 from collections import defaultdict
 
+from lagoonwing_catalog._member_keys import canonical_key, index_members
 from lagoonwing_catalog._route_keys import (
     HostName,
     RouteKey,
@@ -36,9 +37,7 @@
         self.shadowed_routes: list[tuple[Route, Route]] = []
         for key, route in keyed_routes(document.routes):
             self._add_route(key, route)
-        self._member_by_key: dict[str, MemberKeys] = {
-            key: member for member in document.members or () for key in member.keys
-        }
+        self._member_by_key = index_members(document.members or ())
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix, if any.
@@ -53,7 +52,7 @@
 
     def member_by_key(self, key: str) -> MemberKeys | None:
         """Return the member with the given key, if any."""
-        return self._member_by_key.get(key)
+        return self._member_by_key.get(canonical_key(key))
 
     def _add_route(self, key: RouteKey, route: Route) -> None:
         """Index a route; of two that clash, the one that gets the requests at older builds too."""
--- a/packages/catalog/src/lagoonwing_catalog/_validation.py
+++ b/packages/catalog/src/lagoonwing_catalog/_validation.py
@@ -4,10 +4,11 @@
 
 from collections.abc import Iterator
 
+from lagoonwing_catalog._member_keys import canonical_key
 from lagoonwing_catalog._route_keys import RouteKey, keyed_routes
 from lagoonwing_catalog.errors import ValidationIssue
 from lagoonwing_catalog.models import Document, Route
-from lagoonwing_core.ids import ServiceId
+from lagoonwing_core.ids import MemberId, ServiceId
 
 # Longest text of a document that is quoted in a reason.
 _MAX_QUOTED_CHARACTERS = 80
@@ -80,9 +81,15 @@
 
 def _key_issues(document: Document) -> Iterator[ValidationIssue]:
     """Yield the issues of member keys."""
-    member_by_key: dict[str, str] = {}
+    first_by_key: dict[str, MemberId] = {}
+    first_as_written: dict[str, MemberId] = {}
     for member in document.members or ():
         for key in member.keys:
-            other = member_by_key.setdefault(key, member.member_id)
+            other = first_by_key.setdefault(canonical_key(key), member.member_id)
+            other_as_written = first_as_written.setdefault(key, member.member_id)
             if other != member.member_id:
-                yield ValidationIssue(member.member_id, f"shares a key with {other}")
+                yield ValidationIssue(
+                    member.member_id,
+                    f"shares a key with {other}",
+                    passes_older_builds=other_as_written == member.member_id,
+                )
