Addresses of endpoints: an IPv4 address inside an IPv6 one is that IPv4 address

`::ffff:10.0.0.1:80` and `10.0.0.1:80` are one socket, but the records were compared as text: the older endpoint kept an address that another one had taken over, and an address that is refused as IPv4 (0.0.0.0, multicast) passed inside an IPv6 one.

--- a/packages/core/src/lagoonwing_core/untrusted.py
+++ b/packages/core/src/lagoonwing_core/untrusted.py
@@ -28,11 +28,19 @@
         return Error(str(error))
 
 
+def _without_mapping(
+    ip_address: ipaddress.IPv4Address | ipaddress.IPv6Address,
+) -> ipaddress.IPv4Address | ipaddress.IPv6Address:
+    """Return the IPv4 address that an IPv6 address stands for, if any; addresses are compared."""
+    mapped = None if ip_address.version == 4 else ip_address.ipv4_mapped
+    return ip_address if mapped is None else mapped
+
+
 def parse_socket_address(text: str) -> Result[tuple[str, int], str]:
     """Return the IP address and port of a text, or why no connection to them can be opened."""
     address, _, digits = text.rpartition(":")
     try:
-        ip_address = ipaddress.ip_address(address)
+        ip_address = _without_mapping(ipaddress.ip_address(address))
     except ValueError as error:
         return Error(str(error))
     if ip_address.is_unspecified or ip_address.is_multicast or "%" in address:
