Entry: keys beyond ASCII are known as `lagoonctl` registers them

A member or endpoint whose key holds such a letter got 401 for each request: `lagoonctl` hashes the key's UTF-8 form, the entry host took the header's bytes for Latin-1 and hashed the UTF-8 form of that. `_bearer_keys.py` hashes the bytes that came, then, as before, the Latin-1 reading, so callers that were known stay known; callers and announcements share it. tests/entry/test_entry_input.py: the UTF-8 case fails on, the Latin-1 case does not.

--- a/packages/entry/src/lagoonwing_entry/_announce_server.py
+++ b/packages/entry/src/lagoonwing_entry/_announce_server.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import ipaddress
 import itertools
 from typing import Any
@@ -18,6 +17,7 @@
 from lagoonwing_core.ids import RequestId
 from lagoonwing_core.models import EndpointKind, EndpointRecord
 from lagoonwing_core.result_codes import Outcome, ResultCode
+from lagoonwing_entry._bearer_keys import bearer_key_hashes
 from lagoonwing_entry._bounded_handler import BodyLimits, BoundedHandler
 from lagoonwing_entry._bounded_server import BoundedHTTPServer, bounded_server
 from lagoonwing_entry.const import MAX_KEY_BYTES
@@ -25,7 +25,6 @@
 from lagoonwing_entry.ports import MembershipPort
 from lagoonwing_http import BodyBudget
 
-_BEARER = "Bearer "
 _MAX_ID_CHARACTERS = 128
 _MAX_MODELS = 64
 _MAX_CALLS = 256
@@ -62,10 +61,10 @@
     def check_request(self) -> Refusal | None:
         """Check the endpoint key."""
         authorization = self.request.headers.get("Authorization", "")
-        if not authorization.startswith(_BEARER) or len(authorization) > MAX_KEY_BYTES:
+        key_hashes = frozenset(bearer_key_hashes(authorization, MAX_KEY_BYTES))
+        if not key_hashes:
             return Refusal(ResultCode.BAD_KEY, "an endpoint key is needed")
-        key_hash = hashlib.sha256(authorization[len(_BEARER) :].encode()).hexdigest()
-        if key_hash not in self.announce_settings.key_hashes:
+        if key_hashes.isdisjoint(self.announce_settings.key_hashes):
             return Refusal(ResultCode.BAD_KEY, "the endpoint key is not known")
         return None
 
--- a/packages/entry/src/lagoonwing_entry/_caller_handlers.py
+++ b/packages/entry/src/lagoonwing_entry/_caller_handlers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 import itertools
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
@@ -18,6 +17,7 @@
 from lagoonwing_core.ids import RequestId
 from lagoonwing_core.models import EntityState, Member
 from lagoonwing_core.result_codes import Outcome, ResultCode
+from lagoonwing_entry._bearer_keys import bearer_key_hashes
 from lagoonwing_entry._bounded_handler import BodyLimits, BoundedHandler
 from lagoonwing_entry._directory import EndpointDirectory
 from lagoonwing_entry._host_readiness import HostReadiness
@@ -43,8 +43,6 @@
 from lagoonwing_http import BodyBudget
 from lagoonwing_policy.models import ModelWork, RequestProfile, ServiceWork
 
-_BEARER = "Bearer "
-
 
 @dataclass(slots=True)
 class CallerContext:
@@ -190,11 +188,12 @@
     def _find_member(self) -> Result[Member, Refusal]:
         """Return the member that the API key of the request belongs to."""
         authorization = self.request.headers.get("Authorization", "")
-        if not authorization.startswith(_BEARER) or len(authorization) > MAX_KEY_BYTES:
+        key_hashes = tuple(bearer_key_hashes(authorization, MAX_KEY_BYTES))
+        if not key_hashes:
             return Error(Refusal(ResultCode.BAD_KEY, "a bearer key is needed"))
-        key = authorization[len(_BEARER) :]
-        key_hash = hashlib.sha256(key.encode()).hexdigest()
-        member = self.context.control.view.member_by_key_hash.get(key_hash)
+        member_by_key_hash = self.context.control.view.member_by_key_hash
+        members = (member_by_key_hash.get(key_hash) for key_hash in key_hashes)
+        member = next((member for member in members if member is not None), None)
         if member is None:
             return Error(Refusal(ResultCode.BAD_KEY, "the key is not known"))
         if member.state is not EntityState.ACTIVE:
--- a/tests/entry/test_entry_input.py
+++ b/tests/entry/test_entry_input.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 import json
 from typing import Any
 
@@ -77,6 +78,19 @@
     _assert_refused(await host.async_request(PATH, chat("x")), 403, 2007)
 
 
+# Guards against keys that `lagoonctl` registers and no request is known by.
+@pytest.mark.parametrize("encoding", ["utf-8", "latin-1"])
+async def test_key_beyond_ascii_is_known(cluster: Cluster, encoding: str) -> None:
+    """A key is found by the bytes that are sent, whichever of the two encodings a caller uses."""
+    host = await _async_host(cluster)
+    members = host.control.view.member_by_key_hash
+    (member,) = members.values()
+    members[hashlib.sha256("cl\u00e9-\u00fc".encode()).hexdigest()] = member
+    request = request_bytes(PATH, json.dumps(chat("x")).encode(), key="KEY")
+    raw = await host.async_send_raw(request.replace(b"KEY", "cl\u00e9-\u00fc".encode(encoding)))
+    assert raw.startswith(b"HTTP/1.1 200")
+
+
 @pytest.mark.parametrize("value", ["0", "-1", "x", "1.5", "99999999999", "9" * 400, "١٢"])
 async def test_invalid_deadlines(cluster: Cluster, value: str) -> None:
     """A deadline is a positive number of milliseconds within the limit."""
