--- a/packages/fakes/src/lagoonwing_fakes/platform/_processes.py
+++ b/packages/fakes/src/lagoonwing_fakes/platform/_processes.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from lagoonwing_fakes.builds import Build
 from lagoonwing_fakes.platform.const import (
     ANNOUNCE_INTERVAL_S,
     CALLER_PORT,
@@ -35,6 +36,7 @@
         network_claim: Socket that keeps other deployments off the addresses. Each process inherits
             it, so that the claim outlives a test run that was killed and left processes behind.
         start_count: Number of starts; the current log belongs to the last one.
+        build: Build that runs from the next start on; `None` for the working tree.
     """
 
     name: str
@@ -46,14 +48,15 @@
     network_claim: socket.socket
     popen: subprocess.Popen[bytes] | None = None
     start_count: int = 0
+    build: Build | None = None
 
     def start_with_unread_stdout(self) -> None:
         """Start the process with its log written to a pipe that is never read."""
         self.popen = subprocess.Popen(  # noqa: S603
-            [sys.executable, "-m", "lagoonwing", "run"],
+            self._command(),
             stdin=subprocess.DEVNULL,
             stdout=subprocess.PIPE,
-            env={**os.environ, "LAGOONWING_CONFIG": str(self.settings)},
+            env=self._environment(),
             pass_fds=(self.network_claim.fileno(),),
         )
 
@@ -62,11 +65,11 @@
         self.start_count += 1
         with self.log.open("ab") as log:
             self.popen = subprocess.Popen(  # noqa: S603
-                [sys.executable, "-m", "lagoonwing", "run"],
+                self._command(),
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=subprocess.STDOUT,
-                env={**os.environ, "LAGOONWING_CONFIG": str(self.settings)},
+                env=self._environment(),
                 pass_fds=(self.network_claim.fileno(),),
             )
 
@@ -92,6 +95,17 @@
         with segments[-1].open("ab") as segment:
             segment.write(tail)
 
+    def _command(self) -> list[str]:
+        """Return the command of its build."""
+        if self.build is None:
+            return [sys.executable, "-m", "lagoonwing", "run"]
+        return self.build.command("run")
+
+    def _environment(self) -> dict[str, str]:
+        """Return the variables under which its build is found."""
+        environment = dict(os.environ) if self.build is None else self.build.environment()
+        return {**environment, "LAGOONWING_CONFIG": str(self.settings)}
+
     def erase_data(self) -> None:
         """Erase the data of a stopped process and forbid it to found a new log."""
         assert self.data is not None
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -13,6 +13,7 @@
 from soak.faulty_answers import DEFAULT_ANSWER_FAULTS, AnswerFault
 from soak.models import Scenario
 from soak.run import run_seed
+from soak.upgrades import DEFAULT_OLD_REVISION
 
 
 def main() -> int:
@@ -43,6 +44,12 @@
         default=",".join(fault.value for fault in DEFAULT_ANSWER_FAULTS),
         help="comma-separated faults of faulty_answers; default: all but cut_filled",
     )
+    parser.add_argument(
+        "--from",
+        dest="old_revision",
+        default=DEFAULT_OLD_REVISION,
+        help="commit whose build runs first in upgrades; default: the last landing",
+    )
     arguments = parser.parse_args()
     answer_faults = [AnswerFault(value) for value in arguments.answer_faults.split(",") if value]
     # The HTTP client library logs every connection that an injected fault closes.
@@ -52,7 +59,13 @@
     signal.signal(signal.SIGTERM, _interrupt)
     failed = 0
     for seed in _seeds(arguments.seeds, arguments.minutes):
-        outcome = run_seed(seed, arguments.seconds, Scenario(arguments.scenario), answer_faults)
+        outcome = run_seed(
+            seed,
+            arguments.seconds,
+            Scenario(arguments.scenario),
+            answer_faults,
+            arguments.old_revision,
+        )
         print(
             f"seed {seed}: {outcome.served} of {outcome.sent} served, "
             f"{len(outcome.faults)} faults, {len(outcome.violations)} violations",
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -90,6 +90,7 @@
         answers_twice: Whether it repeats some answers later; not for streams.
         make_faulty_connection: Returns what answers calls on a new connection, if set.
         cuts: Cuts of gateways from all endpoints, if any come.
+        event_pause_s: Pause between two events of a stream.
     """
 
     def __init__(
@@ -103,6 +104,7 @@
         self.request_limit: float | None = None
         self.answers_twice = False
         self.cuts: GatewayCuts | None = None
+        self.event_pause_s = EVENT_PAUSE_S
         self.make_faulty_connection: Callable[[asyncio.StreamWriter], FaultyConnection] | None
         self.make_faulty_connection = None
         self.is_engine = service == "engines"
@@ -376,7 +378,7 @@
             event = f"id: {number}\ndata: {headers[HEADER_ATTEMPT_ID.lower()]}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
-            await asyncio.sleep(EVENT_PAUSE_S)
+            await asyncio.sleep(self.event_pause_s)
             await self._is_running.wait()
             if self.cuts is not None:
                 await self.cuts.async_pass(owner)
--- a/soak/models.py
+++ b/soak/models.py
@@ -15,7 +15,7 @@
 
 
 class Scenario(Enum):
-    """What happens after recovery from the random faults; CUT_GATEWAYS: beside them."""
+    """What happens after recovery from the random faults; CUT_GATEWAYS, UPGRADES: beside them."""
 
     NONE = "none"
     PAUSES = "pauses"
@@ -24,6 +24,7 @@
     SECOND_ANSWERS = "second_answers"
     FAULTY_ANSWERS = "faulty_answers"
     CUT_GATEWAYS = "cut_gateways"
+    UPGRADES = "upgrades"
 
 
 @dataclass
--- a/soak/operators.py
+++ b/soak/operators.py
@@ -43,15 +43,34 @@
     async def async_put(self) -> bool:
         """Send the next document version to the replicas in turn until one accepts it."""
         self._version += 1
-        version = self._version
+        return await self._async_send(self._version, make_document(self._version)) is not None
+
+    async def _async_send(self, version: int, source: bytes) -> SystemProcess | None:
+        """Send a document to the replicas in turn; return the one that accepts it, if any."""
         for process in self._shuffled(self._context.processes.registries):
-            answer = await async_fetch(
-                process, CONTROL_PORT, PATH_PUT_DOCUMENT, make_document(version)
-            )
+            answer = await async_fetch(process, CONTROL_PORT, PATH_PUT_DOCUMENT, source)
             if answer is not None and answer.code == 200:
                 self._context.accepted_version = max(self._context.accepted_version, version)
-                return True
-        return False
+                return process
+        return None
+
+    async def async_send_clashes(self) -> None:
+        """Send documents that older builds accept; one that was accepted is never refused later."""
+        while True:
+            await asyncio.sleep(self._context.rng.uniform(0.3, 1.5))
+            self._version += 1
+            source = _make_clash(self._version)
+            accepted_by = await self._async_send(self._version, source)
+            if accepted_by is None:
+                continue
+            await asyncio.sleep(self._context.rng.uniform(0.0, 2.0))
+            for process in self._shuffled(self._context.processes.registries):
+                answer = await async_fetch(process, CONTROL_PORT, PATH_PUT_DOCUMENT, source)
+                if answer is not None and 400 <= answer.code < 500:
+                    self._context.outcome.violations.append(
+                        f"{process.name} refuses version {msgspec.json.decode(source)['version']}, "
+                        f"which {accepted_by.name} accepted: {answer.body!r}"
+                    )
 
     async def async_read(self) -> int | None:
         """Return the version from the first replica that answers a read, or `None`."""
@@ -101,3 +120,11 @@
     def _shuffled(self, processes: list[SystemProcess]) -> list[SystemProcess]:
         """Return the processes in random order."""
         return self._context.rng.sample(processes, len(processes))
+
+
+def _make_clash(version: int) -> bytes:
+    """Return a document with two routes that differ in the letters of their host only."""
+    document = msgspec.json.decode(make_document(version))
+    route = document["routes"][0]
+    document["routes"].append({**route, "name": "again", "host": route["host"].upper()})
+    return msgspec.json.encode(document)
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,6 +10,7 @@
 from collections.abc import Collection
 from pathlib import Path
 
+from lagoonwing_fakes.builds import Build, prepare_build
 from lagoonwing_fakes.platform import make_processes
 from lagoonwing_fakes.platform.const import PEER_PORT
 from soak.callers import Callers
@@ -35,6 +36,7 @@
 from soak.operators import Operators
 from soak.proxy import Proxy
 from soak.second_answers import SECOND_ANSWERS_S
+from soak.upgrades import DEFAULT_OLD_REVISION, LONG_EVENT_PAUSE_S, Upgrades
 
 
 class SoakRun:
@@ -47,6 +49,7 @@
         folder: Path,
         scenario: Scenario = Scenario.NONE,
         answer_faults: Collection[AnswerFault] = DEFAULT_ANSWER_FAULTS,
+        old_revision: str = DEFAULT_OLD_REVISION,
     ) -> None:
         rng = random.Random(seed)
         processes = make_processes(
@@ -60,8 +63,12 @@
             Proxy(item.address, item.listen_address, PEER_PORT, rng)
             for item in processes.registries
         ]
-        if scenario is Scenario.CUT_GATEWAYS:
+        if scenario in (Scenario.CUT_GATEWAYS, Scenario.UPGRADES):
             self.context.cuts = GatewayCuts(processes)
+        self._upgrades: Upgrades | None = None
+        if scenario is Scenario.UPGRADES:
+            self._upgrades = Upgrades(self.context, _require_build(old_revision))
+            self._upgrades.start_old()
         self._callers = Callers(self.context)
         self.operators = Operators(self.context)
         self._faults = Faults(self.context)
@@ -85,6 +92,8 @@
             faults = [loop.create_task(self._faults.async_inject()) for _ in range(2)]
             if self.context.cuts is not None:
                 faults.append(loop.create_task(self._faults.async_cut_gateways()))
+            if self._upgrades is not None:
+                faults += self._start_upgrades(self._upgrades)
             await asyncio.sleep(self._seconds)
             for task in faults:
                 task.cancel()
@@ -96,6 +105,21 @@
         self._callers.check_runs()
         return self.context.outcome
 
+    def _start_upgrades(self, upgrades: Upgrades) -> list[asyncio.Task[None]]:
+        """Start the upgrades and what goes with them; return the tasks that end with the faults."""
+        context = self.context
+        for endpoint in context.endpoints[::2]:
+            endpoint.event_pause_s = LONG_EVENT_PAUSE_S
+        loop = asyncio.get_running_loop()
+        self._tasks += [
+            loop.create_task(KeptCaller(context, number).async_run())
+            for number in range(KEPT_CALLERS)
+        ]
+        return [
+            loop.create_task(upgrades.async_run()),
+            loop.create_task(self.operators.async_send_clashes()),
+        ]
+
     async def _async_run_faulty_answers(self) -> Outcome:
         """Run callers of endpoints with faulty answers and check the guarantees."""
         try:
@@ -226,12 +250,28 @@
             await endpoint.async_unload()
 
 
+def _require_build(revision: str) -> Build:
+    """Return the build of a commit.
+
+    Raises:
+        RuntimeError: It can't be built here.
+    """
+    build = prepare_build(revision)
+    if build.is_error():
+        raise RuntimeError(build.error)
+    return build.ok
+
+
 def run_seed(
-    seed: int, seconds: float, scenario: Scenario, answer_faults: Collection[AnswerFault]
+    seed: int,
+    seconds: float,
+    scenario: Scenario,
+    answer_faults: Collection[AnswerFault],
+    old_revision: str,
 ) -> Outcome:
     """Run one seed in its own temporary folder and add the folder name to any violations."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    run = SoakRun(seed, seconds, folder, scenario, answer_faults)
+    run = SoakRun(seed, seconds, folder, scenario, answer_faults, old_revision)
     outcome = asyncio.run(run.async_run())
     if outcome.violations:
         outcome.violations.insert(0, f"logs: {folder.name}")
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import pytest
+from old_build import LAST_LANDING, require_build
 
 from soak.faulty_answers import AnswerFault
 from soak.models import Scenario
@@ -20,6 +21,7 @@
 # 533: a request that a cut holds up arrives after the drain of its endpoint.
 CUT_SEEDS = (1, 2, 533)
 FAULTY_ANSWERS_S = 10.0
+UPGRADE_SEEDS = (1, 2)
 # An odd seed stops no gateway, an even one does.
 FAULTY_ANSWER_SEEDS = (1, 2)
 FILLED_ANSWER_SEEDS = (9,)
@@ -46,6 +48,16 @@
     assert outcome.violations == [], outcome.faults
 
 
+@pytest.mark.parametrize("seed", UPGRADE_SEEDS)
+def test_builds_side_by_side_break_no_guarantee(seed: int, tmp_path: Path) -> None:
+    """Machines are replaced, and replaced back, while others are killed, frozen, cut and wiped."""
+    require_build(LAST_LANDING)
+    run = SoakRun(seed, SECONDS, tmp_path, Scenario.UPGRADES, old_revision=LAST_LANDING)
+    outcome = asyncio.run(run.async_run())
+    assert outcome.violations == [], outcome.faults
+    assert any("gets the new build" in fault for fault in outcome.faults)
+
+
 def test_prompt_part_that_crashes_engines_is_kept_from_them(tmp_path: Path) -> None:
     """Engines get few requests with a part that crashed five, and streams without it are served."""
     outcome = asyncio.run(SoakRun(1, SECONDS, tmp_path, Scenario.CRASHING_PART).async_run())
