Entry: a call is idempotent only if every endpoint of its service says so

What callers would have seen: a call that a newer endpoint announces as idempotent and an older one of the same service doesn't announce at all was sent again after a lost answer, and ran twice. Cause: the check asked the endpoints that announce the call, while any endpoint of the service may be chosen; design 030 says "every endpoint of its service".

The directory now asks each endpoint of the service. Ruled out: routing such calls to the announcing endpoints alone, which would leave the others idle.

--- a/packages/entry/src/lagoonwing_entry/_directory.py
+++ b/packages/entry/src/lagoonwing_entry/_directory.py
@@ -55,12 +55,14 @@
         return service_id in self._seen_services
 
     def is_idempotent(self, service_id: ServiceId, method: str, path: str) -> bool:
-        """Return whether all endpoints that offer the call announce it as idempotent."""
-        offered = [
-            call
-            for record in self._record_by_id.values()
-            if record.service == service_id
-            for call in record.calls
-            if call.method == method and call.path == path
-        ]
-        return bool(offered) and all(call.idempotent for call in offered)
+        """Return whether all endpoints of a service, any of which may get it, say so of a call."""
+        records = [item for item in self._record_by_id.values() if item.service == service_id]
+        return bool(records) and all(
+            _announces_idempotent(record, method, path) for record in records
+        )
+
+
+def _announces_idempotent(record: EndpointRecord, method: str, path: str) -> bool:
+    """Return whether an endpoint announces a call, and only as idempotent."""
+    announced = [call for call in record.calls if call.method == method and call.path == path]
+    return bool(announced) and all(call.idempotent for call in announced)
--- a/tests/entry/test_entry_services.py
+++ b/tests/entry/test_entry_services.py
@@ -12,7 +12,7 @@
 from tornado.httpclient import HTTPResponse
 from tornado.tcpclient import TCPClient
 
-from lagoonwing_fakes import Fault, FaultPlan
+from lagoonwing_fakes import FakeKind, Fault, FaultPlan
 
 RESERVE = "/services/names/reserve"
 CHECK = "/services/names/check"
@@ -39,6 +39,27 @@
     assert [line["endpoint"] for line in cluster.endpoint_log("effect")][-2:] == ["v1", "v2"]
 
 
+# Guards against a call that runs twice at endpoints one of which, say of an older version, has not
+# announced it as idempotent.
+async def test_call_that_one_endpoint_does_not_announce_is_not_retried(cluster: Cluster) -> None:
+    """A call is idempotent if every endpoint that may get it says so."""
+    host = await cluster.async_add_host()
+    await cluster.async_add_fake(
+        FakeKind.SERVICE,
+        "v1",
+        service="names",
+        calls=("POST:/reserve:once",),
+        plan=FaultPlan(fault=Fault.RESET),
+    )
+    await cluster.async_add_service("v2")
+    outcomes = []
+    while "unknown" not in outcomes and len(outcomes) < MAX_CALLS:
+        response = await host.async_request(CHECK, {"name": f"x{len(outcomes)}"})
+        outcomes.append(response.headers["X-Outcome"])
+    assert outcomes[-1] == "unknown"
+    assert len(cluster.endpoint_log("effect")) == len(outcomes)
+
+
 @pytest.mark.parametrize("fault", [Fault.RESET, Fault.TRUNCATED, Fault.MISMATCHED_ID])
 @pytest.mark.parametrize("headers", [{}, KEY_HEADERS])
 async def test_lost_response_is_unknown_and_not_dispatched_again(
