Soak: endpoints that leave and pause in their answers, alone and while builds run side by side

It counts, by gateway process, what reaches an endpoint 2.5 s after it said that it leaves (none allowed), and from 0.5 s after a refusal to the end of the pause (two allowed); frozen processes and what a cut held up are excused.

--- a/packages/fakes/src/lagoonwing_fakes/builds.py
+++ b/packages/fakes/src/lagoonwing_fakes/builds.py
@@ -42,6 +42,10 @@
         """Short form of the commit."""
         return self.commit[:7]
 
+    def contains(self, revision: str) -> bool:
+        """Return whether a commit is this one or one before it."""
+        return _run("git", "merge-base", "--is-ancestor", revision, self.commit).is_ok()
+
     def command(self, *arguments: str) -> list[str]:
         """Return the command that runs its program."""
         return [str(_base_python()), "-m", "lagoonwing", *arguments]
--- a/packages/fakes/src/lagoonwing_fakes/platform/_processes.py
+++ b/packages/fakes/src/lagoonwing_fakes/platform/_processes.py
@@ -37,6 +37,7 @@
             it, so that the claim outlives a test run that was killed and left processes behind.
         start_count: Number of starts; the current log belongs to the last one.
         build: Build that runs from the next start on; `None` for the working tree.
+        running_build: Build of the last start.
     """
 
     name: str
@@ -49,6 +50,7 @@
     popen: subprocess.Popen[bytes] | None = None
     start_count: int = 0
     build: Build | None = None
+    running_build: Build | None = None
 
     def start_with_unread_stdout(self) -> None:
         """Start the process with its log written to a pipe that is never read."""
@@ -63,6 +65,7 @@
     def start(self) -> None:
         """Start the process."""
         self.start_count += 1
+        self.running_build = self.build
         with self.log.open("ab") as log:
             self.popen = subprocess.Popen(  # noqa: S603
                 self._command(),
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -20,6 +20,7 @@
     HEADER_LAST_EVENT,
     HEADER_LIMIT,
     HEADER_NOT_EXECUTED,
+    HEADER_PAUSE,
     HEADER_SIGNATURE,
     PATH_ORDER,
     PATH_REPORT,
@@ -28,6 +29,7 @@
 from soak.crashing_part import CRASHING_PART, HEADER_PROMPT_PARTS, CrashingPartRecord
 from soak.faulty_connections import FaultyConnection, ReceivedRequest
 from soak.gateway_cuts import GatewayCuts
+from soak.notices import EndpointWords
 from soak.second_answers import AnswerRecords, SecondAnswers
 
 
@@ -91,6 +93,7 @@
         make_faulty_connection: Returns what answers calls on a new connection, if set.
         cuts: Cuts of gateways from all endpoints, if any come.
         event_pause_s: Pause between two events of a stream.
+        words: What it says of itself in its answers, if anything.
     """
 
     def __init__(
@@ -105,6 +108,7 @@
         self.answers_twice = False
         self.cuts: GatewayCuts | None = None
         self.event_pause_s = EVENT_PAUSE_S
+        self.words: EndpointWords | None = None
         self.make_faulty_connection: Callable[[asyncio.StreamWriter], FaultyConnection] | None
         self.make_faulty_connection = None
         self.is_engine = service == "engines"
@@ -175,6 +179,8 @@
             listener.close()
             raise
         self.incarnation += 1
+        if self.words is not None:
+            self.words.clear()
         self.endpoint_id = f"{self._name}-{self.incarnation}"
         self.layers = None
         self.sequence = 0
@@ -295,12 +301,15 @@
             self._requests.reached.append(
                 (self.endpoint_id, attempt_id, asyncio.get_running_loop().time())
             )
+        if self.words is not None:
+            held_up = link.is_held_up
+            echo |= self.words.receive(self.endpoint_id, link.owner, is_held_up=held_up)
         if _has_crashing_part(headers):
             self._requests.crashing_part.reached_at.append(asyncio.get_running_loop().time())
         if headers.get(HEADER_EXPECTED_ENDPOINT.lower(), self.endpoint_id) != self.endpoint_id:
             _write(writer, 421, echo, b"")
             return
-        if self._rng.random() < 0.02:
+        if HEADER_PAUSE in echo or self._rng.random() < 0.02:
             _write(writer, 503, {**echo, HEADER_NOT_EXECUTED: "1"}, b"")
             return
         await self._async_apply_fault(writer)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -68,9 +68,13 @@
     async def _async_pause(self, process: SystemProcess) -> None:
         """Suspend a process for a random time."""
         self._context.outcome.record_fault(f"SIGSTOP {process.name}")
+        loop = asyncio.get_running_loop()
+        frozen_at = loop.time()
         process.signal(signal.SIGSTOP)
         await asyncio.sleep(self._context.rng.uniform(0.2, 3.0))
         process.signal(signal.SIGCONT)
+        if process.popen is not None:
+            self._context.notices.frozen[process.popen.pid].append((frozen_at, loop.time()))
 
     async def _async_wipe(self, process: SystemProcess) -> None:
         """Delete the data of one replica, at most once a run, while all others are running."""
--- a/soak/models.py
+++ b/soak/models.py
@@ -11,11 +11,15 @@
 from lagoonwing_fakes.platform import Processes
 from soak.endpoints import RequestRecord, SoakEndpoint
 from soak.gateway_cuts import GatewayCuts
+from soak.notices import NoticeRecord
 from soak.proxy import Proxy
 
 
 class Scenario(Enum):
-    """What happens after recovery from the random faults; CUT_GATEWAYS, UPGRADES: beside them."""
+    """What happens after recovery from the random faults.
+
+    CUT_GATEWAYS, NOTICES and UPGRADES happen beside them.
+    """
 
     NONE = "none"
     PAUSES = "pauses"
@@ -24,6 +28,7 @@
     SECOND_ANSWERS = "second_answers"
     FAULTY_ANSWERS = "faulty_answers"
     CUT_GATEWAYS = "cut_gateways"
+    NOTICES = "notices"
     UPGRADES = "upgrades"
 
 
@@ -60,6 +65,7 @@
         accepted_version: Highest accepted version of the document.
         has_recovered: Whether all faults are cleared and the recovery time has passed.
         cuts: Cuts of gateways from all endpoints, if any come.
+        notices: What endpoints said of themselves, and what reached them.
         sends_crashing_part: Whether callers also send requests that crash engines.
     """
 
@@ -74,3 +80,4 @@
     has_recovered: bool = False
     sends_crashing_part: bool = False
     cuts: GatewayCuts | None = None
+    notices: NoticeRecord = field(default_factory=NoticeRecord)
--- a/soak/run.py
+++ b/soak/run.py
@@ -33,6 +33,7 @@
 from soak.kept_callers import KEPT_CALLERS, KeptCaller
 from soak.models import Outcome, Scenario, SoakContext
 from soak.named_limits import LIMIT, LIMITS_S, limit_violations
+from soak.notices import Notices
 from soak.operators import Operators
 from soak.proxy import Proxy
 from soak.second_answers import SECOND_ANSWERS_S
@@ -63,7 +64,7 @@
             Proxy(item.address, item.listen_address, PEER_PORT, rng)
             for item in processes.registries
         ]
-        if scenario in (Scenario.CUT_GATEWAYS, Scenario.UPGRADES):
+        if scenario in (Scenario.CUT_GATEWAYS, Scenario.NOTICES, Scenario.UPGRADES):
             self.context.cuts = GatewayCuts(processes)
         self._upgrades: Upgrades | None = None
         if scenario is Scenario.UPGRADES:
@@ -92,6 +93,8 @@
             faults = [loop.create_task(self._faults.async_inject()) for _ in range(2)]
             if self.context.cuts is not None:
                 faults.append(loop.create_task(self._faults.async_cut_gateways()))
+            if self._scenario in (Scenario.NOTICES, Scenario.UPGRADES):
+                faults.append(loop.create_task(Notices(self.context).async_run()))
             if self._upgrades is not None:
                 faults += self._start_upgrades(self._upgrades)
             await asyncio.sleep(self._seconds)
@@ -103,6 +106,7 @@
         finally:
             await self.async_stop()
         self._callers.check_runs()
+        self.context.outcome.violations += self.context.notices.violations()
         return self.context.outcome
 
     def _start_upgrades(self, upgrades: Upgrades) -> list[asyncio.Task[None]]:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -22,6 +22,7 @@
 CUT_SEEDS = (1, 2, 533)
 FAULTY_ANSWERS_S = 10.0
 UPGRADE_SEEDS = (1, 2)
+NOTICE_SEEDS = (1, 2)
 # An odd seed stops no gateway, an even one does.
 FAULTY_ANSWER_SEEDS = (1, 2)
 FILLED_ANSWER_SEEDS = (9,)
@@ -48,6 +49,14 @@
     assert outcome.violations == [], outcome.faults
 
 
+@pytest.mark.parametrize("seed", NOTICE_SEEDS)
+def test_endpoints_that_leave_or_pause_get_no_requests(seed: int, tmp_path: Path) -> None:
+    """What endpoints say in their answers is heeded while gateways are killed, frozen and cut."""
+    outcome = asyncio.run(SoakRun(seed, SECONDS, tmp_path, Scenario.NOTICES).async_run())
+    assert outcome.violations == [], outcome.faults
+    assert any(fault.endswith(("leaves", "pauses")) for fault in outcome.faults)
+
+
 @pytest.mark.parametrize("seed", UPGRADE_SEEDS)
 def test_builds_side_by_side_break_no_guarantee(seed: int, tmp_path: Path) -> None:
     """Machines are replaced, and replaced back, while others are killed, frozen, cut and wiped."""
