--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -50,6 +50,11 @@
         default=DEFAULT_OLD_REVISION,
         help="commit whose build runs first in upgrades; default: the last landing",
     )
+    parser.add_argument(
+        "--mixed",
+        action="store_true",
+        help="some processes, drawn by the seed, run the build of --from all the time",
+    )
     arguments = parser.parse_args()
     answer_faults = [AnswerFault(value) for value in arguments.answer_faults.split(",") if value]
     # The HTTP client library logs every connection that an injected fault closes.
@@ -65,6 +70,7 @@
             Scenario(arguments.scenario),
             answer_faults,
             arguments.old_revision,
+            is_mixed=arguments.mixed,
         )
         print(
             f"seed {seed}: {outcome.served} of {outcome.sent} served, "
--- a/soak/run.py
+++ b/soak/run.py
@@ -37,7 +37,7 @@
 from soak.operators import Operators
 from soak.proxy import Proxy
 from soak.second_answers import SECOND_ANSWERS_S
-from soak.upgrades import DEFAULT_OLD_REVISION, LONG_EVENT_PAUSE_S, Upgrades
+from soak.upgrades import DEFAULT_OLD_REVISION, LONG_EVENT_PAUSE_S, Upgrades, mix_builds
 
 
 class SoakRun:
@@ -51,7 +51,20 @@
         scenario: Scenario = Scenario.NONE,
         answer_faults: Collection[AnswerFault] = DEFAULT_ANSWER_FAULTS,
         old_revision: str = DEFAULT_OLD_REVISION,
+        *,
+        is_mixed: bool = False,
     ) -> None:
+        """Prepare a run.
+
+        Args:
+            seed: Seed of all random choices.
+            seconds: Duration of fault injection.
+            folder: Folder for settings, data and logs.
+            scenario: What happens beside or after the random faults.
+            answer_faults: Faults of the scenario of faulty answers.
+            old_revision: Commit of the older build in upgrades and mixed fleets.
+            is_mixed: Whether some of the processes run the older build all the time.
+        """
         rng = random.Random(seed)
         processes = make_processes(
             folder, 1 + seed % 200, REGISTRIES, GATEWAYS, behind_proxies=True
@@ -70,6 +83,8 @@
         if scenario is Scenario.UPGRADES:
             self._upgrades = Upgrades(self.context, _require_build(old_revision))
             self._upgrades.start_old()
+        if is_mixed:
+            mix_builds(processes, _require_build(old_revision), seed)
         self._callers = Callers(self.context)
         self.operators = Operators(self.context)
         self._faults = Faults(self.context)
@@ -272,10 +287,12 @@
     scenario: Scenario,
     answer_faults: Collection[AnswerFault],
     old_revision: str,
+    *,
+    is_mixed: bool,
 ) -> Outcome:
     """Run one seed in its own temporary folder and add the folder name to any violations."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    run = SoakRun(seed, seconds, folder, scenario, answer_faults, old_revision)
+    run = SoakRun(seed, seconds, folder, scenario, answer_faults, old_revision, is_mixed=is_mixed)
     outcome = asyncio.run(run.async_run())
     if outcome.violations:
         outcome.violations.insert(0, f"logs: {folder.name}")
--- a/soak/upgrades.py
+++ b/soak/upgrades.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import signal
 from enum import Enum
 from typing import TYPE_CHECKING
 
 from lagoonwing_fakes.builds import Build
-from lagoonwing_fakes.platform import SystemProcess
+from lagoonwing_fakes.platform import Processes, SystemProcess
 
 if TYPE_CHECKING:
     from soak.models import SoakContext
@@ -24,6 +25,14 @@
 LONG_EVENT_PAUSE_S = 0.15
 
 
+def mix_builds(processes: Processes, old: Build, seed: int) -> None:
+    """Let some processes, but not all, run an older build; the faults of a seed stay the same."""
+    rng = random.Random(f"builds of seed {seed}")
+    everything = processes.all()
+    for process in rng.sample(everything, rng.randrange(1, len(everything))):
+        process.build = old
+
+
 class UpgradeOrder(Enum):
     """Order in which the processes are replaced."""
 
