Registry: older gateways and replicas get no messages that they can't read

What operators would have seen in a mixed fleet: channels of older builds end again and again, up to 88 times in 15 s at one gateway (`peer_refused`, `Invalid value 35`), and those between older and newer registries (34). Cause: added two kinds of messages, which older decoders refuse by closing the channel.

Lists of peers go only to gateways that take requests of others; the gateways of a replica only to replicas that say that they read them (a last field of ReplicaLoad, which older builds ignore) or that have sent their own in the last 5 s. Gateways not repeated for 5 s are dropped.

The soak now counts unread messages as violations in fleets of two builds. Tests of registry, catalog and gateway are green; of tests/platform, run beside them with 4 workers at load 18, four cases of cut_off_gateways and handover_failures failed; cut_off_gateways (all cases) was green twice alone at load 13. Ruled out: a version in the handshake, which older builds would refuse.

--- a/packages/catalog/src/lagoonwing_catalog/messages.py
+++ b/packages/catalog/src/lagoonwing_catalog/messages.py
@@ -235,7 +235,12 @@
 
 
 class ReplicaLoad(msgspec.Struct, frozen=True, array_like=True, tag=26):
-    """Load caused by the gateways that are subscribed to one replica."""
+    """Load caused by the gateways that are subscribed to one replica.
+
+    Attributes:
+        reads_gateways: Whether the replica reads `ReplicaGateways`. Builds before 2224b48 close a
+            channel on which they get it.
+    """
 
     gateways: int
     load_by_id: dict[EndpointId, EndpointLoad]
@@ -243,6 +248,7 @@
     pressure_by_service: dict[ServiceId, ServicePressure] = {}
     slowdown_by_id: dict[EndpointId, float] = {}
     transfers: tuple[DomainTransfers, ...] = ()
+    reads_gateways: bool = False
 
 
 class TraitCrashes(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/registry/src/lagoonwing_registry/_service.py
+++ b/packages/registry/src/lagoonwing_registry/_service.py
@@ -382,7 +382,8 @@
         self._subscribers.push_replicas()
         gateways = self._subscribers.push_peers()
         if gateways is not None:
-            self._peers.push_all(gateways)
+            for host_id in self._subscribers.readers_of_gateways():
+                self._peers.push(host_id, gateways)
 
     async def _async_check_liveness(self) -> None:
         """Report announcements to the leader; as the leader, mark lost endpoints."""
--- a/packages/registry/src/lagoonwing_registry/_subscribers.py
+++ b/packages/registry/src/lagoonwing_registry/_subscribers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Any
@@ -26,7 +27,11 @@
 from lagoonwing_core.ids import EndpointId, FailureDomainId, HostId, Revision
 from lagoonwing_registry._load_totals import LoadTotals, lowest_slowdowns
 from lagoonwing_registry._peer_lists import PeerRing
-from lagoonwing_registry.const import GATEWAY_TIMEOUT_S, GATEWAYS_REFRESH_INTERVAL_S
+from lagoonwing_registry.const import (
+    GATEWAY_TIMEOUT_S,
+    GATEWAYS_REFRESH_INTERVAL_S,
+    GATEWAYS_TTL_S,
+)
 from lagoonwing_wire import Channel
 
 _EMPTY_REPORT = LoadReport({})
@@ -57,11 +62,25 @@
 
 @dataclass(slots=True)
 class _RemoteLoad:
-    """Loads reported by another replica."""
+    """What another replica reported.
+
+    Attributes:
+        gateways: Gateways that follow it and take requests of others.
+        gateways_until: Time until which these are valid.
+    """
 
     load: ReplicaLoad
     last_message_at: float
     gateways: tuple[PeerGateway, ...] = ()
+    gateways_until: float = -math.inf
+
+    def current_gateways(self, now: float) -> tuple[PeerGateway, ...]:
+        """Return its gateways, unless it has not repeated them."""
+        return self.gateways if now <= self.gateways_until else ()
+
+    def reads_gateways(self, now: float) -> bool:
+        """Return whether it reads the gateways of others: it says so, or has sent its own."""
+        return self.load.reads_gateways or now <= self.gateways_until
 
 
 class Subscribers:
@@ -110,9 +129,9 @@
     @callback
     def update_remote(self, host_id: HostId, load: ReplicaLoad) -> None:
         """Store the loads of the gateways subscribed to another replica."""
-        known = self._remote_by_host.get(host_id)
-        gateways = () if known is None else known.gateways
-        self._remote_by_host[host_id] = _RemoteLoad(load, self._clock.now(), gateways)
+        known = self._remote_by_host.setdefault(host_id, _RemoteLoad(load, 0.0))
+        known.load = load
+        known.last_message_at = self._clock.now()
 
     @callback
     def update_remote_gateways(self, host_id: HostId, message: ReplicaGateways) -> None:
@@ -120,6 +139,7 @@
         remote = self._remote_by_host.get(host_id)
         if remote is not None:
             remote.gateways = message.gateways
+            remote.gateways_until = self._clock.now() + GATEWAYS_TTL_S
 
     def gateways(self) -> int:
         """Return the number of live gateways known to this replica."""
@@ -171,6 +191,7 @@
             totals.pressures(),
             lowest_slowdowns(reports),
             totals.transfers(),
+            reads_gateways=True,
         )
         remote_loads = [remote.load for remote in self._remote_by_host.values()]
         suspects = _union(local_load.suspects, *(load.suspects for load in remote_loads))
@@ -195,9 +216,15 @@
 
     @callback
     def push_peers(self) -> ReplicaGateways | None:
-        """Push its peers to each gateway; return the gateways here if other replicas need them."""
+        """Push its peers to each gateway; return the gateways here if other replicas need them.
+
+        A gateway that takes no requests of others is of an older build, which would close the
+        channel on a list of peers.
+        """
+        now = self._clock.now()
         local = tuple(sorted(self._local_gateways(), key=lambda gateway: gateway.gateway_id))
-        remote = (gateway for host in self._remote_by_host.values() for gateway in host.gateways)
+        remotes = self._remote_by_host.values()
+        remote = (gateway for host in remotes for gateway in host.current_gateways(now))
         # A gateway that has just changed its replica is known by both for a while.
         gateway_by_id = {gateway.gateway_id: gateway for gateway in (*remote, *local)}
         gateways = frozenset(gateway_by_id.values())
@@ -205,10 +232,16 @@
             self._known_gateways = gateways
             self._ring = PeerRing(gateways)
         for channel, subscriber in self._subscriber_by_channel.items():
-            if subscriber.ring is not self._ring:
+            if subscriber.handover is not None and subscriber.ring is not self._ring:
                 self._push_peers_to(channel, subscriber)
         return self._take_gateways(local)
 
+    def readers_of_gateways(self) -> tuple[HostId, ...]:
+        """Return the replicas that read which gateways follow others."""
+        now = self._clock.now()
+        remotes = self._remote_by_host.items()
+        return tuple(host_id for host_id, remote in remotes if remote.reads_gateways(now))
+
     @callback
     def _push_peers_to(self, channel: Channel[Any], subscriber: _Subscriber) -> None:
         """Push its peers to one gateway if they have changed."""
--- a/packages/registry/src/lagoonwing_registry/const.py
+++ b/packages/registry/src/lagoonwing_registry/const.py
@@ -45,6 +45,8 @@
 PEERS_PER_GATEWAY = 8
 # Interval at which the gateways of a replica are repeated to the others without a change.
 GATEWAYS_REFRESH_INTERVAL_S = 2.0
+# Time after which the gateways of a replica that has not repeated them are dropped.
+GATEWAYS_TTL_S = 5.0
 # Committed documents that a replica remembers.
 MAX_COMMITTED_DOCUMENTS = 256
 # Issues of an invalid document that a refusal names.
--- a/soak/run.py
+++ b/soak/run.py
@@ -37,7 +37,13 @@
 from soak.operators import Operators
 from soak.proxy import Proxy
 from soak.second_answers import SECOND_ANSWERS_S
-from soak.upgrades import DEFAULT_OLD_REVISION, LONG_EVENT_PAUSE_S, Upgrades, mix_builds
+from soak.upgrades import (
+    DEFAULT_OLD_REVISION,
+    LONG_EVENT_PAUSE_S,
+    Upgrades,
+    mix_builds,
+    unread_messages,
+)
 
 
 class SoakRun:
@@ -83,6 +89,7 @@
         if scenario is Scenario.UPGRADES:
             self._upgrades = Upgrades(self.context, _require_build(old_revision))
             self._upgrades.start_old()
+        self._has_two_builds = is_mixed or scenario is Scenario.UPGRADES
         if is_mixed:
             mix_builds(processes, _require_build(old_revision), seed)
         self._callers = Callers(self.context)
@@ -122,6 +129,8 @@
             await self.async_stop()
         self._callers.check_runs()
         self.context.outcome.violations += self.context.notices.violations()
+        if self._has_two_builds:
+            self.context.outcome.violations += unread_messages(self.context.processes)
         return self.context.outcome
 
     def _start_upgrades(self, upgrades: Upgrades) -> list[asyncio.Task[None]]:
--- a/soak/upgrades.py
+++ b/soak/upgrades.py
@@ -21,6 +21,8 @@
 _MAX_PAUSE_S = 1.5
 _MAX_AT_ONCE = 2
 _ROLLBACK_SHARE = 0.4
+# What a process logs of a message of a kind that its build does not know.
+_UNREAD_MARK = '"reason":"Invalid value'
 # Pause between two events of the engines with long streams, which outlive a start of a process.
 LONG_EVENT_PAUSE_S = 0.15
 
@@ -33,6 +35,17 @@
         process.build = old
 
 
+def unread_messages(processes: Processes) -> list[str]:
+    """Return a line for each process that closed channels because it couldn't read a message."""
+    found = []
+    for process in processes.all():
+        lines = process.log.read_text(encoding="utf-8", errors="replace").splitlines()
+        unread = [line for line in lines if _UNREAD_MARK in line]
+        if unread:
+            found.append(f"{process.name} couldn't read {len(unread)} messages: {unread[0]}")
+    return found
+
+
 class UpgradeOrder(Enum):
     """Order in which the processes are replaced."""
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 import pytest
-from old_build import LAST_LANDING, require_build
+from old_build import LAST_LANDING, OLDER_LANDINGS, require_build
 
 from soak.faulty_answers import AnswerFault
 from soak.models import Scenario
@@ -67,6 +67,16 @@
     assert any("gets the new build" in fault for fault in outcome.faults)
 
 
+# Guards against messages that an older build can't read: it closes the channel on each of them.
+@pytest.mark.parametrize("revision", OLDER_LANDINGS[:1])
+def test_older_builds_read_all_messages(revision: str, tmp_path: Path) -> None:
+    """In a mixed fleet no process is sent a message of a kind that its build does not know."""
+    require_build(revision)
+    run = SoakRun(3, SECONDS, tmp_path, Scenario.CUT_GATEWAYS, old_revision=revision, is_mixed=True)
+    outcome = asyncio.run(run.async_run())
+    assert outcome.violations == [], outcome.faults
+
+
 def test_prompt_part_that_crashes_engines_is_kept_from_them(tmp_path: Path) -> None:
     """Engines get few requests with a part that crashed five, and streams without it are served."""
     outcome = asyncio.run(SoakRun(1, SECONDS, tmp_path, Scenario.CRASHING_PART).async_run())
