--- a/packages/registry/src/lagoonwing_registry/_subscribers.py
+++ b/packages/registry/src/lagoonwing_registry/_subscribers.py
@@ -102,6 +102,7 @@
         self._known_gateways: frozenset[PeerGateway] = frozenset()
         self._ring = PeerRing(())
         self._sent_gateways: tuple[PeerGateway, ...] = ()
+        self._sent_readers: tuple[HostId, ...] = ()
         self._sent_gateways_at = 0.0
 
     @callback
@@ -267,10 +268,11 @@
     def _take_gateways(self, gateways: tuple[PeerGateway, ...]) -> ReplicaGateways | None:
         """Return what to send to the other replicas; None while they know it."""
         now = self._clock.now()
+        readers = self.readers_of_gateways()
         is_due = now >= self._sent_gateways_at + GATEWAYS_REFRESH_INTERVAL_S
-        if gateways == self._sent_gateways and not is_due:
+        if (gateways, readers) == (self._sent_gateways, self._sent_readers) and not is_due:
             return None
-        self._sent_gateways, self._sent_gateways_at = gateways, now
+        self._sent_gateways, self._sent_readers, self._sent_gateways_at = gateways, readers, now
         return ReplicaGateways(gateways)
 
     def _suspects(self) -> tuple[EndpointId, ...]:
--- a/tests/registry/test_peers_of_older_builds.py
+++ b/tests/registry/test_peers_of_older_builds.py
@@ -102,6 +102,17 @@
     assert [len(peers) for peers in lists] == [1, 0]
 
 
+def test_new_reader_is_told_at_once() -> None:
+    """A replica that says that it reads them gets the gateways with the next push."""
+    subscribers = _make_subscribers(ManualClock(100.0))
+    _subscribe(subscribers, "gateway-1", takes_requests=True)
+    assert subscribers.push_peers() is not None
+    assert subscribers.push_peers() is None
+    subscribers.update_remote(_OTHER, ReplicaLoad(0, {}, reads_gateways=True))
+    assert subscribers.push_peers() is not None
+    assert subscribers.push_peers() is None
+
+
 @pytest.mark.parametrize("field_count", [6, 7])
 def test_loads_of_both_forms_are_read(field_count: int) -> None:
     """A replica of an older build sends fewer fields, and ignores the last one of a newer build."""
