--- a/soak/run.py
+++ b/soak/run.py
@@ -182,6 +182,8 @@
         """Clear all faults and check that requests are served and no document is lost."""
         context = self.context
         self._faults.clear_all()
+        if self._upgrades is not None:
+            await self._upgrades.async_finish_restart()
         await asyncio.sleep(RECOVERY_S)
         context.has_recovered = True
         await asyncio.sleep(RECOVERY_S / 2)
--- a/soak/upgrades.py
+++ b/soak/upgrades.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import signal
+from contextlib import suppress
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -63,7 +64,7 @@
 
     def start_old(self) -> None:
         """Let all processes start with the older build."""
-        for process in self._context.processes.all():
+        for process in self._processes():
             process.build = self._old
 
     async def async_run(self) -> None:
@@ -82,6 +83,21 @@
             await asyncio.sleep(context.rng.uniform(0.0, _MAX_PAUSE_S))
             await self._async_replace(self._in_order(order)[::-1], self._old)
 
+    async def async_finish_restart(self) -> None:
+        """Wait until the processes that were being replaced at the end of the faults have begun."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(_MAX_STOP_S):
+                while self._is_restarting():  # noqa: ASYNC110
+                    await asyncio.sleep(0.05)
+
+    def _is_restarting(self) -> bool:
+        """Return whether a process still runs, or waits to run, another build than it was given."""
+        return any(process.running_build != process.build for process in self._processes())
+
+    def _processes(self) -> list[SystemProcess]:
+        """Return all processes."""
+        return self._context.processes.all()
+
     def _in_order(self, order: UpgradeOrder) -> list[SystemProcess]:
         """Return all processes in the order of their replacement."""
         rng, processes = self._context.rng, self._context.processes
@@ -93,7 +109,7 @@
             case UpgradeOrder.GATEWAYS_FIRST:
                 return [*gateways, *registries]
             case UpgradeOrder.RANDOM:
-                return rng.sample(processes.all(), len(processes.all()))
+                return rng.sample(self._processes(), len(self._processes()))
 
     async def _async_replace(self, processes: list[SystemProcess], build: Build | None) -> None:
         """Restart processes with a build, one or two at a time."""
