--- a/soak/notices.py
+++ b/soak/notices.py
@@ -6,6 +6,7 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import cache
 from typing import TYPE_CHECKING
 
 from lagoonwing_fakes.builds import Build
@@ -142,6 +143,7 @@
         return False
 
 
+@cache
 def _is_new_enough(build: Build | None) -> bool:
     """Return whether a build heeds both words."""
     return build is None or build.contains(_HEEDED_SINCE)
