--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -93,6 +93,7 @@
         make_faulty_connection: Returns what answers calls on a new connection, if set.
         cuts: Cuts of gateways from all endpoints, if any come.
         event_pause_s: Pause between two events of a stream.
+        declined_share: Share of the requests that it refuses without running them.
         words: What it says of itself in its answers, if anything.
     """
 
@@ -108,6 +109,7 @@
         self.answers_twice = False
         self.cuts: GatewayCuts | None = None
         self.event_pause_s = EVENT_PAUSE_S
+        self.declined_share = 0.02
         self.words: EndpointWords | None = None
         self.make_faulty_connection: Callable[[asyncio.StreamWriter], FaultyConnection] | None
         self.make_faulty_connection = None
@@ -309,7 +311,7 @@
         if headers.get(HEADER_EXPECTED_ENDPOINT.lower(), self.endpoint_id) != self.endpoint_id:
             _write(writer, 421, echo, b"")
             return
-        if HEADER_PAUSE in echo or self._rng.random() < 0.02:
+        if HEADER_PAUSE in echo or self._rng.random() < self.declined_share:
             _write(writer, 503, {**echo, HEADER_NOT_EXECUTED: "1"}, b"")
             return
         await self._async_apply_fault(writer)
--- a/tests/lagoonctl/test_explain_processes.py
+++ b/tests/lagoonctl/test_explain_processes.py
@@ -155,6 +155,8 @@
     """The call ran once; its only attempt ended without a response."""
     for endpoint in deployment.endpoints("plain"):
         endpoint.fault = LinkFault.LOST_ANSWER
+        # One that declines a request has not run it, and that is another story.
+        endpoint.declined_share = 0.0
     attempt_id, response = await deployment.async_send("unsafe")
     assert response is not None
     assert response.code == 502
