--- a/packages/core/src/lagoonwing_core/settings/_schema.py
+++ b/packages/core/src/lagoonwing_core/settings/_schema.py
@@ -146,7 +146,7 @@
         case inspect.StrType(pattern=pattern, min_length=min_length):
             if not isinstance(value, str) or len(value) < (min_length or 0):
                 return False
-            return pattern is None or re.fullmatch(pattern, value) is not None
+            return pattern is None or re.search(pattern, value) is not None
         case inspect.BoolType():
             return isinstance(value, bool)
         case inspect.IntType(ge=low, le=high):
